--- /dev/null
+++ b/src/savorywheel/admin/change_planner.hpp
@@ -0,0 +1,26 @@
+#ifndef SAVORYWHEEL_ADMIN_CHANGE_PLANNER_HPP
+#define SAVORYWHEEL_ADMIN_CHANGE_PLANNER_HPP
+
+#include <savorywheel/config/commit.hpp>
+#include <savorywheel/config/mesh_spec.hpp>
+#include <savorywheel/config/mesh_state.hpp>
+
+namespace savorywheel {
+
+/**
+ * @brief Plans the commit that makes a state follow an edited text.
+ *
+ * A service whose target changed gets a move in progress; a new service gets its target at once.
+ * Overrides stay.
+ * @param state State that the commit follows.
+ * @param wanted The edited text.
+ * @param now Time at which moves begin.
+ * @return The commit with its version, base, kind and content; without upserts, removals and
+ * domains if the text changes nothing.
+ */
+[[nodiscard]] commit plan_text_change(const mesh_state& state, const mesh_spec& wanted,
+                                      calendar_time now);
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/admin/node_view.hpp
@@ -0,0 +1,39 @@
+#ifndef SAVORYWHEEL_ADMIN_NODE_VIEW_HPP
+#define SAVORYWHEEL_ADMIN_NODE_VIEW_HPP
+
+#include <savorywheel/admin/node_state_dump.hpp>
+#include <savorywheel/config/mesh_state.hpp>
+#include <savorywheel/core/outcome.hpp>
+#include <savorywheel/traffic/backend_server.hpp>
+
+#include <deque>
+#include <memory>
+
+namespace savorywheel {
+
+/** @brief The control thread's state as administration requests see it; any thread may call. */
+class node_view {
+public:
+    node_view() = default;
+    node_view(const node_view&) = delete;
+    node_view& operator=(const node_view&) = delete;
+    node_view(node_view&&) = delete;
+    node_view& operator=(node_view&&) = delete;
+    virtual ~node_view() = default;
+
+    /** @return State of the node; timeout if the control thread does not answer. */
+    [[nodiscard]] virtual outcome<node_state_dump> dump() = 0;
+
+    /** @return Accepted configuration; timeout if the control thread does not answer. */
+    [[nodiscard]] virtual outcome<mesh_state> configuration() = 0;
+
+    /** @return Latest commits; timeout if the control thread does not answer. */
+    [[nodiscard]] virtual outcome<std::deque<commit>> history() = 0;
+
+    /** @brief Takes an announcement of the backend server beside the node. */
+    virtual void announce(const backend_server& backend) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/admin/status_reporter.cpp
@@ -0,0 +1,37 @@
+#include <savorywheel/admin/status_reporter.hpp>
+#include <savorywheel/config/calendar_text.hpp>
+
+namespace savorywheel {
+
+namespace {
+
+service_status make_service_status(const service_state& service)
+{
+    service_status status;
+    status.service = service.spec.name;
+    const auto weights = service.effective_weights();
+    status.weights.assign(weights.begin(), weights.end());
+    status.override_in_force = service.override_in_force;
+    if (service.move) {
+        status.move = to_string(service.move->status);
+        status.reason = service.move->reason;
+        if (service.move->due) {
+            status.due = format_calendar_time(*service.move->due);
+        }
+    }
+    return status;
+}
+
+} // namespace
+
+status_report make_status_report(const mesh_state& state)
+{
+    status_report report;
+    report.version = state.version();
+    for (const auto& [name, service] : state.services()) {
+        report.services.push_back(make_service_status(*service));
+    }
+    return report;
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/config/fwd.hpp
@@ -0,0 +1,24 @@
+#ifndef SAVORYWHEEL_CONFIG_FWD_HPP
+#define SAVORYWHEEL_CONFIG_FWD_HPP
+
+namespace savorywheel {
+
+class commit_builder;
+class mesh_state;
+class mesh_text_reader;
+class mesh_validator;
+class place_index;
+struct commit;
+struct domain_spec;
+struct manual_override;
+struct mesh_spec;
+struct rollout_move;
+struct route_spec;
+struct service_spec;
+struct service_state;
+struct traffic_target;
+struct version_weight;
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/config/mesh_state.cpp
@@ -0,0 +1,66 @@
+#include <savorywheel/config/mesh_state.hpp>
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace savorywheel {
+
+mesh_state::mesh_state(config_version version, std::vector<domain_spec> domains,
+                       std::span<const service_state> services)
+    : version_{version}, domains_{std::move(domains)}
+{
+    for (const auto& service : services) {
+        services_.emplace(service.spec.name, std::make_shared<const service_state>(service));
+    }
+}
+
+outcome<mesh_state> mesh_state::apply(const commit& change) const
+{
+    if (change.version != version_.next()) {
+        return failure{failure_code::conflict, fmt::format("commit {} does not follow version {}",
+                                                           change.version.number, version_.number)};
+    }
+    auto next = *this;
+    next.version_ = change.version;
+    if (change.domains) {
+        next.domains_ = *change.domains;
+    }
+    for (const auto& removal : change.removals) {
+        if (next.services_.erase(removal) == 0) {
+            return failure{failure_code::invalid_argument,
+                           fmt::format("service {} to remove does not exist", removal.str())};
+        }
+    }
+    for (const auto& upsert : change.upserts) {
+        auto state = std::make_shared<service_state>(upsert);
+        state->changed_at = change.version;
+        next.services_.insert_or_assign(upsert.spec.name, std::move(state));
+    }
+    if (const auto checked = next.check_references(); !checked) {
+        return checked.reason();
+    }
+    return next;
+}
+
+std::shared_ptr<const service_state> mesh_state::find(const service_name& name) const
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : found->second;
+}
+
+outcome<bool> mesh_state::check_references() const
+{
+    for (const auto& [name, service] : services_) {
+        for (const auto& dependency : service->spec.depends_on) {
+            if (!services_.contains(dependency)) {
+                return failure{failure_code::invalid_argument,
+                               fmt::format("service {} depends on {}, which does not exist",
+                                           name.str(), dependency.str())};
+            }
+        }
+    }
+    return true;
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/config/mesh_text_reader.cpp
@@ -0,0 +1,109 @@
+#include <savorywheel/config/calendar_text.hpp>
+#include <savorywheel/config/mesh_text_reader.hpp>
+#include <savorywheel/config/yaml_cursor.hpp>
+
+#include <fmt/format.h>
+
+#include <cmath>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr double permille_per_percent = 10.0;
+
+std::vector<service_name> read_names(const yaml_cursor& cursor, std::string_view key)
+{
+    std::vector<service_name> names;
+    for (auto& text : cursor.texts(key)) {
+        names.emplace_back(std::move(text));
+    }
+    return names;
+}
+
+domain_spec read_domain(const yaml_cursor& cursor)
+{
+    cursor.expect_keys({"name", "region"});
+    return {failure_domain{cursor.text("name")}, region_name{cursor.text("region")}};
+}
+
+route_spec read_route(const yaml_cursor& cursor)
+{
+    cursor.expect_keys({"path", "idempotent", "deadline_ms", "calls"});
+    route_spec route;
+    route.path = cursor.text("path");
+    route.idempotent = cursor.flag_or("idempotent", false);
+    route.deadline = std::chrono::milliseconds{cursor.number("deadline_ms")};
+    route.calls = read_names(cursor, "calls");
+    return route;
+}
+
+version_weight read_version(const yaml_cursor& cursor)
+{
+    cursor.expect_keys({"name", "weight"});
+    version_weight weight{version_name{cursor.text("name")}, 0};
+    const auto percent = cursor.decimal("weight");
+    if (!(percent >= 0.0 && percent <= 100.0)) {
+        cursor.fault("weight", fmt::format("{}", percent), "a number from 0 to 100");
+        return weight;
+    }
+    weight.permille = static_cast<std::uint32_t>(std::lround(percent * permille_per_percent));
+    return weight;
+}
+
+traffic_target read_target(const yaml_cursor& cursor)
+{
+    traffic_target target;
+    for (const auto& item : cursor.maps("versions")) {
+        target.weights.push_back(read_version(item));
+    }
+    const auto due = cursor.text_or("by", "");
+    if (!due.empty()) {
+        target.due = parse_calendar_time(due);
+        if (!target.due) {
+            cursor.fault("by", fmt::format("\"{}\"", due),
+                         "a UTC time such as 2026-12-04T18:00:00Z");
+        }
+    }
+    return target;
+}
+
+service_spec read_service(const yaml_cursor& cursor)
+{
+    cursor.expect_keys({"name", "depends_on", "routes", "versions", "by"});
+    service_spec service;
+    service.name = service_name{cursor.text("name")};
+    service.depends_on = read_names(cursor, "depends_on");
+    for (const auto& item : cursor.maps("routes")) {
+        service.routes.push_back(read_route(item));
+    }
+    service.target = read_target(cursor);
+    return service;
+}
+
+} // namespace
+
+mesh_spec mesh_text_reader::read(std::string_view text, findings& report)
+{
+    places_ = {};
+    mesh_spec spec;
+    if (text.size() > max_text_bytes) {
+        report.add({}, fmt::format("a text of {} bytes", text.size()),
+                   fmt::format("at most {} bytes", max_text_bytes));
+        return spec;
+    }
+    const auto root = yaml_cursor::parse(text, places_, report);
+    if (!root) {
+        return spec;
+    }
+    root->expect_keys({"failure_domains", "services"});
+    for (const auto& item : root->maps("failure_domains")) {
+        spec.domains.push_back(read_domain(item));
+    }
+    for (const auto& item : root->maps("services")) {
+        spec.services.push_back(read_service(item));
+    }
+    return spec;
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/config/mesh_validator.hpp
@@ -0,0 +1,37 @@
+#ifndef SAVORYWHEEL_CONFIG_MESH_VALIDATOR_HPP
+#define SAVORYWHEEL_CONFIG_MESH_VALIDATOR_HPP
+
+#include <savorywheel/config/mesh_spec.hpp>
+#include <savorywheel/config/place_index.hpp>
+#include <savorywheel/core/clock.hpp>
+#include <savorywheel/core/findings.hpp>
+
+namespace savorywheel {
+
+/** @brief Judges the meaning of an operators' text. */
+class mesh_validator {
+public:
+    /**
+     * @param places Where the parts of the text stand; must outlive the validator.
+     * @param now Calendar time against which deadlines are judged.
+     */
+    mesh_validator(const place_index& places, calendar_time now) noexcept
+        : places_{places}, now_{now}
+    {
+    }
+
+    /**
+     * @brief Checks names, dependencies, routes, weights and deadlines.
+     * @param spec The text in typed form.
+     * @param report Collects all faults.
+     */
+    void check(const mesh_spec& spec, findings& report) const;
+
+private:
+    const place_index& places_;
+    calendar_time now_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/config/place_index.hpp
@@ -0,0 +1,39 @@
+#ifndef SAVORYWHEEL_CONFIG_PLACE_INDEX_HPP
+#define SAVORYWHEEL_CONFIG_PLACE_INDEX_HPP
+
+#include <savorywheel/core/text_place.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace savorywheel {
+
+/** @brief Remembers where each part of a text stands, by a path such as "services/0/name". */
+class place_index {
+public:
+    /**
+     * @brief Records a part.
+     * @param path Path of the part.
+     * @param place Where it stands.
+     */
+    void record(std::string path, text_place place)
+    {
+        places_.insert_or_assign(std::move(path), place);
+    }
+
+    /** @return Where the part stands; the whole text if it was not recorded. */
+    [[nodiscard]] text_place find(std::string_view path) const
+    {
+        const auto found = places_.find(path);
+        return found == places_.end() ? text_place{} : found->second;
+    }
+
+private:
+    std::map<std::string, text_place, std::less<>> places_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/config/service_spec.hpp
@@ -0,0 +1,29 @@
+#ifndef SAVORYWHEEL_CONFIG_SERVICE_SPEC_HPP
+#define SAVORYWHEEL_CONFIG_SERVICE_SPEC_HPP
+
+#include <savorywheel/config/route_spec.hpp>
+#include <savorywheel/config/traffic_target.hpp>
+#include <savorywheel/core/names.hpp>
+
+#include <vector>
+
+namespace savorywheel {
+
+/** @brief One service, as operators describe it. */
+struct service_spec {
+    /** @brief Name; callers give it as the host of their requests. */
+    service_name name;
+    /** @brief Services that this one may call. */
+    std::vector<service_name> depends_on;
+    /** @brief Routes, at least one. */
+    std::vector<route_spec> routes;
+    /** @brief Versions that should carry the traffic. */
+    traffic_target target;
+
+    /** @brief Compares all members. */
+    [[nodiscard]] friend bool operator==(const service_spec&, const service_spec&) = default;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/config/yaml_cursor.cpp
@@ -0,0 +1,236 @@
+#include <savorywheel/config/yaml_cursor.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+text_place place_at(const YAML::Mark& mark)
+{
+    if (mark.is_null()) {
+        return {};
+    }
+    return {static_cast<std::size_t>(mark.line) + 1, static_cast<std::size_t>(mark.column) + 1};
+}
+
+std::string describe(const YAML::Node& node)
+{
+    if (node.IsMap()) {
+        return "a map";
+    }
+    if (node.IsSequence()) {
+        return "a list";
+    }
+    if (node.IsScalar()) {
+        return fmt::format("\"{}\"", node.Scalar());
+    }
+    return "nothing";
+}
+
+} // namespace
+
+yaml_cursor::yaml_cursor(const YAML::Node& node, std::string path, place_index& places,
+                         findings& report)
+    : node_{node}, path_{std::move(path)}, places_{&places}, report_{&report}
+{
+    places_->record(path_, place_at(node_.Mark()));
+}
+
+std::optional<yaml_cursor> yaml_cursor::parse(std::string_view text, place_index& places,
+                                              findings& report)
+{
+    try {
+        auto root = YAML::Load(std::string{text});
+        if (!root.IsMap()) {
+            report.add({1, 1}, describe(root), "a map at the top of the text");
+            return std::nullopt;
+        }
+        return yaml_cursor{root, "", places, report};
+    }
+    catch (const YAML::Exception& error) {
+        report.add(place_at(error.mark), fmt::format("a text that is not YAML ({})", error.msg),
+                   "YAML");
+        return std::nullopt;
+    }
+}
+
+void yaml_cursor::expect_keys(std::initializer_list<std::string_view> known) const
+{
+    std::set<std::string> seen;
+    for (const auto& item : node_) {
+        const auto key = item.first.IsScalar() ? item.first.Scalar() : std::string{};
+        if (std::ranges::find(known, key) == known.end()) {
+            report_->add(place_at(item.first.Mark()), fmt::format("unknown key \"{}\"", key),
+                         fmt::format("one of: {}", fmt::join(known, ", ")));
+        }
+        if (!seen.insert(key).second) {
+            report_->add(place_at(item.first.Mark()), fmt::format("key \"{}\" twice", key),
+                         "each key once");
+        }
+    }
+}
+
+bool yaml_cursor::has(std::string_view key) const
+{
+    return child(key).IsDefined();
+}
+
+std::string yaml_cursor::text(std::string_view key) const
+{
+    auto value = scalar(key, true, "a text").value_or("");
+    if (value.empty() && has(key) && child(key).IsScalar()) {
+        fault(key, "an empty text", "a text");
+    }
+    return value;
+}
+
+std::string yaml_cursor::text_or(std::string_view key, std::string_view fallback) const
+{
+    return scalar(key, false, "a text").value_or(std::string{fallback});
+}
+
+std::int64_t yaml_cursor::number(std::string_view key) const
+{
+    if (!scalar(key, true, "a whole number")) {
+        return 0;
+    }
+    return number_or(key, 0);
+}
+
+std::int64_t yaml_cursor::number_or(std::string_view key, std::int64_t fallback) const
+{
+    if (!scalar(key, false, "a whole number")) {
+        return fallback;
+    }
+    std::int64_t value{};
+    if (!YAML::convert<std::int64_t>::decode(child(key), value)) {
+        fault(key, describe(child(key)), "a whole number");
+        return fallback;
+    }
+    return value;
+}
+
+double yaml_cursor::decimal(std::string_view key) const
+{
+    double value{};
+    if (scalar(key, true, "a number") && !YAML::convert<double>::decode(child(key), value)) {
+        fault(key, describe(child(key)), "a number");
+    }
+    return value;
+}
+
+bool yaml_cursor::flag_or(std::string_view key, bool fallback) const
+{
+    if (!scalar(key, false, "true or false")) {
+        return fallback;
+    }
+    bool value{};
+    if (!YAML::convert<bool>::decode(child(key), value)) {
+        fault(key, describe(child(key)), "true or false");
+        return fallback;
+    }
+    return value;
+}
+
+std::vector<std::string> yaml_cursor::texts(std::string_view key) const
+{
+    const auto list = child(key);
+    if (!list.IsDefined()) {
+        return {};
+    }
+    if (!list.IsSequence()) {
+        fault(key, describe(list), "a list of texts");
+        return {};
+    }
+    std::vector<std::string> values;
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        places_->record(fmt::format("{}{}/{}", path_, key, i), place_at(list[i].Mark()));
+        if (!list[i].IsScalar() || list[i].Scalar().empty()) {
+            report_->add(place_at(list[i].Mark()), describe(list[i]), "a text");
+            continue;
+        }
+        values.push_back(list[i].Scalar());
+    }
+    return values;
+}
+
+std::vector<yaml_cursor> yaml_cursor::maps(std::string_view key) const
+{
+    const auto list = child(key);
+    if (!list.IsDefined()) {
+        return {};
+    }
+    if (!list.IsSequence()) {
+        fault(key, describe(list), "a list");
+        return {};
+    }
+    std::vector<yaml_cursor> values;
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        if (!list[i].IsMap()) {
+            report_->add(place_at(list[i].Mark()), describe(list[i]), "a map");
+            continue;
+        }
+        values.emplace_back(list[i], fmt::format("{}{}/{}/", path_, key, i), *places_, *report_);
+        places_->record(fmt::format("{}{}/{}", path_, key, i), place_at(list[i].Mark()));
+    }
+    return values;
+}
+
+std::optional<yaml_cursor> yaml_cursor::map(std::string_view key) const
+{
+    const auto value = child(key);
+    if (!value.IsDefined()) {
+        return std::nullopt;
+    }
+    if (!value.IsMap()) {
+        fault(key, describe(value), "a map");
+        return std::nullopt;
+    }
+    return yaml_cursor{value, fmt::format("{}{}/", path_, key), *places_, *report_};
+}
+
+text_place yaml_cursor::place_of(std::string_view key) const
+{
+    const auto value = child(key);
+    return place_at(value.IsDefined() ? value.Mark() : node_.Mark());
+}
+
+void yaml_cursor::fault(std::string_view key, std::string found, std::string expected) const
+{
+    report_->add(place_of(key), fmt::format("{} under \"{}\"", found, key), std::move(expected));
+}
+
+YAML::Node yaml_cursor::child(std::string_view key) const
+{
+    const auto& constant = node_;
+    auto value = constant[std::string{key}];
+    if (value.IsDefined()) {
+        places_->record(fmt::format("{}{}", path_, key), place_at(value.Mark()));
+    }
+    return value;
+}
+
+std::optional<std::string> yaml_cursor::scalar(std::string_view key, bool required,
+                                               std::string_view expected) const
+{
+    const auto value = child(key);
+    if (!value.IsDefined()) {
+        if (required) {
+            report_->add(place_at(node_.Mark()), fmt::format("no key \"{}\"", key),
+                         std::string{expected});
+        }
+        return std::nullopt;
+    }
+    if (!value.IsScalar()) {
+        fault(key, describe(value), std::string{expected});
+        return std::nullopt;
+    }
+    return value.Scalar();
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/core/text_place.hpp
@@ -0,0 +1,18 @@
+#ifndef SAVORYWHEEL_CORE_TEXT_PLACE_HPP
+#define SAVORYWHEEL_CORE_TEXT_PLACE_HPP
+
+#include <cstddef>
+
+namespace savorywheel {
+
+/** @brief Position in a text; both numbers start at one, zero means the whole text. */
+struct text_place {
+    /** @brief Line. */
+    std::size_t line{};
+    /** @brief Column, in bytes. */
+    std::size_t column{};
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/core/timer_service.hpp
@@ -0,0 +1,66 @@
+#ifndef SAVORYWHEEL_CORE_TIMER_SERVICE_HPP
+#define SAVORYWHEEL_CORE_TIMER_SERVICE_HPP
+
+#include <savorywheel/core/clock.hpp>
+#include <savorywheel/core/subscription.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace savorywheel {
+
+/**
+ * @brief Timers of one control thread; parts subscribe to them.
+ * @warning All members are for one thread only.
+ */
+class timer_service {
+public:
+    /** @brief Action of a timer. */
+    using action = std::function<void()>;
+
+    /** @param source Clock that decides when timers are due; must outlive the service. */
+    explicit timer_service(const clock& source) noexcept : clock_{source} {}
+
+    /**
+     * @brief Calls an action again and again.
+     * @param period Time between two calls, and before the first one.
+     * @param task The action.
+     * @return The subscription; the service must outlive it.
+     */
+    [[nodiscard]] subscription every(duration period, action task);
+
+    /**
+     * @brief Calls an action once.
+     * @param delay Time before the call.
+     * @param task The action.
+     * @return The subscription; the service must outlive it.
+     */
+    [[nodiscard]] subscription after(duration delay, action task);
+
+    /** @return When the next timer is due, if there is one. */
+    [[nodiscard]] std::optional<monotonic_time> next_due() const noexcept;
+
+    /** @brief Calls all actions that are due. */
+    void run_due();
+
+private:
+    struct entry {
+        std::optional<duration> period;
+        action task;
+    };
+    using key = std::pair<monotonic_time, std::uint64_t>;
+
+    subscription add(duration delay, entry item);
+    void cancel(std::uint64_t id);
+
+    const clock& clock_;
+    std::uint64_t last_id_{};
+    std::map<key, entry> entries_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/distribution/commit_fetch_message.hpp
@@ -0,0 +1,16 @@
+#ifndef SAVORYWHEEL_DISTRIBUTION_COMMIT_FETCH_MESSAGE_HPP
+#define SAVORYWHEEL_DISTRIBUTION_COMMIT_FETCH_MESSAGE_HPP
+
+#include <savorywheel/core/config_version.hpp>
+
+namespace savorywheel {
+
+/** @brief Asks for the commits after a version. */
+struct commit_fetch_message {
+    /** @brief Version that the asking node has. */
+    config_version after;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/distribution/configuration_listener.hpp
@@ -0,0 +1,24 @@
+#ifndef SAVORYWHEEL_DISTRIBUTION_CONFIGURATION_LISTENER_HPP
+#define SAVORYWHEEL_DISTRIBUTION_CONFIGURATION_LISTENER_HPP
+
+#include <savorywheel/config/mesh_state.hpp>
+
+namespace savorywheel {
+
+/** @brief Hears of new configuration versions, on the control thread. */
+class configuration_listener {
+public:
+    configuration_listener() = default;
+    configuration_listener(const configuration_listener&) = delete;
+    configuration_listener& operator=(const configuration_listener&) = delete;
+    configuration_listener(configuration_listener&&) = delete;
+    configuration_listener& operator=(configuration_listener&&) = delete;
+    virtual ~configuration_listener() = default;
+
+    /** @brief Hears that the node has a newer configuration. */
+    virtual void on_configuration(const mesh_state& state) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/distribution/distributor.hpp
@@ -0,0 +1,79 @@
+#ifndef SAVORYWHEEL_DISTRIBUTION_DISTRIBUTOR_HPP
+#define SAVORYWHEEL_DISTRIBUTION_DISTRIBUTOR_HPP
+
+#include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/distribution/commit_log.hpp>
+#include <savorywheel/distribution/commit_push_message.hpp>
+#include <savorywheel/distribution/configuration_listener.hpp>
+#include <savorywheel/membership/member_table.hpp>
+#include <savorywheel/transport/peer_network.hpp>
+#include <savorywheel/transport/request_client.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace savorywheel {
+
+/**
+ * @brief Takes commits from the platform's service and from peers, and passes them on.
+ *
+ * Commits go down a tree of the failure domain's members. A loss shows in the versions that
+ * membership messages carry, and is mended by fetching from the peer that is ahead.
+ * @warning All members are for the control thread, but for on_frame() and on_closed().
+ */
+class distributor final : public frame_handler {
+public:
+    /** @brief What the distributor works with; all must outlive it. */
+    struct environment {
+        /** @brief Control thread's events and timers. */
+        control_loop& loop;
+        /** @brief Streams to peers. */
+        peer_network& network;
+        /** @brief Requests to peers. */
+        request_client& requests;
+        /** @brief Hears of new versions. */
+        configuration_listener& listener;
+        /** @brief Gives the member records. */
+        std::function<const member_table&()> members;
+    };
+
+    /**
+     * @param self This node.
+     * @param domain Its failure domain.
+     * @param surroundings What the distributor works with.
+     */
+    distributor(node_id self, failure_domain domain, environment surroundings);
+
+    /** @brief Takes commits that this node read from the platform's service as a relay. */
+    void take_from_store(std::vector<commit> commits);
+
+    /** @brief Hears which version a peer has; fetches from it if this node is behind. */
+    void peer_has(const network_endpoint& peer, config_version head);
+
+    /** @return This node's copy of the log. */
+    [[nodiscard]] const commit_log& log() const noexcept { return log_; }
+
+    void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
+                  std::uint64_t correlation, std::span<const std::byte> payload) override;
+    void on_closed(const frame_sink& source, bool established) override;
+
+private:
+    /** Applies a batch and passes it down the root's tree; a fetched one has no root. */
+    void take(const node_id& root, const commit_batch_message& batch);
+    void pass_on(const node_id& root, const commit_batch_message& batch);
+    void answer_fetch(const std::shared_ptr<frame_sink>& source, std::uint64_t correlation,
+                      config_version after);
+    void on_fetched(request_client::answer answer);
+
+    node_id self_;
+    failure_domain domain_;
+    environment environment_;
+    commit_log log_;
+    bool fetching_{};
+    std::uint64_t fetch_{};
+    subscription fetch_timer_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/distribution/floor_message.hpp
@@ -0,0 +1,19 @@
+#ifndef SAVORYWHEEL_DISTRIBUTION_FLOOR_MESSAGE_HPP
+#define SAVORYWHEEL_DISTRIBUTION_FLOOR_MESSAGE_HPP
+
+#include <savorywheel/core/config_version.hpp>
+#include <savorywheel/core/names.hpp>
+
+namespace savorywheel {
+
+/** @brief Lowest configuration version that a node may use. */
+struct floor_message {
+    /** @brief The node. */
+    node_id node;
+    /** @brief The version; zero if none is known. */
+    config_version version;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/distribution/lease_keeper.hpp
@@ -0,0 +1,84 @@
+#ifndef SAVORYWHEEL_DISTRIBUTION_LEASE_KEEPER_HPP
+#define SAVORYWHEEL_DISTRIBUTION_LEASE_KEEPER_HPP
+
+#include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/core/random_source.hpp>
+#include <savorywheel/distribution/lease_record.hpp>
+#include <savorywheel/store/store_worker.hpp>
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace savorywheel {
+
+/**
+ * @brief Holds, renews or waits for one lease in the platform's service.
+ *
+ * A lease of another holder counts as lapsed when its term has not grown for its lifetime on this
+ * node's own clock, so that clocks of different nodes are never compared. A holder that cannot
+ * renew gives the lease up before its lifetime ends.
+ * @warning All members are for the control thread.
+ */
+class lease_keeper {
+public:
+    /** @brief Hears that this node now holds the lease, or no longer does. */
+    using change_callback = std::function<void(bool held)>;
+
+    /** @brief What the keeper works with; all must outlive it. */
+    struct environment {
+        /** @brief Control thread's events and timers. */
+        control_loop& loop;
+        /** @brief Thread for the platform's service. */
+        store_worker& store;
+        /** @brief Spreads attempts. */
+        random_source& random;
+    };
+
+    /**
+     * @param key Key of the lease object.
+     * @param self Record that this node writes; its term is set here.
+     * @param surroundings What the keeper works with.
+     * @param changed Hears of changes.
+     */
+    lease_keeper(std::string key, lease_record self, environment surroundings,
+                 change_callback changed);
+
+    /** @brief Starts to compete for the lease. */
+    void start();
+
+    /** @brief Stops to compete; a held lease is let lapse. */
+    void stop();
+
+    /** @return True if this node holds the lease. */
+    [[nodiscard]] bool held() const noexcept { return held_; }
+
+    /** @return The holder that was last seen, if any. */
+    [[nodiscard]] const std::optional<lease_record>& seen() const noexcept { return seen_; }
+
+private:
+    void schedule(duration delay);
+    void attempt();
+    void on_read(const outcome<stored_object>& object);
+    void claim(std::uint64_t term, std::optional<std::uint64_t> expected);
+    void on_written(bool written, monotonic_time started, lease_record record);
+    void set_held(bool held);
+    void give_up_if_lapsed();
+    [[nodiscard]] duration renewal_period() const noexcept { return self_.lifetime / 3; }
+
+    std::string key_;
+    lease_record self_;
+    environment environment_;
+    change_callback changed_;
+    std::optional<lease_record> seen_;
+    monotonic_time seen_at_;
+    monotonic_time valid_until_;
+    bool held_{};
+    bool running_{};
+    subscription timer_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -0,0 +1,90 @@
+#ifndef SAVORYWHEEL_ENCODING_CONFIG_ARCHIVE_HPP
+#define SAVORYWHEEL_ENCODING_CONFIG_ARCHIVE_HPP
+
+#include <savorywheel/config/commit.hpp>
+#include <savorywheel/encoding/core_archive.hpp>
+
+namespace savorywheel {
+
+/** @brief Lists the members of a version's share. */
+template<typename Archive>
+void serialize(Archive& archive, version_weight& weight)
+{
+    archive(cereal::make_nvp("version", weight.version),
+            cereal::make_nvp("permille", weight.permille));
+}
+
+/** @brief Lists the members of a route. */
+template<typename Archive>
+void serialize(Archive& archive, route_spec& route)
+{
+    archive(cereal::make_nvp("path", route.path), cereal::make_nvp("idempotent", route.idempotent),
+            cereal::make_nvp("deadline_ms", route.deadline),
+            cereal::make_nvp("calls", route.calls));
+}
+
+/** @brief Lists the members of a target. */
+template<typename Archive>
+void serialize(Archive& archive, traffic_target& target)
+{
+    archive(cereal::make_nvp("weights", target.weights), cereal::make_nvp("due", target.due));
+}
+
+/** @brief Lists the members of a service. */
+template<typename Archive>
+void serialize(Archive& archive, service_spec& service)
+{
+    archive(cereal::make_nvp("name", service.name),
+            cereal::make_nvp("depends_on", service.depends_on),
+            cereal::make_nvp("routes", service.routes), cereal::make_nvp("target", service.target));
+}
+
+/** @brief Lists the members of a failure domain. */
+template<typename Archive>
+void serialize(Archive& archive, domain_spec& domain)
+{
+    archive(cereal::make_nvp("name", domain.name), cereal::make_nvp("region", domain.region));
+}
+
+/** @brief Lists the members of an override. */
+template<typename Archive>
+void serialize(Archive& archive, manual_override& item)
+{
+    archive(cereal::make_nvp("weights", item.weights), cereal::make_nvp("author", item.author),
+            cereal::make_nvp("reason", item.reason), cereal::make_nvp("set_at", item.set_at));
+}
+
+/** @brief Lists the members of a move. */
+template<typename Archive>
+void serialize(Archive& archive, rollout_move& move)
+{
+    archive(cereal::make_nvp("asked_at", move.asked_at), cereal::make_nvp("from", move.from),
+            cereal::make_nvp("to", move.to), cereal::make_nvp("started_at", move.started_at),
+            cereal::make_nvp("due", move.due), cereal::make_nvp("status", move.status),
+            cereal::make_nvp("ended_at", move.ended_at), cereal::make_nvp("reason", move.reason));
+}
+
+/** @brief Lists the members of a service's state. */
+template<typename Archive>
+void serialize(Archive& archive, service_state& state)
+{
+    archive(cereal::make_nvp("changed_at", state.changed_at), cereal::make_nvp("spec", state.spec),
+            cereal::make_nvp("weights", state.weights),
+            cereal::make_nvp("override", state.override_in_force),
+            cereal::make_nvp("move", state.move));
+}
+
+/** @brief Lists the members of a commit. */
+template<typename Archive>
+void serialize(Archive& archive, commit& item)
+{
+    archive(cereal::make_nvp("version", item.version), cereal::make_nvp("base", item.base),
+            cereal::make_nvp("operation", item.operation), cereal::make_nvp("author", item.author),
+            cereal::make_nvp("written_at", item.written_at), cereal::make_nvp("kind", item.kind),
+            cereal::make_nvp("reason", item.reason), cereal::make_nvp("upserts", item.upserts),
+            cereal::make_nvp("removals", item.removals), cereal::make_nvp("domains", item.domains));
+}
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/encoding/core_archive.hpp
@@ -0,0 +1,67 @@
+#ifndef SAVORYWHEEL_ENCODING_CORE_ARCHIVE_HPP
+#define SAVORYWHEEL_ENCODING_CORE_ARCHIVE_HPP
+
+#include <savorywheel/core/config_version.hpp>
+#include <savorywheel/core/finding.hpp>
+#include <savorywheel/core/named.hpp>
+#include <savorywheel/core/network_endpoint.hpp>
+
+#include <cereal/cereal.hpp>
+
+#include <string>
+
+namespace savorywheel {
+
+/** @brief Writes an identifier as its text. */
+template<typename Archive, typename Tag>
+std::string save_minimal(const Archive& /*archive*/, const named<Tag>& name)
+{
+    return name.str();
+}
+
+/** @brief Reads an identifier from its text. */
+template<typename Archive, typename Tag>
+void load_minimal(const Archive& /*archive*/, named<Tag>& name, const std::string& text)
+{
+    name = named<Tag>{text};
+}
+
+/** @brief Writes a version as its number. */
+template<typename Archive>
+std::uint64_t save_minimal(const Archive& /*archive*/, const config_version& version)
+{
+    return version.number;
+}
+
+/** @brief Reads a version from its number. */
+template<typename Archive>
+void load_minimal(const Archive& /*archive*/, config_version& version, const std::uint64_t& number)
+{
+    version.number = number;
+}
+
+/** @brief Lists the members of an endpoint. */
+template<typename Archive>
+void serialize(Archive& archive, network_endpoint& endpoint)
+{
+    archive(cereal::make_nvp("address", endpoint.address), cereal::make_nvp("port", endpoint.port));
+}
+
+/** @brief Lists the members of a place. */
+template<typename Archive>
+void serialize(Archive& archive, text_place& place)
+{
+    archive(cereal::make_nvp("line", place.line), cereal::make_nvp("column", place.column));
+}
+
+/** @brief Lists the members of a finding. */
+template<typename Archive>
+void serialize(Archive& archive, finding& item)
+{
+    archive(cereal::make_nvp("place", item.place), cereal::make_nvp("found", item.found),
+            cereal::make_nvp("expected", item.expected));
+}
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -0,0 +1,59 @@
+#ifndef SAVORYWHEEL_ENCODING_DISTRIBUTION_ARCHIVE_HPP
+#define SAVORYWHEEL_ENCODING_DISTRIBUTION_ARCHIVE_HPP
+
+#include <savorywheel/distribution/commit_batch_message.hpp>
+#include <savorywheel/distribution/commit_fetch_message.hpp>
+#include <savorywheel/distribution/commit_push_message.hpp>
+#include <savorywheel/distribution/floor_message.hpp>
+#include <savorywheel/distribution/lease_record.hpp>
+#include <savorywheel/encoding/config_archive.hpp>
+
+namespace savorywheel {
+
+/** @brief Lists the members of a checkpoint. */
+template<typename Archive>
+void serialize(Archive& archive, checkpoint& point)
+{
+    archive(cereal::make_nvp("version", point.version), cereal::make_nvp("domains", point.domains),
+            cereal::make_nvp("services", point.services));
+}
+
+/** @brief Lists the members of a batch. */
+template<typename Archive>
+void serialize(Archive& archive, commit_batch_message& batch)
+{
+    archive(cereal::make_nvp("base", batch.base), cereal::make_nvp("commits", batch.commits));
+}
+
+/** @brief Lists the members of a push. */
+template<typename Archive>
+void serialize(Archive& archive, commit_push_message& push)
+{
+    archive(cereal::make_nvp("root", push.root), cereal::make_nvp("batch", push.batch));
+}
+
+/** @brief Lists the members of a fetch. */
+template<typename Archive>
+void serialize(Archive& archive, commit_fetch_message& fetch)
+{
+    archive(cereal::make_nvp("after", fetch.after));
+}
+
+/** @brief Lists the members of a floor. */
+template<typename Archive>
+void serialize(Archive& archive, floor_message& floor)
+{
+    archive(cereal::make_nvp("node", floor.node), cereal::make_nvp("version", floor.version));
+}
+
+/** @brief Lists the members of a lease. */
+template<typename Archive>
+void serialize(Archive& archive, lease_record& lease)
+{
+    archive(cereal::make_nvp("holder", lease.holder), cereal::make_nvp("peer", lease.peer),
+            cereal::make_nvp("term", lease.term), cereal::make_nvp("lifetime_ms", lease.lifetime));
+}
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/encoding/distribution_codec.cpp
@@ -0,0 +1,23 @@
+#include <savorywheel/encoding/codec_impl.hpp>
+#include <savorywheel/encoding/distribution_archive.hpp>
+
+namespace savorywheel {
+
+template std::vector<std::byte> encode(const commit&);
+template std::vector<std::byte> encode(const commit_batch_message&);
+template std::vector<std::byte> encode(const commit_push_message&);
+template std::vector<std::byte> encode(const commit_fetch_message&);
+template std::vector<std::byte> encode(const floor_message&);
+template outcome<commit> decode(std::span<const std::byte>);
+template outcome<commit_batch_message> decode(std::span<const std::byte>);
+template outcome<commit_push_message> decode(std::span<const std::byte>);
+template outcome<commit_fetch_message> decode(std::span<const std::byte>);
+template outcome<floor_message> decode(std::span<const std::byte>);
+template std::string encode_json(const commit&);
+template std::string encode_json(const checkpoint&);
+template std::string encode_json(const lease_record&);
+template outcome<commit> decode_json(std::string_view);
+template outcome<checkpoint> decode_json(std::string_view);
+template outcome<lease_record> decode_json(std::string_view);
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/encoding/membership_archive.hpp
@@ -0,0 +1,51 @@
+#ifndef SAVORYWHEEL_ENCODING_MEMBERSHIP_ARCHIVE_HPP
+#define SAVORYWHEEL_ENCODING_MEMBERSHIP_ARCHIVE_HPP
+
+#include <savorywheel/encoding/core_archive.hpp>
+#include <savorywheel/membership/membership_message.hpp>
+#include <savorywheel/membership/membership_sync_message.hpp>
+
+namespace savorywheel {
+
+/** @brief Lists the members of a member record. */
+template<typename Archive>
+void serialize(Archive& archive, member_record& record)
+{
+    archive(cereal::make_nvp("id", record.id), cereal::make_nvp("domain", record.domain),
+            cereal::make_nvp("region", record.region), cereal::make_nvp("peer", record.peer),
+            cereal::make_nvp("service", record.service),
+            cereal::make_nvp("version", record.version), cereal::make_nvp("state", record.state),
+            cereal::make_nvp("slots", record.slots),
+            cereal::make_nvp("incarnation", record.incarnation));
+}
+
+/** @brief Lists the members of an update. */
+template<typename Archive>
+void serialize(Archive& archive, member_update& update)
+{
+    archive(cereal::make_nvp("record", update.record), cereal::make_nvp("status", update.status));
+}
+
+/** @brief Lists the members of a datagram message. */
+template<typename Archive>
+void serialize(Archive& archive, membership_message& message)
+{
+    archive(cereal::make_nvp("protocol", message.protocol), cereal::make_nvp("kind", message.kind),
+            cereal::make_nvp("sequence", message.sequence),
+            cereal::make_nvp("sender", message.sender),
+            cereal::make_nvp("sender_peer", message.sender_peer),
+            cereal::make_nvp("target", message.target), cereal::make_nvp("head", message.head),
+            cereal::make_nvp("table_digest", message.table_digest),
+            cereal::make_nvp("updates", message.updates));
+}
+
+/** @brief Lists the members of a full exchange. */
+template<typename Archive>
+void serialize(Archive& archive, membership_sync_message& message)
+{
+    archive(cereal::make_nvp("members", message.members));
+}
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/encoding/membership_codec.cpp
@@ -0,0 +1,11 @@
+#include <savorywheel/encoding/codec_impl.hpp>
+#include <savorywheel/encoding/membership_archive.hpp>
+
+namespace savorywheel {
+
+template std::vector<std::byte> encode(const membership_message&);
+template std::vector<std::byte> encode(const membership_sync_message&);
+template outcome<membership_message> decode(std::span<const std::byte>);
+template outcome<membership_sync_message> decode(std::span<const std::byte>);
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -0,0 +1,53 @@
+#ifndef SAVORYWHEEL_ENCODING_TRAFFIC_ARCHIVE_HPP
+#define SAVORYWHEEL_ENCODING_TRAFFIC_ARCHIVE_HPP
+
+#include <savorywheel/encoding/core_archive.hpp>
+#include <savorywheel/traffic/call_request.hpp>
+#include <savorywheel/traffic/call_response.hpp>
+
+namespace savorywheel {
+
+/** @brief Lists the members of a header field. */
+template<typename Archive>
+void serialize(Archive& archive, http_header& header)
+{
+    archive(cereal::make_nvp("name", header.name), cereal::make_nvp("value", header.value));
+}
+
+/** @brief Lists the members of an HTTP request. */
+template<typename Archive>
+void serialize(Archive& archive, http_request& request)
+{
+    archive(cereal::make_nvp("method", request.method), cereal::make_nvp("target", request.target),
+            cereal::make_nvp("headers", request.headers), cereal::make_nvp("body", request.body));
+}
+
+/** @brief Lists the members of an HTTP response. */
+template<typename Archive>
+void serialize(Archive& archive, http_response& response)
+{
+    archive(cereal::make_nvp("status", response.status),
+            cereal::make_nvp("headers", response.headers), cereal::make_nvp("body", response.body));
+}
+
+/** @brief Lists the members of a call's request. */
+template<typename Archive>
+void serialize(Archive& archive, call_request& call)
+{
+    archive(cereal::make_nvp("service", call.service), cereal::make_nvp("version", call.version),
+            cereal::make_nvp("remaining_ms", call.remaining),
+            cereal::make_nvp("idempotent", call.idempotent),
+            cereal::make_nvp("request", call.request));
+}
+
+/** @brief Lists the members of a call's response. */
+template<typename Archive>
+void serialize(Archive& archive, call_response& call)
+{
+    archive(cereal::make_nvp("result", call.result), cereal::make_nvp("reason", call.reason),
+            cereal::make_nvp("response", call.response));
+}
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/encoding/vector_output_archive.hpp
@@ -0,0 +1,73 @@
+#ifndef SAVORYWHEEL_ENCODING_VECTOR_OUTPUT_ARCHIVE_HPP
+#define SAVORYWHEEL_ENCODING_VECTOR_OUTPUT_ARCHIVE_HPP
+
+#include <cereal/cereal.hpp>
+
+#include <bit>
+#include <cstddef>
+#include <span>
+#include <type_traits>
+#include <vector>
+
+namespace savorywheel {
+
+static_assert(std::endian::native == std::endian::little, "messages are little-endian");
+
+/** @brief cereal archive that appends to a vector of bytes. */
+class vector_output_archive
+    : public cereal::OutputArchive<vector_output_archive, cereal::AllowEmptyClassElision> {
+public:
+    /** @param target Receives the bytes; must outlive the archive. */
+    explicit vector_output_archive(std::vector<std::byte>& target)
+        : cereal::OutputArchive<vector_output_archive, cereal::AllowEmptyClassElision>{this},
+          target_{target}
+    {
+    }
+
+    /** @brief Appends raw bytes. */
+    void write(const void* data, std::size_t size)
+    {
+        const auto bytes = std::as_bytes(std::span{static_cast<const char*>(data), size});
+        target_.insert(target_.end(), bytes.begin(), bytes.end());
+    }
+
+private:
+    std::vector<std::byte>& target_;
+};
+
+/** @brief Writes a number. */
+template<typename Number>
+requires std::is_arithmetic_v<Number>
+void CEREAL_SAVE_FUNCTION_NAME(vector_output_archive& archive, const Number& value)
+{
+    archive.write(&value, sizeof(value));
+}
+
+/** @brief Writes the value of a named pair. */
+template<typename Type>
+void CEREAL_SAVE_FUNCTION_NAME(vector_output_archive& archive,
+                               const cereal::NameValuePair<Type>& pair)
+{
+    archive(pair.value);
+}
+
+/** @brief Writes the number of elements of a container. */
+template<typename Type>
+void CEREAL_SAVE_FUNCTION_NAME(vector_output_archive& archive, const cereal::SizeTag<Type>& tag)
+{
+    archive(static_cast<std::uint32_t>(tag.size));
+}
+
+/** @brief Writes a block of bytes. */
+template<typename Type>
+void CEREAL_SAVE_FUNCTION_NAME(vector_output_archive& archive,
+                               const cereal::BinaryData<Type>& block)
+{
+    archive.write(block.data, static_cast<std::size_t>(block.size));
+}
+
+} // namespace savorywheel
+
+CEREAL_REGISTER_ARCHIVE(savorywheel::vector_output_archive)
+
+#endif
--- /dev/null
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -0,0 +1,193 @@
+#include <savorywheel/http/curl_http_client.hpp>
+
+#include <curl/curl.h>
+
+#include <string_view>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr std::size_t max_idle_handles = 64;
+constexpr long max_connect_milliseconds = 1000;
+
+/** Initializes libcurl once for the process. */
+void initialize_library()
+{
+    static const auto result = curl_global_init(CURL_GLOBAL_DEFAULT);
+    static_cast<void>(result);
+}
+
+std::string_view trim(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t\r\n");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+} // namespace
+
+/** One libcurl handle with its kept connection. */
+class curl_http_client::transfer {
+public:
+    transfer() : handle_{curl_easy_init()} {}
+    transfer(const transfer&) = delete;
+    transfer& operator=(const transfer&) = delete;
+    transfer(transfer&&) = delete;
+    transfer& operator=(transfer&&) = delete;
+    ~transfer() { curl_easy_cleanup(handle_); }
+
+    outcome<http_response> perform(const network_endpoint& server, const http_request& request,
+                                   std::chrono::milliseconds timeout)
+    {
+        response_ = {};
+        sent_ = false;
+        curl_easy_reset(handle_);
+        const auto url = "http://" + to_string(server) + request.target;
+        set_request(request, url, timeout);
+        auto* fields = make_fields(request);
+        curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, fields);
+        const auto result = curl_easy_perform(handle_);
+        curl_slist_free_all(fields);
+        return conclude(result);
+    }
+
+private:
+    void set_request(const http_request& request, const std::string& url,
+                     std::chrono::milliseconds timeout)
+    {
+        curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
+        curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+        curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(handle_, CURLOPT_PATH_AS_IS, 1L);
+        curl_easy_setopt(handle_, CURLOPT_PROXY, "");
+        curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+        curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS, max_connect_milliseconds);
+        curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &transfer::before_request);
+        curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
+        curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &transfer::on_body);
+        curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+        curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &transfer::on_header);
+        curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+        if (request.method == "HEAD") {
+            curl_easy_setopt(handle_, CURLOPT_NOBODY, 1L);
+        }
+        else if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+            curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE_LARGE,
+                             static_cast<curl_off_t>(request.body.size()));
+            curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, request.body.data());
+        }
+    }
+
+    static curl_slist* make_fields(const http_request& request)
+    {
+        curl_slist* fields = nullptr;
+        for (const auto& header : request.headers) {
+            if (!equal_ignoring_case(header.name, "Content-Length")) {
+                fields = curl_slist_append(fields, (header.name + ": " + header.value).c_str());
+            }
+        }
+        fields = curl_slist_append(fields, "Expect:");
+        if (find_header(request.headers, "Content-Type").empty()) {
+            fields = curl_slist_append(fields, "Content-Type:");
+        }
+        return fields;
+    }
+
+    outcome<http_response> conclude(CURLcode result)
+    {
+        if (result == CURLE_OK) {
+            long status{};
+            curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+            response_.status = static_cast<int>(status);
+            return std::move(response_);
+        }
+        const std::string message = curl_easy_strerror(result);
+        if (!sent_) {
+            return failure{failure_code::unavailable, message};
+        }
+        if (result == CURLE_OPERATION_TIMEDOUT) {
+            return failure{failure_code::timeout, message};
+        }
+        return failure{failure_code::unknown_outcome, message};
+    }
+
+    /** Libcurl repeats a request whose kept connection was closed; the second time is refused. */
+    static int before_request(void* self, char* /*remote*/, char* /*local*/, int /*remote_port*/,
+                              int /*local_port*/)
+    {
+        auto& sent = static_cast<transfer*>(self)->sent_;
+        return std::exchange(sent, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+    }
+
+    static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self)
+    {
+        static_cast<transfer*>(self)->response_.body.append(data, size * count);
+        return size * count;
+    }
+
+    static std::size_t on_header(char* data, std::size_t size, std::size_t count, void* self)
+    {
+        const std::string_view line{data, size * count};
+        auto& headers = static_cast<transfer*>(self)->response_.headers;
+        const auto colon = line.find(':');
+        if (line.starts_with("HTTP/")) {
+            headers.clear();
+        }
+        else if (colon != std::string_view::npos) {
+            headers.push_back({std::string{trim(line.substr(0, colon))},
+                               std::string{trim(line.substr(colon + 1))}});
+        }
+        return size * count;
+    }
+
+    CURL* handle_;
+    http_response response_;
+    bool sent_{};
+};
+
+curl_http_client::curl_http_client()
+{
+    initialize_library();
+}
+
+curl_http_client::~curl_http_client() = default;
+
+outcome<http_response> curl_http_client::send(const network_endpoint& server,
+                                              const http_request& request,
+                                              std::chrono::milliseconds timeout)
+{
+    auto handle = borrow(server);
+    auto result = handle->perform(server, request, timeout);
+    if (result) {
+        give_back(server, std::move(handle));
+    }
+    return result;
+}
+
+std::unique_ptr<curl_http_client::transfer> curl_http_client::borrow(const network_endpoint& server)
+{
+    const std::scoped_lock lock{mutex_};
+    auto& idle = idle_[server];
+    if (idle.empty()) {
+        return std::make_unique<transfer>();
+    }
+    auto handle = std::move(idle.back());
+    idle.pop_back();
+    return handle;
+}
+
+void curl_http_client::give_back(const network_endpoint& server, std::unique_ptr<transfer> handle)
+{
+    const std::scoped_lock lock{mutex_};
+    auto& idle = idle_[server];
+    if (idle.size() < max_idle_handles) {
+        idle.push_back(std::move(handle));
+    }
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/http/curl_http_client.hpp
@@ -0,0 +1,39 @@
+#ifndef SAVORYWHEEL_HTTP_CURL_HTTP_CLIENT_HPP
+#define SAVORYWHEEL_HTTP_CURL_HTTP_CLIENT_HPP
+
+#include <savorywheel/http/http_client.hpp>
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace savorywheel {
+
+/** @brief HTTP client on libcurl that keeps connections open between requests. */
+class curl_http_client final : public http_client {
+public:
+    curl_http_client();
+    curl_http_client(const curl_http_client&) = delete;
+    curl_http_client& operator=(const curl_http_client&) = delete;
+    curl_http_client(curl_http_client&&) = delete;
+    curl_http_client& operator=(curl_http_client&&) = delete;
+    ~curl_http_client() override;
+
+    [[nodiscard]] outcome<http_response> send(const network_endpoint& server,
+                                              const http_request& request,
+                                              std::chrono::milliseconds timeout) override;
+
+private:
+    class transfer;
+
+    [[nodiscard]] std::unique_ptr<transfer> borrow(const network_endpoint& server);
+    void give_back(const network_endpoint& server, std::unique_ptr<transfer> handle);
+
+    std::mutex mutex_;
+    std::map<network_endpoint, std::vector<std::unique_ptr<transfer>>> idle_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/http/fwd.hpp
@@ -0,0 +1,18 @@
+#ifndef SAVORYWHEEL_HTTP_FWD_HPP
+#define SAVORYWHEEL_HTTP_FWD_HPP
+
+namespace savorywheel {
+
+class curl_http_client;
+class http_client;
+class http_handler;
+class http_server;
+class ulfius_http_client;
+struct http_header;
+struct http_request;
+struct http_response;
+struct http_server_limits;
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/http/http_handler.hpp
@@ -0,0 +1,25 @@
+#ifndef SAVORYWHEEL_HTTP_HTTP_HANDLER_HPP
+#define SAVORYWHEEL_HTTP_HTTP_HANDLER_HPP
+
+#include <savorywheel/http/http_request.hpp>
+#include <savorywheel/http/http_response.hpp>
+
+namespace savorywheel {
+
+/** @brief Answers HTTP requests; called on many threads at once, and may wait. */
+class http_handler {
+public:
+    http_handler() = default;
+    http_handler(const http_handler&) = delete;
+    http_handler& operator=(const http_handler&) = delete;
+    http_handler(http_handler&&) = delete;
+    http_handler& operator=(http_handler&&) = delete;
+    virtual ~http_handler() = default;
+
+    /** @return The response to the request. */
+    [[nodiscard]] virtual http_response handle(const http_request& request) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/http/http_server.hpp
@@ -0,0 +1,44 @@
+#ifndef SAVORYWHEEL_HTTP_HTTP_SERVER_HPP
+#define SAVORYWHEEL_HTTP_HTTP_SERVER_HPP
+
+#include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/core/outcome.hpp>
+#include <savorywheel/http/http_handler.hpp>
+#include <savorywheel/http/http_server_limits.hpp>
+
+#include <memory>
+
+namespace savorywheel {
+
+/** @brief HTTP server on ulfius, with one thread per connection. */
+class http_server {
+public:
+    /**
+     * @param handler Answers the requests; must outlive the server.
+     * @param limits Limits.
+     */
+    explicit http_server(http_handler& handler, http_server_limits limits = {});
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+    ~http_server();
+
+    /**
+     * @brief Starts to serve.
+     * @param local Endpoint to listen on.
+     * @return unavailable if the endpoint cannot be bound.
+     */
+    [[nodiscard]] outcome<bool> start(const network_endpoint& local);
+
+    /** @brief Refuses new connections, waits for requests in progress, then stops. */
+    void stop();
+
+private:
+    class state;
+    std::unique_ptr<state> state_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -0,0 +1,61 @@
+#include <savorywheel/log/event_catalogue.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr auto info = event_severity::info;
+constexpr auto warning = event_severity::warning;
+constexpr auto error = event_severity::error;
+
+constexpr std::array catalogue{
+    event_description{event_id::process_started, info, "The process serves."},
+    event_description{event_id::process_stopping, info,
+                      "The process takes no new work and finishes what it has."},
+    event_description{event_id::process_stopped, info, "The process has finished its work."},
+    event_description{event_id::settings_refused, error, "The settings have faults."},
+    event_description{event_id::configuration_in_force, info,
+                      "A newer configuration version is in force at this node."},
+    event_description{event_id::relay_lease_gained, info,
+                      "This node now relays changes into its failure domain."},
+    event_description{event_id::relay_lease_lost, warning,
+                      "This node no longer relays changes into its failure domain."},
+    event_description{event_id::store_unreachable, warning,
+                      "The platform's service does not answer this node."},
+    event_description{event_id::store_reachable, info,
+                      "The platform's service answers this node again."},
+    event_description{event_id::member_alive, info, "A node joined or answers again."},
+    event_description{event_id::member_suspect, info, "A node did not answer a probe."},
+    event_description{event_id::member_dead, warning, "A node failed or left."},
+    event_description{event_id::backend_announced, info,
+                      "A backend server announced itself to this node."},
+    event_description{event_id::backend_lost, warning,
+                      "The backend server beside this node no longer announces itself."},
+    event_description{event_id::call_not_run, warning, "A call was refused; it was not run."},
+    event_description{event_id::call_outcome_unknown, warning,
+                      "A call got no whole answer; it may have been run."},
+    event_description{event_id::change_accepted, info, "A change of configuration was accepted."},
+    event_description{event_id::change_refused, info, "A change of configuration was refused."},
+    event_description{event_id::change_unknown, warning,
+                      "The outcome of a change is not known yet."},
+    event_description{event_id::operator_rejected, warning,
+                      "An administration request had no valid operator key."},
+};
+
+} // namespace
+
+std::span<const event_description> event_catalogue() noexcept
+{
+    return catalogue;
+}
+
+const event_description& describe(event_id id) noexcept
+{
+    const auto* found = std::ranges::find(catalogue, id, &event_description::id);
+    return found == catalogue.end() ? catalogue.front() : *found;
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/log/event_description.hpp
@@ -0,0 +1,23 @@
+#ifndef SAVORYWHEEL_LOG_EVENT_DESCRIPTION_HPP
+#define SAVORYWHEEL_LOG_EVENT_DESCRIPTION_HPP
+
+#include <savorywheel/log/event_id.hpp>
+#include <savorywheel/log/event_severity.hpp>
+
+#include <string_view>
+
+namespace savorywheel {
+
+/** @brief Entry of the catalogue of log events. */
+struct event_description {
+    /** @brief Number. */
+    event_id id{};
+    /** @brief Severity. */
+    event_severity severity{event_severity::info};
+    /** @brief Meaning, as docs/LOGS.md gives it. */
+    std::string_view meaning;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/log/event_id.hpp
@@ -0,0 +1,34 @@
+#ifndef SAVORYWHEEL_LOG_EVENT_ID_HPP
+#define SAVORYWHEEL_LOG_EVENT_ID_HPP
+
+#include <cstdint>
+
+namespace savorywheel {
+
+/** @brief Number of a log event; docs/LOGS.md has the catalogue. */
+enum class event_id : std::uint16_t {
+    process_started = 1001,
+    process_stopping = 1002,
+    process_stopped = 1003,
+    settings_refused = 1004,
+    configuration_in_force = 2001,
+    relay_lease_gained = 2002,
+    relay_lease_lost = 2003,
+    store_unreachable = 2004,
+    store_reachable = 2005,
+    member_alive = 3001,
+    member_suspect = 3002,
+    member_dead = 3003,
+    backend_announced = 3004,
+    backend_lost = 3005,
+    call_not_run = 4001,
+    call_outcome_unknown = 4002,
+    change_accepted = 5001,
+    change_refused = 5002,
+    change_unknown = 5003,
+    operator_rejected = 5004
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/log/event_log.hpp
@@ -0,0 +1,30 @@
+#ifndef SAVORYWHEEL_LOG_EVENT_LOG_HPP
+#define SAVORYWHEEL_LOG_EVENT_LOG_HPP
+
+#include <savorywheel/log/event_id.hpp>
+
+#include <string_view>
+
+namespace savorywheel {
+
+/** @brief Receives log events; any thread may write. */
+class event_log {
+public:
+    event_log() = default;
+    event_log(const event_log&) = delete;
+    event_log& operator=(const event_log&) = delete;
+    event_log(event_log&&) = delete;
+    event_log& operator=(event_log&&) = delete;
+    virtual ~event_log() = default;
+
+    /**
+     * @brief Writes an event.
+     * @param id Number; its severity comes from the catalogue.
+     * @param detail What happened this time.
+     */
+    virtual void write(event_id id, std::string_view detail) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/log/log4cxx_event_log.hpp
@@ -0,0 +1,24 @@
+#ifndef SAVORYWHEEL_LOG_LOG4CXX_EVENT_LOG_HPP
+#define SAVORYWHEEL_LOG_LOG4CXX_EVENT_LOG_HPP
+
+#include <savorywheel/log/event_log.hpp>
+
+#include <string>
+
+namespace savorywheel {
+
+/** @brief Event log on log4cxx that writes to standard error. */
+class log4cxx_event_log final : public event_log {
+public:
+    /** @param process Name of the process in each line. */
+    explicit log4cxx_event_log(std::string process);
+
+    void write(event_id id, std::string_view detail) override;
+
+private:
+    std::string process_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/membership/membership_listener.hpp
@@ -0,0 +1,29 @@
+#ifndef SAVORYWHEEL_MEMBERSHIP_MEMBERSHIP_LISTENER_HPP
+#define SAVORYWHEEL_MEMBERSHIP_MEMBERSHIP_LISTENER_HPP
+
+#include <savorywheel/core/config_version.hpp>
+#include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/membership/member_update.hpp>
+
+namespace savorywheel {
+
+/** @brief Hears news of the membership, on the control thread. */
+class membership_listener {
+public:
+    membership_listener() = default;
+    membership_listener(const membership_listener&) = delete;
+    membership_listener& operator=(const membership_listener&) = delete;
+    membership_listener(membership_listener&&) = delete;
+    membership_listener& operator=(membership_listener&&) = delete;
+    virtual ~membership_listener() = default;
+
+    /** @brief Hears that a member's record or status changed. */
+    virtual void on_member_changed(const member_update& update) = 0;
+
+    /** @brief Hears which configuration version a peer has. */
+    virtual void on_head_seen(const network_endpoint& peer, config_version head) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/membership/swim_agent.hpp
@@ -0,0 +1,137 @@
+#ifndef SAVORYWHEEL_MEMBERSHIP_SWIM_AGENT_HPP
+#define SAVORYWHEEL_MEMBERSHIP_SWIM_AGENT_HPP
+
+#include <savorywheel/core/random_source.hpp>
+#include <savorywheel/core/timer_service.hpp>
+#include <savorywheel/membership/member_table.hpp>
+#include <savorywheel/membership/membership_listener.hpp>
+#include <savorywheel/membership/membership_message.hpp>
+#include <savorywheel/membership/membership_settings.hpp>
+#include <savorywheel/membership/membership_sync_message.hpp>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace savorywheel {
+
+/**
+ * @brief Failure detector and dissemination of member records by the SWIM protocol.
+ *
+ * It decides on typed messages; its owner encodes and sends them.
+ * @warning All members are for the control thread.
+ */
+class swim_agent {
+public:
+    /** @brief Sends a datagram message to a peer. */
+    using send_function = std::function<void(const network_endpoint&, const membership_message&)>;
+
+    /** @brief Asks a peer for a full exchange. */
+    using sync_function = std::function<void(const network_endpoint&)>;
+
+    /** @brief What the agent works with; all must outlive it. */
+    struct environment {
+        /** @brief Clock. */
+        const clock& time;
+        /** @brief Timers. */
+        timer_service& timers;
+        /** @brief Random numbers. */
+        random_source& random;
+        /** @brief Hears the news. */
+        membership_listener& listener;
+        /** @brief Sends datagrams. */
+        send_function send;
+        /** @brief Starts full exchanges. */
+        sync_function sync;
+    };
+
+    /**
+     * @param self Record of this node.
+     * @param seeds Peers to join through.
+     * @param settings Timing and size.
+     * @param surroundings What the agent works with.
+     */
+    swim_agent(member_record self, std::vector<network_endpoint> seeds,
+               membership_settings settings, environment surroundings);
+
+    /** @brief Starts to probe. */
+    void start();
+
+    /** @brief Tells the members that this node leaves, and stops probing. */
+    void leave();
+
+    /** @brief Takes a datagram message. */
+    void receive(const membership_message& message);
+
+    /** @brief Takes the records of a full exchange. */
+    void merge_all(std::span<const member_update> updates);
+
+    /** @brief Publishes a new record of this node; its incarnation is set here. */
+    void update_self(member_record record);
+
+    /** @brief Sets the configuration version that messages carry. */
+    void set_head(config_version head) noexcept { head_ = head; }
+
+    /** @return The member records. */
+    [[nodiscard]] const member_table& table() const noexcept { return table_; }
+
+    /** @return The record of this node. */
+    [[nodiscard]] const member_record& self() const noexcept { return self_; }
+
+private:
+    struct probe {
+        node_id target;
+        network_endpoint peer;
+        std::uint64_t sequence{};
+        bool acknowledged{};
+        subscription ack_timer;
+    };
+    struct relayed_probe {
+        network_endpoint requester;
+        std::uint64_t sequence{};
+        monotonic_time started;
+    };
+    struct gossip {
+        member_update update;
+        std::size_t sent{};
+    };
+
+    void probe_next();
+    void finish_probe();
+    void ask_others();
+    void join();
+    void sync_random();
+    void expire_suspects();
+    void apply(const member_update& update);
+    void refute(const member_update& update);
+    void enqueue(const member_update& update);
+    void send(const network_endpoint& peer, membership_kind kind, std::uint64_t sequence,
+              const network_endpoint& target = {});
+    void on_ack(const membership_message& message);
+    [[nodiscard]] std::vector<member_update> take_gossip();
+    [[nodiscard]] std::optional<member_record> next_target();
+    [[nodiscard]] std::vector<member_record> live_members() const;
+    [[nodiscard]] std::size_t retransmit_limit() const noexcept;
+
+    member_record self_;
+    std::vector<network_endpoint> seeds_;
+    membership_settings settings_;
+    environment environment_;
+    member_table table_;
+    config_version head_;
+    std::uint64_t last_sequence_{};
+    std::optional<probe> probe_;
+    std::map<std::uint64_t, relayed_probe> relayed_;
+    std::vector<node_id> round_;
+    std::deque<gossip> gossip_;
+    subscription probe_timer_;
+    subscription sync_timer_;
+    bool leaving_{};
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/metrics/latency_recorder.cpp
@@ -0,0 +1,73 @@
+#include <savorywheel/metrics/latency_recorder.hpp>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <mutex>
+
+namespace savorywheel {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr double median = 0.5;
+constexpr double percentile_99 = 0.99;
+
+using quantile = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
+using moments =
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max>>;
+
+} // namespace
+
+/** Holds what the header hides, so that Boost.Accumulators stays in this file. */
+class latency_recorder::state {
+public:
+    void record(double milliseconds)
+    {
+        const std::scoped_lock lock{mutex_};
+        moments_(milliseconds);
+        p50_(milliseconds);
+        p99_(milliseconds);
+    }
+
+    latency_summary summary() const
+    {
+        const std::scoped_lock lock{mutex_};
+        latency_summary result;
+        result.count = acc::count(moments_);
+        if (result.count > 0) {
+            result.mean_ms = acc::mean(moments_);
+            result.max_ms = acc::max(moments_);
+            result.p50_ms = acc::p_square_quantile(p50_);
+            result.p99_ms = acc::p_square_quantile(p99_);
+        }
+        return result;
+    }
+
+private:
+    mutable std::mutex mutex_;
+    moments moments_;
+    quantile p50_{acc::quantile_probability = median};
+    quantile p99_{acc::quantile_probability = percentile_99};
+};
+
+latency_recorder::latency_recorder() : state_{std::make_unique<state>()} {}
+
+latency_recorder::~latency_recorder() = default;
+
+void latency_recorder::record(duration value)
+{
+    state_->record(std::chrono::duration<double, std::milli>(value).count());
+}
+
+latency_summary latency_recorder::summary() const
+{
+    return state_->summary();
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/metrics/metric_registry.hpp
@@ -0,0 +1,39 @@
+#ifndef SAVORYWHEEL_METRICS_METRIC_REGISTRY_HPP
+#define SAVORYWHEEL_METRICS_METRIC_REGISTRY_HPP
+
+#include <savorywheel/metrics/latency_recorder.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace savorywheel {
+
+/** @brief Counters and latencies of a process by name; any thread may use it. */
+class metric_registry {
+public:
+    /** @brief Counter; it only grows, but for gauges. */
+    using counter = std::atomic<std::uint64_t>;
+
+    /** @return The counter of that name; it lives as long as the registry. */
+    [[nodiscard]] counter& count(std::string_view name);
+
+    /** @return The latencies of that name; they live as long as the registry. */
+    [[nodiscard]] latency_recorder& latency(std::string_view name);
+
+    /** @return One line per value: name, a space, value. */
+    [[nodiscard]] std::string render() const;
+
+private:
+    mutable std::mutex mutex_;
+    std::map<std::string, counter, std::less<>> counters_;
+    std::map<std::string, latency_recorder, std::less<>> latencies_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/node/control_plane.hpp
@@ -0,0 +1,100 @@
+#ifndef SAVORYWHEEL_NODE_CONTROL_PLANE_HPP
+#define SAVORYWHEEL_NODE_CONTROL_PLANE_HPP
+
+#include <savorywheel/admin/node_view.hpp>
+#include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/distribution/commit_watcher.hpp>
+#include <savorywheel/distribution/distributor.hpp>
+#include <savorywheel/distribution/lease_keeper.hpp>
+#include <savorywheel/log/event_log.hpp>
+#include <savorywheel/node/membership_service.hpp>
+#include <savorywheel/routing/routing_table_builder.hpp>
+#include <savorywheel/routing/routing_table_holder.hpp>
+#include <savorywheel/settings/node_settings.hpp>
+#include <savorywheel/traffic/gate.hpp>
+
+#include <optional>
+
+namespace savorywheel {
+
+/** @brief The control state of a node, which belongs to the control thread. */
+class control_plane final : public node_view,
+                            public membership_listener,
+                            public configuration_listener {
+public:
+    /** @brief What the control plane works with; all must outlive it. */
+    struct environment {
+        /** @brief Control thread's events and timers. */
+        control_loop& loop;
+        /** @brief Random numbers. */
+        random_source& random;
+        /** @brief The platform's service, for the watching thread. */
+        object_store& store;
+        /** @brief Thread for the platform's service. */
+        store_worker& worker;
+        /** @brief Sends datagrams. */
+        datagram_channel& datagrams;
+        /** @brief Streams to peers. */
+        peer_network& network;
+        /** @brief Requests to peers. */
+        request_client& requests;
+        /** @brief Receives the tables for the traffic threads. */
+        routing_table_holder& tables;
+        /** @brief The way to the backend server. */
+        gate& backend_gate;
+        /** @brief Log. */
+        event_log& log;
+    };
+
+    /**
+     * @param settings Settings of the node.
+     * @param surroundings What the control plane works with.
+     */
+    control_plane(const node_settings& settings, environment surroundings);
+
+    /** @brief Starts timers, membership and the lease; on the control thread. */
+    void start();
+
+    /** @brief Tells the mesh that the node leaves and ends its threads; on the control thread. */
+    void leave();
+
+    /** @return Membership, for the network's threads. */
+    [[nodiscard]] membership_service& membership() noexcept { return membership_; }
+
+    /** @return Distribution, for the network's threads. */
+    [[nodiscard]] distributor& distribution() noexcept { return distributor_; }
+
+    [[nodiscard]] outcome<node_state_dump> dump() override;
+    [[nodiscard]] outcome<mesh_state> configuration() override;
+    [[nodiscard]] outcome<std::deque<commit>> history() override;
+    void announce(const backend_server& backend) override;
+    void on_member_changed(const member_update& update) override;
+    void on_head_seen(const network_endpoint& peer, config_version head) override;
+    void on_configuration(const mesh_state& state) override;
+
+private:
+    void publish_table();
+    void set_backend(std::optional<backend_server> backend);
+    void expire_backend();
+    void on_relay_lease(bool held);
+    void on_store_health(bool reachable);
+
+    node_settings settings_;
+    environment environment_;
+    membership_service membership_;
+    distributor distributor_;
+    commit_watcher watcher_;
+    lease_keeper lease_;
+    routing_table_builder builder_;
+    std::optional<backend_server> backend_;
+    monotonic_time backend_seen_at_;
+    std::optional<bool> store_reachable_;
+    bool publish_pending_{};
+    bool leaving_{};
+    subscription backend_timer_;
+    subscription publish_timer_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/node/node.cpp
@@ -0,0 +1,169 @@
+#include <savorywheel/admin/admin_handler.hpp>
+#include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/core/system_clock_source.hpp>
+#include <savorywheel/http/curl_http_client.hpp>
+#include <savorywheel/http/http_server.hpp>
+#include <savorywheel/node/control_plane.hpp>
+#include <savorywheel/node/node.hpp>
+#include <savorywheel/routing/nearest_endpoint_chooser.hpp>
+#include <savorywheel/routing/weighted_version_chooser.hpp>
+#include <savorywheel/store/http_object_store.hpp>
+#include <savorywheel/traffic/peer_call_transport.hpp>
+#include <savorywheel/traffic/proxy_handler.hpp>
+#include <savorywheel/transport/asio_datagram_channel.hpp>
+#include <savorywheel/transport/asio_peer_network.hpp>
+#include <savorywheel/transport/frame_router.hpp>
+
+#include <future>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr std::chrono::milliseconds store_timeout{2000};
+constexpr std::chrono::milliseconds notice_period{300};
+
+std::uint64_t random_seed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+} // namespace
+
+/** All parts of a node, in the order of their construction. */
+class node::parts {
+public:
+    parts(node_settings settings, event_log& log)
+        : settings_{std::move(settings)}, log_{log}, random_{random_seed()}, loop_{time_},
+          store_{http_, settings_.store, store_timeout}, worker_{store_}, network_{router_},
+          gate_{http_, time_}, control_{settings_,
+                                        control_plane::environment{loop_, random_, store_, worker_,
+                                                                   datagrams_, network_, requests_,
+                                                                   tables_, gate_, log_}},
+          versions_{random_}, endpoints_{settings_.domain, settings_.region, loads_, random_},
+          transport_{network_, requests_}, proxy_{proxy_handler::environment{
+                                               time_, tables_, versions_, endpoints_, loads_,
+                                               retries_, transport_, metrics_, log_}},
+          operators_{settings_.operators}, changes_{change_service::environment{time_, random_,
+                                                                                store_, control_}},
+          admin_{admin_handler::environment{control_, changes_, operators_, metrics_, log_}},
+          proxy_server_{proxy_}, admin_server_{admin_}
+    {
+        router_.add({frame_kind::call_request, frame_kind::call_cancel}, gate_);
+        router_.add(
+            {frame_kind::call_response, frame_kind::commit_batch, frame_kind::membership_full},
+            requests_);
+        router_.add({frame_kind::membership_sync}, control_.membership());
+        router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
+    }
+
+    outcome<bool> start()
+    {
+        auto started = network_.start(settings_.peer);
+        if (started) {
+            started = datagrams_.start(settings_.peer, [this](const network_endpoint& /*sender*/,
+                                                              std::span<const std::byte> payload) {
+                control_.membership().on_datagram(payload);
+            });
+        }
+        if (started) {
+            started = admin_server_.start(settings_.admin);
+        }
+        if (started) {
+            started = proxy_server_.start(settings_.traffic);
+        }
+        if (started) {
+            loop_.post([this] { control_.start(); });
+            control_thread_ = std::thread{[this] { loop_.run(); }};
+            log_.write(event_id::process_started, settings_.name.str());
+        }
+        return started;
+    }
+
+    void stop()
+    {
+        if (!control_thread_.joinable()) {
+            return;
+        }
+        log_.write(event_id::process_stopping, settings_.name.str());
+        leave();
+        proxy_server_.stop();
+        gate_.stop();
+        admin_server_.stop();
+        worker_.stop();
+        loop_.stop();
+        control_thread_.join();
+        network_.stop();
+        datagrams_.stop();
+        log_.write(event_id::process_stopped, settings_.name.str());
+    }
+
+private:
+    /** Leaves the mesh and gives callers' nodes time to hear of it. */
+    void leave()
+    {
+        std::promise<void> left;
+        loop_.post([this, &left] {
+            control_.leave();
+            left.set_value();
+        });
+        left.get_future().wait();
+        std::this_thread::sleep_for(notice_period);
+    }
+
+    node_settings settings_;
+    event_log& log_;
+    system_clock_source time_;
+    seeded_random random_;
+    control_loop loop_;
+    curl_http_client http_;
+    http_object_store store_;
+    store_worker worker_;
+    metric_registry metrics_;
+    frame_router router_;
+    request_client requests_;
+    asio_peer_network network_;
+    asio_datagram_channel datagrams_;
+    routing_table_holder tables_;
+    gate gate_;
+    control_plane control_;
+    load_table loads_;
+    retry_budget retries_;
+    weighted_version_chooser versions_;
+    nearest_endpoint_chooser endpoints_;
+    peer_call_transport transport_;
+    proxy_handler proxy_;
+    operator_directory operators_;
+    change_service changes_;
+    admin_handler admin_;
+    http_server proxy_server_;
+    http_server admin_server_;
+    std::thread control_thread_;
+};
+
+node::node(node_settings settings, event_log& log)
+    : parts_{std::make_unique<parts>(std::move(settings), log)}
+{
+}
+
+node::~node()
+{
+    stop();
+}
+
+outcome<bool> node::start()
+{
+    return parts_->start();
+}
+
+void node::stop()
+{
+    parts_->stop();
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/node/node.hpp
@@ -0,0 +1,42 @@
+#ifndef SAVORYWHEEL_NODE_NODE_HPP
+#define SAVORYWHEEL_NODE_NODE_HPP
+
+#include <savorywheel/core/outcome.hpp>
+#include <savorywheel/log/event_log.hpp>
+#include <savorywheel/settings/node_settings.hpp>
+
+#include <memory>
+
+namespace savorywheel {
+
+/** @brief The process beside each backend server: proxy, gate, member and administration API. */
+class node {
+public:
+    /**
+     * @param settings Settings.
+     * @param log Log; must outlive the node.
+     */
+    node(node_settings settings, event_log& log);
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+    node(node&&) = delete;
+    node& operator=(node&&) = delete;
+    ~node();
+
+    /**
+     * @brief Starts all threads and listens.
+     * @return unavailable if an endpoint cannot be bound.
+     */
+    [[nodiscard]] outcome<bool> start();
+
+    /** @brief Leaves the mesh, finishes requests in progress, and ends all threads. */
+    void stop();
+
+private:
+    class parts;
+    std::unique_ptr<parts> parts_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/routing/endpoint_chooser.hpp
@@ -0,0 +1,35 @@
+#ifndef SAVORYWHEEL_ROUTING_ENDPOINT_CHOOSER_HPP
+#define SAVORYWHEEL_ROUTING_ENDPOINT_CHOOSER_HPP
+
+#include <savorywheel/routing/route_endpoint.hpp>
+
+#include <optional>
+#include <span>
+
+namespace savorywheel {
+
+/** @brief Chooses the backend server that a call goes to. */
+class endpoint_chooser {
+public:
+    endpoint_chooser() = default;
+    endpoint_chooser(const endpoint_chooser&) = delete;
+    endpoint_chooser& operator=(const endpoint_chooser&) = delete;
+    endpoint_chooser(endpoint_chooser&&) = delete;
+    endpoint_chooser& operator=(endpoint_chooser&&) = delete;
+    virtual ~endpoint_chooser() = default;
+
+    /**
+     * @brief Chooses among the endpoints of one version.
+     * @param endpoints Endpoints of the service.
+     * @param version Version to choose from.
+     * @param tried Nodes that have refused this call.
+     * @return The endpoint; nullptr if none is left.
+     */
+    [[nodiscard]] virtual const route_endpoint* choose(std::span<const route_endpoint> endpoints,
+                                                       const version_name& version,
+                                                       std::span<const node_id> tried) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/routing/fwd.hpp
@@ -0,0 +1,19 @@
+#ifndef SAVORYWHEEL_ROUTING_FWD_HPP
+#define SAVORYWHEEL_ROUTING_FWD_HPP
+
+namespace savorywheel {
+
+class endpoint_chooser;
+class load_table;
+class nearest_endpoint_chooser;
+class routing_table;
+class routing_table_builder;
+class routing_table_holder;
+class weighted_version_chooser;
+class version_chooser;
+struct route_endpoint;
+struct service_routes;
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/store/fwd.hpp
@@ -0,0 +1,14 @@
+#ifndef SAVORYWHEEL_STORE_FWD_HPP
+#define SAVORYWHEEL_STORE_FWD_HPP
+
+namespace savorywheel {
+
+class http_object_store;
+class object_store;
+class store_worker;
+struct object_list;
+struct stored_object;
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/store/http_object_store.cpp
@@ -0,0 +1,133 @@
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/store/http_object_store.hpp>
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_created = 201;
+constexpr int status_not_found = 404;
+constexpr int status_gone = 410;
+constexpr int status_precondition_failed = 412;
+constexpr int status_too_many_requests = 429;
+constexpr int status_unavailable = 503;
+
+failure failure_of(int status)
+{
+    const auto message = fmt::format("the platform's service answered {}", status);
+    switch (status) {
+    case status_not_found:
+    case status_gone:
+        return {failure_code::not_found, message};
+    case status_precondition_failed:
+        return {failure_code::conflict, message};
+    case status_too_many_requests:
+    case status_unavailable:
+        return {failure_code::unavailable, message};
+    default:
+        return {failure_code::unknown_outcome, message};
+    }
+}
+
+std::uint64_t revision_of(const http_response& response)
+{
+    auto tag = find_header(response.headers, "ETag");
+    if (tag.size() >= 2 && tag.front() == '"') {
+        tag = tag.substr(1, tag.size() - 2);
+    }
+    std::uint64_t revision{};
+    std::from_chars(tag.data(), tag.data() + tag.size(), revision);
+    return revision;
+}
+
+std::string object_target(std::string_view key)
+{
+    return fmt::format("/objects/{}", key);
+}
+
+} // namespace
+
+http_object_store::http_object_store(http_client& client, network_endpoint server,
+                                     std::chrono::milliseconds timeout)
+    : client_{client}, server_{std::move(server)}, timeout_{timeout}
+{
+}
+
+outcome<stored_object> http_object_store::get(std::string_view key)
+{
+    auto response = client_.send(server_, {"GET", object_target(key), {}, {}}, timeout_);
+    if (!response) {
+        return response.reason();
+    }
+    if (response->status != status_ok) {
+        return failure_of(response->status);
+    }
+    const auto revision = revision_of(*response);
+    return stored_object{std::string{key}, std::move(response->body), revision};
+}
+
+outcome<std::uint64_t> http_object_store::create(std::string_view key, std::string_view value)
+{
+    return write({"PUT", object_target(key), {{"If-None-Match", "*"}}, std::string{value}});
+}
+
+outcome<std::uint64_t> http_object_store::update(std::string_view key, std::string_view value,
+                                                 std::uint64_t expected)
+{
+    return write({"PUT",
+                  object_target(key),
+                  {{"If-Match", fmt::format("\"{}\"", expected)}},
+                  std::string{value}});
+}
+
+outcome<std::uint64_t> http_object_store::remove(std::string_view key, std::uint64_t expected)
+{
+    return write(
+        {"DELETE", object_target(key), {{"If-Match", fmt::format("\"{}\"", expected)}}, {}});
+}
+
+outcome<object_list> http_object_store::list(std::string_view prefix, std::string_view after)
+{
+    return read_list(fmt::format("/objects?prefix={}&after={}", prefix, after), timeout_);
+}
+
+outcome<object_list> http_object_store::watch(std::string_view prefix, std::uint64_t after,
+                                              std::chrono::milliseconds patience)
+{
+    const auto target =
+        fmt::format("/watch?prefix={}&after={}&patience_ms={}", prefix, after, patience.count());
+    return read_list(target, patience + timeout_);
+}
+
+outcome<std::uint64_t> http_object_store::write(const http_request& request)
+{
+    const auto response = client_.send(server_, request, timeout_);
+    if (!response) {
+        return response.reason();
+    }
+    if (response->status != status_ok && response->status != status_created) {
+        return failure_of(response->status);
+    }
+    return revision_of(*response);
+}
+
+outcome<object_list> http_object_store::read_list(const std::string& target,
+                                                  std::chrono::milliseconds timeout)
+{
+    const auto response = client_.send(server_, {"GET", target, {}, {}}, timeout);
+    if (!response) {
+        return response.reason();
+    }
+    if (response->status != status_ok) {
+        return failure_of(response->status);
+    }
+    return decode_json<object_list>(response->body);
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/traffic/call_request.hpp
@@ -0,0 +1,27 @@
+#ifndef SAVORYWHEEL_TRAFFIC_CALL_REQUEST_HPP
+#define SAVORYWHEEL_TRAFFIC_CALL_REQUEST_HPP
+
+#include <savorywheel/core/names.hpp>
+#include <savorywheel/http/http_request.hpp>
+
+#include <chrono>
+
+namespace savorywheel {
+
+/** @brief A caller's request on its way to the node beside a backend server. */
+struct call_request {
+    /** @brief Service that is called. */
+    service_name service;
+    /** @brief Version that was chosen; another one must not run it. */
+    version_name version;
+    /** @brief Time left until the deadline. */
+    std::chrono::milliseconds remaining{};
+    /** @brief True if it may be run more than once. */
+    bool idempotent{};
+    /** @brief The request. */
+    http_request request;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/traffic/call_transport.hpp
@@ -0,0 +1,34 @@
+#ifndef SAVORYWHEEL_TRAFFIC_CALL_TRANSPORT_HPP
+#define SAVORYWHEEL_TRAFFIC_CALL_TRANSPORT_HPP
+
+#include <savorywheel/core/clock.hpp>
+#include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/traffic/call_request.hpp>
+#include <savorywheel/traffic/call_response.hpp>
+
+namespace savorywheel {
+
+/** @brief Carries calls to the nodes beside backend servers; any thread may call. */
+class call_transport {
+public:
+    call_transport() = default;
+    call_transport(const call_transport&) = delete;
+    call_transport& operator=(const call_transport&) = delete;
+    call_transport(call_transport&&) = delete;
+    call_transport& operator=(call_transport&&) = delete;
+    virtual ~call_transport() = default;
+
+    /**
+     * @brief Sends a call and waits for its outcome.
+     * @param peer Node beside the backend server.
+     * @param call The call.
+     * @param deadline When to stop waiting.
+     * @return The outcome; unknown if the deadline passed.
+     */
+    [[nodiscard]] virtual call_response call(const network_endpoint& peer, const call_request& call,
+                                             monotonic_time deadline) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/traffic/fwd.hpp
@@ -0,0 +1,17 @@
+#ifndef SAVORYWHEEL_TRAFFIC_FWD_HPP
+#define SAVORYWHEEL_TRAFFIC_FWD_HPP
+
+namespace savorywheel {
+
+class call_transport;
+class gate;
+class peer_call_transport;
+class proxy_handler;
+class retry_budget;
+struct backend_server;
+struct call_request;
+struct call_response;
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/traffic/peer_call_transport.cpp
@@ -0,0 +1,58 @@
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/traffic/peer_call_transport.hpp>
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+/** Where a waiting thread gets its answer from the stream thread. */
+struct answer_slot {
+    std::mutex mutex;
+    std::condition_variable arrived;
+    std::optional<request_client::answer> answer;
+};
+
+call_response read_answer(const request_client::answer& answer)
+{
+    if (!answer) {
+        const bool sent = answer.reason().code != failure_code::unavailable;
+        return {sent ? call_result::unknown : call_result::not_run, answer.reason().message, {}};
+    }
+    auto response = decode<call_response>(*answer);
+    if (!response) {
+        return {call_result::unknown, response.reason().message, {}};
+    }
+    return std::move(*response);
+}
+
+} // namespace
+
+call_response peer_call_transport::call(const network_endpoint& peer, const call_request& call,
+                                        monotonic_time deadline)
+{
+    const auto slot = std::make_shared<answer_slot>();
+    const auto connection = network_.connection_to(peer);
+    const auto correlation = requests_.submit(connection, frame_kind::call_request, encode(call),
+                                              [slot](request_client::answer answer) {
+                                                  const std::scoped_lock lock{slot->mutex};
+                                                  slot->answer = std::move(answer);
+                                                  slot->arrived.notify_one();
+                                              });
+    std::unique_lock lock{slot->mutex};
+    if (slot->arrived.wait_until(lock, deadline, [&slot] { return slot->answer.has_value(); })) {
+        return read_answer(*slot->answer);
+    }
+    lock.unlock();
+    if (requests_.forget(correlation)) {
+        connection->send(frame_kind::call_cancel, correlation, {});
+    }
+    return {call_result::unknown, "the deadline passed", {}};
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/traffic/peer_call_transport.hpp
@@ -0,0 +1,32 @@
+#ifndef SAVORYWHEEL_TRAFFIC_PEER_CALL_TRANSPORT_HPP
+#define SAVORYWHEEL_TRAFFIC_PEER_CALL_TRANSPORT_HPP
+
+#include <savorywheel/traffic/call_transport.hpp>
+#include <savorywheel/transport/peer_network.hpp>
+#include <savorywheel/transport/request_client.hpp>
+
+namespace savorywheel {
+
+/** @brief Carries calls over the streams between nodes. */
+class peer_call_transport final : public call_transport {
+public:
+    /**
+     * @param network Streams; must outlive the transport.
+     * @param requests Pairs answers with calls; must outlive the transport.
+     */
+    peer_call_transport(peer_network& network, request_client& requests) noexcept
+        : network_{network}, requests_{requests}
+    {
+    }
+
+    [[nodiscard]] call_response call(const network_endpoint& peer, const call_request& call,
+                                     monotonic_time deadline) override;
+
+private:
+    peer_network& network_;
+    request_client& requests_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -0,0 +1,67 @@
+#ifndef SAVORYWHEEL_TRAFFIC_PROXY_HANDLER_HPP
+#define SAVORYWHEEL_TRAFFIC_PROXY_HANDLER_HPP
+
+#include <savorywheel/core/clock.hpp>
+#include <savorywheel/http/http_handler.hpp>
+#include <savorywheel/log/event_log.hpp>
+#include <savorywheel/metrics/metric_registry.hpp>
+#include <savorywheel/routing/endpoint_chooser.hpp>
+#include <savorywheel/routing/load_table.hpp>
+#include <savorywheel/routing/routing_table_holder.hpp>
+#include <savorywheel/routing/version_chooser.hpp>
+#include <savorywheel/traffic/call_transport.hpp>
+#include <savorywheel/traffic/retry_budget.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace savorywheel {
+
+/** @brief Routes callers' requests by the table in force. */
+class proxy_handler final : public http_handler {
+public:
+    /** @brief What the proxy works with; all must outlive it. */
+    struct environment {
+        /** @brief Clock. */
+        const clock& time;
+        /** @brief Table in force. */
+        const routing_table_holder& tables;
+        /** @brief Chooses versions. */
+        version_chooser& versions;
+        /** @brief Chooses endpoints. */
+        endpoint_chooser& endpoints;
+        /** @brief Outstanding calls. */
+        load_table& loads;
+        /** @brief Bounds retries. */
+        retry_budget& retries;
+        /** @brief Carries calls. */
+        call_transport& transport;
+        /** @brief Metrics. */
+        metric_registry& metrics;
+        /** @brief Log. */
+        event_log& log;
+    };
+
+    /** @param surroundings What the proxy works with. */
+    explicit proxy_handler(environment surroundings) noexcept : environment_{surroundings} {}
+
+    [[nodiscard]] http_response handle(const http_request& request) override;
+
+private:
+    struct plan {
+        std::shared_ptr<const service_routes> routes;
+        const route_spec* route{};
+        call_request call;
+        monotonic_time deadline;
+    };
+
+    [[nodiscard]] http_response execute(plan& item);
+    [[nodiscard]] call_response attempt(plan& item, std::vector<node_id>& tried);
+    [[nodiscard]] http_response conclude(const plan& item, call_response outcome);
+
+    environment environment_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/transport/asio_peer_network.cpp
@@ -0,0 +1,184 @@
+#include <savorywheel/transport/asio_peer_network.hpp>
+#include <savorywheel/transport/peer_connection.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using connection_pointer = std::shared_ptr<peer_connection>;
+
+constexpr std::chrono::milliseconds accept_retry_delay{100};
+
+} // namespace
+
+/** Holds what the header hides, so that Boost.Asio stays in this file. */
+class asio_peer_network::state {
+public:
+    explicit state(frame_handler& handler) : handler_{handler}, acceptor_{context_} {}
+
+    outcome<bool> listen(const network_endpoint& local)
+    {
+        error_code error;
+        const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(local.address, error),
+                                               local.port};
+        if (!error) {
+            acceptor_.open(endpoint.protocol(), error);
+        }
+        if (!error) {
+            acceptor_.set_option(asio::socket_base::reuse_address{true}, error);
+        }
+        if (!error) {
+            acceptor_.bind(endpoint, error);
+        }
+        if (!error) {
+            acceptor_.listen(asio::socket_base::max_listen_connections, error);
+        }
+        if (error) {
+            return failure{failure_code::unavailable,
+                           "cannot listen on " + to_string(local) + ": " + error.message()};
+        }
+        accept_next();
+        thread_ = std::thread{[this] { context_.run(); }};
+        return true;
+    }
+
+    void stop()
+    {
+        if (!thread_.joinable()) {
+            return;
+        }
+        asio::post(context_, [this] { close_all(); });
+        work_.reset();
+        thread_.join();
+    }
+
+    connection_pointer connection_to(const network_endpoint& peer)
+    {
+        const std::scoped_lock lock{mutex_};
+        auto& slot = outgoing_[peer];
+        if (slot && !slot->closed()) {
+            return slot;
+        }
+        slot = std::make_shared<peer_connection>(
+            context_, handler_, [this, peer](const connection_pointer& ended) {
+                const std::scoped_lock guard{mutex_};
+                const auto found = outgoing_.find(peer);
+                if (found != outgoing_.end() && found->second == ended) {
+                    outgoing_.erase(found);
+                }
+            });
+        asio::post(context_, [connection = slot, peer] { connection->connect(peer); });
+        return slot;
+    }
+
+private:
+    void accept_next()
+    {
+        acceptor_.async_accept([this](const error_code& error, asio::ip::tcp::socket socket) {
+            if (!acceptor_.is_open()) {
+                return;
+            }
+            if (error) {
+                accept_later();
+                return;
+            }
+            adopt(std::move(socket));
+            accept_next();
+        });
+    }
+
+    void accept_later()
+    {
+        retry_.expires_after(accept_retry_delay);
+        retry_.async_wait([this](const error_code& error) {
+            if (!error) {
+                accept_next();
+            }
+        });
+    }
+
+    void adopt(asio::ip::tcp::socket socket)
+    {
+        auto connection = std::make_shared<peer_connection>(
+            context_, handler_, [this](const connection_pointer& ended) {
+                const std::scoped_lock lock{mutex_};
+                incoming_.erase(ended);
+            });
+        {
+            const std::scoped_lock lock{mutex_};
+            incoming_.insert(connection);
+        }
+        connection->accept(std::move(socket));
+    }
+
+    void close_all()
+    {
+        error_code ignored;
+        acceptor_.close(ignored);
+        retry_.cancel();
+        std::set<connection_pointer> all;
+        {
+            const std::scoped_lock lock{mutex_};
+            all = incoming_;
+            for (const auto& [peer, connection] : outgoing_) {
+                all.insert(connection);
+            }
+        }
+        for (const auto& connection : all) {
+            connection->close();
+        }
+    }
+
+    frame_handler& handler_;
+    asio::io_context context_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_{
+        asio::make_work_guard(context_)};
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer retry_{context_};
+    std::thread thread_;
+    std::mutex mutex_;
+    std::map<network_endpoint, connection_pointer> outgoing_;
+    std::set<connection_pointer> incoming_;
+};
+
+asio_peer_network::asio_peer_network(frame_handler& handler)
+    : state_{std::make_shared<state>(handler)}
+{
+}
+
+asio_peer_network::~asio_peer_network()
+{
+    stop();
+}
+
+outcome<bool> asio_peer_network::start(const network_endpoint& local)
+{
+    return state_->listen(local);
+}
+
+void asio_peer_network::stop()
+{
+    state_->stop();
+}
+
+std::shared_ptr<frame_sink> asio_peer_network::connection_to(const network_endpoint& peer)
+{
+    return state_->connection_to(peer);
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/transport/asio_peer_network.hpp
@@ -0,0 +1,42 @@
+#ifndef SAVORYWHEEL_TRANSPORT_ASIO_PEER_NETWORK_HPP
+#define SAVORYWHEEL_TRANSPORT_ASIO_PEER_NETWORK_HPP
+
+#include <savorywheel/core/outcome.hpp>
+#include <savorywheel/transport/frame_handler.hpp>
+#include <savorywheel/transport/peer_network.hpp>
+
+#include <memory>
+
+namespace savorywheel {
+
+/** @brief Streams over Boost.Asio: one listener, one connection per peer, one stream thread. */
+class asio_peer_network final : public peer_network {
+public:
+    /** @param handler Takes all frames; must outlive the network. */
+    explicit asio_peer_network(frame_handler& handler);
+    asio_peer_network(const asio_peer_network&) = delete;
+    asio_peer_network& operator=(const asio_peer_network&) = delete;
+    asio_peer_network(asio_peer_network&&) = delete;
+    asio_peer_network& operator=(asio_peer_network&&) = delete;
+    ~asio_peer_network() override;
+
+    /**
+     * @brief Listens and starts the stream thread.
+     * @param local Endpoint to listen on.
+     * @return unavailable if the endpoint cannot be bound.
+     */
+    [[nodiscard]] outcome<bool> start(const network_endpoint& local);
+
+    /** @brief Closes all connections and ends the stream thread. */
+    void stop();
+
+    [[nodiscard]] std::shared_ptr<frame_sink> connection_to(const network_endpoint& peer) override;
+
+private:
+    class state;
+    std::shared_ptr<state> state_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/transport/datagram_channel.hpp
@@ -0,0 +1,34 @@
+#ifndef SAVORYWHEEL_TRANSPORT_DATAGRAM_CHANNEL_HPP
+#define SAVORYWHEEL_TRANSPORT_DATAGRAM_CHANNEL_HPP
+
+#include <savorywheel/core/network_endpoint.hpp>
+
+#include <cstddef>
+#include <span>
+
+namespace savorywheel {
+
+/** @brief Largest datagram that nodes send, in bytes; it fits a common MTU. */
+inline constexpr std::size_t max_datagram_bytes = 1400;
+
+/** @brief Sends datagrams to other nodes; any thread may use it. */
+class datagram_channel {
+public:
+    datagram_channel() = default;
+    datagram_channel(const datagram_channel&) = delete;
+    datagram_channel& operator=(const datagram_channel&) = delete;
+    datagram_channel(datagram_channel&&) = delete;
+    datagram_channel& operator=(datagram_channel&&) = delete;
+    virtual ~datagram_channel() = default;
+
+    /**
+     * @brief Sends a datagram; it may be lost, doubled or late.
+     * @param peer Receiver.
+     * @param payload Payload, at most max_datagram_bytes.
+     */
+    virtual void send(const network_endpoint& peer, std::span<const std::byte> payload) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/transport/frame_header.hpp
@@ -0,0 +1,47 @@
+#ifndef SAVORYWHEEL_TRANSPORT_FRAME_HEADER_HPP
+#define SAVORYWHEEL_TRANSPORT_FRAME_HEADER_HPP
+
+#include <savorywheel/core/outcome.hpp>
+#include <savorywheel/transport/frame_kind.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace savorywheel {
+
+/** @brief Version of the protocol between nodes. */
+inline constexpr std::uint8_t protocol_version = 1;
+
+/** @brief Size of an encoded header, in bytes. */
+inline constexpr std::size_t frame_header_bytes = 14;
+
+/** @brief Largest payload of a frame, in bytes. */
+inline constexpr std::uint32_t max_frame_bytes = 16U * 1024U * 1024U;
+
+/** @brief Header before each payload on a stream between nodes. */
+struct frame_header {
+    /** @brief Length of the payload, in bytes. */
+    std::uint32_t length{};
+    /** @brief Meaning of the payload. */
+    frame_kind kind{frame_kind::heartbeat};
+    /** @brief Pairs an answer with its request. */
+    std::uint64_t correlation{};
+};
+
+/** @return The header in network byte order. */
+[[nodiscard]] std::array<std::byte, frame_header_bytes>
+encode_header(const frame_header& header) noexcept;
+
+/**
+ * @brief Reads a header.
+ * @param bytes Encoded header.
+ * @return malformed if the protocol version, the kind or the length is not allowed.
+ */
+[[nodiscard]] outcome<frame_header>
+decode_header(std::span<const std::byte, frame_header_bytes> bytes);
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/transport/frame_router.hpp
@@ -0,0 +1,34 @@
+#ifndef SAVORYWHEEL_TRANSPORT_FRAME_ROUTER_HPP
+#define SAVORYWHEEL_TRANSPORT_FRAME_ROUTER_HPP
+
+#include <savorywheel/transport/frame_handler.hpp>
+
+#include <initializer_list>
+#include <map>
+#include <set>
+
+namespace savorywheel {
+
+/** @brief Passes each frame to the handler of its kind, and each closure to all handlers. */
+class frame_router final : public frame_handler {
+public:
+    /**
+     * @brief Registers a handler.
+     * @param kinds Kinds of frame that it takes.
+     * @param handler The handler; must outlive the router.
+     * @warning Call it before the network starts.
+     */
+    void add(std::initializer_list<frame_kind> kinds, frame_handler& handler);
+
+    void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
+                  std::uint64_t correlation, std::span<const std::byte> payload) override;
+    void on_closed(const frame_sink& source, bool established) override;
+
+private:
+    std::map<frame_kind, frame_handler*> by_kind_;
+    std::set<frame_handler*> handlers_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -0,0 +1,38 @@
+#ifndef SAVORYWHEEL_TRANSPORT_FRAME_SINK_HPP
+#define SAVORYWHEEL_TRANSPORT_FRAME_SINK_HPP
+
+#include <savorywheel/transport/frame_kind.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+
+namespace savorywheel {
+
+/** @brief Sending side of a stream between two nodes; any thread may use it. */
+class frame_sink {
+public:
+    frame_sink() = default;
+    frame_sink(const frame_sink&) = delete;
+    frame_sink& operator=(const frame_sink&) = delete;
+    frame_sink(frame_sink&&) = delete;
+    frame_sink& operator=(frame_sink&&) = delete;
+    virtual ~frame_sink() = default;
+
+    /**
+     * @brief Queues a frame; does not wait.
+     * @param kind Meaning of the payload.
+     * @param correlation Pairs an answer with its request.
+     * @param payload Payload; copied.
+     * @return False if the connection is closed or its queue is full; nothing was queued then.
+     */
+    virtual bool send(frame_kind kind, std::uint64_t correlation,
+                      std::span<const std::byte> payload) = 0;
+
+    /** @brief Closes the connection; its handler hears of it. */
+    virtual void close() = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -0,0 +1,84 @@
+#ifndef SAVORYWHEEL_TRANSPORT_PEER_CONNECTION_HPP
+#define SAVORYWHEEL_TRANSPORT_PEER_CONNECTION_HPP
+
+#include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/transport/frame_handler.hpp>
+#include <savorywheel/transport/frame_header.hpp>
+#include <savorywheel/transport/frame_sink.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace savorywheel {
+
+/**
+ * @brief One TCP stream to a peer; all input and output runs on the stream thread.
+ * @warning Include it only in source files of this module; it brings Boost.Asio.
+ */
+class peer_connection final : public frame_sink,
+                              public std::enable_shared_from_this<peer_connection> {
+public:
+    /** @brief Called on the stream thread when the connection was closed. */
+    using closed_callback = std::function<void(const std::shared_ptr<peer_connection>&)>;
+
+    /**
+     * @param context Context of the stream thread.
+     * @param handler Takes the frames; must outlive the connection.
+     * @param closed Called once at the end.
+     */
+    peer_connection(boost::asio::io_context& context, frame_handler& handler,
+                    closed_callback closed);
+
+    /** @brief Opens the stream to a peer. */
+    void connect(const network_endpoint& peer);
+
+    /** @brief Takes over an accepted socket. */
+    void accept(boost::asio::ip::tcp::socket socket);
+
+    /** @return True after the connection was closed. */
+    [[nodiscard]] bool closed() const noexcept { return closed_; }
+
+    bool send(frame_kind kind, std::uint64_t correlation,
+              std::span<const std::byte> payload) override;
+    void close() override;
+
+private:
+    using buffer = std::vector<std::byte>;
+
+    void start();
+    void read_header();
+    void read_payload(const frame_header& header);
+    void write_next();
+    void watch_silence();
+    void finish();
+
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    frame_handler& handler_;
+    closed_callback on_closed_;
+    std::array<std::byte, frame_header_bytes> header_{};
+    buffer payload_;
+    std::atomic<bool> closed_{};
+    bool established_{};
+    bool finished_{};
+    bool writing_{};
+    std::chrono::steady_clock::time_point last_received_;
+    std::mutex mutex_;
+    std::deque<buffer> queue_;
+    std::size_t queued_bytes_{};
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/standin/backend/backend_handler.hpp
@@ -0,0 +1,55 @@
+#ifndef SAVORYWHEEL_STANDIN_BACKEND_BACKEND_HANDLER_HPP
+#define SAVORYWHEEL_STANDIN_BACKEND_BACKEND_HANDLER_HPP
+
+#include <savorywheel/core/random_source.hpp>
+#include <savorywheel/http/http_handler.hpp>
+#include <savorywheel/membership/server_state.hpp>
+#include <savorywheel/traffic/backend_server.hpp>
+
+#include <standin/backend/backend_behaviour.hpp>
+
+#include <atomic>
+#include <mutex>
+#include <string>
+
+namespace savorywheel::standin {
+
+/**
+ * @brief Answers like a backend server: echoes the request and names itself.
+ *
+ * `PUT /control?fail_permille=N&fail_path=P&latency_us=N&state=serving|draining` changes its
+ * behaviour. A request with the header `x-crash: 1` ends the process at once.
+ */
+class backend_handler final : public http_handler {
+public:
+    /**
+     * @param self What the backend server announces.
+     * @param random Chooses the requests that fail; must outlive the handler.
+     */
+    backend_handler(backend_server self, random_source& random);
+
+    [[nodiscard]] http_response handle(const http_request& request) override;
+
+    /** @return What to announce now. */
+    [[nodiscard]] backend_server announcement() const;
+
+    /** @brief Sets the state to announce. */
+    void set_state(server_state state);
+
+    /** @return Requests that were run. */
+    [[nodiscard]] std::uint64_t executed() const noexcept { return executed_; }
+
+private:
+    [[nodiscard]] http_response control(const http_request& request);
+    [[nodiscard]] bool fails(const http_request& request, const backend_behaviour& behaviour);
+
+    mutable std::mutex mutex_;
+    backend_server self_;
+    backend_behaviour behaviour_;
+    random_source& random_;
+    std::atomic<std::uint64_t> executed_{};
+};
+
+} // namespace savorywheel::standin
+
+#endif
--- /dev/null
+++ b/standin/platform/fault_plan.hpp
@@ -0,0 +1,20 @@
+#ifndef SAVORYWHEEL_STANDIN_PLATFORM_FAULT_PLAN_HPP
+#define SAVORYWHEEL_STANDIN_PLATFORM_FAULT_PLAN_HPP
+
+#include <chrono>
+
+namespace savorywheel::standin {
+
+/** @brief Faults that the platform stand-in shows. */
+struct fault_plan {
+    /** @brief Every request is refused with 503. */
+    bool down{};
+    /** @brief The answers to this many writes are lost after the write took effect. */
+    unsigned lost_answers{};
+    /** @brief Delay before each answer. */
+    std::chrono::milliseconds delay{};
+};
+
+} // namespace savorywheel::standin
+
+#endif
--- /dev/null
+++ b/standin/platform/main.cpp
@@ -0,0 +1,36 @@
+#include <savorywheel/http/http_server.hpp>
+#include <savorywheel/node/stop_signal.hpp>
+
+#include <CLI/CLI.hpp>
+#include <standin/platform/object_table.hpp>
+#include <standin/platform/platform_handler.hpp>
+
+#include <iostream>
+#include <string>
+
+using namespace savorywheel;
+
+int main(int argc, char** argv)
+{
+    CLI::App app{"Stands in for the platform's object API in tests and demos"};
+    std::string listen = "127.0.0.1:9000";
+    app.add_option("--listen", listen, "Address and port to listen on")->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+    const auto endpoint = parse_endpoint(listen);
+    if (!endpoint) {
+        std::cerr << "not an address and port: " << listen << '\n';
+        return 2;
+    }
+    const stop_signal signal;
+    standin::object_table table;
+    standin::platform_handler handler{table};
+    http_server server{handler, http_server_limits{.max_connections = 4096}};
+    if (const auto started = server.start(*endpoint); !started) {
+        std::cerr << started.reason().message << '\n';
+        return 1;
+    }
+    signal.wait();
+    table.stop();
+    server.stop();
+    return 0;
+}
--- /dev/null
+++ b/standin/platform/object_table.cpp
@@ -0,0 +1,124 @@
+#include <standin/platform/object_table.hpp>
+
+#include <algorithm>
+
+namespace savorywheel::standin {
+
+namespace {
+
+constexpr std::size_t max_value_bytes = 1'000'000;
+
+failure no_such_object(std::string_view key)
+{
+    return {failure_code::not_found, "no object " + std::string{key}};
+}
+
+failure conflict(std::string_view key)
+{
+    return {failure_code::conflict, "another revision of " + std::string{key}};
+}
+
+} // namespace
+
+outcome<stored_object> object_table::get(std::string_view key)
+{
+    const std::scoped_lock lock{mutex_};
+    const auto found = objects_.find(key);
+    if (found == objects_.end()) {
+        return no_such_object(key);
+    }
+    return found->second;
+}
+
+outcome<std::uint64_t> object_table::create(std::string_view key, std::string_view value)
+{
+    if (value.size() > max_value_bytes) {
+        return failure{failure_code::invalid_argument, "value too large"};
+    }
+    const std::scoped_lock lock{mutex_};
+    if (objects_.contains(key)) {
+        return conflict(key);
+    }
+    ++revision_;
+    objects_.emplace(std::string{key},
+                     stored_object{std::string{key}, std::string{value}, revision_});
+    changed_.notify_all();
+    return revision_;
+}
+
+outcome<std::uint64_t> object_table::update(std::string_view key, std::string_view value,
+                                            std::uint64_t expected)
+{
+    if (value.size() > max_value_bytes) {
+        return failure{failure_code::invalid_argument, "value too large"};
+    }
+    const std::scoped_lock lock{mutex_};
+    const auto found = objects_.find(key);
+    if (found == objects_.end() || found->second.revision != expected) {
+        return conflict(key);
+    }
+    found->second.value = value;
+    found->second.revision = ++revision_;
+    changed_.notify_all();
+    return revision_;
+}
+
+outcome<std::uint64_t> object_table::remove(std::string_view key, std::uint64_t expected)
+{
+    const std::scoped_lock lock{mutex_};
+    const auto found = objects_.find(key);
+    if (found == objects_.end() || found->second.revision != expected) {
+        return conflict(key);
+    }
+    objects_.erase(found);
+    return ++revision_;
+}
+
+outcome<object_list> object_table::list(std::string_view prefix, std::string_view after)
+{
+    const std::scoped_lock lock{mutex_};
+    object_list result;
+    result.revision = revision_;
+    for (auto item = objects_.lower_bound(prefix);
+         item != objects_.end() && item->first.starts_with(prefix); ++item) {
+        if (item->first > after) {
+            result.objects.push_back(item->second);
+        }
+    }
+    return result;
+}
+
+outcome<object_list> object_table::watch(std::string_view prefix, std::uint64_t after,
+                                         std::chrono::milliseconds patience)
+{
+    std::unique_lock lock{mutex_};
+    object_list result;
+    changed_.wait_for(lock, patience, [&] {
+        result = changes(prefix, after);
+        return stopping_ || !result.objects.empty();
+    });
+    result.revision = revision_;
+    return result;
+}
+
+void object_table::stop()
+{
+    const std::scoped_lock lock{mutex_};
+    stopping_ = true;
+    changed_.notify_all();
+}
+
+object_list object_table::changes(std::string_view prefix, std::uint64_t after) const
+{
+    object_list result;
+    for (auto item = objects_.lower_bound(prefix);
+         item != objects_.end() && item->first.starts_with(prefix); ++item) {
+        if (item->second.revision > after) {
+            result.objects.push_back(item->second);
+        }
+    }
+    std::ranges::sort(result.objects, {}, &stored_object::revision);
+    return result;
+}
+
+} // namespace savorywheel::standin
--- /dev/null
+++ b/standin/platform/object_table.hpp
@@ -0,0 +1,43 @@
+#ifndef SAVORYWHEEL_STANDIN_PLATFORM_OBJECT_TABLE_HPP
+#define SAVORYWHEEL_STANDIN_PLATFORM_OBJECT_TABLE_HPP
+
+#include <savorywheel/store/object_store.hpp>
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace savorywheel::standin {
+
+/** @brief The platform's object API in memory. */
+class object_table final : public object_store {
+public:
+    [[nodiscard]] outcome<stored_object> get(std::string_view key) override;
+    [[nodiscard]] outcome<std::uint64_t> create(std::string_view key,
+                                                std::string_view value) override;
+    [[nodiscard]] outcome<std::uint64_t> update(std::string_view key, std::string_view value,
+                                                std::uint64_t expected) override;
+    [[nodiscard]] outcome<std::uint64_t> remove(std::string_view key,
+                                                std::uint64_t expected) override;
+    [[nodiscard]] outcome<object_list> list(std::string_view prefix,
+                                            std::string_view after) override;
+    [[nodiscard]] outcome<object_list> watch(std::string_view prefix, std::uint64_t after,
+                                             std::chrono::milliseconds patience) override;
+
+    /** @brief Ends all watches, now and later. */
+    void stop();
+
+private:
+    [[nodiscard]] object_list changes(std::string_view prefix, std::uint64_t after) const;
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, stored_object, std::less<>> objects_;
+    std::uint64_t revision_{};
+    bool stopping_{};
+};
+
+} // namespace savorywheel::standin
+
+#endif
--- /dev/null
+++ b/standin/platform/platform_handler.cpp
@@ -0,0 +1,167 @@
+#include <savorywheel/encoding/codec.hpp>
+
+#include <standin/platform/platform_handler.hpp>
+#include <standin/support/query.hpp>
+
+#include <charconv>
+#include <thread>
+#include <utility>
+
+namespace savorywheel::standin {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_created = 201;
+constexpr int status_bad_request = 400;
+constexpr int status_not_found = 404;
+constexpr int status_precondition_failed = 412;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr std::string_view objects_path = "/objects/";
+
+http_response plain(int status, std::string body)
+{
+    return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
+}
+
+http_response failed(const failure& reason)
+{
+    switch (reason.code) {
+    case failure_code::not_found:
+        return plain(status_not_found, reason.message);
+    case failure_code::conflict:
+        return plain(status_precondition_failed, reason.message);
+    default:
+        return plain(status_bad_request, reason.message);
+    }
+}
+
+std::string tag_of(std::uint64_t revision)
+{
+    return '"' + std::to_string(revision) + '"';
+}
+
+http_response written(const outcome<std::uint64_t>& revision, int status)
+{
+    if (!revision) {
+        return failed(revision.reason());
+    }
+    return {status, {{"ETag", tag_of(*revision)}}, {}};
+}
+
+std::uint64_t revision_in(std::string_view tag)
+{
+    std::uint64_t revision{};
+    if (tag.size() > 2) {
+        std::from_chars(tag.data() + 1, tag.data() + tag.size() - 1, revision);
+    }
+    return revision;
+}
+
+http_response listed(const outcome<object_list>& objects)
+{
+    if (!objects) {
+        return failed(objects.reason());
+    }
+    return {status_ok, {{"Content-Type", "application/json"}}, encode_json(*objects)};
+}
+
+} // namespace
+
+http_response platform_handler::handle(const http_request& request)
+{
+    const auto path = path_of(request.target);
+    if (path == "/fault") {
+        return set_faults(request);
+    }
+    if (path == "/metrics") {
+        return plain(status_ok, metrics_.render());
+    }
+    fault_plan faults;
+    {
+        const std::scoped_lock lock{mutex_};
+        faults = faults_;
+    }
+    std::this_thread::sleep_for(faults.delay);
+    if (faults.down) {
+        metrics_.count("refused") += 1;
+        return plain(status_unavailable, "out of service\n");
+    }
+    return serve(request);
+}
+
+http_response platform_handler::set_faults(const http_request& request)
+{
+    const std::scoped_lock lock{mutex_};
+    faults_.down = query_number(request.target, "down", faults_.down ? 1 : 0) != 0;
+    faults_.lost_answers =
+        static_cast<unsigned>(query_number(request.target, "lost_answers", faults_.lost_answers));
+    faults_.delay = std::chrono::milliseconds{query_number(
+        request.target, "delay_ms", static_cast<std::uint64_t>(faults_.delay.count()))};
+    return plain(status_ok, "set\n");
+}
+
+http_response platform_handler::serve(const http_request& request)
+{
+    const auto path = path_of(request.target);
+    if (request.method == "GET" && path == "/watch") {
+        metrics_.count("watches") += 1;
+        return listed(table_.watch(
+            query_text(request.target, "prefix"), query_number(request.target, "after", 0),
+            std::chrono::milliseconds{query_number(request.target, "patience_ms", 0)}));
+    }
+    if (request.method == "GET" && path == "/objects") {
+        metrics_.count("reads") += 1;
+        return listed(
+            table_.list(query_text(request.target, "prefix"), query_text(request.target, "after")));
+    }
+    if (!path.starts_with(objects_path)) {
+        return plain(status_not_found, "no such path\n");
+    }
+    const auto key = path.substr(objects_path.size());
+    if (request.method != "GET") {
+        return write(request, key);
+    }
+    metrics_.count("reads") += 1;
+    const auto object = table_.get(key);
+    if (!object) {
+        return failed(object.reason());
+    }
+    return {status_ok, {{"ETag", tag_of(object->revision)}}, object->value};
+}
+
+http_response platform_handler::write(const http_request& request, std::string_view key)
+{
+    metrics_.count("writes") += 1;
+    const auto match = find_header(request.headers, "If-Match");
+    http_response response;
+    if (request.method == "DELETE") {
+        response = written(table_.remove(key, revision_in(match)), status_ok);
+    }
+    else if (!match.empty()) {
+        response = written(table_.update(key, request.body, revision_in(match)), status_ok);
+    }
+    else if (find_header(request.headers, "If-None-Match") == "*") {
+        response = written(table_.create(key, request.body), status_created);
+    }
+    else {
+        return plain(status_bad_request, "a write needs If-Match or If-None-Match\n");
+    }
+    if (lose_answer()) {
+        return plain(status_gateway_timeout, "the answer was lost\n");
+    }
+    return response;
+}
+
+bool platform_handler::lose_answer()
+{
+    const std::scoped_lock lock{mutex_};
+    if (faults_.lost_answers == 0) {
+        return false;
+    }
+    --faults_.lost_answers;
+    return true;
+}
+
+} // namespace savorywheel::standin
--- /dev/null
+++ b/test/savorywheel/encoding/codec_test.cpp
@@ -0,0 +1,50 @@
+#include <savorywheel/distribution/commit_push_message.hpp>
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/membership/membership_message.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace savorywheel::test {
+
+namespace {
+
+commit sample_commit()
+{
+    commit item;
+    item.version = {7};
+    item.base = {6};
+    item.operation = operation_id{"op-1"};
+    item.author = author_name{"anna"};
+    item.kind = commit_kind::override_set;
+    item.reason = "reefer alarm";
+    service_state state;
+    state.spec.name = service_name{"plugboard"};
+    state.spec.routes.push_back({"/check", true, std::chrono::milliseconds{800}, {}});
+    state.weights.push_back({version_name{"v1"}, 1000});
+    item.upserts.push_back(state);
+    return item;
+}
+
+} // namespace
+
+TEST(codec, a_commit_survives_both_encodings)
+{
+    const auto item = sample_commit();
+    const auto binary = decode<commit>(encode(item));
+    ASSERT_TRUE(binary) << binary.reason().message;
+    EXPECT_EQ(*binary, item);
+    const auto json = decode_json<commit>(encode_json(item));
+    ASSERT_TRUE(json) << json.reason().message;
+    EXPECT_EQ(*json, item);
+}
+
+RC_GTEST_PROP(codec, random_bytes_are_refused_or_decoded_without_a_crash,
+              (const std::vector<std::uint8_t>& bytes))
+{
+    const auto view = std::as_bytes(std::span{bytes});
+    static_cast<void>(decode<commit_push_message>(view));
+    static_cast<void>(decode<membership_message>(view));
+}
+
+} // namespace savorywheel::test
