Collect every fault of the operators' text with its place

Ruled out: expanding aliases under a node budget (operators get no use from them; refusing them has one place to point at).

A deadline that passed after it was accepted is no fault when the rest of the text is edited.

--- a/src/savorywheel/config/calendar_text.cpp
+++ b/src/savorywheel/config/calendar_text.cpp
@@ -14,7 +14,11 @@
     if (end == nullptr || *end != '\0') {
         return std::nullopt;
     }
-    return calendar_time{std::chrono::seconds{::timegm(&parts)}};
+    const calendar_time time{std::chrono::seconds{::timegm(&parts)}};
+    if (format_calendar_time(time) != text) {
+        return std::nullopt; // A day that the month does not have, or stray spaces.
+    }
+    return time;
 }
 
 std::string format_calendar_time(calendar_time time)
--- a/src/savorywheel/config/mesh_text_reader.cpp
+++ b/src/savorywheel/config/mesh_text_reader.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double permille_per_percent = 10.0;
+constexpr double rounding_tolerance = 1e-6;
 
 std::vector<service_name> read_names(const yaml_cursor& cursor, std::string_view key)
 {
@@ -47,18 +48,21 @@
         cursor.fault("weight", fmt::format("{}", percent), "a number from 0 to 100");
         return weight;
     }
-    weight.permille = static_cast<std::uint32_t>(std::lround(percent * permille_per_percent));
+    const auto permille = std::round(percent * permille_per_percent);
+    if (std::abs(permille - percent * permille_per_percent) > rounding_tolerance) {
+        cursor.fault("weight", fmt::format("{}", percent), "at most one decimal place");
+    }
+    weight.permille = static_cast<std::uint32_t>(permille);
     return weight;
 }
 
 traffic_target read_target(const yaml_cursor& cursor)
 {
     traffic_target target;
-    for (const auto& item : cursor.maps("versions")) {
+    for (const auto& item : cursor.required_maps("versions")) {
         target.weights.push_back(read_version(item));
     }
-    const auto due = cursor.text_or("by", "");
-    if (!due.empty()) {
+    if (const auto due = cursor.text_or("by", ""); cursor.has("by")) {
         target.due = parse_calendar_time(due);
         if (!target.due) {
             cursor.fault("by", fmt::format("\"{}\"", due),
@@ -74,7 +78,7 @@
     service_spec service;
     service.name = service_name{cursor.text("name")};
     service.depends_on = read_names(cursor, "depends_on");
-    for (const auto& item : cursor.maps("routes")) {
+    for (const auto& item : cursor.required_maps("routes")) {
         service.routes.push_back(read_route(item));
     }
     service.target = read_target(cursor);
@@ -97,10 +101,10 @@
         return spec;
     }
     root->expect_keys({"failure_domains", "services"});
-    for (const auto& item : root->maps("failure_domains")) {
+    for (const auto& item : root->required_maps("failure_domains")) {
         spec.domains.push_back(read_domain(item));
     }
-    for (const auto& item : root->maps("services")) {
+    for (const auto& item : root->required_maps("services")) {
         spec.services.push_back(read_service(item));
     }
     return spec;
--- a/src/savorywheel/config/mesh_validator.hpp
+++ b/src/savorywheel/config/mesh_validator.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_CONFIG_MESH_VALIDATOR_HPP
 
 #include <savorywheel/config/mesh_spec.hpp>
+#include <savorywheel/config/mesh_state.hpp>
 #include <savorywheel/config/place_index.hpp>
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/findings.hpp>
@@ -14,9 +15,12 @@
     /**
      * @param places Where the parts of the text stand; must outlive the validator.
      * @param now Calendar time against which deadlines are judged.
+     * @param accepted Accepted configuration, or nothing; must outlive the validator. A deadline
+     * that passed since it was accepted is no fault.
      */
-    mesh_validator(const place_index& places, calendar_time now) noexcept
-        : places_{places}, now_{now}
+    mesh_validator(const place_index& places, calendar_time now,
+                   const mesh_state* accepted = nullptr) noexcept
+        : places_{places}, now_{now}, accepted_{accepted}
     {
     }
 
@@ -28,8 +32,11 @@
     void check(const mesh_spec& spec, findings& report) const;
 
 private:
+    void check_service(const service_spec& service, std::size_t position, findings& report) const;
+
     const place_index& places_;
     calendar_time now_;
+    const mesh_state* accepted_;
 };
 
 } // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/config/name_rules.cpp
@@ -0,0 +1,44 @@
+#include <savorywheel/config/name_rules.hpp>
+
+#include <algorithm>
+
+namespace savorywheel {
+
+namespace {
+
+bool is_digit(char c) noexcept
+{
+    return c >= '0' && c <= '9';
+}
+
+bool is_lower(char c) noexcept
+{
+    return c >= 'a' && c <= 'z';
+}
+
+bool is_alphanumeric(char c) noexcept
+{
+    return is_digit(c) || is_lower(c) || (c >= 'A' && c <= 'Z');
+}
+
+bool has_fit_length(std::string_view name) noexcept
+{
+    return !name.empty() && name.size() <= max_name_bytes;
+}
+
+} // namespace
+
+bool is_host_label(std::string_view name) noexcept
+{
+    const auto fits = [](char c) { return is_digit(c) || is_lower(c) || c == '-'; };
+    return has_fit_length(name) && name.front() != '-' && name.back() != '-' &&
+           std::ranges::all_of(name, fits);
+}
+
+bool is_key_part(std::string_view name) noexcept
+{
+    const auto fits = [](char c) { return is_alphanumeric(c) || c == '.' || c == '-' || c == '_'; };
+    return has_fit_length(name) && is_alphanumeric(name.front()) && std::ranges::all_of(name, fits);
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/config/name_rules.hpp
@@ -0,0 +1,28 @@
+#ifndef SAVORYWHEEL_CONFIG_NAME_RULES_HPP
+#define SAVORYWHEEL_CONFIG_NAME_RULES_HPP
+
+#include <cstddef>
+#include <string_view>
+
+namespace savorywheel {
+
+/** @brief Longest name, in bytes: the limit of one label of a host name. */
+inline constexpr std::size_t max_name_bytes = 63;
+
+/** @brief What operators read about a name that is not a host label. */
+inline constexpr std::string_view host_label_rule =
+    "1 to 63 lower-case letters, digits and inner hyphens";
+
+/** @brief What operators read about a name that is not a key part. */
+inline constexpr std::string_view key_part_rule =
+    "1 to 63 letters, digits, dots, hyphens and underscores, the first a letter or digit";
+
+/** @return True if callers can give the name as the host of a request. */
+[[nodiscard]] bool is_host_label(std::string_view name) noexcept;
+
+/** @return True if the name can be part of a key of the platform's service. */
+[[nodiscard]] bool is_key_part(std::string_view name) noexcept;
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/config/service_validator.hpp
@@ -0,0 +1,54 @@
+#ifndef SAVORYWHEEL_CONFIG_SERVICE_VALIDATOR_HPP
+#define SAVORYWHEEL_CONFIG_SERVICE_VALIDATOR_HPP
+
+#include <savorywheel/config/place_index.hpp>
+#include <savorywheel/config/service_spec.hpp>
+#include <savorywheel/core/clock.hpp>
+#include <savorywheel/core/findings.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+namespace savorywheel {
+
+/** @brief Longest deadline of a route. */
+inline constexpr std::chrono::milliseconds max_route_deadline{600'000};
+
+/** @brief Longest path of a route, in bytes. */
+inline constexpr std::size_t max_route_path_bytes = 1024;
+
+/** @brief Judges one service of an operators' text by itself. */
+class service_validator {
+public:
+    /**
+     * @param service The service; must outlive the validator.
+     * @param path Its path in the place index.
+     * @param places Where the parts of the text stand; must outlive the validator.
+     * @param report Collects faults; must outlive the validator.
+     */
+    service_validator(const service_spec& service, std::string path, const place_index& places,
+                      findings& report);
+
+    /** @brief Checks the routes and the services that they call. */
+    void check_routes() const;
+
+    /** @brief Checks the names and weights of the versions. */
+    void check_target() const;
+
+    /** @brief Checks that the deadline is still to come. */
+    void check_deadline(calendar_time now) const;
+
+private:
+    void check_route(const route_spec& route, const std::string& path) const;
+    void check_calls(const route_spec& route, const std::string& path) const;
+
+    const service_spec& service_;
+    std::string path_;
+    const place_index& places_;
+    findings& report_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/config/yaml_cursor.cpp
+++ b/src/savorywheel/config/yaml_cursor.cpp
@@ -1,4 +1,6 @@
 #include <savorywheel/config/yaml_cursor.hpp>
+#include <savorywheel/config/yaml_place.hpp>
+#include <savorywheel/config/yaml_screen.hpp>
 
 #include <fmt/format.h>
 
@@ -10,12 +12,14 @@
 
 namespace {
 
-text_place place_at(const YAML::Mark& mark)
+/** Quotes a value; a long one is cut, so that a report stays readable. */
+std::string quote(std::string_view value)
 {
-    if (mark.is_null()) {
-        return {};
+    constexpr std::size_t longest = 80;
+    if (value.size() <= longest) {
+        return fmt::format("\"{}\"", value);
     }
-    return {static_cast<std::size_t>(mark.line) + 1, static_cast<std::size_t>(mark.column) + 1};
+    return fmt::format("\"{}...\" ({} bytes)", value.substr(0, longest), value.size());
 }
 
 std::string describe(const YAML::Node& node)
@@ -27,7 +31,7 @@
         return "a list";
     }
     if (node.IsScalar()) {
-        return fmt::format("\"{}\"", node.Scalar());
+        return quote(node.Scalar());
     }
     return "nothing";
 }
@@ -44,6 +48,9 @@
 std::optional<yaml_cursor> yaml_cursor::parse(std::string_view text, place_index& places,
                                               findings& report)
 {
+    if (!screen_yaml(text, report)) {
+        return std::nullopt;
+    }
     try {
         auto root = YAML::Load(std::string{text});
         if (!root.IsMap()) {
@@ -65,11 +72,11 @@
     for (const auto& item : node_) {
         const auto key = item.first.IsScalar() ? item.first.Scalar() : std::string{};
         if (std::ranges::find(known, key) == known.end()) {
-            report_->add(place_at(item.first.Mark()), fmt::format("unknown key \"{}\"", key),
+            report_->add(place_at(item.first.Mark()), fmt::format("unknown key {}", quote(key)),
                          fmt::format("one of: {}", fmt::join(known, ", ")));
         }
         if (!seen.insert(key).second) {
-            report_->add(place_at(item.first.Mark()), fmt::format("key \"{}\" twice", key),
+            report_->add(place_at(item.first.Mark()), fmt::format("key {} twice", quote(key)),
                          "each key once");
         }
     }
@@ -181,6 +188,19 @@
     return values;
 }
 
+std::vector<yaml_cursor> yaml_cursor::required_maps(std::string_view key) const
+{
+    if (!has(key)) {
+        report_->add(place_at(node_.Mark()), fmt::format("no key \"{}\"", key), "a list");
+        return {};
+    }
+    auto values = maps(key);
+    if (child(key).IsSequence() && child(key).size() == 0) {
+        fault(key, "an empty list", "at least one entry");
+    }
+    return values;
+}
+
 std::optional<yaml_cursor> yaml_cursor::map(std::string_view key) const
 {
     const auto value = child(key);
--- a/src/savorywheel/config/yaml_cursor.hpp
+++ b/src/savorywheel/config/yaml_cursor.hpp
@@ -69,6 +69,9 @@
     /** @return A cursor on each element of an optional list of maps. */
     [[nodiscard]] std::vector<yaml_cursor> maps(std::string_view key) const;
 
+    /** @return A cursor on each element of a required list of at least one map. */
+    [[nodiscard]] std::vector<yaml_cursor> required_maps(std::string_view key) const;
+
     /** @return A cursor on an optional map. */
     [[nodiscard]] std::optional<yaml_cursor> map(std::string_view key) const;
 
--- /dev/null
+++ b/src/savorywheel/config/yaml_screen.cpp
@@ -0,0 +1,73 @@
+#include <savorywheel/config/yaml_place.hpp>
+#include <savorywheel/config/yaml_screen.hpp>
+
+#include <fmt/format.h>
+#include <yaml-cpp/eventhandler.h>
+#include <yaml-cpp/yaml.h>
+
+#include <sstream>
+#include <string>
+
+namespace savorywheel {
+
+namespace {
+
+/** Hears the parser's events and reports aliases; it builds no document. */
+class alias_detector final : public YAML::EventHandler {
+public:
+    explicit alias_detector(findings& report) noexcept : report_{report} {}
+
+    void OnDocumentStart(const YAML::Mark& mark) override
+    {
+        if (++documents_ == 2) {
+            report_.add(place_at(mark), "a second document", "one document");
+        }
+    }
+
+    void OnAlias(const YAML::Mark& mark, YAML::anchor_t /*anchor*/) override
+    {
+        report_.add(place_at(mark), "an alias", "the value itself");
+    }
+
+    void OnDocumentEnd() override {}
+    void OnNull(const YAML::Mark& /*mark*/, YAML::anchor_t /*anchor*/) override {}
+    void OnScalar(const YAML::Mark& /*mark*/, const std::string& /*tag*/, YAML::anchor_t /*anchor*/,
+                  const std::string& /*value*/) override
+    {
+    }
+    void OnSequenceStart(const YAML::Mark& /*mark*/, const std::string& /*tag*/,
+                         YAML::anchor_t /*anchor*/, YAML::EmitterStyle::value /*style*/) override
+    {
+    }
+    void OnSequenceEnd() override {}
+    void OnMapStart(const YAML::Mark& /*mark*/, const std::string& /*tag*/,
+                    YAML::anchor_t /*anchor*/, YAML::EmitterStyle::value /*style*/) override
+    {
+    }
+    void OnMapEnd() override {}
+
+private:
+    findings& report_;
+    unsigned documents_{};
+};
+
+} // namespace
+
+bool screen_yaml(std::string_view text, findings& report)
+{
+    const auto before = report.items().size();
+    try {
+        std::istringstream source{std::string{text}};
+        YAML::Parser parser{source};
+        alias_detector detector{report};
+        while (parser.HandleNextDocument(detector)) {
+        }
+    }
+    catch (const YAML::Exception& error) {
+        report.add(place_at(error.mark), fmt::format("a text that is not YAML ({})", error.msg),
+                   "YAML");
+    }
+    return report.items().size() == before;
+}
+
+} // namespace savorywheel
