Plan overrides and refuse edits that would undo one

Cause: commits had kinds for overrides, but nothing made them, and an edited text could change the shares of a service under an override that its writer had never seen.

Change: plan_override_set() and plan_override_release() make the commits; an override carries the version that set it, and a writer who saw less is refused with the override's author, time and reason. find_text_conflicts() collects every conflict of a text with its place; a text never removes a service under an override. plan_text_change() takes the version that the writer had seen. A text that changes a target during a move made the half-moved shares the ones to return to; the new move now keeps the shares before the first one.

Ruled out: treating a writer who names no version as up to date. That is the operator whose text would undo an unseen override, so it counts as having seen none.

Not yet wired into the administration API.

--- a/src/savorywheel/admin/change_planner.cpp
+++ b/src/savorywheel/admin/change_planner.cpp
@@ -7,12 +7,17 @@
 
 namespace {
 
+bool moves(const service_state& service) noexcept
+{
+    return service.move && service.move->status == move_status::in_progress;
+}
+
 rollout_move make_move(const service_state& old, const service_spec& wanted, config_version version,
                        calendar_time now)
 {
     rollout_move move;
     move.asked_at = version;
-    move.from = old.weights;
+    move.from = moves(old) ? old.move->from : old.weights;
     move.to = wanted.target.weights;
     move.started_at = now;
     move.due = wanted.target.due;
@@ -20,14 +25,28 @@
     return move;
 }
 
+/** Ends a move whose target the text no longer asks for, as no step of it was made. */
+void end_unstarted_move(service_state& service, calendar_time now)
+{
+    service.move->status = move_status::withdrawn;
+    service.move->ended_at = now;
+    service.move->reason = "the text no longer asks for it";
+}
+
 service_state change_service_state(const service_state& old, const service_spec& wanted,
                                    config_version version, calendar_time now)
 {
     auto next = old;
     next.spec = wanted;
-    if (old.spec.target != wanted.target && old.weights != wanted.target.weights) {
+    if (old.spec.target == wanted.target) {
+        return next;
+    }
+    if (old.weights != wanted.target.weights) {
         next.move = make_move(old, wanted, version, now);
     }
+    else if (moves(old) && old.move->to != wanted.target.weights) {
+        end_unstarted_move(next, now);
+    }
     return next;
 }
 
@@ -41,10 +60,11 @@
 
 } // namespace
 
-commit plan_text_change(const mesh_state& state, const mesh_spec& wanted, calendar_time now)
+commit plan_text_change(const mesh_state& state, const mesh_spec& wanted, calendar_time now,
+                        std::optional<config_version> seen)
 {
     commit change;
-    change.base = state.version();
+    change.base = seen.value_or(state.version());
     change.version = state.version().next();
     change.kind = commit_kind::text_applied;
     change.written_at = now;
--- a/src/savorywheel/config/manual_override.hpp
+++ b/src/savorywheel/config/manual_override.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/config/version_weight.hpp>
 #include <savorywheel/core/clock.hpp>
+#include <savorywheel/core/config_version.hpp>
 #include <savorywheel/core/names.hpp>
 
 #include <string>
@@ -20,6 +21,8 @@
     std::string reason;
     /** @brief When it was accepted. */
     calendar_time set_at{};
+    /** @brief Version of the commit that set it. */
+    config_version version;
 
     /** @brief Compares all members. */
     [[nodiscard]] friend bool operator==(const manual_override&, const manual_override&) = default;
--- a/src/savorywheel/encoding/config_archive.hpp
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -51,7 +51,8 @@
 void serialize(Archive& archive, manual_override& item)
 {
     archive(cereal::make_nvp("weights", item.weights), cereal::make_nvp("author", item.author),
-            cereal::make_nvp("reason", item.reason), cereal::make_nvp("set_at", item.set_at));
+            cereal::make_nvp("reason", item.reason), cereal::make_nvp("set_at", item.set_at),
+            cereal::make_nvp("version", item.version));
 }
 
 /** @brief Lists the members of a move. */
--- /dev/null
+++ b/test/savorywheel/admin/override_planner_test.cpp
@@ -0,0 +1,101 @@
+#include <savorywheel/admin/change_planner.hpp>
+#include <savorywheel/admin/override_planner.hpp>
+#include <savorywheel/admin/text_conflicts.hpp>
+
+#include <gtest/gtest.h>
+
+namespace savorywheel::test {
+
+namespace {
+
+const service_name plugboard{"plugboard"};
+const author_name anna{"anna"};
+
+std::vector<version_weight> shares(std::uint32_t first)
+{
+    return {{version_name{"v1"}, first}, {version_name{"v2"}, weight_sum_permille - first}};
+}
+
+mesh_spec text_with(std::vector<version_weight> weights)
+{
+    service_spec service;
+    service.name = plugboard;
+    service.target.weights = std::move(weights);
+    return {{}, {service}};
+}
+
+mesh_state state_with_override()
+{
+    const auto first = mesh_state{}.apply(plan_text_change({}, text_with(shares(1000)), {}));
+    const auto change = plan_override_set(*first, plugboard, shares(700), anna, "alarm", {}, {1});
+    return *first->apply(*change);
+}
+
+std::size_t conflicts(const mesh_state& state, const mesh_spec& wanted,
+                      std::optional<config_version> seen)
+{
+    findings report;
+    find_text_conflicts(state, wanted, seen, {}, report);
+    return report.items().size();
+}
+
+} // namespace
+
+TEST(override_planner, an_override_says_who_when_and_why)
+{
+    const auto item = state_with_override().find(plugboard)->override_in_force;
+    ASSERT_TRUE(item);
+    EXPECT_EQ(item->author, anna);
+    EXPECT_EQ(item->reason, "alarm");
+    EXPECT_EQ(item->version, config_version{2});
+}
+
+TEST(override_planner, only_an_operator_who_saw_the_override_may_replace_or_release_it)
+{
+    const auto state = state_with_override();
+    const author_name bela{"bela"};
+    EXPECT_EQ(plan_override_set(state, plugboard, shares(0), bela, "no", {}, {1}).reason().code,
+              failure_code::conflict);
+    EXPECT_EQ(plan_override_release(state, plugboard, bela, "no", {}, {1}).reason().code,
+              failure_code::conflict);
+    EXPECT_TRUE(plan_override_set(state, plugboard, shares(0), bela, "yes", {}, {2}));
+    EXPECT_TRUE(plan_override_release(state, plugboard, bela, "yes", {}, {2}));
+}
+
+TEST(override_planner, shares_that_do_not_add_up_are_refused)
+{
+    const auto state = state_with_override();
+    const std::vector<version_weight> half{{version_name{"v1"}, 500}};
+    EXPECT_EQ(plan_override_set(state, plugboard, half, anna, "x", {}, {2}).reason().code,
+              failure_code::invalid_argument);
+}
+
+TEST(text_conflicts, a_text_by_someone_who_missed_the_override_is_refused)
+{
+    const auto state = state_with_override();
+    EXPECT_EQ(conflicts(state, text_with(shares(500)), std::nullopt), 1U);
+    EXPECT_EQ(conflicts(state, text_with(shares(500)), config_version{1}), 1U);
+    EXPECT_EQ(conflicts(state, text_with(shares(500)), config_version{2}), 0U);
+    EXPECT_EQ(conflicts(state, text_with(shares(1000)), std::nullopt), 0U);
+}
+
+TEST(text_conflicts, a_text_never_removes_a_service_under_an_override)
+{
+    EXPECT_EQ(conflicts(state_with_override(), {}, config_version{2}), 1U);
+}
+
+TEST(change_planner, a_second_target_leads_away_from_the_shares_before_the_first_move)
+{
+    auto state = *mesh_state{}.apply(plan_text_change({}, text_with(shares(1000)), {}));
+    state = *state.apply(plan_text_change(state, text_with(shares(0)), {}));
+    auto stepped = *state.find(plugboard);
+    stepped.weights = shares(900);
+    commit step;
+    step.version = state.version().next();
+    step.upserts.push_back(stepped);
+    state = *state.apply(step);
+    state = *state.apply(plan_text_change(state, text_with(shares(500)), {}));
+    EXPECT_EQ(state.find(plugboard)->move->from, shares(1000));
+}
+
+} // namespace savorywheel::test
