Make the administration API whole and give the command line its commands

Cause: only PUT /config and a few views existed. A change whose answer was lost was reported with an id that nothing could resolve, and a refusal after a lost answer could be untrue.

Ruled out: settling by reading the commit's key alone (an absent key may still be written by a late request); remembering open changes in the node (VMs are replaced at any time); putting the version into the operation's name (attempts at several versions share one operation).

Change: an operation record with the commit stands in the store before each attempt. Whoever settles creates the commit again at its own key, which is idempotent, and ends the operation by a conditional update of the record. An operation without a record is sealed as refused. Texts are kept under texts/<operation>. Endpoints: check, diff, config, status with the versions per failure domain, history, overrides, override, settle. JSON nested deeper than 64 is refused before the recursive parser sees it. The command line has one class per command.

--- /dev/null
+++ b/apps/ctl/change_options.cpp
@@ -0,0 +1,41 @@
+#include <savorywheel/admin/admin_headers.hpp>
+
+#include <CLI/CLI.hpp>
+#include <ctl/change_options.hpp>
+#include <fmt/format.h>
+
+#include <random>
+
+namespace savorywheel::ctl {
+
+namespace {
+
+std::string random_operation()
+{
+    std::random_device device;
+    return fmt::format("{:08x}{:08x}{:08x}{:08x}", device(), device(), device(), device());
+}
+
+} // namespace
+
+change_options::change_options() : operation_{random_operation()} {}
+
+void change_options::add_to(CLI::App& command)
+{
+    command.add_option("--seen", seen_,
+                       "Version that you had seen; needed to change what an override holds");
+    command
+        .add_option("--operation", operation_,
+                    "Name of this attempt; the same name never takes effect twice")
+        ->default_str("random");
+}
+
+void change_options::add_to(http_request& request) const
+{
+    request.headers.push_back({std::string{operation_header}, operation_});
+    if (seen_) {
+        request.headers.push_back({std::string{base_header}, std::to_string(*seen_)});
+    }
+}
+
+} // namespace savorywheel::ctl
--- /dev/null
+++ b/apps/ctl/check_command.hpp
@@ -0,0 +1,24 @@
+#ifndef SAVORYWHEEL_APPS_CTL_CHECK_COMMAND_HPP
+#define SAVORYWHEEL_APPS_CTL_CHECK_COMMAND_HPP
+
+#include <ctl/command.hpp>
+
+#include <string>
+
+namespace savorywheel::ctl {
+
+/** @brief Lists the findings of a text. */
+class check_command final : public command {
+public:
+    void add_to(CLI::App& parent) override;
+    [[nodiscard]] bool chosen() const override;
+    [[nodiscard]] exit_code run(const node_client& node) override;
+
+private:
+    CLI::App* self_{};
+    std::string file_;
+};
+
+} // namespace savorywheel::ctl
+
+#endif
--- /dev/null
+++ b/apps/ctl/diff_command.cpp
@@ -0,0 +1,39 @@
+#include <savorywheel/admin/admin_headers.hpp>
+
+#include <CLI/CLI.hpp>
+#include <common/read_file.hpp>
+#include <ctl/answer_printer.hpp>
+#include <ctl/diff_command.hpp>
+
+#include <iostream>
+#include <utility>
+
+namespace savorywheel::ctl {
+
+void diff_command::add_to(CLI::App& parent)
+{
+    self_ = parent.add_subcommand("diff", "Show what a text would change; changes nothing");
+    self_->add_option("file", file_, "The text")->required();
+    self_->add_option("--seen", seen_, "Version that you had seen");
+}
+
+bool diff_command::chosen() const
+{
+    return self_->parsed();
+}
+
+exit_code diff_command::run(const node_client& node)
+{
+    const auto text = read_file(file_);
+    if (!text) {
+        std::cerr << file_ << ": cannot be read\n";
+        return exit_code::usage;
+    }
+    http_request request{"POST", "/diff", {}, *text};
+    if (seen_) {
+        request.headers.push_back({std::string{base_header}, std::to_string(*seen_)});
+    }
+    return answer_printer{node.options().output}.print_diff(node.send(std::move(request)), file_);
+}
+
+} // namespace savorywheel::ctl
--- /dev/null
+++ b/apps/ctl/diff_command.hpp
@@ -0,0 +1,27 @@
+#ifndef SAVORYWHEEL_APPS_CTL_DIFF_COMMAND_HPP
+#define SAVORYWHEEL_APPS_CTL_DIFF_COMMAND_HPP
+
+#include <ctl/command.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace savorywheel::ctl {
+
+/** @brief Shows what a text would change. */
+class diff_command final : public command {
+public:
+    void add_to(CLI::App& parent) override;
+    [[nodiscard]] bool chosen() const override;
+    [[nodiscard]] exit_code run(const node_client& node) override;
+
+private:
+    CLI::App* self_{};
+    std::string file_;
+    std::optional<std::uint64_t> seen_;
+};
+
+} // namespace savorywheel::ctl
+
+#endif
--- /dev/null
+++ b/apps/ctl/exit_code.hpp
@@ -0,0 +1,18 @@
+#ifndef SAVORYWHEEL_APPS_CTL_EXIT_CODE_HPP
+#define SAVORYWHEEL_APPS_CTL_EXIT_CODE_HPP
+
+namespace savorywheel::ctl {
+
+/** @brief Exit codes of savorywheelctl, as docs/OPERATORS.md lists them. */
+enum class exit_code : int {
+    done = 0,     /**< Done, accepted, or without findings. */
+    failed = 1,   /**< The node did not answer, or could not. */
+    usage = 2,    /**< The command line or a file is wrong. */
+    refused = 3,  /**< The change is refused, or the text has findings; nothing was changed. */
+    unknown = 4,  /**< The outcome is unknown; settle the operation. */
+    forbidden = 5 /**< No operator has the key; nothing was changed. */
+};
+
+} // namespace savorywheel::ctl
+
+#endif
--- /dev/null
+++ b/apps/ctl/override_list_command.cpp
@@ -0,0 +1,24 @@
+
+#include <CLI/CLI.hpp>
+#include <ctl/answer_printer.hpp>
+#include <ctl/override_list_command.hpp>
+
+namespace savorywheel::ctl {
+
+void override_list_command::add_to(CLI::App& parent)
+{
+    self_ = parent.add_subcommand("list", "List the overrides in force");
+}
+
+bool override_list_command::chosen() const
+{
+    return self_->parsed();
+}
+
+exit_code override_list_command::run(const node_client& node)
+{
+    return answer_printer{node.options().output}.print_view<override_report>(
+        node.get("/overrides"));
+}
+
+} // namespace savorywheel::ctl
--- /dev/null
+++ b/apps/ctl/override_set_command.cpp
@@ -0,0 +1,45 @@
+#include <savorywheel/admin/override_request.hpp>
+#include <savorywheel/encoding/codec.hpp>
+
+#include <CLI/CLI.hpp>
+#include <ctl/answer_printer.hpp>
+#include <ctl/override_set_command.hpp>
+#include <ctl/share.hpp>
+
+#include <iostream>
+#include <utility>
+
+namespace savorywheel::ctl {
+
+void override_set_command::add_to(CLI::App& parent)
+{
+    self_ = parent.add_subcommand("set", "Set the shares of a service by hand");
+    self_->add_option("service", service_, "Service")->required();
+    self_->add_option("shares", shares_, "Shares such as v1=90 v2=10, in percent")->required();
+    self_->add_option("--reason", reason_, "Why, for your colleagues")->required();
+    change_.add_to(*self_);
+}
+
+bool override_set_command::chosen() const
+{
+    return self_->parsed();
+}
+
+exit_code override_set_command::run(const node_client& node)
+{
+    override_request wanted{{}, reason_};
+    for (const auto& share : shares_) {
+        const auto weight = parse_share(share);
+        if (!weight) {
+            std::cerr << share << ": not a share such as v1=90\n";
+            return exit_code::usage;
+        }
+        wanted.weights.push_back(*weight);
+    }
+    http_request request{"PUT", "/override/" + service_, {}, encode_json(wanted)};
+    change_.add_to(request);
+    return answer_printer{node.options().output}.print_change(node.send(std::move(request)), "",
+                                                              change_.operation());
+}
+
+} // namespace savorywheel::ctl
--- /dev/null
+++ b/apps/ctl/settle_command.cpp
@@ -0,0 +1,25 @@
+
+#include <CLI/CLI.hpp>
+#include <ctl/answer_printer.hpp>
+#include <ctl/settle_command.hpp>
+
+namespace savorywheel::ctl {
+
+void settle_command::add_to(CLI::App& parent)
+{
+    self_ = parent.add_subcommand("settle", "Find out what became of an operation");
+    self_->add_option("operation", operation_, "The operation")->required();
+}
+
+bool settle_command::chosen() const
+{
+    return self_->parsed();
+}
+
+exit_code settle_command::run(const node_client& node)
+{
+    return answer_printer{node.options().output}.print_change(node.get("/settle/" + operation_), "",
+                                                              operation_);
+}
+
+} // namespace savorywheel::ctl
--- /dev/null
+++ b/apps/ctl/state_command.hpp
@@ -0,0 +1,21 @@
+#ifndef SAVORYWHEEL_APPS_CTL_STATE_COMMAND_HPP
+#define SAVORYWHEEL_APPS_CTL_STATE_COMMAND_HPP
+
+#include <ctl/command.hpp>
+
+namespace savorywheel::ctl {
+
+/** @brief Dumps the state of a process. */
+class state_command final : public command {
+public:
+    void add_to(CLI::App& parent) override;
+    [[nodiscard]] bool chosen() const override;
+    [[nodiscard]] exit_code run(const node_client& node) override;
+
+private:
+    CLI::App* self_{};
+};
+
+} // namespace savorywheel::ctl
+
+#endif
--- /dev/null
+++ b/apps/ctl/text_command.cpp
@@ -0,0 +1,23 @@
+
+#include <CLI/CLI.hpp>
+#include <ctl/answer_printer.hpp>
+#include <ctl/text_command.hpp>
+
+namespace savorywheel::ctl {
+
+void text_command::add_to(CLI::App& parent)
+{
+    self_ = parent.add_subcommand("text", "Print the text that was applied last");
+}
+
+bool text_command::chosen() const
+{
+    return self_->parsed();
+}
+
+exit_code text_command::run(const node_client& node)
+{
+    return answer_printer{node.options().output}.print_body(node.get("/config"));
+}
+
+} // namespace savorywheel::ctl
--- a/src/savorywheel/admin/admin_handler.cpp
+++ b/src/savorywheel/admin/admin_handler.cpp
@@ -1,113 +1,86 @@
 #include <savorywheel/admin/admin_handler.hpp>
-#include <savorywheel/admin/status_reporter.hpp>
+#include <savorywheel/admin/admin_response.hpp>
+#include <savorywheel/admin/announcement_rules.hpp>
 #include <savorywheel/encoding/codec.hpp>
 
 #include <fmt/format.h>
 
-#include <utility>
+#include <array>
 
 namespace savorywheel {
 
-namespace {
-
-constexpr int status_ok = 200;
-constexpr int status_bad_request = 400;
-constexpr int status_forbidden = 403;
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
-constexpr std::string_view key_header = "x-savorywheel-key";
-
-http_response text_response(int status, std::string body)
-{
-    return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
-}
-
-http_response json_response(int status, std::string body)
-{
-    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
-}
-
-int status_of(const apply_report& report)
-{
-    if (report.outcome == "accepted") {
-        return status_ok;
-    }
-    return report.outcome == "unknown" ? status_gateway_timeout : status_conflict;
-}
-
-event_id event_of(const apply_report& report)
-{
-    if (report.outcome == "accepted") {
-        return event_id::change_accepted;
+/** One endpoint; a path that ends with a slash takes what follows as its argument. */
+struct admin_handler::endpoint {
+    std::string_view method;
+    std::string_view path;
+    http_response (*run)(admin_handler& self, const http_request& request,
+                         std::string_view argument);
+
+    [[nodiscard]] bool matches(std::string_view asked_method, std::string_view asked_path) const
+    {
+        return method == asked_method &&
+               (path.ends_with('/') ? asked_path.starts_with(path) : asked_path == path);
     }
-    return report.outcome == "unknown" ? event_id::change_unknown : event_id::change_refused;
-}
-
-} // namespace
+};
 
 http_response admin_handler::handle(const http_request& request)
 {
-    const auto route = request.method + " " + request.target;
-    if (route == "PUT /config") {
-        return apply(request);
-    }
-    if (route == "PUT /backend") {
-        return announce(request);
+    using self = admin_handler;
+    using text = std::string_view;
+    static constexpr std::array endpoints{
+        endpoint{"PUT", "/config",
+                 [](self& h, const http_request& r, text) { return h.changes_.apply(r); }},
+        endpoint{"GET", "/config",
+                 [](self& h, const http_request&, text) { return h.views_.text(); }},
+        endpoint{"POST", "/check",
+                 [](self& h, const http_request& r, text) { return h.views_.check(r); }},
+        endpoint{"POST", "/diff",
+                 [](self& h, const http_request& r, text) { return h.views_.diff(r); }},
+        endpoint{"GET", "/status",
+                 [](self& h, const http_request&, text) { return h.views_.status(); }},
+        endpoint{"GET", "/history",
+                 [](self& h, const http_request&, text) { return h.views_.history(); }},
+        endpoint{"GET", "/overrides",
+                 [](self& h, const http_request&, text) { return h.views_.overrides(); }},
+        endpoint{"PUT", "/override/",
+                 [](self& h, const http_request& r, text name) {
+                     return h.changes_.set_override(r, name);
+                 }},
+        endpoint{"DELETE", "/override/",
+                 [](self& h, const http_request& r, text name) {
+                     return h.changes_.release_override(r, name);
+                 }},
+        endpoint{
+            "GET", "/settle/",
+            [](self& h, const http_request& r, text name) { return h.changes_.settle(r, name); }},
+        endpoint{"PUT", "/backend",
+                 [](self& h, const http_request& r, text) { return h.announce(r); }},
+        endpoint{"GET", "/state",
+                 [](self& h, const http_request&, text) { return h.views_.state(); }},
+        endpoint{"GET", "/metrics", [](self& h, const http_request&, text) {
+                     return make_text_response(admin_status::ok, h.environment_.metrics.render());
+                 }}};
+    const auto path = text{request.target}.substr(0, request.target.find('?'));
+    for (const auto& item : endpoints) {
+        if (item.matches(request.method, path)) {
+            return item.run(*this, request, path.substr(std::min(path.size(), item.path.size())));
+        }
     }
-    if (route == "GET /state") {
-        return dump_state();
-    }
-    if (route == "GET /status") {
-        return report_status();
-    }
-    if (route == "GET /metrics") {
-        return text_response(status_ok, environment_.metrics.render());
-    }
-    return text_response(status_not_found, fmt::format("no endpoint {}\n", route));
-}
-
-http_response admin_handler::apply(const http_request& request)
-{
-    const auto author = environment_.operators.find(find_header(request.headers, key_header));
-    if (!author) {
-        environment_.log.write(event_id::operator_rejected, request.target);
-        return text_response(status_forbidden, "no operator has this key\n");
-    }
-    const auto report = environment_.changes.apply_text(request.body, *author);
-    environment_.log.write(event_of(report),
-                           fmt::format("operation {} by {}: version {} {}", report.operation.str(),
-                                       author->str(), report.version.number, report.reason));
-    return json_response(status_of(report), encode_json(report));
+    return make_text_response(admin_status::not_found,
+                              fmt::format("no endpoint {} {}\n", request.method, path));
 }
 
 http_response admin_handler::announce(const http_request& request)
 {
     const auto backend = decode_json<backend_server>(request.body);
-    if (!backend) {
-        return text_response(status_bad_request, backend.reason().message + "\n");
+    const auto checked = backend ? check_announcement(*backend) : outcome<bool>{backend.reason()};
+    if (!checked) {
+        environment_.log.write(event_id::admin_request_malformed,
+                               "PUT /backend: " + checked.reason().message);
+        return make_failure_response(checked.reason());
     }
     environment_.view.announce(*backend);
-    return text_response(status_ok, "announced\n");
-}
-
-http_response admin_handler::dump_state()
-{
-    const auto dump = environment_.view.dump();
-    if (!dump) {
-        return text_response(status_unavailable, dump.reason().message + "\n");
-    }
-    return json_response(status_ok, encode_json(*dump));
-}
-
-http_response admin_handler::report_status()
-{
-    const auto state = environment_.view.configuration();
-    if (!state) {
-        return text_response(status_unavailable, state.reason().message + "\n");
-    }
-    return json_response(status_ok, encode_json(make_status_report(*state)));
+    return make_text_response(admin_status::ok, "announced\n");
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/admin/admin_handler.hpp
+++ b/src/savorywheel/admin/admin_handler.hpp
@@ -1,15 +1,19 @@
 #ifndef SAVORYWHEEL_ADMIN_ADMIN_HANDLER_HPP
 #define SAVORYWHEEL_ADMIN_ADMIN_HANDLER_HPP
 
-#include <savorywheel/admin/change_service.hpp>
-#include <savorywheel/admin/node_view.hpp>
-#include <savorywheel/admin/operator_directory.hpp>
+#include <savorywheel/admin/change_handler.hpp>
+#include <savorywheel/admin/view_handler.hpp>
 #include <savorywheel/http/http_handler.hpp>
-#include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/metric_registry.hpp>
 
+#include <cstddef>
+#include <string_view>
+
 namespace savorywheel {
 
+/** @brief Largest body of an administration request, in bytes; a text may be half as large. */
+inline constexpr std::size_t max_admin_body_bytes = 2'000'000;
+
 /** @brief Administration API of a node; docs/ADMIN-API.md describes it. */
 class admin_handler final : public http_handler {
 public:
@@ -28,17 +32,23 @@
     };
 
     /** @param surroundings What the handler works with. */
-    explicit admin_handler(environment surroundings) noexcept : environment_{surroundings} {}
+    explicit admin_handler(environment surroundings) noexcept
+        : environment_{surroundings}, changes_{surroundings.changes, surroundings.operators,
+                                               surroundings.log},
+          views_{surroundings.view, surroundings.changes}
+    {
+    }
 
     [[nodiscard]] http_response handle(const http_request& request) override;
 
 private:
-    [[nodiscard]] http_response apply(const http_request& request);
+    struct endpoint;
+
     [[nodiscard]] http_response announce(const http_request& request);
-    [[nodiscard]] http_response dump_state();
-    [[nodiscard]] http_response report_status();
 
     environment environment_;
+    change_handler changes_;
+    view_handler views_;
 };
 
 } // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/admin/admin_headers.cpp
@@ -0,0 +1,35 @@
+#include <savorywheel/admin/admin_headers.hpp>
+#include <savorywheel/config/name_rules.hpp>
+
+#include <fmt/format.h>
+
+#include <charconv>
+
+namespace savorywheel {
+
+outcome<std::optional<config_version>> read_seen_version(const http_request& request)
+{
+    const auto text = find_header(request.headers, base_header);
+    if (text.empty()) {
+        return std::optional<config_version>{};
+    }
+    config_version seen;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seen.number);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return failure{failure_code::malformed,
+                       fmt::format("{} is not the number of a version", base_header)};
+    }
+    return std::optional{seen};
+}
+
+outcome<operation_id> read_operation(const http_request& request)
+{
+    const auto text = find_header(request.headers, operation_header);
+    if (!text.empty() && !is_key_part(text)) {
+        return failure{failure_code::malformed,
+                       fmt::format("{} is not {}", operation_header, key_part_rule)};
+    }
+    return operation_id{text};
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/admin/change_handler.hpp
@@ -0,0 +1,53 @@
+#ifndef SAVORYWHEEL_ADMIN_CHANGE_HANDLER_HPP
+#define SAVORYWHEEL_ADMIN_CHANGE_HANDLER_HPP
+
+#include <savorywheel/admin/change_service.hpp>
+#include <savorywheel/admin/operator_directory.hpp>
+#include <savorywheel/http/http_request.hpp>
+#include <savorywheel/http/http_response.hpp>
+#include <savorywheel/log/event_log.hpp>
+
+#include <string_view>
+
+namespace savorywheel {
+
+/** @brief Endpoints that change something; each needs an operator's key. */
+class change_handler {
+public:
+    /**
+     * @param changes Makes changes; must outlive the handler.
+     * @param operators Operators; must outlive the handler.
+     * @param log Log; must outlive the handler.
+     */
+    change_handler(change_service& changes, const operator_directory& operators,
+                   event_log& log) noexcept
+        : changes_{changes}, operators_{operators}, log_{log}
+    {
+    }
+
+    /** @brief Applies the text in the body. */
+    [[nodiscard]] http_response apply(const http_request& request);
+
+    /** @brief Sets an override on a service, as the body says. */
+    [[nodiscard]] http_response set_override(const http_request& request, std::string_view service);
+
+    /** @brief Releases the override of a service, for the reason in the body. */
+    [[nodiscard]] http_response release_override(const http_request& request,
+                                                 std::string_view service);
+
+    /** @brief Settles an operation. */
+    [[nodiscard]] http_response settle(const http_request& request, std::string_view operation);
+
+private:
+    [[nodiscard]] outcome<change_ticket> read_ticket(const http_request& request);
+    [[nodiscard]] http_response refuse(const http_request& request, const failure& reason);
+    [[nodiscard]] http_response answer(const apply_report& report, const change_ticket& ticket);
+
+    change_service& changes_;
+    const operator_directory& operators_;
+    event_log& log_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/admin/change_service.cpp
+++ b/src/savorywheel/admin/change_service.cpp
@@ -1,86 +1,138 @@
-#include <savorywheel/admin/change_planner.hpp>
 #include <savorywheel/admin/change_service.hpp>
-#include <savorywheel/config/mesh_text_reader.hpp>
-#include <savorywheel/config/mesh_validator.hpp>
-#include <savorywheel/distribution/commit_writer.hpp>
+#include <savorywheel/admin/change_submitter.hpp>
+#include <savorywheel/admin/operation_settler.hpp>
+#include <savorywheel/admin/operation_status.hpp>
+#include <savorywheel/admin/override_release_change.hpp>
+#include <savorywheel/admin/override_set_change.hpp>
+#include <savorywheel/admin/text_change.hpp>
+#include <savorywheel/admin/text_inspector.hpp>
 
 #include <fmt/format.h>
 
+#include <utility>
+
 namespace savorywheel {
 
 namespace {
 
-constexpr int max_append_attempts = 8;
+apply_report refused(const operation_id& operation, std::string reason)
+{
+    return {
+        std::string{to_string(operation_status::refused)}, {}, operation, std::move(reason), {}};
+}
+
+} // namespace
 
-apply_report refused(std::string reason)
+apply_report change_service::apply_text(std::string_view text, change_ticket ticket)
 {
-    apply_report report;
-    report.outcome = "refused";
-    report.reason = std::move(reason);
+    if (ticket.operation.empty()) {
+        ticket.operation = make_operation();
+    }
+    const text_change request{text, ticket.seen};
+    if (!request.well_formed()) {
+        return submit(request, ticket); // It is refused with its findings before any write.
+    }
+    if (const auto kept = keep_text(ticket.operation, text); !kept) {
+        return refused(ticket.operation, kept.reason().message);
+    }
+    auto report = submit(request, ticket);
+    finish_text(report);
     return report;
 }
 
-bool changes_nothing(const commit& change)
+apply_report change_service::set_override(const service_name& service,
+                                          const override_request& wanted, change_ticket ticket)
 {
-    return change.upserts.empty() && change.removals.empty() && !change.domains;
+    if (ticket.operation.empty()) {
+        ticket.operation = make_operation();
+    }
+    return submit(override_set_change{service, wanted, ticket}, ticket);
 }
 
-} // namespace
-
-apply_report change_service::apply_text(std::string_view text, const author_name& author)
+apply_report change_service::release_override(const service_name& service,
+                                              const override_request& wanted, change_ticket ticket)
 {
-    findings faults;
-    mesh_text_reader reader;
-    const auto wanted = reader.read(text, faults);
-    mesh_validator{reader.places(), environment_.time.calendar_now()}.check(wanted, faults);
-    if (!faults.empty()) {
-        auto report = refused("the text has faults");
-        report.findings.assign(faults.items().begin(), faults.items().end());
-        return report;
+    if (ticket.operation.empty()) {
+        ticket.operation = make_operation();
     }
-    const auto operation = make_operation();
-    for (int attempt = 0; attempt < max_append_attempts; ++attempt) {
-        const auto state = latest_state();
-        if (!state) {
-            return refused("the platform's service does not answer: " + state.reason().message);
-        }
-        auto change = plan_text_change(*state, wanted, environment_.time.calendar_now());
-        change.operation = operation;
-        change.author = author;
-        if (changes_nothing(change)) {
-            return {"accepted", state->version(), operation, "the text changes nothing", {}};
-        }
-        const auto written = commit_writer{environment_.store}.append(change);
-        if (written) {
-            return {"accepted", change.version, operation, {}, {}};
-        }
-        if (written.reason().code == failure_code::unknown_outcome) {
-            return {"unknown", {}, operation, written.reason().message, {}};
-        }
-        if (written.reason().code != failure_code::conflict) {
-            return refused(written.reason().message);
-        }
+    return submit(override_release_change{service, wanted, ticket}, ticket);
+}
+
+apply_report change_service::settle(const operation_id& operation)
+{
+    auto report = operation_settler{environment_.store, source_}.settle(operation);
+    if (archive_.read(operation)) {
+        finish_text(report);
     }
-    return refused("other changes came first each time");
+    return report;
 }
 
-outcome<mesh_state> change_service::latest_state()
+outcome<diff_report> change_service::inspect(std::string_view text,
+                                             std::optional<config_version> seen)
 {
-    auto state = environment_.view.configuration();
+    const auto state = environment_.view.configuration();
     if (!state) {
-        return state;
+        return state.reason();
     }
-    const auto commits = commit_writer{environment_.store}.read_after(state->version());
+    return inspect_text(text, *state, environment_.time.calendar_now(), seen);
+}
+
+outcome<std::string> change_service::current_text()
+{
+    const auto current = find_current_text();
+    if (!current) {
+        return current.reason();
+    }
+    return archive_.read(current->operation);
+}
+
+apply_report change_service::submit(const change_request& request, const change_ticket& ticket)
+{
+    change_submitter submitter{environment_.time, environment_.store, source_};
+    auto report = submitter.submit(request, ticket);
+    return report ? std::move(*report) : settle(ticket.operation);
+}
+
+outcome<archived_text> change_service::find_current_text()
+{
+    auto last = archive_.last();
+    const auto commits = environment_.view.history();
     if (!commits) {
-        return commits.reason();
+        return last;
+    }
+    for (auto item = commits->rbegin(); item != commits->rend(); ++item) {
+        if (item->kind == commit_kind::text_applied) {
+            if (!last || last->version < item->version) {
+                return archived_text{item->operation, item->version};
+            }
+            break;
+        }
+    }
+    return last;
+}
+
+outcome<bool> change_service::keep_text(const operation_id& operation, std::string_view text)
+{
+    const auto kept = archive_.keep(operation, text);
+    if (kept || kept.reason().code == failure_code::conflict) {
+        return true;
     }
-    for (const auto& item : *commits) {
-        state = state->apply(item);
-        if (!state) {
-            return state;
+    if (kept.reason().code != failure_code::unavailable) {
+        if (const auto present = archive_.read(operation); present && *present == text) {
+            return true; // Only the answer to the write was lost.
         }
     }
-    return state;
+    return kept.reason();
+}
+
+void change_service::finish_text(const apply_report& report)
+{
+    if (report.outcome == to_string(operation_status::accepted)) {
+        archive_.set_last({report.operation, report.version});
+    }
+    else if (report.outcome == to_string(operation_status::refused)) {
+        archive_.drop(report.operation);
+    }
 }
 
 operation_id change_service::make_operation()
--- /dev/null
+++ b/src/savorywheel/admin/configuration_source.hpp
@@ -0,0 +1,30 @@
+#ifndef SAVORYWHEEL_ADMIN_CONFIGURATION_SOURCE_HPP
+#define SAVORYWHEEL_ADMIN_CONFIGURATION_SOURCE_HPP
+
+#include <savorywheel/admin/node_view.hpp>
+#include <savorywheel/store/object_store.hpp>
+
+namespace savorywheel {
+
+/** @brief Gives the newest accepted state: that of the node, and what the store has after it. */
+class configuration_source {
+public:
+    /**
+     * @param view State of the node; must outlive the source.
+     * @param store The platform's service; must outlive the source.
+     */
+    configuration_source(node_view& view, object_store& store) noexcept : view_{view}, store_{store}
+    {
+    }
+
+    /** @return The newest state; the reason if the node or the store does not answer. */
+    [[nodiscard]] outcome<mesh_state> latest();
+
+private:
+    node_view& view_;
+    object_store& store_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/admin/history_reporter.hpp
@@ -0,0 +1,16 @@
+#ifndef SAVORYWHEEL_ADMIN_HISTORY_REPORTER_HPP
+#define SAVORYWHEEL_ADMIN_HISTORY_REPORTER_HPP
+
+#include <savorywheel/admin/history_report.hpp>
+#include <savorywheel/config/commit.hpp>
+
+#include <deque>
+
+namespace savorywheel {
+
+/** @return What operators read about commits. */
+[[nodiscard]] history_report make_history_report(const std::deque<commit>& commits);
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/admin/node_view.hpp
+++ b/src/savorywheel/admin/node_view.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_ADMIN_NODE_VIEW_HPP
 #define SAVORYWHEEL_ADMIN_NODE_VIEW_HPP
 
+#include <savorywheel/admin/domain_status.hpp>
 #include <savorywheel/admin/node_state_dump.hpp>
 #include <savorywheel/config/mesh_state.hpp>
 #include <savorywheel/core/outcome.hpp>
@@ -8,6 +9,7 @@
 
 #include <deque>
 #include <memory>
+#include <vector>
 
 namespace savorywheel {
 
@@ -30,6 +32,9 @@
     /** @return Latest commits; timeout if the control thread does not answer. */
     [[nodiscard]] virtual outcome<std::deque<commit>> history() = 0;
 
+    /** @return What is known of the failure domains; timeout as above. */
+    [[nodiscard]] virtual outcome<std::vector<domain_status>> domains() = 0;
+
     /** @brief Takes an announcement of the backend server beside the node. */
     virtual void announce(const backend_server& backend) = 0;
 };
--- /dev/null
+++ b/src/savorywheel/admin/override_set_change.hpp
@@ -0,0 +1,31 @@
+#ifndef SAVORYWHEEL_ADMIN_OVERRIDE_SET_CHANGE_HPP
+#define SAVORYWHEEL_ADMIN_OVERRIDE_SET_CHANGE_HPP
+
+#include <savorywheel/admin/change_request.hpp>
+#include <savorywheel/admin/change_ticket.hpp>
+#include <savorywheel/admin/override_request.hpp>
+
+namespace savorywheel {
+
+/** @brief Change that sets an override. */
+class override_set_change final : public change_request {
+public:
+    /**
+     * @param service Service.
+     * @param wanted What the operator asks for.
+     * @param ticket Who asks.
+     */
+    override_set_change(service_name service, override_request wanted, change_ticket ticket);
+
+    [[nodiscard]] outcome<commit> plan(const mesh_state& state, calendar_time now,
+                                       findings& report) const override;
+
+private:
+    service_name service_;
+    override_request wanted_;
+    change_ticket ticket_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/admin/service_comparison.hpp
@@ -0,0 +1,26 @@
+#ifndef SAVORYWHEEL_ADMIN_SERVICE_COMPARISON_HPP
+#define SAVORYWHEEL_ADMIN_SERVICE_COMPARISON_HPP
+
+#include <savorywheel/config/service_spec.hpp>
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace savorywheel {
+
+/**
+ * @brief Describes how a service changes.
+ * @param old Service before.
+ * @param wanted Service after.
+ * @return One sentence per changed part; none if nothing changes.
+ */
+[[nodiscard]] std::vector<std::string> compare_service(const service_spec& old,
+                                                       const service_spec& wanted);
+
+/** @return Shares in words, such as "v1 90 %, v2 10 %". */
+[[nodiscard]] std::string describe_weights(std::span<const version_weight> weights);
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/admin/status_reporter.cpp
+++ b/src/savorywheel/admin/status_reporter.cpp
@@ -24,9 +24,10 @@
 
 } // namespace
 
-status_report make_status_report(const mesh_state& state)
+status_report make_status_report(const mesh_state& state, std::span<const domain_status> domains)
 {
     status_report report;
+    report.domains.assign(domains.begin(), domains.end());
     report.version = state.version();
     for (const auto& [name, service] : state.services()) {
         report.services.push_back(make_service_status(*service));
@@ -34,4 +35,16 @@
     return report;
 }
 
+override_report make_override_report(const mesh_state& state)
+{
+    override_report report;
+    report.version = state.version();
+    for (const auto& [name, service] : state.services()) {
+        if (service->override_in_force) {
+            report.overrides.push_back({name, *service->override_in_force});
+        }
+    }
+    return report;
+}
+
 } // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/admin/view_handler.hpp
@@ -0,0 +1,50 @@
+#ifndef SAVORYWHEEL_ADMIN_VIEW_HANDLER_HPP
+#define SAVORYWHEEL_ADMIN_VIEW_HANDLER_HPP
+
+#include <savorywheel/admin/change_service.hpp>
+#include <savorywheel/admin/node_view.hpp>
+#include <savorywheel/http/http_request.hpp>
+#include <savorywheel/http/http_response.hpp>
+
+namespace savorywheel {
+
+/** @brief Endpoints that only show something. */
+class view_handler {
+public:
+    /**
+     * @param view State of the node; must outlive the handler.
+     * @param changes Reads and judges texts; must outlive the handler.
+     */
+    view_handler(node_view& view, change_service& changes) noexcept : view_{view}, changes_{changes}
+    {
+    }
+
+    /** @return Findings for which the text in the body would be refused. */
+    [[nodiscard]] http_response check(const http_request& request);
+
+    /** @return What the text in the body would change. */
+    [[nodiscard]] http_response diff(const http_request& request);
+
+    /** @return The text that was applied last. */
+    [[nodiscard]] http_response text();
+
+    /** @return Versions, moves and overrides. */
+    [[nodiscard]] http_response status();
+
+    /** @return The latest accepted changes. */
+    [[nodiscard]] http_response history();
+
+    /** @return The overrides in force. */
+    [[nodiscard]] http_response overrides();
+
+    /** @return State of the node. */
+    [[nodiscard]] http_response state();
+
+private:
+    node_view& view_;
+    change_service& changes_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/config/yaml_screen.cpp
+++ b/src/savorywheel/config/yaml_screen.cpp
@@ -60,7 +60,9 @@
         std::istringstream source{std::string{text}};
         YAML::Parser parser{source};
         alias_detector detector{report};
-        while (parser.HandleNextDocument(detector)) {
+        // Two documents decide; some stray tokens make the parser find documents without an end.
+        if (parser.HandleNextDocument(detector)) {
+            parser.HandleNextDocument(detector);
         }
     }
     catch (const YAML::Exception& error) {
--- a/src/savorywheel/core/network_endpoint.cpp
+++ b/src/savorywheel/core/network_endpoint.cpp
@@ -1,5 +1,7 @@
 #include <savorywheel/core/network_endpoint.hpp>
 
+#include <arpa/inet.h>
+
 #include <charconv>
 
 namespace savorywheel {
@@ -21,7 +23,12 @@
     if (error != std::errc{} || end != digits.data() + digits.size() || digits.empty()) {
         return std::nullopt;
     }
-    return network_endpoint{std::string{text.substr(0, colon)}, port};
+    network_endpoint endpoint{std::string{text.substr(0, colon)}, port};
+    in_addr number{};
+    if (inet_pton(AF_INET, endpoint.address.c_str(), &number) != 1) {
+        return std::nullopt;
+    }
+    return endpoint;
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/encoding/admin_archive.hpp
+++ b/src/savorywheel/encoding/admin_archive.hpp
@@ -2,7 +2,13 @@
 #define SAVORYWHEEL_ENCODING_ADMIN_ARCHIVE_HPP
 
 #include <savorywheel/admin/apply_report.hpp>
+#include <savorywheel/admin/archived_text.hpp>
+#include <savorywheel/admin/diff_report.hpp>
+#include <savorywheel/admin/history_report.hpp>
 #include <savorywheel/admin/node_state_dump.hpp>
+#include <savorywheel/admin/operation_record.hpp>
+#include <savorywheel/admin/override_report.hpp>
+#include <savorywheel/admin/override_request.hpp>
 #include <savorywheel/admin/status_report.hpp>
 #include <savorywheel/encoding/config_archive.hpp>
 #include <savorywheel/encoding/membership_archive.hpp>
@@ -40,11 +46,21 @@
             cereal::make_nvp("override", status.override_in_force));
 }
 
+/** @brief Lists the members of a failure domain's status. */
+template<typename Archive>
+void serialize(Archive& archive, domain_status& status)
+{
+    archive(cereal::make_nvp("domain", status.domain), cereal::make_nvp("region", status.region),
+            cereal::make_nvp("nodes", status.nodes), cereal::make_nvp("heard", status.heard),
+            cereal::make_nvp("lowest", status.lowest), cereal::make_nvp("highest", status.highest));
+}
+
 /** @brief Lists the members of a status. */
 template<typename Archive>
 void serialize(Archive& archive, status_report& report)
 {
     archive(cereal::make_nvp("version", report.version),
+            cereal::make_nvp("domains", report.domains),
             cereal::make_nvp("services", report.services));
 }
 
@@ -58,6 +74,84 @@
             cereal::make_nvp("members", dump.members));
 }
 
+/** @brief Lists the members of a request for an override. */
+template<typename Archive>
+void serialize(Archive& archive, override_request& request)
+{
+    archive(cereal::make_nvp("weights", request.weights),
+            cereal::make_nvp("reason", request.reason));
+}
+
+/** @brief Lists the members of an override and its service. */
+template<typename Archive>
+void serialize(Archive& archive, override_entry& entry)
+{
+    archive(cereal::make_nvp("service", entry.service), cereal::make_nvp("override", entry.item));
+}
+
+/** @brief Lists the members of a report on overrides. */
+template<typename Archive>
+void serialize(Archive& archive, override_report& report)
+{
+    archive(cereal::make_nvp("version", report.version),
+            cereal::make_nvp("overrides", report.overrides));
+}
+
+/** @brief Lists the members of an entry of the history. */
+template<typename Archive>
+void serialize(Archive& archive, history_entry& entry)
+{
+    archive(cereal::make_nvp("version", entry.version), cereal::make_nvp("base", entry.base),
+            cereal::make_nvp("kind", entry.kind), cereal::make_nvp("author", entry.author),
+            cereal::make_nvp("written_at", entry.written_at),
+            cereal::make_nvp("operation", entry.operation),
+            cereal::make_nvp("reason", entry.reason), cereal::make_nvp("changed", entry.changed),
+            cereal::make_nvp("removed", entry.removed));
+}
+
+/** @brief Lists the members of a history. */
+template<typename Archive>
+void serialize(Archive& archive, history_report& report)
+{
+    archive(cereal::make_nvp("entries", report.entries));
+}
+
+/** @brief Lists the members of a difference of a service. */
+template<typename Archive>
+void serialize(Archive& archive, service_difference& difference)
+{
+    archive(cereal::make_nvp("service", difference.service),
+            cereal::make_nvp("change", difference.change),
+            cereal::make_nvp("details", difference.details),
+            cereal::make_nvp("override", difference.override_in_force));
+}
+
+/** @brief Lists the members of a report on differences. */
+template<typename Archive>
+void serialize(Archive& archive, diff_report& report)
+{
+    archive(
+        cereal::make_nvp("version", report.version), cereal::make_nvp("findings", report.findings),
+        cereal::make_nvp("domains", report.domains), cereal::make_nvp("services", report.services));
+}
+
+/** @brief Lists the members of an operation record. */
+template<typename Archive>
+void serialize(Archive& archive, operation_record& record)
+{
+    archive(cereal::make_nvp("operation", record.operation),
+            cereal::make_nvp("status", record.status), cereal::make_nvp("version", record.version),
+            cereal::make_nvp("reason", record.reason), cereal::make_nvp("change", record.change));
+}
+
+/** @brief Lists the members of a reference to an applied text. */
+template<typename Archive>
+void serialize(Archive& archive, archived_text& text)
+{
+    archive(cereal::make_nvp("operation", text.operation),
+            cereal::make_nvp("version", text.version));
+}
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/encoding/codec_impl.hpp
+++ b/src/savorywheel/encoding/codec_impl.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ENCODING_CODEC_IMPL_HPP
 
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/encoding/json_depth.hpp>
 #include <savorywheel/encoding/span_input_archive.hpp>
 #include <savorywheel/encoding/vector_output_archive.hpp>
 
@@ -56,6 +57,9 @@
 template<typename Message>
 outcome<Message> decode_json(std::string_view text)
 {
+    if (json_depth(text) > max_json_depth) {
+        return failure{failure_code::malformed, "JSON nested too deeply"};
+    }
     try {
         std::istringstream source{std::string{text}};
         cereal::JSONInputArchive archive{source};
--- /dev/null
+++ b/src/savorywheel/encoding/json_depth.cpp
@@ -0,0 +1,31 @@
+#include <savorywheel/encoding/json_depth.hpp>
+
+#include <algorithm>
+
+namespace savorywheel {
+
+std::size_t json_depth(std::string_view text) noexcept
+{
+    std::size_t depth{};
+    std::size_t deepest{};
+    bool in_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (in_string) {
+            i += c == '\\' ? 1 : 0;
+            in_string = c != '"';
+        }
+        else if (c == '"') {
+            in_string = true;
+        }
+        else if (c == '[' || c == '{') {
+            deepest = std::max(deepest, ++depth);
+        }
+        else if ((c == ']' || c == '}') && depth > 0) {
+            --depth;
+        }
+    }
+    return deepest;
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -43,6 +43,10 @@
                       "The outcome of a change is not known yet."},
     event_description{event_id::operator_rejected, warning,
                       "An administration request had no valid operator key."},
+    event_description{event_id::admin_request_malformed, warning,
+                      "An administration request was malformed; nothing was changed."},
+    event_description{event_id::operation_settled, info,
+                      "An operator asked what became of an operation."},
 };
 
 } // namespace
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -26,7 +26,9 @@
     change_accepted = 5001,
     change_refused = 5002,
     change_unknown = 5003,
-    operator_rejected = 5004
+    operator_rejected = 5004,
+    admin_request_malformed = 5005,
+    operation_settled = 5006
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -133,6 +133,14 @@
                                    [this] { return distributor_.log().commits(); });
 }
 
+outcome<std::vector<domain_status>> control_plane::domains()
+{
+    return ask<std::vector<domain_status>>(environment_.loop, [this] {
+        heads_.record(settings_.peer, distributor_.log().state().version());
+        return heads_.summarize(membership_.agent().table().all());
+    });
+}
+
 void control_plane::announce(const backend_server& backend)
 {
     environment_.loop.post([this, backend] {
@@ -151,11 +159,15 @@
     if (update.record.id != settings_.name) {
         environment_.log.write(event_of(update.status), update.record.id.str());
     }
+    if (update.status == member_status::dead) {
+        heads_.forget(update.record.peer);
+    }
     publish_table();
 }
 
 void control_plane::on_head_seen(const network_endpoint& peer, config_version head)
 {
+    heads_.record(peer, head);
     distributor_.peer_has(peer, head);
 }
 
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -7,6 +7,7 @@
 #include <savorywheel/distribution/distributor.hpp>
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
+#include <savorywheel/node/head_tracker.hpp>
 #include <savorywheel/node/membership_service.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
@@ -67,6 +68,7 @@
     [[nodiscard]] outcome<node_state_dump> dump() override;
     [[nodiscard]] outcome<mesh_state> configuration() override;
     [[nodiscard]] outcome<std::deque<commit>> history() override;
+    [[nodiscard]] outcome<std::vector<domain_status>> domains() override;
     void announce(const backend_server& backend) override;
     void on_member_changed(const member_update& update) override;
     void on_head_seen(const network_endpoint& peer, config_version head) override;
@@ -86,6 +88,7 @@
     commit_watcher watcher_;
     lease_keeper lease_;
     routing_table_builder builder_;
+    head_tracker heads_;
     std::optional<backend_server> backend_;
     monotonic_time backend_seen_at_;
     std::optional<bool> store_reachable_;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -52,7 +52,8 @@
           operators_{settings_.operators}, changes_{change_service::environment{time_, random_,
                                                                                 store_, control_}},
           admin_{admin_handler::environment{control_, changes_, operators_, metrics_, log_}},
-          proxy_server_{proxy_}, admin_server_{admin_}
+          proxy_server_{proxy_}, admin_server_{admin_, http_server_limits{.max_body_bytes =
+                                                                              max_admin_body_bytes}}
     {
         router_.add({frame_kind::call_request, frame_kind::call_cancel}, gate_);
         router_.add(
--- /dev/null
+++ b/test/savorywheel/admin/fixed_node_view.hpp
@@ -0,0 +1,42 @@
+#ifndef SAVORYWHEEL_TEST_ADMIN_FIXED_NODE_VIEW_HPP
+#define SAVORYWHEEL_TEST_ADMIN_FIXED_NODE_VIEW_HPP
+
+#include <savorywheel/admin/node_view.hpp>
+
+#include <optional>
+
+namespace savorywheel::test {
+
+/** @brief State of a node that has heard of no commit, or of those that a test gives it. */
+class fixed_node_view final : public node_view {
+public:
+    /** @brief Gives the node an accepted configuration. */
+    void set_configuration(mesh_state state) { state_ = std::move(state); }
+
+    [[nodiscard]] outcome<node_state_dump> dump() override { return node_state_dump{}; }
+
+    [[nodiscard]] outcome<mesh_state> configuration() override { return state_; }
+
+    [[nodiscard]] outcome<std::deque<commit>> history() override { return std::deque<commit>{}; }
+
+    [[nodiscard]] outcome<std::vector<domain_status>> domains() override
+    {
+        return std::vector<domain_status>{};
+    }
+
+    void announce(const backend_server& backend) override { announced_ = backend; }
+
+    /** @return The announcement that was taken last. */
+    [[nodiscard]] const std::optional<backend_server>& announced() const noexcept
+    {
+        return announced_;
+    }
+
+private:
+    mesh_state state_;
+    std::optional<backend_server> announced_;
+};
+
+} // namespace savorywheel::test
+
+#endif
--- /dev/null
+++ b/test/savorywheel/admin/operator_outcomes_test.cpp
@@ -0,0 +1,161 @@
+#include "fixed_node_view.hpp"
+#include "unreliable_store.hpp"
+
+#include <savorywheel/admin/change_service.hpp>
+#include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/distribution/commit_writer.hpp>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <support/manual_clock.hpp>
+
+#include <map>
+
+namespace savorywheel::test {
+
+namespace {
+
+constexpr const char* mesh_text = R"(failure_domains: [{name: east-1, region: east}]
+services:
+  - name: plugboard
+    routes: [{path: /check, deadline_ms: 200}]
+    versions: [{name: v1, weight: 100}]
+)";
+
+/** Two operators at two nodes, who write to one unreliable store. */
+class operator_world {
+public:
+    operator_world()
+    {
+        store_.set_rival([this] {
+            static_cast<void>(second_.set_override(plugboard_, request(), ticket("rival")));
+        });
+    }
+
+    apply_report override_once() { return first_.set_override(plugboard_, request(), ticket("a")); }
+
+    apply_report apply_once()
+    {
+        const auto text = fmt::format("{}  - name: s{}\n    routes: [{{path: /, deadline_ms: 1}}]\n"
+                                      "    versions: [{{name: v1, weight: 100}}]\n",
+                                      mesh_text, ++count_);
+        return first_.apply_text(text, ticket("a"));
+    }
+
+    apply_report settle(const operation_id& operation) { return second_.settle(operation); }
+
+    void start() { RC_ASSERT(second_.apply_text(mesh_text, ticket("b")).outcome == "accepted"); }
+
+    unreliable_store& store() { return store_; }
+
+    std::map<operation_id, config_version> log()
+    {
+        std::map<operation_id, config_version> versions;
+        const auto commits = commit_writer{store_}.read_after(config_version{});
+        RC_ASSERT(static_cast<bool>(commits));
+        for (const auto& item : *commits) {
+            RC_ASSERT(item.version.number == versions.size() + 1);
+            RC_ASSERT(versions.emplace(item.operation, item.version).second);
+        }
+        return versions;
+    }
+
+private:
+    change_ticket ticket(const char* author)
+    {
+        return {author_name{author}, operation_id{fmt::format("op-{}", ++count_)},
+                config_version{1'000'000}};
+    }
+
+    override_request request()
+    {
+        return {{{version_name{"v1"}, weight_sum_permille}}, fmt::format("reason {}", ++count_)};
+    }
+
+    service_name plugboard_{"plugboard"};
+    manual_clock time_;
+    seeded_random random_{1};
+    unreliable_store store_;
+    fixed_node_view view_;
+    change_service first_{{time_, random_, store_, view_}};
+    change_service second_{{time_, random_, store_, view_}};
+    int count_{};
+};
+
+rc::Gen<unreliable_store::script> fault_scripts()
+{
+    return rc::gen::container<unreliable_store::script>(rc::gen::element(
+        write_fault::none, write_fault::none, write_fault::unavailable, write_fault::answer_lost,
+        write_fault::request_lost, write_fault::late, write_fault::outrun));
+}
+
+/** The log must hold exactly the operations that were reported as accepted. */
+void check_report(const apply_report& report, const std::map<operation_id, config_version>& log)
+{
+    const auto found = log.find(report.operation);
+    if (report.outcome == "accepted") {
+        RC_ASSERT(found != log.end());
+        RC_ASSERT(found->second == report.version);
+    }
+    else {
+        RC_ASSERT(report.outcome == "refused");
+        RC_ASSERT(found == log.end());
+    }
+}
+
+} // namespace
+
+TEST(proof_operator_outcomes, what_operators_read_is_true_and_every_unknown_outcome_is_settled)
+{
+    const bool held = rc::check([] {
+        operator_world world;
+        world.start();
+        std::vector<apply_report> reports;
+        for (int i = 0; i < 4; ++i) {
+            world.store().set_faults(*fault_scripts());
+            reports.push_back(i % 2 == 0 ? world.override_once() : world.apply_once());
+            if (*rc::gen::arbitrary<bool>()) {
+                world.store().deliver_late_writes();
+            }
+        }
+        world.store().set_faults({});
+        const bool late_writes_first = *rc::gen::arbitrary<bool>();
+        if (late_writes_first) {
+            world.store().deliver_late_writes();
+        }
+        for (auto& report : reports) {
+            if (report.outcome == "unknown") {
+                report = world.settle(report.operation);
+            }
+        }
+        world.store().deliver_late_writes();
+        const auto log = world.log();
+        for (const auto& report : reports) {
+            check_report(report, log);
+        }
+    });
+    EXPECT_TRUE(held);
+}
+
+TEST(proof_operator_outcomes, settling_again_gives_the_same_outcome)
+{
+    const bool held = rc::check([] {
+        operator_world world;
+        world.start();
+        world.store().set_faults(*fault_scripts());
+        const auto report = world.override_once();
+        world.store().set_faults(*fault_scripts());
+        const auto first = world.settle(report.operation);
+        world.store().set_faults({});
+        world.store().deliver_late_writes();
+        const auto second = world.settle(report.operation);
+        RC_ASSERT(second.outcome != "unknown");
+        RC_ASSERT(report.outcome == "unknown" || report.outcome == second.outcome);
+        RC_ASSERT(first.outcome == "unknown" || first.outcome == second.outcome);
+        check_report(second, world.log());
+    });
+    EXPECT_TRUE(held);
+}
+
+} // namespace savorywheel::test
