--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -35,6 +35,7 @@
     const auto settings = read_node_settings(*text, report);
     if (!report.empty()) {
         std::cerr << report.render(path);
+        log4cxx_event_log{"savorywheel-node"}.write(event_id::settings_refused, path);
         return exit_bad_settings;
     }
     if (check_only) {
@@ -42,7 +43,7 @@
         return 0;
     }
     const stop_signal signal;
-    log4cxx_event_log log{settings.name.str()};
+    log4cxx_event_log log{settings.name.str(), settings.log_level};
     node process{settings, log};
     if (const auto started = process.start(); !started) {
         std::cerr << started.reason().message << '\n';
--- a/src/savorywheel/log/event_severity.cpp
+++ b/src/savorywheel/log/event_severity.cpp
@@ -15,4 +15,15 @@
     return "info";
 }
 
+std::optional<event_severity> parse_severity(std::string_view text) noexcept
+{
+    for (const auto severity :
+         {event_severity::info, event_severity::warning, event_severity::error}) {
+        if (to_string(severity) == text) {
+            return severity;
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/log/log4cxx_event_log.cpp
+++ b/src/savorywheel/log/log4cxx_event_log.cpp
@@ -42,7 +42,8 @@
 
 } // namespace
 
-log4cxx_event_log::log4cxx_event_log(std::string process) : process_{std::move(process)}
+log4cxx_event_log::log4cxx_event_log(std::string process, event_severity least)
+    : process_{std::move(process)}, least_{least}
 {
     configure_library();
 }
@@ -50,6 +51,9 @@
 void log4cxx_event_log::write(event_id id, std::string_view detail)
 {
     const auto& entry = describe(id);
+    if (entry.severity < least_) {
+        return;
+    }
     const auto line =
         fmt::format("[{}] SW{} {} {}", process_, static_cast<int>(id), entry.meaning, detail);
     const auto logger = log4cxx::Logger::getRootLogger();
--- a/src/savorywheel/log/log4cxx_event_log.hpp
+++ b/src/savorywheel/log/log4cxx_event_log.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_LOG_LOG4CXX_EVENT_LOG_HPP
 
 #include <savorywheel/log/event_log.hpp>
+#include <savorywheel/log/event_severity.hpp>
 
 #include <string>
 
@@ -10,13 +11,17 @@
 /** @brief Event log on log4cxx that writes to standard error. */
 class log4cxx_event_log final : public event_log {
 public:
-    /** @param process Name of the process in each line. */
-    explicit log4cxx_event_log(std::string process);
+    /**
+     * @param process Name of the process in each line.
+     * @param least Least severity of the events that are written.
+     */
+    explicit log4cxx_event_log(std::string process, event_severity least = event_severity::info);
 
     void write(event_id id, std::string_view detail) override;
 
 private:
     std::string process_;
+    event_severity least_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/settings/node_settings.hpp
+++ b/src/savorywheel/settings/node_settings.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/core/names.hpp>
 #include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/log/event_severity.hpp>
 #include <savorywheel/settings/operator_key.hpp>
 
 #include <vector>
@@ -27,6 +28,8 @@
     network_endpoint store;
     /** @brief Peers through which it joins. */
     std::vector<network_endpoint> seeds;
+    /** @brief Least severity of the events that are logged. */
+    event_severity log_level{event_severity::info};
     /** @brief Operators who may change the configuration. */
     std::vector<operator_key> operators;
 };
--- a/src/savorywheel/settings/node_settings_reader.cpp
+++ b/src/savorywheel/settings/node_settings_reader.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/config/name_rules.hpp>
 #include <savorywheel/config/yaml_cursor.hpp>
 #include <savorywheel/settings/node_settings_reader.hpp>
 
@@ -5,6 +6,7 @@
 
 #include <limits>
 #include <optional>
+#include <span>
 
 namespace savorywheel {
 
@@ -40,29 +42,80 @@
     return seeds;
 }
 
+/** Reads a name that becomes part of a key of the platform's service. */
+std::string read_name(const yaml_cursor& cursor, std::string_view key)
+{
+    auto name = cursor.text(key);
+    if (!name.empty() && !is_key_part(name)) {
+        cursor.fault(key, fmt::format("\"{}\"", name), std::string{key_part_rule});
+    }
+    return name;
+}
+
+event_severity read_log_level(const yaml_cursor& cursor)
+{
+    const auto text = cursor.text_or("log_level", to_string(event_severity::info));
+    const auto level = parse_severity(text);
+    if (!level) {
+        cursor.fault("log_level", fmt::format("\"{}\"", text), "info, warning or error");
+    }
+    return level.value_or(event_severity::info);
+}
+
+/** Reports names and keys that two operators share: an author must be one person. */
+void check_unique(std::span<const operator_key> earlier, const operator_key& entry,
+                  const yaml_cursor& item)
+{
+    for (const auto& other : earlier) {
+        if (other.name == entry.name) {
+            item.fault("name", fmt::format("operator {} twice", entry.name.str()),
+                       "each operator once");
+        }
+        if (other.key == entry.key) {
+            item.fault("key", fmt::format("the key of {}", other.name.str()),
+                       "a key of its own for each operator");
+        }
+    }
+}
+
 std::vector<operator_key> read_operators(const yaml_cursor& cursor)
 {
     std::vector<operator_key> operators;
     for (const auto& item : cursor.maps("operators")) {
         item.expect_keys({"name", "key"});
-        operator_key entry{author_name{item.text("name")}, item.text("key")};
+        operator_key entry{author_name{read_name(item, "name")}, item.text("key")};
         if (entry.key.size() < min_operator_key_bytes) {
             item.fault("key", fmt::format("a key of {} bytes", entry.key.size()),
                        fmt::format("at least {} bytes", min_operator_key_bytes));
         }
+        check_unique(operators, entry, item);
         operators.push_back(std::move(entry));
     }
     return operators;
 }
 
+void check_ports(const yaml_cursor& ports, const node_settings& settings)
+{
+    if (settings.traffic.port == settings.admin.port) {
+        ports.fault("admin", "the port of traffic", "another port");
+    }
+    if (settings.peer.port == settings.traffic.port || settings.peer.port == settings.admin.port) {
+        ports.fault("peer", "the port of traffic or admin", "another port");
+    }
+}
+
 void read_addresses(const yaml_cursor& root, node_settings& settings)
 {
     const auto address = root.text("address");
+    if (!address.empty() && !parse_endpoint(address + ":1")) {
+        root.fault("address", fmt::format("\"{}\"", address), "an IP number such as 10.0.0.1");
+    }
     if (const auto ports = root.map("ports")) {
         ports->expect_keys({"traffic", "admin", "peer"});
         settings.traffic = {address, read_port(*ports, "traffic")};
         settings.admin = {address, read_port(*ports, "admin")};
         settings.peer = {address, read_port(*ports, "peer")};
+        check_ports(*ports, settings);
     }
     else if (!root.has("ports")) {
         root.fault("ports", "nothing", "a map with traffic, admin and peer");
@@ -75,15 +128,21 @@
 {
     node_settings settings;
     place_index places;
+    if (text.size() > max_settings_bytes) {
+        report.add({}, fmt::format("settings of {} bytes", text.size()),
+                   fmt::format("at most {} bytes", max_settings_bytes));
+        return settings;
+    }
     const auto root = yaml_cursor::parse(text, places, report);
     if (!root) {
         return settings;
     }
-    root->expect_keys(
-        {"name", "failure_domain", "region", "address", "ports", "store", "seeds", "operators"});
-    settings.name = node_id{root->text("name")};
-    settings.domain = failure_domain{root->text("failure_domain")};
-    settings.region = region_name{root->text("region")};
+    root->expect_keys({"name", "failure_domain", "region", "address", "ports", "store", "seeds",
+                       "operators", "log_level"});
+    settings.name = node_id{read_name(*root, "name")};
+    settings.domain = failure_domain{read_name(*root, "failure_domain")};
+    settings.region = region_name{read_name(*root, "region")};
+    settings.log_level = read_log_level(*root);
     read_addresses(*root, settings);
     settings.store = read_endpoint(*root, "store", root->text("store"));
     settings.seeds = read_seeds(*root);
--- a/src/savorywheel/settings/node_settings_reader.hpp
+++ b/src/savorywheel/settings/node_settings_reader.hpp
@@ -9,6 +9,9 @@
 
 namespace savorywheel {
 
+/** @brief Largest settings, in bytes. */
+inline constexpr std::size_t max_settings_bytes = 100'000;
+
 /** @brief Shortest key of an operator, in bytes. */
 inline constexpr std::size_t min_operator_key_bytes = 16;
 
--- /dev/null
+++ b/src/savorywheel/settings/settings_set_validator.hpp
@@ -0,0 +1,33 @@
+#ifndef SAVORYWHEEL_SETTINGS_SETTINGS_SET_VALIDATOR_HPP
+#define SAVORYWHEEL_SETTINGS_SETTINGS_SET_VALIDATOR_HPP
+
+#include <savorywheel/config/mesh_spec.hpp>
+#include <savorywheel/settings/settings_file.hpp>
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace savorywheel {
+
+/** @brief Judges the settings of many nodes together, and against an operators' text. */
+class settings_set_validator {
+public:
+    /** @param files Settings; must outlive the validator. */
+    explicit settings_set_validator(std::span<const settings_file> files) noexcept : files_{files}
+    {
+    }
+
+    /** @return A sentence for each name or endpoint that two nodes share. */
+    [[nodiscard]] std::vector<std::string> check_uniqueness() const;
+
+    /** @return A sentence for each node whose failure domain the text does not have so. */
+    [[nodiscard]] std::vector<std::string> check_domains(const mesh_spec& text) const;
+
+private:
+    std::span<const settings_file> files_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/test/savorywheel/settings/node_settings_faults_test.cpp
@@ -0,0 +1,101 @@
+#include <savorywheel/settings/node_settings_reader.hpp>
+#include <savorywheel/settings/settings_set_validator.hpp>
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace savorywheel::test {
+
+namespace {
+
+std::string settings_with(std::string_view line, std::string_view replacement)
+{
+    std::string text = R"(name: plug-1
+failure_domain: east-1
+region: east
+address: 127.0.0.1
+ports: {traffic: 7000, admin: 7001, peer: 7002}
+store: 127.0.0.9:9000
+log_level: warning
+operators:
+  - {name: ann, key: 0123456789abcdef}
+  - {name: bob, key: fedcba9876543210}
+seeds: [127.0.0.1:7002]
+)";
+    if (!line.empty()) {
+        text.replace(text.find(line), line.size(), replacement);
+    }
+    return text;
+}
+
+std::string faults_of(std::string_view text)
+{
+    findings report;
+    static_cast<void>(read_node_settings(text, report));
+    return report.render("s");
+}
+
+struct fault_case {
+    std::string line;
+    std::string replacement;
+    std::string expected;
+};
+
+} // namespace
+
+TEST(node_settings_faults, sound_settings_have_none)
+{
+    findings report;
+    const auto settings = read_node_settings(settings_with("", ""), report);
+    EXPECT_EQ(report.render("s"), "");
+    EXPECT_EQ(settings.log_level, event_severity::warning);
+    EXPECT_EQ(settings.operators.size(), 2U);
+}
+
+TEST(node_settings_faults, each_is_reported_with_its_place)
+{
+    const std::vector<fault_case> cases{
+        {"region: east", "regin: east", "s:3:1: found unknown key \"regin\"; expected one of:"},
+        {"region: east\n", "", "found no key \"region\""},
+        {"name: plug-1", "name: plug 1", "s:1:7: found \"plug 1\" under \"name\""},
+        {"address: 127.0.0.1", "address: localhost", "expected an IP number such as 10.0.0.1"},
+        {"traffic: 7000", "traffic: 70000", "s:5:18: found 70000 under \"traffic\""},
+        {"admin: 7001", "admin: 7000", "found the port of traffic under \"admin\""},
+        {"peer: 7002}", "peer: 7001}", "found the port of traffic or admin under \"peer\""},
+        {"store: 127.0.0.9:9000", "store: platform:9000", "s:6:8: found \"platform:9000\""},
+        {"log_level: warning", "log_level: loud", "expected info, warning or error"},
+        {"key: 0123456789abcdef", "key: short", "found a key of 5 bytes under \"key\""},
+        {"name: bob", "name: ann", "found operator ann twice"},
+        {"key: fedcba9876543210", "key: 0123456789abcdef", "found the key of ann under \"key\""},
+        {"seeds: [127.0.0.1:7002]", "seeds: [here]", "found \"here\" under \"seeds\""},
+        {"ports: {", "ports: [", "not YAML"}};
+    for (const auto& item : cases) {
+        const auto report = faults_of(settings_with(item.line, item.replacement));
+        EXPECT_NE(report.find(item.expected), std::string::npos)
+            << item.replacement << "\nexpected: " << item.expected << "\nreport:\n"
+            << report;
+    }
+}
+
+TEST(node_settings_faults, settings_over_the_limit_are_not_read)
+{
+    const auto report = faults_of(std::string(max_settings_bytes + 1, '#'));
+    EXPECT_EQ(report, "s:0:0: found settings of 100001 bytes; expected at most 100000 bytes\n");
+}
+
+TEST(node_settings_faults, two_nodes_may_not_share_a_name_or_an_endpoint)
+{
+    findings report;
+    const auto settings = read_node_settings(settings_with("", ""), report);
+    const std::vector<settings_file> files{{"a", settings}, {"b", settings}};
+    const settings_set_validator validator{files};
+    EXPECT_EQ(validator.check_uniqueness().size(), 4U);
+    mesh_spec text;
+    EXPECT_EQ(validator.check_domains(text).size(), 2U);
+    text.domains.push_back({settings.domain, settings.region});
+    EXPECT_TRUE(validator.check_domains(text).empty());
+}
+
+} // namespace savorywheel::test
