Decide the steps of a move by evidence of old against new

Cause: rollout_policy had no implementation, so a move stayed at its first shares for ever.

Ways weighed: a fixed error limit (fails when the old version fails as often, or when both fail in a common outage); a fixed-horizon test repeated each second (false alarms grow with each look); a cumulative sum of e-values of 2x2 blocks, old against new in the same second. Taken: the last one. Its bound by chance holds for any number of looks, it finds late faults like early ones, and a common outage counts for nothing. Latency uses the same test on "slower than the old version's slowest tenth", from histograms, so that heavy tails need no assumption. Sums of latencies and of their squares leave the evidence record.

Failures must show at two backend servers if the version has two, so that a lost VM is no fault of the version.

--- /dev/null
+++ b/src/savorywheel/rollout/evidence_policy.cpp
@@ -0,0 +1,84 @@
+#include <savorywheel/rollout/evidence_policy.hpp>
+#include <savorywheel/rollout/move_shares.hpp>
+#include <savorywheel/rollout/step_schedule.hpp>
+
+#include <fmt/format.h>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr std::uint64_t calls_for_a_step = 200;
+constexpr double suspicion_of_none = 0.25;
+constexpr double suspicion_that_holds = 0.5;
+
+} // namespace
+
+rollout_decision evidence_policy::decide(const rollout_view& view)
+{
+    notice_step(view);
+    monitor_.observe(view);
+    const auto& finding = monitor_.strongest();
+    const auto suspicion = finding.score / fault_threshold(view.service, 1);
+    const auto& move = *view.service.move;
+    if (suspicion >= 1.0) {
+        return {rollout_action::withdraw, move.from, finding.description};
+    }
+    if (move.status == move_status::done) {
+        return {rollout_action::hold, {}, "the target is in force"};
+    }
+    const bool late = view.now >= finish_time(move);
+    if (late && suspicion >= suspicion_that_holds) {
+        return {rollout_action::withdraw, move.from,
+                "suspected until the deadline: " + finding.description};
+    }
+    return grow(view, suspicion);
+}
+
+rollout_decision evidence_policy::grow(const rollout_view& view, double suspicion)
+{
+    const auto& move = *view.service.move;
+    const auto progress = *progress_;
+    if (view.new_servers == 0) {
+        return {rollout_action::hold, {}, "no backend server of the new version serves"};
+    }
+    if (suspicion >= suspicion_that_holds) {
+        return {rollout_action::hold, {}, "suspected: " + monitor_.strongest().description};
+    }
+    if (!step_due(view, progress) && !step_earned(view, suspicion)) {
+        return {rollout_action::hold, {}, "waits for evidence or the schedule"};
+    }
+    const auto next = next_progress(progress);
+    auto reason = fmt::format("{}.{} % of the move after {} calls of the new version", next / 10,
+                              next % 10, monitor_.new_calls());
+    const bool last = next >= weight_sum_permille;
+    return {last ? rollout_action::finish : rollout_action::advance, shares_at(move, next),
+            std::move(reason)};
+}
+
+bool evidence_policy::step_due(const rollout_view& view, std::uint32_t progress) const
+{
+    const auto& move = *view.service.move;
+    return progress == 0 || (view.now >= scheduled_time(move, next_progress(progress)) &&
+                             view.now - step_at_ >= shortest_step);
+}
+
+bool evidence_policy::step_earned(const rollout_view& view, double suspicion) const
+{
+    return suspicion < suspicion_of_none &&
+           monitor_.new_calls() - calls_at_step_ >= calls_for_a_step &&
+           view.now - step_at_ >= early_step(*view.service.move);
+}
+
+/** Notices that other shares are in force since the last decision. */
+void evidence_policy::notice_step(const rollout_view& view)
+{
+    const auto progress = progress_of(*view.service.move, view.service.weights);
+    if (progress_ != progress) {
+        progress_ = progress;
+        step_at_ = view.now;
+        calls_at_step_ = monitor_.new_calls();
+    }
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/rollout/evidence_policy.hpp
@@ -0,0 +1,37 @@
+#ifndef SAVORYWHEEL_ROLLOUT_EVIDENCE_POLICY_HPP
+#define SAVORYWHEEL_ROLLOUT_EVIDENCE_POLICY_HPP
+
+#include <savorywheel/rollout/fault_monitor.hpp>
+#include <savorywheel/rollout/rollout_policy.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace savorywheel {
+
+/**
+ * @brief Grows the new share in steps as evidence allows and the deadline demands.
+ *
+ * It withdraws as soon as the evidence against the new version passes the threshold. A step comes
+ * early when many calls showed no harm, and by schedule otherwise; a suspicion holds the scheduled
+ * steps back until the deadline, at which the move is withdrawn.
+ */
+class evidence_policy final : public rollout_policy {
+public:
+    [[nodiscard]] rollout_decision decide(const rollout_view& view) override;
+
+private:
+    [[nodiscard]] rollout_decision grow(const rollout_view& view, double suspicion);
+    [[nodiscard]] bool step_due(const rollout_view& view, std::uint32_t progress) const;
+    [[nodiscard]] bool step_earned(const rollout_view& view, double suspicion) const;
+    void notice_step(const rollout_view& view);
+
+    fault_monitor monitor_;
+    std::optional<std::uint32_t> progress_;
+    calendar_time step_at_{};
+    std::uint64_t calls_at_step_{};
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/rollout/fault_monitor.cpp
@@ -0,0 +1,92 @@
+#include <savorywheel/rollout/fault_monitor.hpp>
+#include <savorywheel/rollout/move_shares.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr std::chrono::seconds warm_up{10};
+constexpr double false_alarms_per_move = 0.01;
+constexpr std::chrono::seconds shortest_watch{600};
+constexpr std::chrono::seconds longest_watch{86'400};
+constexpr std::size_t properties_per_route = 2;
+
+struct sample_pair {
+    route_sample old_sample;
+    route_sample new_sample;
+};
+
+void add(const route_evidence& item, route_sample& sample)
+{
+    sample.failures += {item.calls, std::min(item.failures, item.calls)};
+    sample.latencies.add(item.latencies);
+    sample.failed_at.insert(item.failed_at.begin(), item.failed_at.end());
+}
+
+std::map<std::string, sample_pair> group(const rollout_view& view)
+{
+    std::map<std::string, sample_pair> routes;
+    const auto& move = *view.service.move;
+    for (const auto& item : view.evidence) {
+        if (gains_share(move, item.version)) {
+            add(item, routes[item.route].new_sample);
+        }
+        else if (loses_share(move, item.version)) {
+            add(item, routes[item.route].old_sample);
+        }
+    }
+    return routes;
+}
+
+} // namespace
+
+void fault_monitor::observe(const rollout_view& view)
+{
+    const bool alone = view.service.move->status == move_status::done;
+    const auto samples = group(view);
+    for (const auto& [route, pair] : samples) {
+        new_calls_ += pair.new_sample.failures.calls;
+        if (new_calls_ > 0 && !first_new_call_) {
+            first_new_call_ = view.now;
+        }
+    }
+    for (const auto& [route, pair] : samples) {
+        auto& monitor = routes_[route];
+        if (alone) {
+            monitor.observe_alone(pair.new_sample);
+        }
+        else {
+            monitor.observe(pair.old_sample, pair.new_sample, warm(view.now));
+        }
+    }
+    strongest_ = {};
+    for (const auto& [route, monitor] : routes_) {
+        auto item = monitor.finding(route, view.new_servers);
+        if (item.score > strongest_.score) {
+            strongest_ = std::move(item);
+        }
+    }
+}
+
+bool fault_monitor::warm(calendar_time now)
+{
+    return first_new_call_ && now - *first_new_call_ >= warm_up;
+}
+
+double fault_threshold(const service_state& service, std::size_t watchers)
+{
+    const auto& move = *service.move;
+    const auto asked = move.due
+                           ? std::chrono::floor<std::chrono::seconds>(*move.due - move.started_at)
+                           : shortest_watch;
+    const auto watch = std::clamp(asked, shortest_watch, longest_watch);
+    const auto sums = std::max<std::size_t>(service.spec.routes.size(), 1) * harm_degrees *
+                      properties_per_route * std::max<std::size_t>(watchers, 1);
+    return std::log(static_cast<double>(watch.count()) * static_cast<double>(sums) /
+                    false_alarms_per_move);
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/rollout/fault_monitor.hpp
@@ -0,0 +1,49 @@
+#ifndef SAVORYWHEEL_ROLLOUT_FAULT_MONITOR_HPP
+#define SAVORYWHEEL_ROLLOUT_FAULT_MONITOR_HPP
+
+#include <savorywheel/rollout/fault_finding.hpp>
+#include <savorywheel/rollout/rollout_view.hpp>
+#include <savorywheel/rollout/route_monitor.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace savorywheel {
+
+/** @brief Looks for faults of the new version of one move, route by route. */
+class fault_monitor {
+public:
+    /**
+     * @brief Takes the evidence of one period.
+     * @param view What was seen; the service has a move.
+     */
+    void observe(const rollout_view& view);
+
+    /** @return The strongest evidence against the new version. */
+    [[nodiscard]] const fault_finding& strongest() const noexcept { return strongest_; }
+
+    /** @return Calls of the new version that were seen so far. */
+    [[nodiscard]] std::uint64_t new_calls() const noexcept { return new_calls_; }
+
+private:
+    [[nodiscard]] bool warm(calendar_time now);
+
+    std::map<std::string, route_monitor> routes_;
+    std::optional<calendar_time> first_new_call_;
+    std::uint64_t new_calls_{};
+    fault_finding strongest_;
+};
+
+/**
+ * @brief Threshold at which evidence is a fault.
+ *
+ * By chance it is reached in at most one of a hundred moves, whatever the number of looks.
+ * @param service State of the service, with a move.
+ * @param watchers Monitors that look at the same move, each on its own.
+ */
+[[nodiscard]] double fault_threshold(const service_state& service, std::size_t watchers);
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/rollout/rollout_policy.hpp
+++ b/src/savorywheel/rollout/rollout_policy.hpp
@@ -1,16 +1,16 @@
 #ifndef SAVORYWHEEL_ROLLOUT_ROLLOUT_POLICY_HPP
 #define SAVORYWHEEL_ROLLOUT_ROLLOUT_POLICY_HPP
 
-#include <savorywheel/config/service_state.hpp>
-#include <savorywheel/core/clock.hpp>
 #include <savorywheel/rollout/rollout_decision.hpp>
-#include <savorywheel/rollout/route_evidence.hpp>
-
-#include <span>
+#include <savorywheel/rollout/rollout_view.hpp>
 
 namespace savorywheel {
 
-/** @brief Decides the next step of a move of traffic. */
+/**
+ * @brief Decides the next step of one move of traffic.
+ *
+ * A policy reads no clock and nothing but the views; the same views give the same decisions.
+ */
 class rollout_policy {
 public:
     rollout_policy() = default;
@@ -21,14 +21,10 @@
     virtual ~rollout_policy() = default;
 
     /**
-     * @brief Decides.
-     * @param service State of the service, with a move in progress.
-     * @param evidence What was seen of the service since the last step.
-     * @param now Calendar time.
+     * @brief Takes the evidence of one period and decides.
+     * @param view What was seen; each period's evidence must be given once.
      */
-    [[nodiscard]] virtual rollout_decision decide(const service_state& service,
-                                                  std::span<const route_evidence> evidence,
-                                                  calendar_time now) = 0;
+    [[nodiscard]] virtual rollout_decision decide(const rollout_view& view) = 0;
 };
 
 } // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/rollout/rollout_view.hpp
@@ -0,0 +1,27 @@
+#ifndef SAVORYWHEEL_ROLLOUT_ROLLOUT_VIEW_HPP
+#define SAVORYWHEEL_ROLLOUT_ROLLOUT_VIEW_HPP
+
+#include <savorywheel/config/service_state.hpp>
+#include <savorywheel/core/clock.hpp>
+#include <savorywheel/rollout/route_evidence.hpp>
+
+#include <cstddef>
+#include <span>
+
+namespace savorywheel {
+
+/** @brief What a rollout policy sees; valid during one decision. */
+struct rollout_view {
+    /** @brief State of the service, with a move. */
+    const service_state& service;
+    /** @brief What was seen of the service since the last decision. */
+    std::span<const route_evidence> evidence;
+    /** @brief Serving backend servers of the versions that gain a share. */
+    std::size_t new_servers{};
+    /** @brief Calendar time. */
+    calendar_time now{};
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/rollout/route_evidence.hpp
+++ b/src/savorywheel/rollout/route_evidence.hpp
@@ -2,9 +2,11 @@
 #define SAVORYWHEEL_ROLLOUT_ROUTE_EVIDENCE_HPP
 
 #include <savorywheel/core/names.hpp>
+#include <savorywheel/rollout/latency_histogram.hpp>
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace savorywheel {
 
@@ -20,10 +22,10 @@
     std::uint64_t calls{};
     /** @brief Calls that failed by the version's fault. */
     std::uint64_t failures{};
-    /** @brief Sum of the latencies of answered calls, in milliseconds. */
-    double latency_sum_ms{};
-    /** @brief Sum of the squares of those latencies, in square milliseconds. */
-    double latency_square_sum_ms2{};
+    /** @brief Nodes beside the backend servers at which calls failed; each once. */
+    std::vector<node_id> failed_at;
+    /** @brief Latencies of the answered calls. */
+    latency_histogram latencies;
 };
 
 } // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/rollout/route_monitor.hpp
@@ -0,0 +1,68 @@
+#ifndef SAVORYWHEEL_ROLLOUT_ROUTE_MONITOR_HPP
+#define SAVORYWHEEL_ROLLOUT_ROUTE_MONITOR_HPP
+
+#include <savorywheel/core/names.hpp>
+#include <savorywheel/rollout/fault_finding.hpp>
+#include <savorywheel/rollout/latency_histogram.hpp>
+#include <savorywheel/rollout/sequential_detector.hpp>
+
+#include <cstddef>
+#include <set>
+#include <span>
+#include <string_view>
+
+namespace savorywheel {
+
+/** @brief What was seen of one version group on a route in one period. */
+struct route_sample {
+    /** @brief Calls and those that failed. */
+    sample_counts failures;
+    /** @brief Latencies of the answered calls. */
+    latency_histogram latencies;
+    /** @brief Nodes at which calls failed. */
+    std::set<node_id> failed_at;
+};
+
+/** @brief Compares the new version with the old one on one route, in failures and latency. */
+class route_monitor {
+public:
+    route_monitor();
+
+    /**
+     * @brief Takes what was seen in one period.
+     * @param old_sample Versions that lose their share.
+     * @param new_sample Versions that gain a share.
+     * @param judge_latency False while the new version's backend servers warm up.
+     */
+    void observe(const route_sample& old_sample, const route_sample& new_sample,
+                 bool judge_latency);
+
+    /** @brief Takes what was seen when the old version had no share any more. */
+    void observe_alone(const route_sample& new_sample);
+
+    /**
+     * @brief Gives the strongest evidence against the new version.
+     * @param route Path of the route, for the description.
+     * @param new_servers Backend servers of the new version; with two or more, failures must show
+     * at two, so that the loss of one VM is no fault of the version.
+     */
+    [[nodiscard]] fault_finding finding(std::string_view route, std::size_t new_servers) const;
+
+private:
+    void observe_latency(const latency_histogram& old_latencies,
+                         const latency_histogram& new_latencies);
+    [[nodiscard]] std::size_t slow_bucket() const noexcept;
+    void remember(const route_sample& old_sample, const route_sample& new_sample);
+
+    sequential_detector failures_;
+    sequential_detector slowness_;
+    latency_histogram old_latencies_;
+    std::size_t slow_from_{};
+    std::set<node_id> failed_at_;
+    sample_counts old_seen_;
+    sample_counts new_seen_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/rollout/sample_counts.hpp
@@ -0,0 +1,26 @@
+#ifndef SAVORYWHEEL_ROLLOUT_SAMPLE_COUNTS_HPP
+#define SAVORYWHEEL_ROLLOUT_SAMPLE_COUNTS_HPP
+
+#include <cstdint>
+
+namespace savorywheel {
+
+/** @brief How many calls had a property, such as a failure. */
+struct sample_counts {
+    /** @brief Calls. */
+    std::uint64_t calls{};
+    /** @brief Calls with the property. */
+    std::uint64_t hits{};
+
+    /** @brief Adds other counts. */
+    sample_counts& operator+=(const sample_counts& other) noexcept
+    {
+        calls += other.calls;
+        hits += other.hits;
+        return *this;
+    }
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/rollout/step_schedule.hpp
@@ -0,0 +1,29 @@
+#ifndef SAVORYWHEEL_ROLLOUT_STEP_SCHEDULE_HPP
+#define SAVORYWHEEL_ROLLOUT_STEP_SCHEDULE_HPP
+
+#include <savorywheel/config/rollout_move.hpp>
+#include <savorywheel/core/clock.hpp>
+
+#include <cstdint>
+
+namespace savorywheel {
+
+/** @brief Least time between two steps, so that a step is in force before it is judged. */
+inline constexpr std::chrono::milliseconds shortest_step{2000};
+
+/** @return The next step after a progress, in parts per thousand of the move. */
+[[nodiscard]] std::uint32_t next_progress(std::uint32_t progress) noexcept;
+
+/** @return When a move is scheduled to reach its target: some time before its deadline. */
+[[nodiscard]] calendar_time finish_time(const rollout_move& move) noexcept;
+
+/** @return When a step is scheduled; steps are spread evenly until the finish. */
+[[nodiscard]] calendar_time scheduled_time(const rollout_move& move,
+                                           std::uint32_t progress) noexcept;
+
+/** @return Least time between two steps that evidence allows before their schedule. */
+[[nodiscard]] std::chrono::milliseconds early_step(const rollout_move& move) noexcept;
+
+} // namespace savorywheel
+
+#endif
