Control moves in the running nodes, and take back without the store

Cause: the policy was only in the library; no node saw evidence, wrote steps or reacted to a fault.

Ways weighed for the controller: a lease for each of the 1,200 services at all times (one read and one write a second each, more than the store takes); a fixed set of shards with leases (few leases, but one paused holder stops a whole shard); rendezvous hashing alone (no lease, two writers whenever memberships differ). Taken: the first two nodes by rendezvous hash of service and member compete for a lease that exists only while a move is watched; both get the evidence, so that the second one can go on at once. Safety does not rest on the lease: every commit names its base and its key can be created once.

Change: call_observer hears each attempt; evidence_recorder adds up watched services; each second the node judges its own calls (local_ejector), sends evidence to the two candidates, and a candidate lets move_controller decide. A withdrawal is a notice first (tree plus repetition, withdrawal_push), heeded by ejecting_version_chooser at once, and a commit when the store answers. An override stands above ejections; a faulty version under one is logged as an error (SW6007).

Before and after: a move of 25 s ended 1.0 s late, as 8 steps rounded up to 3 s each; a step that is two behind now jumps to the one after it: done in time.

Proofs seen to fail: with the rollout timer off no move ended (62 s); with ejections off the faulty version kept its share while the store was down, 196 of 13261 calls failed. With the mechanism: 3 of 7864 calls failed by the bad version; 8 of 3675 with the store down.

--- /dev/null
+++ b/src/savorywheel/encoding/rollout_archive.hpp
@@ -0,0 +1,59 @@
+#ifndef SAVORYWHEEL_ENCODING_ROLLOUT_ARCHIVE_HPP
+#define SAVORYWHEEL_ENCODING_ROLLOUT_ARCHIVE_HPP
+
+#include <savorywheel/encoding/core_archive.hpp>
+#include <savorywheel/rollout/evidence_report.hpp>
+#include <savorywheel/rollout/withdrawal_notice.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace savorywheel {
+
+/** @brief Writes a histogram as its counts. */
+template<typename Archive>
+void save(Archive& archive, const latency_histogram& histogram)
+{
+    const auto counts = histogram.counts();
+    archive(cereal::make_nvp("counts", std::vector<std::uint32_t>(counts.begin(), counts.end())));
+}
+
+/** @brief Reads a histogram from its counts. */
+template<typename Archive>
+void load(Archive& archive, latency_histogram& histogram)
+{
+    std::vector<std::uint32_t> counts;
+    archive(cereal::make_nvp("counts", counts));
+    histogram = latency_histogram{counts};
+}
+
+/** @brief Lists the members of evidence. */
+template<typename Archive>
+void serialize(Archive& archive, route_evidence& item)
+{
+    archive(cereal::make_nvp("service", item.service), cereal::make_nvp("version", item.version),
+            cereal::make_nvp("route", item.route), cereal::make_nvp("calls", item.calls),
+            cereal::make_nvp("failures", item.failures),
+            cereal::make_nvp("failed_at", item.failed_at),
+            cereal::make_nvp("latencies", item.latencies));
+}
+
+/** @brief Lists the members of a report. */
+template<typename Archive>
+void serialize(Archive& archive, evidence_report& report)
+{
+    archive(cereal::make_nvp("items", report.items));
+}
+
+/** @brief Lists the members of a notice. */
+template<typename Archive>
+void serialize(Archive& archive, withdrawal_notice& notice)
+{
+    archive(cereal::make_nvp("service", notice.service),
+            cereal::make_nvp("asked_at", notice.asked_at),
+            cereal::make_nvp("issuer", notice.issuer), cereal::make_nvp("reason", notice.reason));
+}
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/encoding/rollout_codec.cpp
@@ -0,0 +1,11 @@
+#include <savorywheel/encoding/codec_impl.hpp>
+#include <savorywheel/encoding/rollout_archive.hpp>
+
+namespace savorywheel {
+
+template std::vector<std::byte> encode(const evidence_report&);
+template std::vector<std::byte> encode(const withdrawal_notice&);
+template outcome<evidence_report> decode(std::span<const std::byte>);
+template outcome<withdrawal_notice> decode(std::span<const std::byte>);
+
+} // namespace savorywheel
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -43,6 +43,23 @@
                       "The outcome of a change is not known yet."},
     event_description{event_id::operator_rejected, warning,
                       "An administration request had no valid operator key."},
+    event_description{event_id::rollout_step, info, "A step of a move was accepted."},
+    event_description{event_id::rollout_done, info, "A move of traffic is done."},
+    event_description{event_id::rollout_withdrawn, warning,
+                      "A move was withdrawn; the old shares are in force."},
+    event_description{event_id::rollout_commit_refused, info,
+                      "A step was not accepted, because another change came first."},
+    event_description{
+        event_id::version_ejected, warning,
+        "This node sends a new version no traffic, because its own calls to it fail or are slow."},
+    event_description{event_id::withdrawal_heard, warning,
+                      "A new version gets no traffic; the withdrawal is not yet recorded."},
+    event_description{event_id::override_faulty, error,
+                      "An override sends traffic to a version that fails or is slow."},
+    event_description{event_id::controller_lease_gained, info,
+                      "This node now controls the moves of a service."},
+    event_description{event_id::controller_lease_lost, info,
+                      "This node no longer controls the moves of a service."},
 };
 
 } // namespace
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -26,7 +26,16 @@
     change_accepted = 5001,
     change_refused = 5002,
     change_unknown = 5003,
-    operator_rejected = 5004
+    operator_rejected = 5004,
+    rollout_step = 6001,
+    rollout_done = 6002,
+    rollout_withdrawn = 6003,
+    rollout_commit_refused = 6004,
+    version_ejected = 6005,
+    withdrawal_heard = 6006,
+    override_faulty = 6007,
+    controller_lease_gained = 6008,
+    controller_lease_lost = 6009
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -86,7 +86,13 @@
                }},
       lease_{relay_lease_key(settings.domain), make_lease(settings),
              lease_keeper::environment{surroundings.loop, surroundings.worker, surroundings.random},
-             [this](bool held) { on_relay_lease(held); }}
+             [this](bool held) { on_relay_lease(held); }},
+      rollouts_{make_lease(settings),
+                rollout_service::environment{
+                    surroundings.loop, surroundings.random, surroundings.worker,
+                    surroundings.network, surroundings.log, surroundings.evidence,
+                    surroundings.ejections,
+                    [this]() -> const member_table& { return membership_.agent().table(); }}}
 {
 }
 
@@ -94,6 +100,7 @@
 {
     membership_.agent().start();
     lease_.start();
+    rollouts_.start();
     backend_timer_ =
         environment_.loop.timers().every(backend_check_period, [this] { expire_backend(); });
 }
@@ -102,6 +109,7 @@
 {
     leaving_ = true;
     lease_.stop();
+    rollouts_.stop();
     watcher_.stop();
     membership_.agent().leave();
     backend_timer_.reset();
@@ -151,6 +159,7 @@
     if (update.record.id != settings_.name) {
         environment_.log.write(event_of(update.status), update.record.id.str());
     }
+    rollouts_.on_members_changed();
     publish_table();
 }
 
@@ -162,6 +171,7 @@
 void control_plane::on_configuration(const mesh_state& state)
 {
     builder_.set_state(state);
+    rollouts_.on_configuration(state);
     membership_.agent().set_head(state.version());
     environment_.tables.publish(builder_.build(membership_.agent().table()));
     environment_.log.write(event_id::configuration_in_force,
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -8,6 +8,7 @@
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/node/membership_service.hpp>
+#include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/settings/node_settings.hpp>
@@ -42,6 +43,10 @@
         routing_table_holder& tables;
         /** @brief The way to the backend server. */
         gate& backend_gate;
+        /** @brief What the traffic threads see of moving services. */
+        evidence_recorder& evidence;
+        /** @brief Ejected versions that the traffic threads heed. */
+        version_ejections& ejections;
         /** @brief Log. */
         event_log& log;
     };
@@ -64,6 +69,9 @@
     /** @return Distribution, for the network's threads. */
     [[nodiscard]] distributor& distribution() noexcept { return distributor_; }
 
+    /** @return Moves of traffic, for the network's threads. */
+    [[nodiscard]] rollout_service& rollouts() noexcept { return rollouts_; }
+
     [[nodiscard]] outcome<node_state_dump> dump() override;
     [[nodiscard]] outcome<mesh_state> configuration() override;
     [[nodiscard]] outcome<std::deque<commit>> history() override;
@@ -85,6 +93,7 @@
     distributor distributor_;
     commit_watcher watcher_;
     lease_keeper lease_;
+    rollout_service rollouts_;
     routing_table_builder builder_;
     std::optional<backend_server> backend_;
     monotonic_time backend_seen_at_;
--- /dev/null
+++ b/src/savorywheel/node/controller_set.hpp
@@ -0,0 +1,65 @@
+#ifndef SAVORYWHEEL_NODE_CONTROLLER_SET_HPP
+#define SAVORYWHEEL_NODE_CONTROLLER_SET_HPP
+
+#include <savorywheel/distribution/lease_keeper.hpp>
+#include <savorywheel/rollout/move_controller.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+
+namespace savorywheel {
+
+/**
+ * @brief Controllers and leases of the services whose moves this node may control.
+ * @warning All members are for the control thread.
+ */
+class controller_set {
+public:
+    /** @brief What the controllers work with; all must outlive the set. */
+    struct environment {
+        /** @brief Leases. */
+        lease_keeper::environment leases;
+        /** @brief Commits and log. */
+        move_controller::environment controllers;
+    };
+
+    /**
+     * @param self Record that this node writes into leases.
+     * @param surroundings What the controllers work with.
+     */
+    controller_set(lease_record self, environment surroundings);
+
+    /** @brief Competes for the leases of these services and for no others. */
+    void set_services(const std::set<service_name>& services);
+
+    /**
+     * @brief Lets the controller of a service decide.
+     * @param service State of the service, with a move.
+     * @param now What the period brought; leader is set here.
+     * @return A notice to spread.
+     */
+    [[nodiscard]] std::optional<withdrawal_notice> run(const service_state& service,
+                                                       move_controller::period now);
+
+private:
+    struct controlled {
+        config_version asked_at;
+        calendar_time started_at{};
+        std::unique_ptr<move_controller> controller;
+    };
+
+    [[nodiscard]] move_controller& controller_of(const service_state& service);
+    [[nodiscard]] lease_keeper& lease_of(const service_name& service);
+
+    lease_record self_;
+    environment environment_;
+    std::set<service_name> services_;
+    std::map<service_name, controlled> controllers_;
+    /** Leases are kept until the end, as work for the platform's service may refer to them. */
+    std::map<service_name, std::unique_ptr<lease_keeper>> leases_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/node/evidence_exchange.hpp
@@ -0,0 +1,63 @@
+#ifndef SAVORYWHEEL_NODE_EVIDENCE_EXCHANGE_HPP
+#define SAVORYWHEEL_NODE_EVIDENCE_EXCHANGE_HPP
+
+#include <savorywheel/membership/member_table.hpp>
+#include <savorywheel/rollout/evidence_report.hpp>
+#include <savorywheel/rollout/evidence_table.hpp>
+#include <savorywheel/transport/peer_network.hpp>
+
+#include <functional>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace savorywheel {
+
+/**
+ * @brief Brings evidence to the nodes that may control a service's move.
+ * @warning All members are for the control thread.
+ */
+class evidence_exchange {
+public:
+    /** @brief What the exchange works with; all must outlive it. */
+    struct environment {
+        /** @brief Streams to peers. */
+        peer_network& network;
+        /** @brief Gives the member records. */
+        std::function<const member_table&()> members;
+    };
+
+    /**
+     * @param self This node.
+     * @param surroundings What the exchange works with.
+     */
+    evidence_exchange(node_id self, environment surroundings);
+
+    /** @brief Forgets who controls which service. */
+    void on_members_changed() { candidates_.clear(); }
+
+    /** @return True if this node may control the service's moves. */
+    [[nodiscard]] bool is_candidate(const service_name& service);
+
+    /** @brief Sends this node's evidence to those who may control the service. */
+    void send(const service_name& service, std::span<const route_evidence> evidence);
+
+    /** @brief Takes a peer's report; evidence of services that this node does not control is
+     * dropped. */
+    void take(const evidence_report& report);
+
+    /** @return Evidence of a service that this node may control. */
+    [[nodiscard]] std::vector<route_evidence> collect(const service_name& service);
+
+private:
+    [[nodiscard]] const std::vector<node_id>& candidates(const service_name& service);
+
+    node_id self_;
+    environment environment_;
+    std::map<service_name, std::vector<node_id>> candidates_;
+    evidence_table inbox_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -6,6 +6,7 @@
 #include <savorywheel/http/http_server.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/node.hpp>
+#include <savorywheel/routing/ejecting_version_chooser.hpp>
 #include <savorywheel/routing/nearest_endpoint_chooser.hpp>
 #include <savorywheel/routing/weighted_version_chooser.hpp>
 #include <savorywheel/store/http_object_store.hpp>
@@ -44,11 +45,13 @@
           gate_{http_, time_}, control_{settings_,
                                         control_plane::environment{loop_, random_, store_, worker_,
                                                                    datagrams_, network_, requests_,
-                                                                   tables_, gate_, log_}},
-          versions_{random_}, endpoints_{settings_.domain, settings_.region, loads_, random_},
+                                                                   tables_, gate_, evidence_,
+                                                                   ejections_, log_}},
+          weighted_versions_{random_}, versions_{weighted_versions_, ejections_, random_},
+          endpoints_{settings_.domain, settings_.region, loads_, random_},
           transport_{network_, requests_}, proxy_{proxy_handler::environment{
                                                time_, tables_, versions_, endpoints_, loads_,
-                                               retries_, transport_, metrics_, log_}},
+                                               retries_, transport_, evidence_, metrics_, log_}},
           operators_{settings_.operators}, changes_{change_service::environment{time_, random_,
                                                                                 store_, control_}},
           admin_{admin_handler::environment{control_, changes_, operators_, metrics_, log_}},
@@ -59,6 +62,8 @@
             {frame_kind::call_response, frame_kind::commit_batch, frame_kind::membership_full},
             requests_);
         router_.add({frame_kind::membership_sync}, control_.membership());
+        router_.add({frame_kind::evidence_report, frame_kind::withdrawal_push},
+                    control_.rollouts());
         router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
     }
 
@@ -131,10 +136,13 @@
     asio_datagram_channel datagrams_;
     routing_table_holder tables_;
     gate gate_;
+    evidence_recorder evidence_;
+    version_ejections ejections_;
     control_plane control_;
     load_table loads_;
     retry_budget retries_;
-    weighted_version_chooser versions_;
+    weighted_version_chooser weighted_versions_;
+    ejecting_version_chooser versions_;
     nearest_endpoint_chooser endpoints_;
     peer_call_transport transport_;
     proxy_handler proxy_;
--- /dev/null
+++ b/src/savorywheel/node/rollout_service.cpp
@@ -0,0 +1,140 @@
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/node/rollout_service.hpp>
+#include <savorywheel/rollout/watched_moves.hpp>
+
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr std::chrono::milliseconds period_length{1000};
+
+} // namespace
+
+rollout_service::rollout_service(const lease_record& self, const environment& surroundings)
+    : self_{self.holder}, environment_{surroundings}, commits_{surroundings.worker,
+                                                               surroundings.loop},
+      exchange_{self.holder,
+                evidence_exchange::environment{surroundings.network, surroundings.members}},
+      notices_{self.holder,
+               withdrawal_spreader::environment{surroundings.network, surroundings.random,
+                                                surroundings.log, surroundings.members}},
+      controllers_{
+          self,
+          controller_set::environment{
+              lease_keeper::environment{surroundings.loop, surroundings.worker,
+                                        surroundings.random},
+              move_controller::environment{commits_, surroundings.random, surroundings.log}}},
+      ejector_{surroundings.log}
+{
+}
+
+void rollout_service::start()
+{
+    timer_ = environment_.loop.timers().every(period_length, [this] { run_period(); });
+}
+
+void rollout_service::stop()
+{
+    timer_.reset();
+    controllers_.set_services({});
+}
+
+void rollout_service::on_configuration(const mesh_state& state)
+{
+    state_ = state;
+    notices_.board().forget_ended(state);
+    publish_ejections();
+}
+
+void rollout_service::on_frame(const std::shared_ptr<frame_sink>& /*source*/, frame_kind kind,
+                               std::uint64_t /*correlation*/, std::span<const std::byte> payload)
+{
+    if (kind == frame_kind::withdrawal_push) {
+        if (auto notice = decode<withdrawal_notice>(payload)) {
+            environment_.loop.post([this, item = std::move(*notice)] { take_notice(item); });
+        }
+        return;
+    }
+    if (auto report = decode<evidence_report>(payload)) {
+        environment_.loop.post([this, item = std::move(*report)] { exchange_.take(item); });
+    }
+}
+
+void rollout_service::on_closed(const frame_sink& /*source*/, bool /*established*/) {}
+
+void rollout_service::run_period()
+{
+    evidence_table own;
+    for (const auto& item : environment_.recorder.drain()) {
+        own.add(item);
+    }
+    const auto moves = find_watched_moves(state_, environment_.loop.time().calendar_now());
+    std::set<service_name> watched;
+    std::set<service_name> controlled;
+    for (const auto& service : moves) {
+        const auto& name = service->spec.name;
+        watched.insert(name);
+        if (exchange_.is_candidate(name)) {
+            controlled.insert(name);
+        }
+        const auto evidence = own.take(name);
+        judge_own_calls(*service, evidence);
+        exchange_.send(name, evidence);
+    }
+    environment_.recorder.watch(std::move(watched));
+    controllers_.set_services(controlled);
+    for (const auto& service : moves) {
+        if (controlled.contains(service->spec.name)) {
+            control(*service);
+        }
+    }
+    notices_.repeat();
+    publish_ejections();
+}
+
+void rollout_service::judge_own_calls(const service_state& service,
+                                      std::span<const route_evidence> evidence)
+{
+    if (evidence.empty()) {
+        return;
+    }
+    const auto& members = environment_.members();
+    ejector_.observe({service, evidence, count_new_servers(members, service),
+                      environment_.loop.time().calendar_now()},
+                     members.entries().size());
+}
+
+void rollout_service::control(const service_state& service)
+{
+    const auto& name = service.spec.name;
+    const auto evidence = exchange_.collect(name);
+    const auto now = environment_.loop.time().calendar_now();
+    const auto* notice = notices_.board().find(name, service.move->asked_at);
+    const auto servers = count_new_servers(environment_.members(), service);
+    if (const auto issued =
+            controllers_.run(service, {state_, evidence, servers, now, false, notice})) {
+        take_notice(*issued);
+    }
+}
+
+void rollout_service::take_notice(const withdrawal_notice& notice)
+{
+    if (notices_.take(notice)) {
+        notices_.board().forget_ended(state_);
+        publish_ejections();
+    }
+}
+
+void rollout_service::publish_ejections()
+{
+    version_ejections::move_map moves;
+    ejector_.add_ejected(state_, moves);
+    for (const auto& notice : notices_.board().all()) {
+        moves.insert_or_assign(notice.service, notice.asked_at);
+    }
+    environment_.ejections.set(std::move(moves));
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/node/withdrawal_spreader.hpp
@@ -0,0 +1,64 @@
+#ifndef SAVORYWHEEL_NODE_WITHDRAWAL_SPREADER_HPP
+#define SAVORYWHEEL_NODE_WITHDRAWAL_SPREADER_HPP
+
+#include <savorywheel/core/random_source.hpp>
+#include <savorywheel/log/event_log.hpp>
+#include <savorywheel/membership/member_table.hpp>
+#include <savorywheel/rollout/withdrawal_board.hpp>
+#include <savorywheel/transport/peer_network.hpp>
+
+#include <functional>
+
+namespace savorywheel {
+
+/**
+ * @brief Spreads withdrawal notices between nodes, without the platform's service.
+ *
+ * A new notice goes down a tree of all members. While it is not recorded, each node also repeats
+ * it to a few members at random, which mends losses and reaches nodes that start later.
+ * @warning All members are for the control thread.
+ */
+class withdrawal_spreader {
+public:
+    /** @brief What the spreader works with; all must outlive it. */
+    struct environment {
+        /** @brief Streams to peers. */
+        peer_network& network;
+        /** @brief Random numbers. */
+        random_source& random;
+        /** @brief Log. */
+        event_log& log;
+        /** @brief Gives the member records. */
+        std::function<const member_table&()> members;
+    };
+
+    /**
+     * @param self This node.
+     * @param surroundings What the spreader works with.
+     */
+    withdrawal_spreader(node_id self, environment surroundings);
+
+    /**
+     * @brief Takes a notice of this node or of a peer and passes it on.
+     * @return True if it is new.
+     */
+    bool take(const withdrawal_notice& notice);
+
+    /** @brief Repeats the notices to a few members. */
+    void repeat();
+
+    /** @return Notices that this node knows. */
+    [[nodiscard]] withdrawal_board& board() noexcept { return board_; }
+
+private:
+    void pass_on(const withdrawal_notice& notice);
+    void send(const node_id& member, std::span<const std::byte> payload);
+
+    node_id self_;
+    environment environment_;
+    withdrawal_board board_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/rollout/commit_appender.hpp
@@ -0,0 +1,34 @@
+#ifndef SAVORYWHEEL_ROLLOUT_COMMIT_APPENDER_HPP
+#define SAVORYWHEEL_ROLLOUT_COMMIT_APPENDER_HPP
+
+#include <savorywheel/config/commit.hpp>
+#include <savorywheel/core/outcome.hpp>
+
+#include <functional>
+
+namespace savorywheel {
+
+/** @brief Appends commits to the ordered log without making the control thread wait. */
+class commit_appender {
+public:
+    /** @brief Takes what commit_writer::append() returned, on the control thread. */
+    using callback = std::function<void(const outcome<bool>&)>;
+
+    commit_appender() = default;
+    commit_appender(const commit_appender&) = delete;
+    commit_appender& operator=(const commit_appender&) = delete;
+    commit_appender(commit_appender&&) = delete;
+    commit_appender& operator=(commit_appender&&) = delete;
+    virtual ~commit_appender() = default;
+
+    /**
+     * @brief Appends a commit at its version.
+     * @param change The commit.
+     * @param done Called once, later.
+     */
+    virtual void append(const commit& change, const callback& done) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/rollout/evidence_policy.cpp
+++ b/src/savorywheel/rollout/evidence_policy.cpp
@@ -12,6 +12,14 @@
 constexpr double suspicion_of_none = 0.25;
 constexpr double suspicion_that_holds = 0.5;
 
+/** The next step, or the one after it if the schedule already asks for that one. */
+std::uint32_t target_step(const rollout_move& move, std::uint32_t progress, calendar_time now)
+{
+    const auto next = next_progress(progress);
+    const auto second = next_progress(next);
+    return progress > 0 && now >= scheduled_time(move, second) ? second : next;
+}
+
 } // namespace
 
 rollout_decision evidence_policy::decide(const rollout_view& view)
@@ -48,7 +56,7 @@
     if (!step_due(view, progress) && !step_earned(view, suspicion)) {
         return {rollout_action::hold, {}, "waits for evidence or the schedule"};
     }
-    const auto next = next_progress(progress);
+    const auto next = target_step(move, progress, view.now);
     auto reason = fmt::format("{}.{} % of the move after {} calls of the new version", next / 10,
                               next % 10, monitor_.new_calls());
     const bool last = next >= weight_sum_permille;
--- /dev/null
+++ b/src/savorywheel/rollout/evidence_recorder.hpp
@@ -0,0 +1,37 @@
+#ifndef SAVORYWHEEL_ROLLOUT_EVIDENCE_RECORDER_HPP
+#define SAVORYWHEEL_ROLLOUT_EVIDENCE_RECORDER_HPP
+
+#include <savorywheel/rollout/evidence_table.hpp>
+#include <savorywheel/traffic/call_observer.hpp>
+
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace savorywheel {
+
+/**
+ * @brief Adds up what traffic threads see of the watched services; any thread may use it.
+ *
+ * An attempt that was not run is no evidence. One that was answered with a server error, or whose
+ * outcome is unknown, is a failure.
+ */
+class evidence_recorder final : public call_observer {
+public:
+    /** @brief Sets the services of which evidence is kept. */
+    void watch(std::set<service_name> services);
+
+    /** @return What was seen since the last call. */
+    [[nodiscard]] std::vector<route_evidence> drain();
+
+    void on_attempt(const call_observation& seen) override;
+
+private:
+    std::mutex mutex_;
+    std::set<service_name> watched_;
+    evidence_table table_;
+};
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/rollout/evidence_table.cpp
@@ -0,0 +1,55 @@
+#include <savorywheel/rollout/evidence_table.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace savorywheel {
+
+route_evidence& evidence_table::entry(const service_name& service, const version_name& version,
+                                      std::string_view route)
+{
+    const auto [found, created] = entries_.try_emplace(key{service, version, std::string{route}});
+    if (created) {
+        found->second.service = service;
+        found->second.version = version;
+        found->second.route = route;
+    }
+    return found->second;
+}
+
+void evidence_table::add(const route_evidence& item)
+{
+    auto& sum = entry(item.service, item.version, item.route);
+    sum.calls += item.calls;
+    sum.failures += item.failures;
+    sum.latencies.add(item.latencies);
+    for (const auto& node : item.failed_at) {
+        if (std::ranges::find(sum.failed_at, node) == sum.failed_at.end()) {
+            sum.failed_at.push_back(node);
+        }
+    }
+}
+
+std::vector<route_evidence> evidence_table::take(const service_name& service)
+{
+    std::vector<route_evidence> taken;
+    for (auto item = entries_.lower_bound(key{service, {}, {}});
+         item != entries_.end() && std::get<0>(item->first) == service;) {
+        taken.push_back(std::move(item->second));
+        item = entries_.erase(item);
+    }
+    return taken;
+}
+
+std::vector<route_evidence> evidence_table::take_all()
+{
+    std::vector<route_evidence> taken;
+    taken.reserve(entries_.size());
+    for (auto& [name, item] : entries_) {
+        taken.push_back(std::move(item));
+    }
+    entries_.clear();
+    return taken;
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/rollout/fault_monitor.cpp
+++ b/src/savorywheel/rollout/fault_monitor.cpp
@@ -41,11 +41,18 @@
     return routes;
 }
 
+bool old_versions_have_share(const service_state& service)
+{
+    return std::ranges::any_of(service.effective_weights(), [&](const version_weight& weight) {
+        return weight.permille > 0 && loses_share(*service.move, weight.version);
+    });
+}
+
 } // namespace
 
 void fault_monitor::observe(const rollout_view& view)
 {
-    const bool alone = view.service.move->status == move_status::done;
+    const bool alone = !old_versions_have_share(view.service);
     const auto samples = group(view);
     for (const auto& [route, pair] : samples) {
         new_calls_ += pair.new_sample.failures.calls;
--- a/src/savorywheel/rollout/fwd.hpp
+++ b/src/savorywheel/rollout/fwd.hpp
@@ -4,17 +4,25 @@
 namespace savorywheel {
 
 class evidence_policy;
+class commit_appender;
+class evidence_recorder;
+class evidence_table;
 class fault_monitor;
 class fixed_step_policy;
 class latency_histogram;
+class local_ejector;
+class move_controller;
 class rollout_policy;
 class route_monitor;
 class sequential_detector;
+class withdrawal_board;
+struct evidence_report;
 struct fault_finding;
 struct rollout_decision;
 struct rollout_view;
 struct route_evidence;
 struct sample_counts;
+struct withdrawal_notice;
 
 } // namespace savorywheel
 
--- /dev/null
+++ b/src/savorywheel/rollout/live_members.hpp
@@ -0,0 +1,15 @@
+#ifndef SAVORYWHEEL_ROLLOUT_LIVE_MEMBERS_HPP
+#define SAVORYWHEEL_ROLLOUT_LIVE_MEMBERS_HPP
+
+#include <savorywheel/membership/member_table.hpp>
+
+#include <vector>
+
+namespace savorywheel {
+
+/** @return Members that are not known to be dead. */
+[[nodiscard]] std::vector<node_id> live_members(const member_table& members);
+
+} // namespace savorywheel
+
+#endif
--- /dev/null
+++ b/src/savorywheel/rollout/watched_moves.cpp
@@ -0,0 +1,44 @@
+#include <savorywheel/rollout/move_shares.hpp>
+#include <savorywheel/rollout/watched_moves.hpp>
+
+#include <algorithm>
+
+namespace savorywheel {
+
+namespace {
+
+bool watched(const rollout_move& move, calendar_time now) noexcept
+{
+    if (move.status == move_status::done && move.ended_at) {
+        return now - *move.ended_at < watch_after_done;
+    }
+    return move.status == move_status::in_progress;
+}
+
+} // namespace
+
+std::vector<std::shared_ptr<const service_state>> find_watched_moves(const mesh_state& state,
+                                                                     calendar_time now)
+{
+    std::vector<std::shared_ptr<const service_state>> found;
+    for (const auto& [name, service] : state.services()) {
+        if (service->move && watched(*service->move, now)) {
+            found.push_back(service);
+        }
+    }
+    return found;
+}
+
+std::size_t count_new_servers(const member_table& members, const service_state& service)
+{
+    const auto serves = [&service](const auto& item) {
+        const auto& update = item.second.update;
+        const auto& record = update.record;
+        return update.status != member_status::dead && record.service == service.spec.name &&
+               (record.state == server_state::serving || record.state == server_state::warming) &&
+               gains_share(*service.move, record.version);
+    };
+    return static_cast<std::size_t>(std::ranges::count_if(members.entries(), serves));
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/rollout/watched_moves.hpp
@@ -0,0 +1,25 @@
+#ifndef SAVORYWHEEL_ROLLOUT_WATCHED_MOVES_HPP
+#define SAVORYWHEEL_ROLLOUT_WATCHED_MOVES_HPP
+
+#include <savorywheel/config/mesh_state.hpp>
+#include <savorywheel/membership/member_table.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace savorywheel {
+
+/** @brief How long a move is watched after it was done. */
+inline constexpr std::chrono::minutes watch_after_done{5};
+
+/** @return Services with a move in progress, or one that was done a short time ago. */
+[[nodiscard]] std::vector<std::shared_ptr<const service_state>>
+find_watched_moves(const mesh_state& state, calendar_time now);
+
+/** @return Serving backend servers of the versions that gain a share in the service's move. */
+[[nodiscard]] std::size_t count_new_servers(const member_table& members,
+                                            const service_state& service);
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/routing/fwd.hpp
+++ b/src/savorywheel/routing/fwd.hpp
@@ -3,6 +3,7 @@
 
 namespace savorywheel {
 
+class ejecting_version_chooser;
 class endpoint_chooser;
 class load_table;
 class nearest_endpoint_chooser;
@@ -11,6 +12,7 @@
 class routing_table_holder;
 class weighted_version_chooser;
 class version_chooser;
+class version_ejections;
 struct route_endpoint;
 struct service_routes;
 
--- /dev/null
+++ b/src/savorywheel/traffic/call_observer.hpp
@@ -0,0 +1,24 @@
+#ifndef SAVORYWHEEL_TRAFFIC_CALL_OBSERVER_HPP
+#define SAVORYWHEEL_TRAFFIC_CALL_OBSERVER_HPP
+
+#include <savorywheel/traffic/call_observation.hpp>
+
+namespace savorywheel {
+
+/** @brief Hears the outcome of each attempt, on the traffic threads; must not wait. */
+class call_observer {
+public:
+    call_observer() = default;
+    call_observer(const call_observer&) = delete;
+    call_observer& operator=(const call_observer&) = delete;
+    call_observer(call_observer&&) = delete;
+    call_observer& operator=(call_observer&&) = delete;
+    virtual ~call_observer() = default;
+
+    /** @brief Hears what became of an attempt. */
+    virtual void on_attempt(const call_observation& seen) = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/traffic/fwd.hpp
+++ b/src/savorywheel/traffic/fwd.hpp
@@ -3,12 +3,14 @@
 
 namespace savorywheel {
 
+class call_observer;
 class call_transport;
 class gate;
 class peer_call_transport;
 class proxy_handler;
 class retry_budget;
 struct backend_server;
+struct call_observation;
 struct call_request;
 struct call_response;
 
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -115,8 +115,12 @@
     item.call.remaining = remaining;
     tried.push_back(endpoint->node);
     environment_.loads.begin(endpoint->node);
+    const auto sent_at = environment_.time.now();
     auto outcome = environment_.transport.call(endpoint->peer, item.call, item.deadline);
     environment_.loads.end(endpoint->node);
+    environment_.observer.on_attempt({item.call.service, *version, item.route->path, endpoint->node,
+                                      outcome.result, outcome.response.status,
+                                      environment_.time.now() - sent_at});
     return outcome;
 }
 
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -9,6 +9,7 @@
 #include <savorywheel/routing/load_table.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/routing/version_chooser.hpp>
+#include <savorywheel/traffic/call_observer.hpp>
 #include <savorywheel/traffic/call_transport.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
@@ -36,6 +37,8 @@
         retry_budget& retries;
         /** @brief Carries calls. */
         call_transport& transport;
+        /** @brief Hears of attempts. */
+        call_observer& observer;
         /** @brief Metrics. */
         metric_registry& metrics;
         /** @brief Log. */
--- /dev/null
+++ b/test/support/steady_load.hpp
@@ -0,0 +1,58 @@
+#ifndef SAVORYWHEEL_TEST_SUPPORT_STEADY_LOAD_HPP
+#define SAVORYWHEEL_TEST_SUPPORT_STEADY_LOAD_HPP
+
+#include <support/local_mesh.hpp>
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace savorywheel::test {
+
+/** @brief Calls one service through some nodes again and again, until destroyed. */
+class steady_load {
+public:
+    /**
+     * @param mesh The mesh; must outlive the load.
+     * @param nodes Positions of the nodes that take the calls; one thread each.
+     * @param service Service to call.
+     * @param path Path to call.
+     */
+    steady_load(local_mesh& mesh, const std::vector<std::size_t>& nodes, std::string service,
+                std::string path);
+    steady_load(const steady_load&) = delete;
+    steady_load& operator=(const steady_load&) = delete;
+    steady_load(steady_load&&) = delete;
+    steady_load& operator=(steady_load&&) = delete;
+    ~steady_load();
+
+    /** @return Answers so far whose backend server had the version. */
+    [[nodiscard]] std::size_t answers_of(const std::string& version) const;
+
+    /** @return Answers so far with status 500 or more. */
+    [[nodiscard]] std::size_t failures() const;
+
+    /** @return Calls so far. */
+    [[nodiscard]] std::size_t calls() const;
+
+private:
+    void run(std::size_t node);
+    void count(const http_response& answer);
+
+    local_mesh& mesh_;
+    std::string service_;
+    std::string path_;
+    mutable std::mutex mutex_;
+    std::condition_variable wake_;
+    bool stopping_{};
+    std::size_t calls_{};
+    std::size_t failures_{};
+    std::vector<std::string> backends_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace savorywheel::test
+
+#endif
