Prove that controllers never undo an override, whoever is paused

Cause: the fence (base and create-only key) and the planner's refusal had no proof.

Change: a rapidcheck property runs two controllers that both believe to hold the lease, each with its own old copy of the state, over 60 drawn steps: partial catch-up, decisions, writes that are answered, lost or not made, overrides set and released with fresh and with stale views. The log is then replayed and every commit judged.

Ruled out: a shared random seed in both nodes. The first run failed on it (same operation id, so that one node took the other's commit for its own); nodes draw their seed from the system, the test now gives each its own.

--- /dev/null
+++ b/test/savorywheel/rollout/controller_proof_test.cpp
@@ -0,0 +1,170 @@
+#include <savorywheel/admin/change_planner.hpp>
+#include <savorywheel/admin/override_planner.hpp>
+#include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/rollout/move_controller.hpp>
+#include <savorywheel/rollout/move_shares.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <standin/platform/object_table.hpp>
+#include <support/queued_appender.hpp>
+#include <support/recording_event_log.hpp>
+
+#include <array>
+#include <set>
+
+namespace savorywheel::test {
+
+namespace {
+
+const service_name bookdesk{"bookdesk"};
+
+/** Always wants the next step; withdraws at a given look. */
+class eager_policy final : public rollout_policy {
+public:
+    explicit eager_policy(int withdraw_at) : withdraw_at_{withdraw_at} {}
+
+    rollout_decision decide(const rollout_view& view) override
+    {
+        const auto& move = *view.service.move;
+        if (++looks_ == withdraw_at_) {
+            return {rollout_action::withdraw, move.from, "drawn"};
+        }
+        const auto next = progress_of(move, view.service.weights) + 100;
+        const auto action = next >= 1000 ? rollout_action::finish : rollout_action::advance;
+        return {action, shares_at(move, next), "eager"};
+    }
+
+private:
+    int withdraw_at_;
+    int looks_{};
+};
+
+/** One node with its own, perhaps old, copy of the configuration. */
+struct controlling_node {
+    controlling_node(object_store& store, const std::string& name, int withdraw_at)
+        : random{std::hash<std::string>{}(name)}, appender{store},
+          controller{{bookdesk, {2}},
+                     node_id{name},
+                     std::make_unique<eager_policy>(withdraw_at),
+                     {appender, random, log}}
+    {
+    }
+
+    seeded_random random;
+    recording_event_log log;
+    queued_appender appender;
+    move_controller controller;
+    mesh_state state;
+};
+
+mesh_spec text_with(const char* version)
+{
+    service_spec service;
+    service.name = bookdesk;
+    service.target.weights = {{version_name{version}, weight_sum_permille}};
+    return {{}, {service}};
+}
+
+void catch_up(object_store& store, mesh_state& state, std::size_t most = 100)
+{
+    const auto commits = commit_writer{store}.read_after(state.version());
+    for (std::size_t i = 0; i < commits->size() && i < most; ++i) {
+        state = *state.apply((*commits)[i]);
+    }
+}
+
+void append_text(object_store& store, const char* version)
+{
+    mesh_state state;
+    catch_up(store, state);
+    auto change = plan_text_change(state, text_with(version), {});
+    change.operation = operation_id{std::string{"text "} + version};
+    RC_ASSERT(commit_writer{store}.append(change));
+}
+
+void act_as_operator(object_store& store, mesh_state state, bool release, int number)
+{
+    const author_name anna{"anna"};
+    const std::array<version_weight, 1> old{{{version_name{"v1"}, weight_sum_permille}}};
+    auto change = release
+                      ? plan_override_release(state, bookdesk, anna, "ok", {}, state.version())
+                      : plan_override_set(state, bookdesk, old, anna, "alarm", {}, state.version());
+    if (change) {
+        change->operation = operation_id{"operator " + std::to_string(number)};
+        static_cast<void>(commit_writer{store}.append(*change));
+    }
+}
+
+/** Replays the log and checks what each commit did to the service. */
+void check_log(object_store& store)
+{
+    mesh_state state;
+    std::set<operation_id> operations;
+    const auto commits = commit_writer{store}.read_after({});
+    RC_ASSERT(commits);
+    for (const auto& item : *commits) {
+        const auto before = state.find(bookdesk);
+        const auto next = state.apply(item);
+        RC_ASSERT(next);
+        RC_ASSERT(operations.insert(item.operation).second);
+        state = *next;
+        if (!is_automatic(item.kind)) {
+            continue;
+        }
+        RC_ASSERT(item.base.next() == item.version);
+        RC_ASSERT(!before->override_in_force);
+        RC_ASSERT(!state.find(bookdesk)->override_in_force);
+        RC_ASSERT(before->move->status != move_status::withdrawn);
+    }
+}
+
+void run_step(object_store& store, std::array<controlling_node, 2>& nodes, int step, int number)
+{
+    auto& node = nodes[static_cast<std::size_t>(step % 2)];
+    switch (step / 2) {
+    case 0:
+        catch_up(store, node.state, 1);
+        break;
+    case 1:
+        catch_up(store, node.state);
+        break;
+    case 2:
+        static_cast<void>(node.controller.run({node.state, {}, 1, {}, true, nullptr}));
+        break;
+    case 3:
+        node.appender.run_next(queued_appender::fate::answered);
+        break;
+    case 4:
+        node.appender.run_next(queued_appender::fate::answer_lost);
+        break;
+    case 5:
+        node.appender.run_next(queued_appender::fate::not_written);
+        break;
+    default:
+        auto fresh = node.state;
+        catch_up(store, fresh);
+        act_as_operator(store, step % 2 == 0 ? fresh : node.state, step / 2 == 7, number);
+    }
+}
+
+} // namespace
+
+RC_GTEST_PROP(proof_override,
+              no_automatic_commit_undoes_one_with_two_paused_controllers_and_lost_answers, ())
+{
+    constexpr int kinds = 16;
+    const auto steps = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, kinds));
+    const auto withdraw_at = *rc::gen::inRange(1, 20);
+    standin::object_table store;
+    append_text(store, "v1");
+    append_text(store, "v2");
+    std::array<controlling_node, 2> nodes{controlling_node{store, "a", withdraw_at},
+                                          controlling_node{store, "b", 0}};
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        run_step(store, nodes, steps[i], static_cast<int>(i));
+    }
+    check_log(store);
+}
+
+} // namespace savorywheel::test
