--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -9,6 +9,7 @@
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/node/head_tracker.hpp>
 #include <savorywheel/node/membership_service.hpp>
+#include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/settings/node_settings.hpp>
@@ -43,6 +44,10 @@
         routing_table_holder& tables;
         /** @brief The way to the backend server. */
         gate& backend_gate;
+        /** @brief What the traffic threads see of moving services. */
+        evidence_recorder& evidence;
+        /** @brief Ejected versions that the traffic threads heed. */
+        version_ejections& ejections;
         /** @brief Log. */
         event_log& log;
     };
@@ -65,6 +70,9 @@
     /** @return Distribution, for the network's threads. */
     [[nodiscard]] distributor& distribution() noexcept { return distributor_; }
 
+    /** @return Moves of traffic, for the network's threads. */
+    [[nodiscard]] rollout_service& rollouts() noexcept { return rollouts_; }
+
     [[nodiscard]] outcome<node_state_dump> dump() override;
     [[nodiscard]] outcome<mesh_state> configuration() override;
     [[nodiscard]] outcome<std::deque<commit>> history() override;
@@ -87,6 +95,7 @@
     distributor distributor_;
     commit_watcher watcher_;
     lease_keeper lease_;
+    rollout_service rollouts_;
     routing_table_builder builder_;
     head_tracker heads_;
     std::optional<backend_server> backend_;
