--- a/src/savorywheel/admin/change_service.cpp
+++ b/src/savorywheel/admin/change_service.cpp
@@ -52,6 +52,7 @@
         }
         const auto written = commit_writer{environment_.store}.append(change);
         if (written) {
+            environment_.view.committed(change);
             return {"accepted", change.version, operation, {}, {}};
         }
         if (written.reason().code == failure_code::unknown_outcome) {
--- a/src/savorywheel/admin/node_state_dump.hpp
+++ b/src/savorywheel/admin/node_state_dump.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/membership/member_update.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace savorywheel {
@@ -18,6 +19,14 @@
     failure_domain domain;
     /** @brief Configuration version in force. */
     config_version version;
+    /** @brief Latest configuration version that it knows. */
+    config_version known_version;
+    /** @brief Lowest configuration version that it may use. */
+    config_version floor;
+    /** @brief True if it knows that floor; it uses no configuration before. */
+    bool floor_known{};
+    /** @brief Whether the store answered its last read; nothing if it has not read. */
+    std::optional<bool> store_reachable;
     /** @brief True if it relays changes into its failure domain. */
     bool relay{};
     /** @brief Calls that run at its backend server. */
--- a/src/savorywheel/admin/node_view.hpp
+++ b/src/savorywheel/admin/node_view.hpp
@@ -30,6 +30,9 @@
     /** @return Latest commits; timeout if the control thread does not answer. */
     [[nodiscard]] virtual outcome<std::deque<commit>> history() = 0;
 
+    /** @brief Hears of a commit that was accepted through this node, so that it spreads at once. */
+    virtual void committed(const commit& change) = 0;
+
     /** @brief Takes an announcement of the backend server beside the node. */
     virtual void announce(const backend_server& backend) = 0;
 };
--- /dev/null
+++ b/src/savorywheel/core/admission_limiter.hpp
@@ -0,0 +1,47 @@
+#ifndef SAVORYWHEEL_CORE_ADMISSION_LIMITER_HPP
+#define SAVORYWHEEL_CORE_ADMISSION_LIMITER_HPP
+
+#include <savorywheel/core/clock.hpp>
+
+#include <algorithm>
+
+namespace savorywheel {
+
+/**
+ * @brief Token bucket that limits how often costly work is done.
+ * @warning All members are for one thread only.
+ */
+class admission_limiter {
+public:
+    /**
+     * @param time Clock; must outlive the limiter.
+     * @param burst Admissions at once; positive.
+     * @param interval Time after which one more is admitted; positive.
+     */
+    admission_limiter(const clock& time, unsigned burst, duration interval) noexcept
+        : clock_{time}, interval_{interval}, window_{interval * burst}, free_at_{time.now()}
+    {
+    }
+
+    /** @return True if the work is admitted, which uses up one token. */
+    [[nodiscard]] bool admit() noexcept
+    {
+        const auto now = clock_.now();
+        const auto next = std::max(free_at_, now) + interval_;
+        if (next - now > window_) {
+            return false;
+        }
+        free_at_ = next;
+        return true;
+    }
+
+private:
+    const clock& clock_;
+    duration interval_;
+    duration window_;
+    monotonic_time free_at_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/distribution/commit_batch_message.hpp
+++ b/src/savorywheel/distribution/commit_batch_message.hpp
@@ -15,6 +15,8 @@
     std::optional<checkpoint> base;
     /** @brief Commits, in order. */
     std::vector<commit> commits;
+    /** @brief True if the sender has too much to do and the receiver shall ask another node. */
+    bool refused{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/distribution/commit_log.cpp
+++ b/src/savorywheel/distribution/commit_log.cpp
@@ -4,34 +4,31 @@
 
 namespace savorywheel {
 
-outcome<bool> commit_log::take(const commit_batch_message& batch)
+take_result commit_log::take(const commit_batch_message& batch)
 {
-    auto next = state_;
-    auto kept = commits_;
-    if (batch.base && batch.base->version > next.version()) {
-        next = mesh_state{batch.base->version, batch.base->domains, batch.base->services};
-        kept.clear();
+    take_result result;
+    if (batch.base && batch.base->version > state_.version()) {
+        state_ = mesh_state{batch.base->version, batch.base->domains, batch.base->services};
+        commits_.clear();
+        result.advanced = true;
     }
     for (const auto& item : batch.commits) {
-        if (item.version <= next.version()) {
+        if (item.version <= state_.version()) {
             continue;
         }
-        auto applied = next.apply(item);
+        auto applied = state_.apply(item);
         if (!applied) {
-            return applied.reason();
+            result.fault = applied.reason();
+            break;
         }
-        next = std::move(*applied);
-        kept.push_back(item);
+        state_ = std::move(*applied);
+        commits_.push_back(item);
+        result.advanced = true;
     }
-    if (next.version() == state_.version()) {
-        return false;
+    while (commits_.size() > kept_commits) {
+        commits_.pop_front();
     }
-    while (kept.size() > kept_commits) {
-        kept.pop_front();
-    }
-    state_ = std::move(next);
-    commits_ = std::move(kept);
-    return true;
+    return result;
 }
 
 commit_batch_message commit_log::batch_after(config_version version) const
@@ -45,7 +42,7 @@
         return batch;
     }
     for (const auto& item : commits_) {
-        if (item.version > version) {
+        if (item.version > version && batch.commits.size() < max_batch_commits) {
             batch.commits.push_back(item);
         }
     }
--- a/src/savorywheel/distribution/commit_log.hpp
+++ b/src/savorywheel/distribution/commit_log.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/config/mesh_state.hpp>
 #include <savorywheel/distribution/checkpoint.hpp>
 #include <savorywheel/distribution/commit_batch_message.hpp>
+#include <savorywheel/distribution/take_result.hpp>
 
 #include <cstddef>
 #include <deque>
@@ -14,18 +15,21 @@
 /** @brief Commits that a node keeps for peers that are behind. */
 inline constexpr std::size_t kept_commits = 512;
 
+/** @brief Commits in one batch; a peer that lacks more asks again. */
+inline constexpr std::size_t max_batch_commits = 128;
+
 /** @brief A node's copy of the ordered log: its state and the latest commits. */
 class commit_log {
 public:
     /**
      * @brief Takes the commits that follow the state; skips known ones.
+     *
+     * Each commit is applied whole or not at all; the first that cannot be applied ends the batch.
      * @param batch Commits, perhaps after a checkpoint.
-     * @return True if the state advanced; conflict if commits are missing before the batch;
-     * invalid_argument if a commit cannot be applied.
      */
-    [[nodiscard]] outcome<bool> take(const commit_batch_message& batch);
+    [[nodiscard]] take_result take(const commit_batch_message& batch);
 
-    /** @return What a peer at a version lacks. */
+    /** @return What a peer at a version lacks, or the first part of it. */
     [[nodiscard]] commit_batch_message batch_after(config_version version) const;
 
     /** @return The state. */
--- /dev/null
+++ b/src/savorywheel/distribution/commit_reader.hpp
@@ -0,0 +1,30 @@
+#ifndef SAVORYWHEEL_DISTRIBUTION_COMMIT_READER_HPP
+#define SAVORYWHEEL_DISTRIBUTION_COMMIT_READER_HPP
+
+#include <savorywheel/core/outcome.hpp>
+#include <savorywheel/distribution/log_tail.hpp>
+#include <savorywheel/store/object_store.hpp>
+
+namespace savorywheel {
+
+/** @brief Reads the ordered log from the store: a checkpoint if the reader has nothing, then pages.
+ */
+class commit_reader {
+public:
+    /** @param store The platform's service; must outlive the reader. */
+    explicit commit_reader(object_store& store) noexcept : store_{store} {}
+
+    /**
+     * @brief Reads what follows a version.
+     * @param after Version that the reader has; zero to start from the latest checkpoint.
+     * @return The tail of the log; unavailable or timeout if the store does not answer.
+     */
+    [[nodiscard]] outcome<log_tail> read_after(config_version after);
+
+private:
+    object_store& store_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/distribution/commit_watcher.cpp
+++ b/src/savorywheel/distribution/commit_watcher.cpp
@@ -1,6 +1,7 @@
 #include <savorywheel/distribution/commit_keys.hpp>
+#include <savorywheel/distribution/commit_reader.hpp>
+#include <savorywheel/distribution/commit_sequence.hpp>
 #include <savorywheel/distribution/commit_watcher.hpp>
-#include <savorywheel/encoding/codec.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -15,93 +16,97 @@
 
 } // namespace
 
-commit_watcher::commit_watcher(object_store& store, random_source& random, commits_callback commits,
+commit_watcher::commit_watcher(object_store& store, random_source& random, tail_callback tail,
                                health_callback health)
-    : store_{store}, random_{random}, commits_{std::move(commits)}, health_{std::move(health)},
-      delay_{first_delay}
+    : store_{store}, random_{random}, tail_{std::move(tail)}, health_{std::move(health)},
+      delay_{first_delay}, thread_{[this] { run(); }}
 {
 }
 
 commit_watcher::~commit_watcher()
 {
-    stop();
+    {
+        const std::scoped_lock lock{mutex_};
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    thread_.join();
 }
 
 void commit_watcher::start(config_version after)
-{
-    stop();
-    stopping_ = false;
-    thread_ = std::thread{[this, after] { run(after); }};
-}
-
-void commit_watcher::stop()
 {
     {
         const std::scoped_lock lock{mutex_};
-        stopping_ = true;
+        active_ = true;
+        restart_ = after;
     }
     wake_.notify_all();
-    if (thread_.joinable()) {
-        thread_.join();
-    }
 }
 
-void commit_watcher::run(config_version after)
+void commit_watcher::pause()
 {
-    auto position = after;
-    std::uint64_t revision{};
-    bool listed = false;
-    while (true) {
-        {
-            const std::scoped_lock lock{mutex_};
-            if (stopping_) {
-                return;
-            }
-        }
-        listed = listed ? follow(position, revision) : catch_up(position, revision);
-        health_(listed);
-        if (!listed) {
+    const std::scoped_lock lock{mutex_};
+    active_ = false;
+}
+
+void commit_watcher::run()
+{
+    position place;
+    while (wait_for_work(place)) {
+        const bool answered = place.listed ? follow(place) : catch_up(place);
+        health_(answered);
+        if (!answered) {
+            place.listed = false;
             back_off();
         }
     }
 }
 
-bool commit_watcher::catch_up(config_version& position, std::uint64_t& revision)
+bool commit_watcher::wait_for_work(position& place)
 {
-    const auto objects = store_.list(commit_prefix, commit_key(position));
-    if (!objects) {
-        return false;
+    std::unique_lock lock{mutex_};
+    wake_.wait(lock, [this] { return stopping_ || active_; });
+    if (restart_) {
+        place = {*restart_, 0, false, false};
+        restart_.reset();
     }
-    deliver(*objects, position);
-    revision = objects->revision;
-    delay_ = first_delay;
-    return true;
+    return !stopping_;
 }
 
-bool commit_watcher::follow(config_version& position, std::uint64_t& revision)
+bool commit_watcher::catch_up(position& place)
 {
-    const auto objects = store_.watch(commit_prefix, revision, watch_patience);
-    if (!objects) {
+    auto tail = commit_reader{store_}.read_after(place.version);
+    if (!tail) {
         return false;
     }
-    deliver(*objects, position);
-    revision = std::max(revision, objects->revision);
+    place = {tail->head, tail->revision, true, tail->fault.has_value()};
+    delay_ = first_delay;
+    tail_(std::move(*tail));
     return true;
 }
 
-void commit_watcher::deliver(const object_list& objects, config_version& position)
+bool commit_watcher::follow(position& place)
 {
-    std::vector<commit> commits;
-    for (const auto& object : objects.objects) {
-        auto item = decode_json<commit>(object.value);
-        if (item && item->version > position) {
-            position = item->version;
-            commits.push_back(std::move(*item));
-        }
+    const auto objects = store_.watch(commit_prefix, place.revision, watch_patience);
+    if (!objects) {
+        place.listed = false;
+        return objects.reason().code == failure_code::not_found;
+    }
+    if (place.faulty && !objects->objects.empty()) {
+        place.listed = false;
+        return true;
     }
-    if (!commits.empty()) {
-        commits_(std::move(commits));
+    commit_sequence sequence{place.version};
+    log_tail tail;
+    tail.batch.commits = sequence.take(objects->objects);
+    tail.head = sequence.position();
+    tail.fault = sequence.fault();
+    // What is missing may come in another order, or be mended: the next round lists again.
+    place = {tail.head, std::max(place.revision, objects->revision), !tail.fault, false};
+    if (!tail.batch.commits.empty()) {
+        tail_(std::move(tail));
     }
+    return true;
 }
 
 void commit_watcher::back_off()
--- a/src/savorywheel/distribution/commit_watcher.hpp
+++ b/src/savorywheel/distribution/commit_watcher.hpp
@@ -1,13 +1,14 @@
 #ifndef SAVORYWHEEL_DISTRIBUTION_COMMIT_WATCHER_HPP
 #define SAVORYWHEEL_DISTRIBUTION_COMMIT_WATCHER_HPP
 
-#include <savorywheel/config/commit.hpp>
 #include <savorywheel/core/random_source.hpp>
+#include <savorywheel/distribution/log_tail.hpp>
 #include <savorywheel/store/object_store.hpp>
 
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 namespace savorywheel {
@@ -19,8 +20,8 @@
  */
 class commit_watcher {
 public:
-    /** @brief Takes new commits; called on the watching thread. */
-    using commits_callback = std::function<void(std::vector<commit>)>;
+    /** @brief Takes what follows in the log; called on the watching thread. */
+    using tail_callback = std::function<void(log_tail)>;
 
     /** @brief Hears whether the platform's service answers; called on the watching thread. */
     using health_callback = std::function<void(bool reachable)>;
@@ -28,10 +29,10 @@
     /**
      * @param store The platform's service; must outlive the watcher.
      * @param random Spreads the retries; must outlive the watcher.
-     * @param commits Takes new commits.
+     * @param tail Takes what follows in the log.
      * @param health Hears whether the service answers.
      */
-    commit_watcher(object_store& store, random_source& random, commits_callback commits,
+    commit_watcher(object_store& store, random_source& random, tail_callback tail,
                    health_callback health);
     commit_watcher(const commit_watcher&) = delete;
     commit_watcher& operator=(const commit_watcher&) = delete;
@@ -39,26 +40,36 @@
     commit_watcher& operator=(commit_watcher&&) = delete;
     ~commit_watcher();
 
-    /** @brief Starts to watch after a version. */
+    /** @brief Starts to watch after a version, or goes back to it; does not wait. */
     void start(config_version after);
 
-    /** @brief Ends the watch; it returns when the thread has ended. */
-    void stop();
+    /** @brief Ends the watch; a call to the store in progress still ends. Does not wait. */
+    void pause();
 
 private:
-    void run(config_version after);
-    [[nodiscard]] bool catch_up(config_version& position, std::uint64_t& revision);
-    [[nodiscard]] bool follow(config_version& position, std::uint64_t& revision);
-    void deliver(const object_list& objects, config_version& position);
+    struct position {
+        config_version version;
+        std::uint64_t revision{};
+        bool listed{};
+        bool faulty{};
+    };
+
+    void run();
+    /** Waits until there is something to watch; false at the end. */
+    [[nodiscard]] bool wait_for_work(position& place);
+    [[nodiscard]] bool catch_up(position& place);
+    [[nodiscard]] bool follow(position& place);
     void back_off();
 
     object_store& store_;
     random_source& random_;
-    commits_callback commits_;
+    tail_callback tail_;
     health_callback health_;
     std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_{};
+    bool active_{};
+    std::optional<config_version> restart_;
     std::chrono::milliseconds delay_;
     std::thread thread_;
 };
--- a/src/savorywheel/distribution/configuration_listener.hpp
+++ b/src/savorywheel/distribution/configuration_listener.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_DISTRIBUTION_CONFIGURATION_LISTENER_HPP
 
 #include <savorywheel/config/mesh_state.hpp>
+#include <savorywheel/core/failure.hpp>
 
 namespace savorywheel {
 
@@ -17,6 +18,9 @@
 
     /** @brief Hears that the node has a newer configuration. */
     virtual void on_configuration(const mesh_state& state) = 0;
+
+    /** @brief Hears that the next commit cannot be applied; the node stays at its version. */
+    virtual void on_bad_commit(const failure& reason) = 0;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/distribution/distributor.hpp
+++ b/src/savorywheel/distribution/distributor.hpp
@@ -1,7 +1,9 @@
 #ifndef SAVORYWHEEL_DISTRIBUTION_DISTRIBUTOR_HPP
 #define SAVORYWHEEL_DISTRIBUTION_DISTRIBUTOR_HPP
 
-#include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/core/admission_limiter.hpp>
+#include <savorywheel/core/event_quota.hpp>
+#include <savorywheel/core/random_source.hpp>
 #include <savorywheel/distribution/commit_log.hpp>
 #include <savorywheel/distribution/commit_push_message.hpp>
 #include <savorywheel/distribution/configuration_listener.hpp>
@@ -27,6 +29,10 @@
     struct environment {
         /** @brief Control thread's events and timers. */
         control_loop& loop;
+        /** @brief Bounds what peers can queue. */
+        event_quota& quota;
+        /** @brief Random numbers. */
+        random_source& random;
         /** @brief Streams to peers. */
         peer_network& network;
         /** @brief Requests to peers. */
@@ -44,8 +50,11 @@
      */
     distributor(node_id self, failure_domain domain, environment surroundings);
 
-    /** @brief Takes commits that this node read from the platform's service as a relay. */
-    void take_from_store(std::vector<commit> commits);
+    /** @brief Takes what this node read from the store, or wrote to it, and passes it on. */
+    void take_from_store(const commit_batch_message& batch);
+
+    /** @brief Takes what this node read from the store at its start, without passing it on. */
+    void take_quietly(const commit_batch_message& batch);
 
     /** @brief Hears which version a peer has; fetches from it if this node is behind. */
     void peer_has(const network_endpoint& peer, config_version head);
@@ -63,15 +72,23 @@
     void pass_on(const node_id& root, const commit_batch_message& batch);
     void answer_fetch(const std::shared_ptr<frame_sink>& source, std::uint64_t correlation,
                       config_version after);
-    void on_fetched(request_client::answer answer);
+    void fetch();
+    void end_fetch();
+    void on_fetched(const request_client::answer& answer);
 
     node_id self_;
     failure_domain domain_;
     environment environment_;
     commit_log log_;
+    admission_limiter heavy_answers_;
+    config_version wanted_;
+    network_endpoint wanted_from_;
     bool fetching_{};
     std::uint64_t fetch_{};
     subscription fetch_timer_;
+    config_version encoded_after_;
+    config_version encoded_head_;
+    std::vector<std::byte> encoded_;
 };
 
 } // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/distribution/floor_buddies.cpp
@@ -0,0 +1,59 @@
+#include <savorywheel/distribution/floor_buddies.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <map>
+#include <span>
+
+namespace savorywheel {
+
+namespace {
+
+struct candidate {
+    std::size_t turn{};
+    std::uint64_t rank{};
+    const member_record* record{};
+};
+
+std::uint64_t rank_of(const node_id& owner, const node_id& member)
+{
+    const auto seed = XXH3_64bits(owner.str().data(), owner.str().size());
+    return XXH3_64bits_withSeed(member.str().data(), member.str().size(), seed);
+}
+
+/** Gives the n-th member of each failure domain turn n; the own failure domain comes last. */
+void set_turns(std::vector<candidate>& candidates, const failure_domain& own)
+{
+    std::map<failure_domain, std::size_t> turns;
+    for (auto& item : candidates) {
+        item.turn = turns[item.record->domain]++;
+        if (item.record->domain == own) {
+            item.turn += candidates.size();
+        }
+    }
+}
+
+} // namespace
+
+std::vector<member_record> floor_buddies(const member_record& self, const member_table& members,
+                                         bool with_dead)
+{
+    std::vector<candidate> candidates;
+    for (const auto& [id, item] : members.entries()) {
+        if (id != self.id && (with_dead || item.update.status != member_status::dead)) {
+            candidates.push_back({0, rank_of(self.id, id), &item.update.record});
+        }
+    }
+    std::ranges::sort(candidates, {}, &candidate::rank);
+    set_turns(candidates, self.domain);
+    std::ranges::stable_sort(candidates, {}, &candidate::turn);
+    std::vector<member_record> buddies;
+    const auto count = std::min(candidates.size(), floor_buddy_count);
+    for (const auto& item : std::span{candidates}.first(count)) {
+        buddies.push_back(*item.record);
+    }
+    return buddies;
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/distribution/floor_message.hpp
+++ b/src/savorywheel/distribution/floor_message.hpp
@@ -4,6 +4,8 @@
 #include <savorywheel/core/config_version.hpp>
 #include <savorywheel/core/names.hpp>
 
+#include <cstdint>
+
 namespace savorywheel {
 
 /** @brief Lowest configuration version that a node may use. */
@@ -12,6 +14,10 @@
     node_id node;
     /** @brief The version; zero if none is known. */
     config_version version;
+    /** @brief True if the sender has settled its own floor, so that its memory is complete. */
+    bool settled{};
+    /** @brief Live members that the sender knows. */
+    std::uint32_t live_members{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/distribution/lease_keeper.cpp
+++ b/src/savorywheel/distribution/lease_keeper.cpp
@@ -1,10 +1,18 @@
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/encoding/codec.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace savorywheel {
 
+namespace {
+
+/** Bounds the backoff, so that a relay is found soon after an outage of the store. */
+constexpr unsigned max_backoff_doublings = 1;
+
+} // namespace
+
 lease_keeper::lease_keeper(std::string key, lease_record self, environment surroundings,
                            change_callback changed)
     : key_{std::move(key)}, self_{std::move(self)}, environment_{surroundings}, changed_{std::move(
@@ -14,6 +22,9 @@
 
 void lease_keeper::start()
 {
+    if (running_) {
+        return;
+    }
     running_ = true;
     schedule(std::chrono::milliseconds{environment_.random.below(100)});
 }
@@ -53,9 +64,10 @@
             claim(1, std::nullopt);
             return;
         }
-        schedule(renewal_period());
+        back_off();
         return;
     }
+    failures_ = 0;
     const auto now = environment_.loop.time().now();
     const auto present = decode_json<lease_record>(object->value);
     if (present && (!seen_ || seen_->term != present->term || seen_->holder != present->holder)) {
@@ -91,6 +103,7 @@
 void lease_keeper::on_written(bool written, monotonic_time started, lease_record record)
 {
     if (written) {
+        failures_ = 0;
         seen_ = std::move(record);
         seen_at_ = started;
         valid_until_ = started + self_.lifetime;
@@ -100,6 +113,15 @@
     schedule(renewal_period());
 }
 
+void lease_keeper::back_off()
+{
+    failures_ = std::min(failures_ + 1, max_backoff_doublings);
+    const auto longest =
+        std::chrono::duration_cast<std::chrono::milliseconds>(renewal_period()) * (1U << failures_);
+    const auto bound = static_cast<std::uint64_t>(longest.count()) / 2;
+    schedule(longest / 2 + std::chrono::milliseconds{environment_.random.below(bound)});
+}
+
 void lease_keeper::set_held(bool held)
 {
     if (std::exchange(held_, held) != held) {
--- a/src/savorywheel/distribution/lease_keeper.hpp
+++ b/src/savorywheel/distribution/lease_keeper.hpp
@@ -63,6 +63,8 @@
     void on_read(const outcome<stored_object>& object);
     void claim(std::uint64_t term, std::optional<std::uint64_t> expected);
     void on_written(bool written, monotonic_time started, lease_record record);
+    /** Waits longer after each read that the store did not answer, with jitter. */
+    void back_off();
     void set_held(bool held);
     void give_up_if_lapsed();
     [[nodiscard]] duration renewal_period() const noexcept { return self_.lifetime / 3; }
@@ -76,6 +78,7 @@
     monotonic_time valid_until_;
     bool held_{};
     bool running_{};
+    unsigned failures_{};
     subscription timer_;
 };
 
--- /dev/null
+++ b/src/savorywheel/distribution/take_result.hpp
@@ -0,0 +1,20 @@
+#ifndef SAVORYWHEEL_DISTRIBUTION_TAKE_RESULT_HPP
+#define SAVORYWHEEL_DISTRIBUTION_TAKE_RESULT_HPP
+
+#include <savorywheel/core/failure.hpp>
+
+#include <optional>
+
+namespace savorywheel {
+
+/** @brief What became of a batch of commits. */
+struct take_result {
+    /** @brief True if at least one commit was applied. */
+    bool advanced{};
+    /** @brief Why the rest was not applied: conflict if commits are missing before it. */
+    std::optional<failure> fault;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/encoding/admin_archive.hpp
+++ b/src/savorywheel/encoding/admin_archive.hpp
@@ -53,9 +53,13 @@
 void serialize(Archive& archive, node_state_dump& dump)
 {
     archive(cereal::make_nvp("node", dump.node), cereal::make_nvp("domain", dump.domain),
-            cereal::make_nvp("version", dump.version), cereal::make_nvp("relay", dump.relay),
-            cereal::make_nvp("running", dump.running), cereal::make_nvp("waiting", dump.waiting),
-            cereal::make_nvp("members", dump.members));
+            cereal::make_nvp("version", dump.version),
+            cereal::make_nvp("known_version", dump.known_version),
+            cereal::make_nvp("floor", dump.floor),
+            cereal::make_nvp("floor_known", dump.floor_known),
+            cereal::make_nvp("store_reachable", dump.store_reachable),
+            cereal::make_nvp("relay", dump.relay), cereal::make_nvp("running", dump.running),
+            cereal::make_nvp("waiting", dump.waiting), cereal::make_nvp("members", dump.members));
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_ENCODING_DISTRIBUTION_ARCHIVE_HPP
 #define SAVORYWHEEL_ENCODING_DISTRIBUTION_ARCHIVE_HPP
 
+#include <savorywheel/distribution/checkpoint_manifest.hpp>
 #include <savorywheel/distribution/commit_batch_message.hpp>
 #include <savorywheel/distribution/commit_fetch_message.hpp>
 #include <savorywheel/distribution/commit_push_message.hpp>
@@ -18,11 +19,20 @@
             cereal::make_nvp("services", point.services));
 }
 
+/** @brief Lists the members of a manifest. */
+template<typename Archive>
+void serialize(Archive& archive, checkpoint_manifest& manifest)
+{
+    archive(cereal::make_nvp("version", manifest.version),
+            cereal::make_nvp("shards", manifest.shards));
+}
+
 /** @brief Lists the members of a batch. */
 template<typename Archive>
 void serialize(Archive& archive, commit_batch_message& batch)
 {
-    archive(cereal::make_nvp("base", batch.base), cereal::make_nvp("commits", batch.commits));
+    archive(cereal::make_nvp("base", batch.base), cereal::make_nvp("commits", batch.commits),
+            cereal::make_nvp("refused", batch.refused));
 }
 
 /** @brief Lists the members of a push. */
@@ -43,7 +53,9 @@
 template<typename Archive>
 void serialize(Archive& archive, floor_message& floor)
 {
-    archive(cereal::make_nvp("node", floor.node), cereal::make_nvp("version", floor.version));
+    archive(cereal::make_nvp("node", floor.node), cereal::make_nvp("version", floor.version),
+            cereal::make_nvp("settled", floor.settled),
+            cereal::make_nvp("live_members", floor.live_members));
 }
 
 /** @brief Lists the members of a lease. */
--- a/src/savorywheel/encoding/distribution_codec.cpp
+++ b/src/savorywheel/encoding/distribution_codec.cpp
@@ -15,9 +15,11 @@
 template outcome<floor_message> decode(std::span<const std::byte>);
 template std::string encode_json(const commit&);
 template std::string encode_json(const checkpoint&);
+template std::string encode_json(const checkpoint_manifest&);
 template std::string encode_json(const lease_record&);
 template outcome<commit> decode_json(std::string_view);
 template outcome<checkpoint> decode_json(std::string_view);
+template outcome<checkpoint_manifest> decode_json(std::string_view);
 template outcome<lease_record> decode_json(std::string_view);
 
 } // namespace savorywheel
--- a/src/savorywheel/encoding/membership_archive.hpp
+++ b/src/savorywheel/encoding/membership_archive.hpp
@@ -43,7 +43,10 @@
 template<typename Archive>
 void serialize(Archive& archive, membership_sync_message& message)
 {
-    archive(cereal::make_nvp("members", message.members));
+    archive(cereal::make_nvp("digests", message.digests),
+            cereal::make_nvp("differing", message.differing),
+            cereal::make_nvp("refused", message.refused),
+            cereal::make_nvp("members", message.members));
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/membership/member_table.cpp
+++ b/src/savorywheel/membership/member_table.cpp
@@ -11,11 +11,19 @@
 
 std::uint64_t digest_of(const member_update& update)
 {
+    if (update.status == member_status::dead) {
+        return 0;
+    }
     const auto text = update.record.id.str() + '/' + std::to_string(update.record.incarnation) +
                       '/' + std::to_string(static_cast<int>(update.status));
     return XXH3_64bits(text.data(), text.size());
 }
 
+std::size_t bucket_of(const node_id& id)
+{
+    return XXH3_64bits(id.str().data(), id.str().size()) % member_bucket_count;
+}
+
 } // namespace
 
 bool prevails(const member_update& candidate, const member_update& known) noexcept
@@ -24,21 +32,23 @@
            std::tuple{known.record.incarnation, known.status};
 }
 
-bool member_table::merge(const member_update& update, monotonic_time now)
+bool member_table::merge(const member_update& update, monotonic_time changed_at)
 {
     const auto found = entries_.find(update.record.id);
-    if (found != entries_.end() && !prevails(update, found->second.update)) {
-        return false;
-    }
-    const auto digest = digest_of(update);
     if (found != entries_.end()) {
-        digest_ ^= found->second.digest;
-        found->second = {update, now, digest};
-    }
-    else {
-        entries_.emplace(update.record.id, entry{update, now, digest});
+        auto& item = found->second;
+        if (!prevails(update, item.update)) {
+            return false;
+        }
+        unlink(item);
+        item.update = update;
+        item.changed_at = changed_at;
+        link(item);
+        return true;
     }
-    digest_ ^= digest;
+    auto& item = entries_.emplace(update.record.id, entry{update, changed_at}).first->second;
+    item.bucket = bucket_of(update.record.id);
+    link(item);
     return true;
 }
 
@@ -48,6 +58,21 @@
     return found == entries_.end() ? nullptr : &found->second;
 }
 
+const member_table::entry* member_table::next_dead(const node_id& after) const
+{
+    if (dead_.empty()) {
+        return nullptr;
+    }
+    const auto next = dead_.upper_bound(after);
+    return find(next == dead_.end() ? *dead_.begin() : *next);
+}
+
+const member_group* member_table::group(const service_name& service) const
+{
+    const auto found = groups_.find(service);
+    return found == groups_.end() ? nullptr : &found->second;
+}
+
 std::vector<member_update> member_table::all() const
 {
     std::vector<member_update> updates;
@@ -58,16 +83,77 @@
     return updates;
 }
 
+std::vector<member_update> member_table::in_buckets(std::span<const std::uint16_t> buckets,
+                                                    monotonic_time since) const
+{
+    std::array<bool, member_bucket_count> chosen{};
+    for (const auto bucket : buckets) {
+        if (bucket < chosen.size()) {
+            chosen.at(bucket) = true;
+        }
+    }
+    std::vector<member_update> updates;
+    for (const auto& [id, item] : entries_) {
+        const bool old = item.update.status == member_status::dead && item.changed_at < since;
+        if (chosen.at(item.bucket) && !old) {
+            updates.push_back(item.update);
+        }
+    }
+    return updates;
+}
+
 void member_table::forget_dead_before(monotonic_time limit)
 {
-    std::erase_if(entries_, [this, limit](const auto& item) {
-        const auto& [id, known] = item;
-        const bool old = known.update.status == member_status::dead && known.changed_at < limit;
+    std::erase_if(dead_, [this, limit](const auto& id) {
+        const auto found = entries_.find(id);
+        const bool old = found->second.changed_at < limit;
         if (old) {
-            digest_ ^= known.digest;
+            entries_.erase(found);
         }
         return old;
     });
 }
 
+void member_table::link(entry& item)
+{
+    item.digest = digest_of(item.update);
+    digest_ ^= item.digest;
+    buckets_.at(item.bucket) ^= item.digest;
+    const auto& record = item.update.record;
+    if (item.update.status == member_status::suspect) {
+        suspects_.insert(record.id);
+    }
+    if (item.update.status == member_status::dead) {
+        dead_.insert(record.id);
+        return;
+    }
+    item.live_place = live_.size();
+    live_.push_back(&item);
+    if (!record.service.empty()) {
+        auto& members = groups_[record.service];
+        ++members.revision;
+        members.records.emplace(record.id, &record);
+    }
+}
+
+void member_table::unlink(entry& item)
+{
+    digest_ ^= item.digest;
+    buckets_.at(item.bucket) ^= item.digest;
+    const auto& record = item.update.record;
+    suspects_.erase(record.id);
+    dead_.erase(record.id);
+    if (item.update.status == member_status::dead) {
+        return;
+    }
+    const auto* last = live_.back();
+    live_.at(item.live_place) = last;
+    entries_.at(last->update.record.id).live_place = item.live_place;
+    live_.pop_back();
+    if (const auto found = groups_.find(record.service); found != groups_.end()) {
+        ++found->second.revision;
+        found->second.records.erase(record.id);
+    }
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/membership/membership_settings.hpp
+++ b/src/savorywheel/membership/membership_settings.hpp
@@ -14,12 +14,14 @@
     std::chrono::milliseconds ack_timeout{200};
     /** @brief Time in which a suspect must object. */
     std::chrono::milliseconds suspicion_period{2000};
-    /** @brief Time between two full exchanges with a random member. */
-    std::chrono::milliseconds sync_period{10'000};
+    /** @brief Time between two exchanges of digests with a random member. */
+    std::chrono::milliseconds sync_period{15'000};
+    /** @brief Time between two attempts to join, before a first exchange has succeeded. */
+    std::chrono::milliseconds join_period{500};
     /** @brief Nodes that are asked to probe in turn. */
     std::size_t indirect_probes{3};
-    /** @brief Updates in one datagram. */
-    std::size_t updates_per_message{6};
+    /** @brief Encoded bytes of news in one datagram. */
+    std::size_t news_bytes{1000};
     /** @brief Times an update is sent per doubling of the member count. */
     std::size_t retransmit_factor{3};
     /** @brief Time after which a dead member is forgotten. */
--- /dev/null
+++ b/src/savorywheel/membership/probe_round.hpp
@@ -0,0 +1,44 @@
+#ifndef SAVORYWHEEL_MEMBERSHIP_PROBE_ROUND_HPP
+#define SAVORYWHEEL_MEMBERSHIP_PROBE_ROUND_HPP
+
+#include <savorywheel/core/random_source.hpp>
+#include <savorywheel/membership/member_table.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace savorywheel {
+
+/**
+ * @brief Order in which a node probes other members: each one once per round, at random.
+ *
+ * A round of the own region and one of the other regions run side by side; most probes are for the
+ * own region, so that probing costs little on the links between regions.
+ */
+class probe_round {
+public:
+    /**
+     * @param self This node.
+     * @param region Its region.
+     * @param random Random numbers; must outlive the round.
+     */
+    probe_round(node_id self, region_name region, random_source& random);
+
+    /** @return The next member to probe; nothing if there is no other live one. */
+    [[nodiscard]] std::optional<member_record> next(const member_table& members);
+
+private:
+    [[nodiscard]] std::optional<member_record> next_of(bool own_region,
+                                                       const member_table& members);
+    void fill(bool own_region, const member_table& members);
+
+    node_id self_;
+    region_name region_;
+    random_source& random_;
+    std::vector<node_id> own_;
+    std::vector<node_id> others_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/membership/swim_agent.cpp
+++ b/src/savorywheel/membership/swim_agent.cpp
@@ -9,14 +9,23 @@
 
 namespace {
 
-constexpr std::chrono::seconds relayed_probe_lifetime{2};
+constexpr std::size_t max_relayed_probes = 256;
+constexpr unsigned heavy_answer_burst = 8;
+constexpr std::chrono::milliseconds heavy_answer_interval{100};
+constexpr unsigned unknown_sender_burst = 8;
+constexpr std::chrono::milliseconds unknown_sender_interval{250};
+constexpr std::chrono::milliseconds repair_interval{1000};
+constexpr std::uint64_t dead_probe_share = 4;
 
 } // namespace
 
 swim_agent::swim_agent(member_record self, std::vector<network_endpoint> seeds,
                        membership_settings settings, environment surroundings)
-    : self_{std::move(self)}, seeds_{std::move(seeds)}, settings_{settings}, environment_{std::move(
-                                                                                 surroundings)}
+    : self_{std::move(self)}, seeds_{std::move(seeds)}, settings_{settings},
+      environment_{std::move(surroundings)}, round_{self_.id, self_.region, environment_.random},
+      heavy_answers_{environment_.time, heavy_answer_burst, heavy_answer_interval},
+      unknown_senders_{environment_.time, unknown_sender_burst, unknown_sender_interval},
+      repairs_{environment_.time, 1, repair_interval}
 {
     apply({self_, member_status::alive});
 }
@@ -25,6 +34,11 @@
 {
     probe_timer_ = environment_.timers.every(settings_.probe_period, [this] { probe_next(); });
     sync_timer_ = environment_.timers.every(settings_.sync_period, [this] { sync_random(); });
+    join_timer_ = environment_.timers.every(settings_.join_period, [this] {
+        if (!joined_) {
+            join();
+        }
+    });
     join();
 }
 
@@ -33,15 +47,16 @@
     leaving_ = true;
     probe_timer_.reset();
     sync_timer_.reset();
+    join_timer_.reset();
     probe_.reset();
     ++self_.incarnation;
     const member_update farewell{self_, member_status::dead};
     table_.merge(farewell, environment_.time.now());
-    enqueue(farewell);
-    const auto members = live_members();
-    const auto count = std::min(members.size(), settings_.indirect_probes + 1);
-    for (std::size_t i = 0; i < count; ++i) {
-        send(members[i].peer, membership_kind::ping, ++last_sequence_);
+    gossip_.add(farewell);
+    for (std::size_t i = 0; i <= settings_.indirect_probes; ++i) {
+        if (const auto member = round_.next(table_)) {
+            send(member->peer, membership_kind::ping, ++last_sequence_);
+        }
     }
 }
 
@@ -53,18 +68,22 @@
     for (const auto& update : message.updates) {
         apply(update);
     }
+    // While news is on its way the digests differ anyhow.
+    if (message.table_digest != table_.digest() && gossip_.size() == 0 && repairs_.admit()) {
+        sync_with(message.sender_peer);
+    }
     environment_.listener.on_head_seen(message.sender_peer, message.head);
     switch (message.kind) {
     case membership_kind::ping:
-        send(message.sender_peer, membership_kind::ack, message.sequence);
-        if (table_.find(message.sender) == nullptr) {
-            environment_.sync(message.sender_peer);
-        }
+        answer_ping(message);
         break;
     case membership_kind::ack:
         on_ack(message);
         break;
     case membership_kind::ping_request: {
+        if (relayed_.size() >= max_relayed_probes) {
+            break;
+        }
         const auto sequence = ++last_sequence_;
         relayed_.emplace(sequence, relayed_probe{message.sender_peer, message.sequence,
                                                  environment_.time.now()});
@@ -74,11 +93,13 @@
     }
 }
 
-void swim_agent::merge_all(std::span<const member_update> updates)
+void swim_agent::answer_ping(const membership_message& message)
 {
-    for (const auto& update : updates) {
-        apply(update);
+    const auto* sender = table_.find(message.sender);
+    if (sender == nullptr && unknown_senders_.admit()) {
+        sync_with(message.sender_peer);
     }
+    send(message.sender_peer, membership_kind::ack, message.sequence, {}, sender);
 }
 
 void swim_agent::update_self(member_record record)
@@ -92,7 +113,8 @@
 {
     finish_probe();
     expire_suspects();
-    const auto target = next_target();
+    probe_dead();
+    const auto target = round_.next(table_);
     if (!target) {
         join();
         return;
@@ -103,7 +125,18 @@
     probe_->peer = target->peer;
     probe_->sequence = sequence;
     probe_->ack_timer = environment_.timers.after(settings_.ack_timeout, [this] { ask_others(); });
-    send(target->peer, membership_kind::ping, sequence);
+    send(target->peer, membership_kind::ping, sequence, {}, table_.find(target->id));
+}
+
+void swim_agent::probe_dead()
+{
+    if (environment_.random.below(dead_probe_share) != 0) {
+        return;
+    }
+    if (const auto* dead = table_.next_dead(last_dead_probe_)) {
+        last_dead_probe_ = dead->update.record.id;
+        send(dead->update.record.peer, membership_kind::ping, ++last_sequence_, {}, dead);
+    }
 }
 
 void swim_agent::finish_probe()
@@ -125,44 +158,22 @@
     if (!probe_ || probe_->acknowledged) {
         return;
     }
-    auto members = live_members();
-    std::erase_if(members, [this](const auto& member) { return member.id == probe_->target; });
-    for (std::size_t i = 0; i < settings_.indirect_probes && !members.empty(); ++i) {
-        const auto index = environment_.random.below(members.size());
-        send(members[index].peer, membership_kind::ping_request, probe_->sequence, probe_->peer);
-        members.erase(members.begin() + static_cast<std::ptrdiff_t>(index));
-    }
-}
-
-void swim_agent::join()
-{
-    for (const auto& seed : seeds_) {
-        if (seed != self_.peer) {
-            environment_.sync(seed);
+    for (std::size_t i = 0; i < settings_.indirect_probes; ++i) {
+        const auto member = random_member();
+        if (member && member->id != probe_->target) {
+            send(member->peer, membership_kind::ping_request, probe_->sequence, probe_->peer);
         }
     }
 }
 
-void swim_agent::sync_random()
-{
-    const auto members = live_members();
-    if (!members.empty()) {
-        environment_.sync(members[environment_.random.below(members.size())].peer);
-    }
-    const auto now = environment_.time.now();
-    table_.forget_dead_before(now - settings_.dead_retention);
-    std::erase_if(relayed_, [now](const auto& item) {
-        return item.second.started + relayed_probe_lifetime < now;
-    });
-}
-
 void swim_agent::expire_suspects()
 {
     const auto limit = environment_.time.now() - settings_.suspicion_period;
     std::vector<member_record> expired;
-    for (const auto& [id, item] : table_.entries()) {
-        if (item.update.status == member_status::suspect && item.changed_at < limit) {
-            expired.push_back(item.update.record);
+    for (const auto& id : table_.suspects()) {
+        const auto* item = table_.find(id);
+        if (item->changed_at < limit) {
+            expired.push_back(item->update.record);
         }
     }
     for (const auto& record : expired) {
@@ -179,10 +190,14 @@
         refute(update);
         return;
     }
+    const bool unknown = table_.find(update.record.id) == nullptr;
+    if (unknown && update.status == member_status::dead) {
+        return;
+    }
     if (!table_.merge(update, environment_.time.now())) {
         return;
     }
-    enqueue(update);
+    gossip_.add(update);
     environment_.listener.on_member_changed(update);
 }
 
@@ -192,16 +207,8 @@
     apply({self_, member_status::alive});
 }
 
-void swim_agent::enqueue(const member_update& update)
-{
-    std::erase_if(gossip_, [&update](const gossip& item) {
-        return item.update.record.id == update.record.id;
-    });
-    gossip_.push_front({update, 0});
-}
-
 void swim_agent::send(const network_endpoint& peer, membership_kind kind, std::uint64_t sequence,
-                      const network_endpoint& target)
+                      const network_endpoint& target, const member_table::entry* receiver)
 {
     membership_message message;
     message.protocol = protocol_version;
@@ -212,7 +219,10 @@
     message.target = target;
     message.head = head_;
     message.table_digest = table_.digest();
-    message.updates = take_gossip();
+    message.updates = gossip_.take(settings_.news_bytes, retransmit_limit());
+    if (receiver != nullptr && receiver->update.status != member_status::alive) {
+        message.updates.push_back(receiver->update);
+    }
     environment_.send(peer, message);
 }
 
@@ -230,57 +240,9 @@
     }
 }
 
-std::vector<member_update> swim_agent::take_gossip()
-{
-    std::vector<member_update> updates;
-    const auto count = std::min(gossip_.size(), settings_.updates_per_message);
-    for (std::size_t i = 0; i < count; ++i) {
-        updates.push_back(gossip_[i].update);
-        ++gossip_[i].sent;
-    }
-    const auto limit = retransmit_limit();
-    std::erase_if(gossip_, [limit](const gossip& item) { return item.sent >= limit; });
-    std::ranges::stable_sort(gossip_, {}, &gossip::sent);
-    return updates;
-}
-
-std::optional<member_record> swim_agent::next_target()
-{
-    while (true) {
-        if (round_.empty()) {
-            for (const auto& member : live_members()) {
-                round_.push_back(member.id);
-            }
-            for (std::size_t i = round_.size(); i > 1; --i) {
-                std::swap(round_[i - 1], round_[environment_.random.below(i)]);
-            }
-        }
-        if (round_.empty()) {
-            return std::nullopt;
-        }
-        const auto id = round_.back();
-        round_.pop_back();
-        const auto* known = table_.find(id);
-        if (known != nullptr && known->update.status != member_status::dead) {
-            return known->update.record;
-        }
-    }
-}
-
-std::vector<member_record> swim_agent::live_members() const
-{
-    std::vector<member_record> members;
-    for (const auto& [id, item] : table_.entries()) {
-        if (id != self_.id && item.update.status != member_status::dead) {
-            members.push_back(item.update.record);
-        }
-    }
-    return members;
-}
-
 std::size_t swim_agent::retransmit_limit() const noexcept
 {
-    return settings_.retransmit_factor * std::bit_width(table_.entries().size() + 1);
+    return settings_.retransmit_factor * std::bit_width(table_.live().size() + 1);
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/membership/swim_agent.hpp
+++ b/src/savorywheel/membership/swim_agent.hpp
@@ -1,15 +1,17 @@
 #ifndef SAVORYWHEEL_MEMBERSHIP_SWIM_AGENT_HPP
 #define SAVORYWHEEL_MEMBERSHIP_SWIM_AGENT_HPP
 
+#include <savorywheel/core/admission_limiter.hpp>
 #include <savorywheel/core/random_source.hpp>
 #include <savorywheel/core/timer_service.hpp>
+#include <savorywheel/membership/gossip_queue.hpp>
 #include <savorywheel/membership/member_table.hpp>
 #include <savorywheel/membership/membership_listener.hpp>
 #include <savorywheel/membership/membership_message.hpp>
 #include <savorywheel/membership/membership_settings.hpp>
 #include <savorywheel/membership/membership_sync_message.hpp>
+#include <savorywheel/membership/probe_round.hpp>
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -29,8 +31,9 @@
     /** @brief Sends a datagram message to a peer. */
     using send_function = std::function<void(const network_endpoint&, const membership_message&)>;
 
-    /** @brief Asks a peer for a full exchange. */
-    using sync_function = std::function<void(const network_endpoint&)>;
+    /** @brief Sends the first message of an exchange to a peer. */
+    using sync_function =
+        std::function<void(const network_endpoint&, const membership_sync_message&)>;
 
     /** @brief What the agent works with; all must outlive it. */
     struct environment {
@@ -66,8 +69,22 @@
     /** @brief Takes a datagram message. */
     void receive(const membership_message& message);
 
-    /** @brief Takes the records of a full exchange. */
-    void merge_all(std::span<const member_update> updates);
+    /**
+     * @brief Takes the first or the last message of an exchange.
+     * @return The answer to a first one; nothing for a last one.
+     */
+    [[nodiscard]] std::optional<membership_sync_message>
+    answer_sync(const membership_sync_message& request);
+
+    /**
+     * @brief Takes the answer to an exchange that this node began.
+     * @return The last message, if this node has records for the peer.
+     */
+    [[nodiscard]] std::optional<membership_sync_message>
+    finish_sync(const membership_sync_message& answer);
+
+    /** @return True if an exchange has succeeded since the start. */
+    [[nodiscard]] bool joined() const noexcept { return joined_; }
 
     /** @brief Publishes a new record of this node; its incarnation is set here. */
     void update_self(member_record record);
@@ -94,26 +111,24 @@
         std::uint64_t sequence{};
         monotonic_time started;
     };
-    struct gossip {
-        member_update update;
-        std::size_t sent{};
-    };
 
     void probe_next();
     void finish_probe();
     void ask_others();
     void join();
     void sync_random();
+    void sync_with(const network_endpoint& peer);
+    void merge_all(std::span<const member_update> updates);
+    [[nodiscard]] std::optional<member_record> random_member();
     void expire_suspects();
     void apply(const member_update& update);
     void refute(const member_update& update);
-    void enqueue(const member_update& update);
     void send(const network_endpoint& peer, membership_kind kind, std::uint64_t sequence,
-              const network_endpoint& target = {});
+              const network_endpoint& target = {}, const member_table::entry* receiver = nullptr);
+    void answer_ping(const membership_message& message);
+    /** Pings a dead member now and then, so that the two sides of a healed partition meet. */
+    void probe_dead();
     void on_ack(const membership_message& message);
-    [[nodiscard]] std::vector<member_update> take_gossip();
-    [[nodiscard]] std::optional<member_record> next_target();
-    [[nodiscard]] std::vector<member_record> live_members() const;
     [[nodiscard]] std::size_t retransmit_limit() const noexcept;
 
     member_record self_;
@@ -125,9 +140,15 @@
     std::uint64_t last_sequence_{};
     std::optional<probe> probe_;
     std::map<std::uint64_t, relayed_probe> relayed_;
-    std::vector<node_id> round_;
-    std::deque<gossip> gossip_;
+    probe_round round_;
+    gossip_queue gossip_;
+    admission_limiter heavy_answers_;
+    admission_limiter unknown_senders_;
+    admission_limiter repairs_;
+    node_id last_dead_probe_;
+    bool joined_{};
     subscription probe_timer_;
+    subscription join_timer_;
     subscription sync_timer_;
     bool leaving_{};
 };
--- /dev/null
+++ b/src/savorywheel/membership/swim_agent_exchange.cpp
@@ -0,0 +1,119 @@
+#include <savorywheel/membership/swim_agent.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr std::chrono::seconds relayed_probe_lifetime{2};
+constexpr std::size_t heavy_answer_members = 512;
+constexpr std::uint64_t seed_attempts_at_once = 2;
+
+std::vector<std::uint16_t> differing_buckets(std::span<const std::uint64_t> theirs,
+                                             const member_table::bucket_digests& ours)
+{
+    std::vector<std::uint16_t> buckets;
+    for (std::size_t i = 0; i < ours.size(); ++i) {
+        if (i >= theirs.size() || theirs[i] != ours.at(i)) {
+            buckets.push_back(static_cast<std::uint16_t>(i));
+        }
+    }
+    return buckets;
+}
+
+} // namespace
+
+std::optional<membership_sync_message>
+swim_agent::answer_sync(const membership_sync_message& request)
+{
+    merge_all(request.members);
+    if (request.digests.empty()) {
+        return std::nullopt;
+    }
+    membership_sync_message answer;
+    answer.differing = differing_buckets(request.digests, table_.buckets());
+    answer.members =
+        table_.in_buckets(answer.differing, environment_.time.now() - settings_.dead_retention / 2);
+    if (answer.members.size() > heavy_answer_members && !heavy_answers_.admit()) {
+        answer = {};
+        answer.refused = true;
+    }
+    return answer;
+}
+
+std::optional<membership_sync_message>
+swim_agent::finish_sync(const membership_sync_message& answer)
+{
+    if (answer.refused) {
+        return std::nullopt;
+    }
+    membership_sync_message last;
+    if (joined_) {
+        last.members = table_.in_buckets(answer.differing,
+                                         environment_.time.now() - settings_.dead_retention / 2);
+    }
+    merge_all(answer.members);
+    joined_ = true;
+    return last.members.empty() ? std::nullopt : std::optional{std::move(last)};
+}
+
+void swim_agent::merge_all(std::span<const member_update> updates)
+{
+    const auto half_forgotten = environment_.time.now() - settings_.dead_retention / 2;
+    for (const auto& update : updates) {
+        const bool unknown = table_.find(update.record.id) == nullptr;
+        if (unknown && update.status == member_status::dead && update.record.id != self_.id) {
+            table_.merge(update, half_forgotten);
+            continue;
+        }
+        apply(update);
+    }
+}
+
+void swim_agent::join()
+{
+    std::vector<network_endpoint> peers;
+    std::ranges::copy_if(seeds_, std::back_inserter(peers),
+                         [this](const auto& seed) { return seed != self_.peer; });
+    for (std::uint64_t i = 0; i < seed_attempts_at_once && !peers.empty(); ++i) {
+        const auto index = environment_.random.below(peers.size());
+        sync_with(peers[index]);
+        peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+}
+
+void swim_agent::sync_random()
+{
+    if (const auto member = random_member()) {
+        sync_with(member->peer);
+    }
+    const auto now = environment_.time.now();
+    table_.forget_dead_before(now - settings_.dead_retention);
+    std::erase_if(relayed_, [now](const auto& item) {
+        return item.second.started + relayed_probe_lifetime < now;
+    });
+}
+
+void swim_agent::sync_with(const network_endpoint& peer)
+{
+    membership_sync_message request;
+    const auto& digests = table_.buckets();
+    request.digests.assign(digests.begin(), digests.end());
+    request.members.push_back({self_, member_status::alive});
+    environment_.sync(peer, request);
+}
+
+std::optional<member_record> swim_agent::random_member()
+{
+    const auto members = table_.live();
+    if (members.empty()) {
+        return std::nullopt;
+    }
+    const auto& record = members[environment_.random.below(members.size())]->update.record;
+    return record.id == self_.id ? std::nullopt : std::optional{record};
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -1,8 +1,12 @@
+#include <savorywheel/distribution/checkpoint_writer.hpp>
 #include <savorywheel/distribution/commit_keys.hpp>
+#include <savorywheel/distribution/commit_reader.hpp>
+#include <savorywheel/distribution/relay_candidates.hpp>
 #include <savorywheel/node/control_plane.hpp>
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <future>
 #include <memory>
 #include <utility>
@@ -11,7 +15,11 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds relay_lease_lifetime{3000};
+constexpr std::chrono::milliseconds relay_lease_lifetime{2000};
+constexpr std::chrono::milliseconds candidate_period{500};
+constexpr std::chrono::milliseconds reread_delay{2000};
+constexpr std::size_t max_peer_events = 4096;
+constexpr std::size_t max_peer_bytes = 64UL * 1024UL * 1024UL;
 constexpr std::chrono::milliseconds backend_lifetime{3000};
 constexpr std::chrono::milliseconds backend_check_period{500};
 constexpr std::chrono::milliseconds publish_delay{20};
@@ -38,6 +46,13 @@
     return record;
 }
 
+/** Tells whether the node was given no other peer to join through. */
+bool is_alone(const node_settings& settings)
+{
+    return std::ranges::all_of(settings.seeds,
+                               [&](const auto& seed) { return seed == settings.peer; });
+}
+
 /** Runs a function on the control thread and waits for what it returns. */
 template<typename Result, typename Function>
 outcome<Result> ask(control_loop& loop, Function function)
@@ -67,19 +82,15 @@
 } // namespace
 
 control_plane::control_plane(const node_settings& settings, environment surroundings)
-    : settings_{settings}, environment_{surroundings},
+    : settings_{settings}, environment_{surroundings}, quota_{surroundings.loop, max_peer_events,
+                                                              max_peer_bytes},
       membership_{make_self(settings, surroundings.loop.time()), settings.seeds,
-                  membership_service::environment{surroundings.loop, surroundings.random,
-                                                  surroundings.datagrams, surroundings.network,
-                                                  surroundings.requests, *this}},
-      distributor_{settings.name, settings.domain,
-                   distributor::environment{
-                       surroundings.loop, surroundings.network, surroundings.requests, *this,
-                       [this]() -> const member_table& { return membership_.agent().table(); }}},
+                  membership_environment()},
+      distributor_{settings.name, settings.domain, distribution_environment()},
+      floors_{is_alone(settings), floor_environment()},
       watcher_{surroundings.store, surroundings.random,
-               [this](std::vector<commit> commits) {
-                   environment_.loop.post(
-                       [this, items = std::move(commits)] { distributor_.take_from_store(items); });
+               [this](log_tail tail) {
+                   environment_.loop.post([this, item = std::move(tail)] { take_tail(item); });
                },
                [this](bool reachable) {
                    environment_.loop.post([this, reachable] { on_store_health(reachable); });
@@ -90,10 +101,53 @@
 {
 }
 
+membership_service::environment control_plane::membership_environment()
+{
+    return {environment_.loop,
+            quota_,
+            environment_.random,
+            environment_.datagrams,
+            environment_.network,
+            environment_.requests,
+            *this};
+}
+
+distributor::environment control_plane::distribution_environment()
+{
+    return {environment_.loop,
+            quota_,
+            environment_.random,
+            environment_.network,
+            environment_.requests,
+            *this,
+            [this]() -> const member_table& { return membership_.agent().table(); }};
+}
+
+floor_service::environment control_plane::floor_environment()
+{
+    return {environment_.loop,
+            quota_,
+            environment_.random,
+            environment_.network,
+            environment_.requests,
+            *this,
+            [this]() -> const member_table& { return membership_.agent().table(); },
+            [this]() -> const member_record& { return membership_.agent().self(); },
+            [this] { return membership_.agent().joined(); },
+            [this](const node_id& member, config_version version) {
+                if (const auto* known = membership_.agent().table().find(member)) {
+                    distributor_.peer_has(known->update.record.peer, version);
+                }
+            },
+            [this] { read_store(); }};
+}
+
 void control_plane::start()
 {
     membership_.agent().start();
-    lease_.start();
+    floors_.keeper().start();
+    candidate_timer_ =
+        environment_.loop.timers().every(candidate_period, [this] { compete_for_lease(); });
     backend_timer_ =
         environment_.loop.timers().every(backend_check_period, [this] { expire_backend(); });
 }
@@ -101,8 +155,11 @@
 void control_plane::leave()
 {
     leaving_ = true;
+    candidate_timer_.reset();
+    reread_timer_.reset();
+    floors_.keeper().stop();
     lease_.stop();
-    watcher_.stop();
+    watcher_.pause();
     membership_.agent().leave();
     backend_timer_.reset();
 }
@@ -113,7 +170,11 @@
         node_state_dump state;
         state.node = settings_.name;
         state.domain = settings_.domain;
-        state.version = distributor_.log().state().version();
+        state.version = floors_.keeper().usable();
+        state.known_version = distributor_.log().state().version();
+        state.floor = floors_.keeper().floor();
+        state.floor_known = floors_.keeper().settled();
+        state.store_reachable = store_reachable_;
         state.relay = lease_.held();
         state.running = environment_.backend_gate.running();
         state.waiting = environment_.backend_gate.waiting();
@@ -159,13 +220,108 @@
     distributor_.peer_has(peer, head);
 }
 
+void control_plane::committed(const commit& change)
+{
+    environment_.loop.post([this, change] {
+        distributor_.take_from_store({std::nullopt, {change}, false});
+    });
+}
+
 void control_plane::on_configuration(const mesh_state& state)
 {
-    builder_.set_state(state);
+    last_fault_.clear();
     membership_.agent().set_head(state.version());
+    accepted_.insert_or_assign(state.version(), state);
+    std::erase_if(accepted_, [this, &state](const auto& item) {
+        return item.first != state.version() && item.first != floors_.keeper().putting();
+    });
+    floors_.keeper().on_log_version(state.version());
+    write_checkpoint();
+}
+
+void control_plane::on_bad_commit(const failure& reason)
+{
+    if (std::exchange(last_fault_, reason.message) != reason.message) {
+        environment_.log.write(event_id::commit_faulty, reason.message);
+    }
+    if (lease_.held()) {
+        reread_timer_ = environment_.loop.timers().after(
+            reread_delay, [this] { watcher_.start(distributor_.log().state().version()); });
+    }
+}
+
+void control_plane::on_floor_settled(config_version floor)
+{
+    environment_.log.write(event_id::floor_known, fmt::format("version {}", floor.number));
+}
+
+void control_plane::on_version_usable(config_version version)
+{
+    const auto found = accepted_.find(version);
+    if (found == accepted_.end()) {
+        return;
+    }
+    builder_.set_state(found->second);
+    accepted_.erase(accepted_.begin(), found);
     environment_.tables.publish(builder_.build(membership_.agent().table()));
     environment_.log.write(event_id::configuration_in_force,
-                           fmt::format("version {}", state.version().number));
+                           fmt::format("version {}", version.number));
+}
+
+void control_plane::on_floor_delayed(config_version version)
+{
+    environment_.log.write(event_id::floor_delayed, fmt::format("version {}", version.number));
+}
+
+void control_plane::on_floor_skipped(config_version version)
+{
+    environment_.log.write(event_id::floor_skipped, fmt::format("version {}", version.number));
+}
+
+void control_plane::read_store()
+{
+    environment_.worker.submit(
+        [this, after = distributor_.log().state().version()](object_store& store) {
+            auto tail = commit_reader{store}.read_after(after);
+            environment_.loop.post([this, item = std::move(tail)] {
+                on_store_health(static_cast<bool>(item));
+                if (item) {
+                    distributor_.take_quietly(item->batch);
+                    floors_.keeper().on_store_head(item->head);
+                }
+            });
+        });
+}
+
+void control_plane::take_tail(const log_tail& tail)
+{
+    distributor_.take_from_store(tail.batch);
+    if (tail.fault) {
+        on_bad_commit(*tail.fault);
+    }
+    floors_.keeper().on_store_head(tail.head);
+}
+
+void control_plane::write_checkpoint()
+{
+    const auto version = distributor_.log().state().version();
+    if (!lease_.held() || version.number < checkpointed_.number + checkpoint_interval) {
+        return;
+    }
+    checkpointed_ = {version.number - version.number % checkpoint_interval};
+    environment_.worker.submit([point = distributor_.log().make_checkpoint()](object_store& store) {
+        static_cast<void>(checkpoint_writer{store}.write(point));
+    });
+}
+
+void control_plane::compete_for_lease()
+{
+    if (is_relay_candidate(membership_.agent().self(), membership_.agent().table())) {
+        lease_.start();
+    }
+    else if (!lease_.held()) {
+        lease_.stop();
+    }
 }
 
 void control_plane::publish_table()
@@ -207,7 +363,7 @@
         watcher_.start(distributor_.log().state().version());
     }
     else {
-        watcher_.stop();
+        watcher_.pause();
     }
 }
 
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -3,8 +3,10 @@
 
 #include <savorywheel/admin/node_view.hpp>
 #include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/core/event_quota.hpp>
 #include <savorywheel/distribution/commit_watcher.hpp>
 #include <savorywheel/distribution/distributor.hpp>
+#include <savorywheel/distribution/floor_service.hpp>
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/node/membership_service.hpp>
@@ -13,14 +15,17 @@
 #include <savorywheel/settings/node_settings.hpp>
 #include <savorywheel/traffic/gate.hpp>
 
+#include <map>
 #include <optional>
+#include <string>
 
 namespace savorywheel {
 
 /** @brief The control state of a node, which belongs to the control thread. */
 class control_plane final : public node_view,
                             public membership_listener,
-                            public configuration_listener {
+                            public configuration_listener,
+                            public floor_listener {
 public:
     /** @brief What the control plane works with; all must outlive it. */
     struct environment {
@@ -64,15 +69,32 @@
     /** @return Distribution, for the network's threads. */
     [[nodiscard]] distributor& distribution() noexcept { return distributor_; }
 
+    /** @return Floors, for the network's threads. */
+    [[nodiscard]] floor_service& floors() noexcept { return floors_; }
+
     [[nodiscard]] outcome<node_state_dump> dump() override;
     [[nodiscard]] outcome<mesh_state> configuration() override;
     [[nodiscard]] outcome<std::deque<commit>> history() override;
     void announce(const backend_server& backend) override;
     void on_member_changed(const member_update& update) override;
     void on_head_seen(const network_endpoint& peer, config_version head) override;
+    void committed(const commit& change) override;
     void on_configuration(const mesh_state& state) override;
+    void on_bad_commit(const failure& reason) override;
+    void on_floor_settled(config_version floor) override;
+    void on_version_usable(config_version version) override;
+    void on_floor_delayed(config_version version) override;
+    void on_floor_skipped(config_version version) override;
 
 private:
+    [[nodiscard]] membership_service::environment membership_environment();
+    [[nodiscard]] distributor::environment distribution_environment();
+    [[nodiscard]] floor_service::environment floor_environment();
+    /** Reads the log in the store, so that this node learns its floor without buddies. */
+    void read_store();
+    void take_tail(const log_tail& tail);
+    void write_checkpoint();
+    void compete_for_lease();
     void publish_table();
     void set_backend(std::optional<backend_server> backend);
     void expire_backend();
@@ -81,11 +103,16 @@
 
     node_settings settings_;
     environment environment_;
+    event_quota quota_;
     membership_service membership_;
     distributor distributor_;
+    floor_service floors_;
     commit_watcher watcher_;
     lease_keeper lease_;
     routing_table_builder builder_;
+    std::map<config_version, mesh_state> accepted_;
+    config_version checkpointed_;
+    std::string last_fault_;
     std::optional<backend_server> backend_;
     monotonic_time backend_seen_at_;
     std::optional<bool> store_reachable_;
@@ -93,6 +120,8 @@
     bool leaving_{};
     subscription backend_timer_;
     subscription publish_timer_;
+    subscription candidate_timer_;
+    subscription reread_timer_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/membership_service.cpp
+++ b/src/savorywheel/node/membership_service.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/node/membership_service.hpp>
+#include <savorywheel/transport/frame_header.hpp>
 
 #include <utility>
 
@@ -7,33 +8,47 @@
 
 membership_service::membership_service(member_record self, std::vector<network_endpoint> seeds,
                                        environment surroundings)
-    : environment_{surroundings}, agent_{std::move(self), std::move(seeds), membership_settings{},
-                                         swim_agent::environment{
-                                             environment_.loop.time(), environment_.loop.timers(),
-                                             environment_.random, environment_.listener,
-                                             [this](const network_endpoint& peer,
-                                                    const membership_message& message) {
-                                                 send(peer, message);
-                                             },
-                                             [this](const network_endpoint& peer) { sync(peer); }}}
+    : environment_{surroundings},
+      agent_{std::move(self), std::move(seeds), membership_settings{},
+             swim_agent::environment{
+                 environment_.loop.time(), environment_.loop.timers(), environment_.random,
+                 environment_.listener,
+                 [this](const network_endpoint& peer, const membership_message& message) {
+                     send(peer, message);
+                 },
+                 [this](const network_endpoint& peer, const membership_sync_message& request) {
+                     sync(peer, request);
+                 }}}
 {
 }
 
-void membership_service::on_datagram(std::span<const std::byte> payload)
+outcome<bool> membership_service::on_datagram(std::span<const std::byte> payload)
 {
-    if (auto message = decode<membership_message>(payload)) {
-        environment_.loop.post([this, item = std::move(*message)] { agent_.receive(item); });
+    auto message = decode<membership_message>(payload);
+    if (!message) {
+        return message.reason();
     }
+    if (message->protocol != protocol_version) {
+        return failure{failure_code::malformed, "another version of the protocol"};
+    }
+    const bool queued = environment_.quota.post(
+        payload.size(), [this, item = std::move(*message)] { agent_.receive(item); });
+    return queued ? outcome<bool>{true} : failure{failure_code::overload, "too much is queued"};
 }
 
 void membership_service::on_frame(const std::shared_ptr<frame_sink>& source, frame_kind /*kind*/,
                                   std::uint64_t correlation, std::span<const std::byte> payload)
 {
-    environment_.loop.post(
-        [this, source, correlation, copy = std::vector<std::byte>{payload.begin(), payload.end()}] {
-            merge(copy);
-            source->send(frame_kind::membership_full, correlation,
-                         encode(membership_sync_message{agent_.table().all()}));
+    auto request = decode<membership_sync_message>(payload);
+    if (!request) {
+        source->close();
+        return;
+    }
+    environment_.quota.post(
+        payload.size(), [this, source, correlation, message = std::move(*request)] {
+            if (const auto answer = agent_.answer_sync(message)) {
+                source->send(frame_kind::membership_full, correlation, encode(*answer));
+            }
         });
 }
 
@@ -41,25 +56,39 @@
 
 void membership_service::send(const network_endpoint& peer, const membership_message& message)
 {
-    environment_.datagrams.send(peer, encode(message));
+    auto bytes = encode(message);
+    if (bytes.size() > max_datagram_bytes) {
+        auto shorter = message;
+        while (bytes.size() > max_datagram_bytes && !shorter.updates.empty()) {
+            shorter.updates.pop_back();
+            bytes = encode(shorter);
+        }
+    }
+    environment_.datagrams.send(peer, bytes);
 }
 
-void membership_service::sync(const network_endpoint& peer)
+void membership_service::sync(const network_endpoint& peer, const membership_sync_message& request)
 {
     environment_.requests.submit(
-        environment_.network.connection_to(peer), frame_kind::membership_sync,
-        encode(membership_sync_message{agent_.table().all()}),
-        [this](request_client::answer answer) {
+        environment_.network.connection_to(peer), frame_kind::membership_sync, encode(request),
+        [this, peer](request_client::answer answer) {
             if (answer) {
-                environment_.loop.post([this, bytes = std::move(*answer)] { merge(bytes); });
+                environment_.quota.post(answer->size(), [this, peer, bytes = std::move(*answer)] {
+                    finish(peer, bytes);
+                });
             }
         });
 }
 
-void membership_service::merge(std::span<const std::byte> payload)
+void membership_service::finish(const network_endpoint& peer, std::span<const std::byte> payload)
 {
-    if (const auto message = decode<membership_sync_message>(payload)) {
-        agent_.merge_all(message->members);
+    const auto answer = decode<membership_sync_message>(payload);
+    if (!answer) {
+        return;
+    }
+    if (const auto last = agent_.finish_sync(*answer)) {
+        environment_.network.connection_to(peer)->send(frame_kind::membership_sync, 0,
+                                                       encode(*last));
     }
 }
 
--- a/src/savorywheel/node/membership_service.hpp
+++ b/src/savorywheel/node/membership_service.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_NODE_MEMBERSHIP_SERVICE_HPP
 
 #include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/core/event_quota.hpp>
 #include <savorywheel/membership/swim_agent.hpp>
 #include <savorywheel/transport/datagram_channel.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
@@ -24,6 +25,8 @@
     struct environment {
         /** @brief Control thread's events and timers. */
         control_loop& loop;
+        /** @brief Bounds what peers can queue. */
+        event_quota& quota;
         /** @brief Random numbers. */
         random_source& random;
         /** @brief Sends datagrams. */
@@ -47,8 +50,11 @@
     /** @return The decisions. */
     [[nodiscard]] swim_agent& agent() noexcept { return agent_; }
 
-    /** @brief Takes a datagram; any thread may call this. */
-    void on_datagram(std::span<const std::byte> payload);
+    /**
+     * @brief Takes a datagram; any thread may call this.
+     * @return malformed if it is no message of this protocol version; overload if it was dropped.
+     */
+    outcome<bool> on_datagram(std::span<const std::byte> payload);
 
     void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
                   std::uint64_t correlation, std::span<const std::byte> payload) override;
@@ -56,8 +62,8 @@
 
 private:
     void send(const network_endpoint& peer, const membership_message& message);
-    void sync(const network_endpoint& peer);
-    void merge(std::span<const std::byte> payload);
+    void sync(const network_endpoint& peer, const membership_sync_message& request);
+    void finish(const network_endpoint& peer, std::span<const std::byte> payload);
 
     environment environment_;
     swim_agent agent_;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -55,11 +55,13 @@
           proxy_server_{proxy_}, admin_server_{admin_}
     {
         router_.add({frame_kind::call_request, frame_kind::call_cancel}, gate_);
-        router_.add(
-            {frame_kind::call_response, frame_kind::commit_batch, frame_kind::membership_full},
-            requests_);
+        router_.add({frame_kind::call_response, frame_kind::commit_batch,
+                     frame_kind::membership_full, frame_kind::floor_stored,
+                     frame_kind::floor_value},
+                    requests_);
         router_.add({frame_kind::membership_sync}, control_.membership());
         router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
+        router_.add({frame_kind::floor_put, frame_kind::floor_get}, control_.floors());
     }
 
     outcome<bool> start()
@@ -68,7 +70,7 @@
         if (started) {
             started = datagrams_.start(settings_.peer, [this](const network_endpoint& /*sender*/,
                                                               std::span<const std::byte> payload) {
-                control_.membership().on_datagram(payload);
+                static_cast<void>(control_.membership().on_datagram(payload));
             });
         }
         if (started) {
--- a/src/savorywheel/routing/routing_table_builder.cpp
+++ b/src/savorywheel/routing/routing_table_builder.cpp
@@ -6,11 +6,9 @@
 
 namespace {
 
-bool routable(const member_update& update)
+bool routable(const member_record& record)
 {
-    const auto state = update.record.state;
-    return update.status != member_status::dead && !update.record.service.empty() &&
-           (state == server_state::serving || state == server_state::warming);
+    return record.state == server_state::serving || record.state == server_state::warming;
 }
 
 route_endpoint endpoint_of(const member_record& record)
@@ -21,22 +19,39 @@
 
 } // namespace
 
-std::shared_ptr<const routing_table> routing_table_builder::build(const member_table& members) const
+std::shared_ptr<const routing_table> routing_table_builder::build(const member_table& members)
 {
-    std::map<service_name, std::vector<route_endpoint>> endpoints;
-    for (const auto& [id, item] : members.entries()) {
-        if (routable(item.update)) {
-            endpoints[item.update.record.service].push_back(endpoint_of(item.update.record));
-        }
-    }
+    std::erase_if(compiled_,
+                  [this](const auto& item) { return !state_.services().contains(item.first); });
     routing_table::route_map routes;
     for (const auto& [name, service] : state_.services()) {
-        auto compiled = std::make_shared<service_routes>();
-        compiled->state = service;
-        compiled->endpoints = std::move(endpoints[name]);
-        routes.emplace(name, std::move(compiled));
+        routes.emplace_hint(routes.end(), name, routes_of(name, service, members));
     }
     return std::make_shared<const routing_table>(state_.version(), std::move(routes));
 }
 
+std::shared_ptr<const service_routes>
+routing_table_builder::routes_of(const service_name& name,
+                                 const std::shared_ptr<const service_state>& service,
+                                 const member_table& members)
+{
+    const auto* group = members.group(name);
+    const auto revision = group == nullptr ? 0 : group->revision;
+    auto& known = compiled_[name];
+    if (known.routes && known.routes->state == service && known.revision == revision) {
+        return known.routes;
+    }
+    auto routes = std::make_shared<service_routes>();
+    routes->state = service;
+    if (group != nullptr) {
+        for (const auto& [id, record] : group->records) {
+            if (routable(*record)) {
+                routes->endpoints.push_back(endpoint_of(*record));
+            }
+        }
+    }
+    known = {revision, std::move(routes)};
+    return known.routes;
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/routing/routing_table_builder.hpp
+++ b/src/savorywheel/routing/routing_table_builder.hpp
@@ -5,6 +5,8 @@
 #include <savorywheel/membership/member_table.hpp>
 #include <savorywheel/routing/routing_table.hpp>
 
+#include <cstdint>
+#include <map>
 #include <memory>
 
 namespace savorywheel {
@@ -16,14 +18,24 @@
     void set_state(const mesh_state& state) { state_ = state; }
 
     /**
-     * @brief Compiles a table.
+     * @brief Compiles a table; services whose state and members did not change keep their routes.
      * @param members Known members; dead ones and those without a serving backend are left out.
      * @return The table.
      */
-    [[nodiscard]] std::shared_ptr<const routing_table> build(const member_table& members) const;
+    [[nodiscard]] std::shared_ptr<const routing_table> build(const member_table& members);
 
 private:
+    struct compiled_service {
+        std::uint64_t revision{};
+        std::shared_ptr<const service_routes> routes;
+    };
+
+    [[nodiscard]] std::shared_ptr<const service_routes>
+    routes_of(const service_name& name, const std::shared_ptr<const service_state>& service,
+              const member_table& members);
+
     mesh_state state_;
+    std::map<service_name, compiled_service> compiled_;
 };
 
 } // namespace savorywheel
--- /dev/null
+++ b/test/process/proof_configuration_test.cpp
@@ -0,0 +1,209 @@
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <support/local_mesh.hpp>
+#include <support/version_history.hpp>
+#include <support/wait_until.hpp>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iterator>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace savorywheel::test {
+
+namespace {
+
+using std::chrono_literals::operator""s;
+
+constexpr auto convergence_bound = 4s;
+
+std::string text_with_deadline(int deadline_ms)
+{
+    return fmt::format("failure_domains:\n"
+                       "  - {{name: a-1, region: north}}\n"
+                       "  - {{name: b-1, region: north}}\n"
+                       "  - {{name: c-1, region: south}}\n"
+                       "services:\n"
+                       "  - name: bookdesk\n"
+                       "    routes:\n"
+                       "      - {{path: /book, deadline_ms: {}}}\n"
+                       "    versions:\n"
+                       "      - {{name: v1, weight: 100}}\n",
+                       deadline_ms);
+}
+
+std::vector<mesh_member> five_members()
+{
+    return {{"a1", "a-1", "north", "bookdesk"},
+            {"b1", "b-1", "north", "bookdesk"},
+            {"b2", "b-1", "north", "bookdesk"},
+            {"c1", "c-1", "south", "bookdesk"},
+            {"c2", "c-1", "south", "bookdesk"}};
+}
+
+/** Version that a node uses; zero if it does not answer. */
+config_version used_by(local_mesh& mesh, std::size_t index)
+{
+    const auto dump = mesh.state(index);
+    return dump ? dump->version : config_version{};
+}
+
+/** Nodes that relay, out of the given ones. */
+std::vector<std::size_t> relays_of(local_mesh& mesh, std::span<const std::size_t> nodes)
+{
+    std::vector<std::size_t> relays;
+    std::ranges::copy_if(nodes, std::back_inserter(relays), [&](auto index) {
+        const auto dump = mesh.state(index);
+        return dump && dump->relay;
+    });
+    return relays;
+}
+
+/** True once the nodes use the version, within the convergence bound. */
+bool in_force(local_mesh& mesh, std::span<const std::size_t> nodes, config_version version)
+{
+    return wait_until(
+        [&] {
+            return std::ranges::all_of(nodes,
+                                       [&](auto index) { return used_by(mesh, index) >= version; });
+        },
+        convergence_bound);
+}
+
+void apply_first_text(local_mesh& mesh)
+{
+    ASSERT_TRUE(mesh.wait_for_members());
+    const auto report = mesh.apply(0, text_with_deadline(1000));
+    ASSERT_TRUE(report) << report.reason().message;
+    ASSERT_EQ(report->outcome, "accepted") << report->reason;
+    ASSERT_TRUE(mesh.wait_for_version({1}));
+}
+
+constexpr std::array<std::size_t, 5> all_nodes{0, 1, 2, 3, 4};
+constexpr std::array<std::size_t, 2> last_domain{3, 4};
+
+} // namespace
+
+TEST(proof_floor, a_killed_node_never_goes_back_during_an_outage_of_the_store)
+{
+    local_mesh mesh{20, five_members()};
+    apply_first_text(mesh);
+    version_history history;
+    history.record("a1", used_by(mesh, 0));
+    ASSERT_TRUE(wait_until([&] { return relays_of(mesh, last_domain).size() == 1; }));
+    const std::size_t late = relays_of(mesh, last_domain).front() == 3 ? 4 : 3;
+    mesh.node(3).signal(SIGSTOP);
+    mesh.node(4).signal(SIGSTOP);
+    const auto second = mesh.apply(0, text_with_deadline(2000));
+    ASSERT_TRUE(second && second->outcome == "accepted");
+    constexpr std::array<std::size_t, 3> running{0, 1, 2};
+    ASSERT_TRUE(in_force(mesh, running, {2}));
+    history.record("a1", used_by(mesh, 0));
+
+    mesh.set_platform_fault("down=1");
+    mesh.node(0).signal(SIGKILL);
+    static_cast<void>(mesh.node(0).wait());
+    mesh.node(1).signal(SIGSTOP);
+    mesh.node(2).signal(SIGSTOP);
+    // The only other node that runs now is one that has not heard of version 2.
+    mesh.node(late).signal(SIGCONT);
+    mesh.start_node(0);
+    const auto met_others = [&] {
+        const auto dump = mesh.state(0);
+        history.record("a1", dump ? dump->version : config_version{});
+        return dump && dump->known_version >= config_version{1};
+    };
+    ASSERT_TRUE(wait_until(met_others));
+    EXPECT_FALSE(wait_until(
+        [&] {
+            history.record("a1", used_by(mesh, 0));
+            return !history.faults().empty();
+        },
+        2s));
+    mesh.node(1).signal(SIGCONT);
+    mesh.node(2).signal(SIGCONT);
+    EXPECT_TRUE(wait_until([&] {
+        history.record("a1", used_by(mesh, 0));
+        return used_by(mesh, 0) >= config_version{2};
+    }));
+    EXPECT_EQ(history.faults(), "");
+}
+
+TEST(proof_store, changes_spread_and_new_nodes_start_from_peers_around_an_outage)
+{
+    local_mesh mesh{21, five_members()};
+    apply_first_text(mesh);
+    version_history history;
+    mesh.set_platform_fault("down=1");
+    mesh.node(2).signal(SIGKILL);
+    static_cast<void>(mesh.node(2).wait());
+    mesh.start_node(2);
+    constexpr std::array<std::size_t, 1> restarted{2};
+    EXPECT_TRUE(in_force(mesh, restarted, {1}));
+    const auto refused = mesh.apply(0, text_with_deadline(2000));
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->outcome, "refused");
+    const auto answer = mesh.call(2, "bookdesk", {"POST", "/book", {}, "plug"});
+    ASSERT_TRUE(answer) << answer.reason().message;
+    EXPECT_EQ(answer->status, 200) << answer->body;
+    mesh.set_platform_fault("down=0");
+    const auto accepted = mesh.apply(1, text_with_deadline(2000));
+    ASSERT_TRUE(accepted && accepted->outcome == "accepted");
+    EXPECT_TRUE(in_force(mesh, all_nodes, {2}));
+}
+
+TEST(proof_herd, a_change_is_in_force_in_time_without_any_relay_and_store)
+{
+    local_mesh mesh{22, five_members()};
+    apply_first_text(mesh);
+    ASSERT_TRUE(wait_until([&] { return relays_of(mesh, all_nodes).size() == 3; }));
+    const auto relays = relays_of(mesh, all_nodes);
+    std::vector<std::size_t> others;
+    for (const auto index : all_nodes) {
+        if (std::ranges::find(relays, index) == relays.end()) {
+            others.push_back(index);
+        }
+    }
+    for (const auto index : relays) {
+        mesh.node(index).signal(SIGKILL);
+        static_cast<void>(mesh.node(index).wait());
+    }
+    const auto report = mesh.apply(others.front(), text_with_deadline(2000));
+    mesh.set_platform_fault("down=1");
+    ASSERT_TRUE(report && report->outcome == "accepted");
+    EXPECT_TRUE(in_force(mesh, others, report->version));
+    mesh.set_platform_fault("down=0");
+    for (const auto index : relays) {
+        mesh.start_node(index);
+    }
+    EXPECT_TRUE(in_force(mesh, all_nodes, report->version));
+}
+
+TEST(proof_herd, a_failure_domain_that_comes_back_during_an_outage_is_up_to_date_in_time)
+{
+    local_mesh mesh{23, five_members()};
+    apply_first_text(mesh);
+    version_history history;
+    for (const auto index : all_nodes) {
+        history.record(std::to_string(index), used_by(mesh, index));
+    }
+    for (const std::size_t index : {1, 2}) {
+        mesh.node(index).signal(SIGKILL);
+        static_cast<void>(mesh.node(index).wait());
+    }
+    const auto report = mesh.apply(0, text_with_deadline(2000));
+    ASSERT_TRUE(report && report->outcome == "accepted");
+    mesh.set_platform_fault("down=1");
+    mesh.start_node(1);
+    mesh.start_node(2);
+    EXPECT_TRUE(in_force(mesh, all_nodes, report->version));
+    for (const auto index : all_nodes) {
+        history.record(std::to_string(index), used_by(mesh, index));
+    }
+    EXPECT_EQ(history.faults(), "");
+}
+
+} // namespace savorywheel::test
