Make not-run truthful and starts never late; refuse answers that may be cut

Cause: (1) a refusal after an attempt of unknown outcome was reported as "not run"; (2) a gate that was held up (a paused process, a full stream) started calls whose caller's node had given up, since it counted the remaining time from the arrival; (3) an answer without a length, cut by a closed connection, passed as whole, also one cut inside its header; (4) streams were cut with frames queued; every idle stream carried two heartbeats a second for ever. Ruled out: absolute deadlines need synchronized calendars; remaining time alone cannot see the time that a frame waited. Change: the accepting end of a stream sends its monotonic time first and with each heartbeat; the opening end keeps the offset of the least delayed one and writes no frame before it has one. Calls carry their deadline on the gate's clock. A connection that never answered has carried no request, so that its calls are truly not run. Heartbeats are sent only while a request is unanswered or the stream was used in the last 10 s, and not beside other frames; the opening end closes idle streams. A graceful stop writes what is queued and half-closes.

--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -36,6 +36,7 @@
 {
     archive(cereal::make_nvp("service", call.service), cereal::make_nvp("version", call.version),
             cereal::make_nvp("remaining_ms", call.remaining),
+            cereal::make_nvp("expires_us", call.expires),
             cereal::make_nvp("idempotent", call.idempotent),
             cereal::make_nvp("request", call.request));
 }
--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t max_idle_handles = 64;
 constexpr long max_connect_milliseconds = 1000;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
 
 /** Initializes libcurl once for the process. */
 void initialize_library()
@@ -45,6 +47,8 @@
     {
         response_ = {};
         sent_ = false;
+        head_request_ = request.method == "HEAD";
+        headers_ended_ = false;
         curl_easy_reset(handle_);
         const auto url = "http://" + to_string(server) + request.target;
         set_request(request, url, timeout);
@@ -104,6 +108,10 @@
             long status{};
             curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
             response_.status = static_cast<int>(status);
+            if (!headers_ended_ || !length_known()) {
+                return failure{failure_code::unknown_outcome,
+                               "the answer may be cut: its length is not given"};
+            }
             return std::move(response_);
         }
         const std::string message = curl_easy_strerror(result);
@@ -116,6 +124,15 @@
         return failure{failure_code::unknown_outcome, message};
     }
 
+    /** A body that ends where the connection does cannot be told from one that was cut. */
+    [[nodiscard]] bool length_known() const
+    {
+        return head_request_ || response_.status == status_no_content ||
+               response_.status == status_not_modified ||
+               !find_header(response_.headers, "Content-Length").empty() ||
+               !find_header(response_.headers, "Transfer-Encoding").empty();
+    }
+
     /** Libcurl repeats a request whose kept connection was closed; the second time is refused. */
     static int before_request(void* self, char* /*remote*/, char* /*local*/, int /*remote_port*/,
                               int /*local_port*/)
@@ -137,6 +154,10 @@
         const auto colon = line.find(':');
         if (line.starts_with("HTTP/")) {
             headers.clear();
+            static_cast<transfer*>(self)->headers_ended_ = false;
+        }
+        else if (trim(line).empty()) {
+            static_cast<transfer*>(self)->headers_ended_ = true;
         }
         else if (colon != std::string_view::npos) {
             headers.push_back({std::string{trim(line.substr(0, colon))},
@@ -148,6 +169,8 @@
     CURL* handle_;
     http_response response_;
     bool sent_{};
+    bool head_request_{};
+    bool headers_ended_{};
 };
 
 curl_http_client::curl_http_client()
--- a/src/savorywheel/traffic/call_request.hpp
+++ b/src/savorywheel/traffic/call_request.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/core/names.hpp>
 #include <savorywheel/http/http_request.hpp>
+#include <savorywheel/transport/peer_clock.hpp>
 
 #include <chrono>
 
@@ -16,6 +17,8 @@
     version_name version;
     /** @brief Time left until the deadline. */
     std::chrono::milliseconds remaining{};
+    /** @brief Deadline on the receiving node's clock; the call must not start after it. */
+    peer_time expires{};
     /** @brief True if it may be run more than once. */
     bool idempotent{};
     /** @brief The request. */
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -84,7 +84,7 @@
         source->close();
         return;
     }
-    const auto deadline = clock_.now() + call->remaining;
+    const auto deadline = std::min(clock_.now() + call->remaining, monotonic_time{call->expires});
     admit({source, correlation, std::move(*call), deadline});
 }
 
--- a/src/savorywheel/traffic/peer_call_transport.cpp
+++ b/src/savorywheel/traffic/peer_call_transport.cpp
@@ -36,14 +36,21 @@
 call_response peer_call_transport::call(const network_endpoint& peer, const call_request& call,
                                         monotonic_time deadline)
 {
-    const auto slot = std::make_shared<answer_slot>();
     const auto connection = network_.connection_to(peer);
-    const auto correlation = requests_.submit(connection, frame_kind::call_request, encode(call),
-                                              [slot](request_client::answer answer) {
-                                                  const std::scoped_lock lock{slot->mutex};
-                                                  slot->answer = std::move(answer);
-                                                  slot->arrived.notify_one();
-                                              });
+    const auto expires = connection->await_open(deadline);
+    if (!expires) {
+        return {call_result::not_run, "no connection to the node " + to_string(peer), {}};
+    }
+    auto timed_call = call;
+    timed_call.expires = *expires;
+    const auto slot = std::make_shared<answer_slot>();
+    const auto correlation =
+        requests_.submit(connection, frame_kind::call_request, encode(timed_call),
+                         [slot](request_client::answer answer) {
+                             const std::scoped_lock lock{slot->mutex};
+                             slot->answer = std::move(answer);
+                             slot->arrived.notify_one();
+                         });
     std::unique_lock lock{slot->mutex};
     if (slot->arrived.wait_until(lock, deadline, [&slot] { return slot->answer.has_value(); })) {
         return read_answer(*slot->answer);
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -83,13 +83,18 @@
 {
     environment_.retries.earn(item.call.service);
     std::vector<node_id> tried;
+    bool may_have_run = false;
     while (true) {
         auto outcome = attempt(item, tried);
+        may_have_run = may_have_run || outcome.result == call_result::unknown;
         const bool may_repeat = outcome.result == call_result::not_run ||
                                 (outcome.result == call_result::unknown && item.call.idempotent);
         if (!may_repeat || environment_.time.now() >= item.deadline ||
             tried.size() >= item.routes->endpoints.size() ||
             !environment_.retries.spend(item.call.service)) {
+            if (may_have_run && outcome.result == call_result::not_run) {
+                outcome.result = call_result::unknown;
+            }
             return conclude(item, std::move(outcome));
         }
         environment_.metrics.count("retries") += 1;
--- a/src/savorywheel/transport/asio_peer_network.cpp
+++ b/src/savorywheel/transport/asio_peer_network.cpp
@@ -140,7 +140,7 @@
             }
         }
         for (const auto& connection : all) {
-            connection->close();
+            connection->close_after_writing();
         }
     }
 
--- a/src/savorywheel/transport/asio_peer_network.hpp
+++ b/src/savorywheel/transport/asio_peer_network.hpp
@@ -27,7 +27,7 @@
      */
     [[nodiscard]] outcome<bool> start(const network_endpoint& local);
 
-    /** @brief Closes all connections and ends the stream thread. */
+    /** @brief Writes what is queued, closes all connections and ends the stream thread. */
     void stop();
 
     [[nodiscard]] std::shared_ptr<frame_sink> connection_to(const network_endpoint& peer) override;
--- /dev/null
+++ b/src/savorywheel/transport/exchange_tracker.cpp
@@ -0,0 +1,55 @@
+#include <savorywheel/transport/exchange_tracker.hpp>
+
+namespace savorywheel {
+
+namespace {
+
+bool opens(frame_kind kind) noexcept
+{
+    return kind == frame_kind::call_request || kind == frame_kind::commit_fetch ||
+           kind == frame_kind::membership_sync;
+}
+
+bool closes(frame_kind kind) noexcept
+{
+    return kind == frame_kind::call_response || kind == frame_kind::commit_batch ||
+           kind == frame_kind::membership_full;
+}
+
+} // namespace
+
+void exchange_tracker::on_sent(frame_kind kind, std::uint64_t correlation, monotonic_time now)
+{
+    if (kind == frame_kind::heartbeat) {
+        return;
+    }
+    last_used_ = now;
+    if (opens(kind)) {
+        sent_.insert(correlation);
+    }
+    else if (closes(kind)) {
+        received_.erase(correlation);
+    }
+    else if (kind == frame_kind::call_cancel) {
+        sent_.erase(correlation);
+    }
+}
+
+void exchange_tracker::on_received(frame_kind kind, std::uint64_t correlation, monotonic_time now)
+{
+    if (kind == frame_kind::heartbeat) {
+        return;
+    }
+    last_used_ = now;
+    if (opens(kind)) {
+        received_.insert(correlation);
+    }
+    else if (closes(kind)) {
+        sent_.erase(correlation);
+    }
+    else if (kind == frame_kind::call_cancel) {
+        received_.erase(correlation);
+    }
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/transport/exchange_tracker.hpp
@@ -0,0 +1,35 @@
+#ifndef SAVORYWHEEL_TRANSPORT_EXCHANGE_TRACKER_HPP
+#define SAVORYWHEEL_TRANSPORT_EXCHANGE_TRACKER_HPP
+
+#include <savorywheel/core/clock.hpp>
+#include <savorywheel/transport/frame_kind.hpp>
+
+#include <cstdint>
+#include <set>
+
+namespace savorywheel {
+
+/** @brief Knows whether requests are unanswered on a stream, and when it was last used. */
+class exchange_tracker {
+public:
+    /** @brief Notes a frame that this end sends. */
+    void on_sent(frame_kind kind, std::uint64_t correlation, monotonic_time now);
+
+    /** @brief Notes a frame that this end received. */
+    void on_received(frame_kind kind, std::uint64_t correlation, monotonic_time now);
+
+    /** @return True if a request of either end is unanswered. */
+    [[nodiscard]] bool unanswered() const noexcept { return !sent_.empty() || !received_.empty(); }
+
+    /** @return When a frame other than a heartbeat was last sent or received. */
+    [[nodiscard]] monotonic_time last_used() const noexcept { return last_used_; }
+
+private:
+    std::set<std::uint64_t> sent_;
+    std::set<std::uint64_t> received_;
+    monotonic_time last_used_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/transport/frame_sink.hpp
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -2,9 +2,11 @@
 #define SAVORYWHEEL_TRANSPORT_FRAME_SINK_HPP
 
 #include <savorywheel/transport/frame_kind.hpp>
+#include <savorywheel/transport/peer_clock.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 
 namespace savorywheel {
@@ -31,6 +33,20 @@
 
     /** @brief Closes the connection; its handler hears of it. */
     virtual void close() = 0;
+
+    /** @brief Closes the connection once all queued frames were written. */
+    virtual void close_after_writing() { close(); }
+
+    /**
+     * @brief Waits until the peer has answered on the connection, so that frames reach it.
+     * @param deadline Longest wait.
+     * @return The deadline on the peer's clock, or earlier; nothing if the connection did not open.
+     * @warning Not for the stream thread.
+     */
+    [[nodiscard]] virtual std::optional<peer_time> await_open(monotonic_time deadline)
+    {
+        return to_peer_time(deadline);
+    }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/peer_connection.cpp
+++ b/src/savorywheel/transport/peer_connection.cpp
@@ -12,9 +12,13 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds heartbeat_period{500};
 constexpr std::chrono::milliseconds silence_limit{1500};
+constexpr std::chrono::milliseconds open_limit{1000};
+constexpr std::chrono::seconds idle_limit{10};
+constexpr std::chrono::seconds accepted_idle_limit{30};
 constexpr std::size_t max_queued_bytes = 4UL * max_frame_bytes;
 
 } // namespace
@@ -33,7 +37,8 @@
         asio::post(socket_.get_executor(), [self = shared_from_this()] { self->finish(); });
         return;
     }
-    last_received_ = std::chrono::steady_clock::now();
+    opener_ = true;
+    last_received_ = steady_clock::now();
     watch_silence();
     socket_.async_connect({address, peer.port},
                           [self = shared_from_this()](const error_code& result) {
@@ -48,7 +53,9 @@
 void peer_connection::accept(asio::ip::tcp::socket socket)
 {
     socket_ = std::move(socket);
+    established_ = true;
     start();
+    send_heartbeat();
     watch_silence();
 }
 
@@ -64,9 +71,10 @@
     std::ranges::copy(payload, std::ranges::copy(header, bytes.begin()).out);
     {
         const std::scoped_lock lock{mutex_};
-        if (queued_bytes_ + bytes.size() > max_queued_bytes) {
+        if (closed_ || closing_ || queued_bytes_ + bytes.size() > max_queued_bytes) {
             return false;
         }
+        exchanges_.on_sent(kind, correlation, steady_clock::now());
         queued_bytes_ += bytes.size();
         queue_.push_back(std::move(bytes));
     }
@@ -80,14 +88,35 @@
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->finish(); });
 }
 
+void peer_connection::close_after_writing()
+{
+    {
+        const std::scoped_lock lock{mutex_};
+        closing_ = true;
+    }
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->closing_since_ = steady_clock::now();
+        self->write_next();
+    });
+}
+
+std::optional<peer_time> peer_connection::await_open(monotonic_time deadline)
+{
+    std::unique_lock lock{mutex_};
+    opened_.wait_until(lock, deadline, [this] { return open_ || closed_; });
+    if (!open_ || closed_) {
+        return std::nullopt;
+    }
+    return peer_clock_.convert(deadline);
+}
+
 void peer_connection::start()
 {
-    established_ = true;
-    last_received_ = std::chrono::steady_clock::now();
+    last_received_ = steady_clock::now();
+    last_sent_ = last_received_;
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay{true}, ignored);
     read_header();
-    write_next();
 }
 
 void peer_connection::read_header()
@@ -98,7 +127,7 @@
                              self->finish();
                              return;
                          }
-                         self->last_received_ = std::chrono::steady_clock::now();
+                         self->last_received_ = steady_clock::now();
                          const auto header = decode_header(self->header_);
                          if (!header) {
                              self->finish();
@@ -117,14 +146,37 @@
                              self->finish();
                              return;
                          }
-                         if (header.kind != frame_kind::heartbeat) {
-                             self->handler_.on_frame(self, header.kind, header.correlation,
-                                                     self->payload_);
-                         }
+                         self->receive(header);
                          self->read_header();
                      });
 }
 
+void peer_connection::receive(const frame_header& header)
+{
+    last_received_ = steady_clock::now();
+    if (header.kind == frame_kind::heartbeat) {
+        on_heartbeat(header.correlation);
+        return;
+    }
+    {
+        const std::scoped_lock lock{mutex_};
+        exchanges_.on_received(header.kind, header.correlation, last_received_);
+    }
+    handler_.on_frame(shared_from_this(), header.kind, header.correlation, payload_);
+}
+
+void peer_connection::on_heartbeat(std::uint64_t sent)
+{
+    {
+        const std::scoped_lock lock{mutex_};
+        peer_clock_.observe(peer_time{static_cast<peer_time::rep>(sent)}, last_received_);
+        open_ = true;
+    }
+    opened_.notify_all();
+    established_ = true;
+    write_next();
+}
+
 void peer_connection::write_next()
 {
     if (writing_ || !established_ || finished_) {
@@ -132,9 +184,14 @@
     }
     const std::scoped_lock lock{mutex_};
     if (queue_.empty()) {
+        if (closing_) {
+            error_code ignored;
+            socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        }
         return;
     }
     writing_ = true;
+    last_sent_ = steady_clock::now();
     asio::async_write(socket_, asio::buffer(queue_.front()),
                       [self = shared_from_this()](const error_code& error, std::size_t) {
                           self->writing_ = false;
@@ -158,20 +215,49 @@
         if (error || self->finished_) {
             return;
         }
-        if (std::chrono::steady_clock::now() - self->last_received_ > silence_limit) {
-            self->finish();
-            return;
-        }
-        if (self->established_) {
-            self->send(frame_kind::heartbeat, 0, {});
-        }
-        self->watch_silence();
+        self->check_silence(steady_clock::now());
     });
 }
 
+void peer_connection::check_silence(monotonic_time now)
+{
+    bool unanswered{};
+    duration idle{};
+    {
+        const std::scoped_lock lock{mutex_};
+        unanswered = exchanges_.unanswered();
+        idle = now - std::max(exchanges_.last_used(), started_);
+    }
+    if (closing_since_ && (!established_ || now - *closing_since_ > silence_limit)) {
+        finish();
+        return;
+    }
+    const auto silent = now - last_received_;
+    const bool active = unanswered || idle < idle_limit;
+    if ((!established_ && now - started_ > open_limit) || (active && silent > silence_limit) ||
+        (!unanswered && idle > (opener_ ? idle_limit : accepted_idle_limit))) {
+        finish();
+        return;
+    }
+    if (active && established_ && now - last_sent_ >= heartbeat_period) {
+        send_heartbeat();
+    }
+    watch_silence();
+}
+
+void peer_connection::send_heartbeat()
+{
+    const auto now = to_peer_time(steady_clock::now());
+    send(frame_kind::heartbeat, static_cast<std::uint64_t>(now.count()), {});
+}
+
 void peer_connection::finish()
 {
-    closed_ = true;
+    {
+        const std::scoped_lock lock{mutex_};
+        closed_ = true;
+    }
+    opened_.notify_all();
     if (std::exchange(finished_, true)) {
         return;
     }
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -2,9 +2,11 @@
 #define SAVORYWHEEL_TRANSPORT_PEER_CONNECTION_HPP
 
 #include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/transport/exchange_tracker.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 #include <savorywheel/transport/frame_header.hpp>
 #include <savorywheel/transport/frame_sink.hpp>
+#include <savorywheel/transport/peer_clock.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,10 +15,12 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -24,6 +28,11 @@
 
 /**
  * @brief One TCP stream to a peer; all input and output runs on the stream thread.
+ *
+ * The accepting end sends a heartbeat first. The opening end writes nothing before it arrives, so
+ * that a connection which never carried data in both directions has carried no request. Later
+ * heartbeats are sent in the absence of other frames while a request is unanswered or the stream
+ * was used recently. The opening end closes a stream that is no longer used.
  * @warning Include it only in source files of this module; it brings Boost.Asio.
  */
 class peer_connection final : public frame_sink,
@@ -52,6 +61,8 @@
     bool send(frame_kind kind, std::uint64_t correlation,
               std::span<const std::byte> payload) override;
     void close() override;
+    void close_after_writing() override;
+    [[nodiscard]] std::optional<peer_time> await_open(monotonic_time deadline) override;
 
 private:
     using buffer = std::vector<std::byte>;
@@ -60,7 +71,11 @@
     void read_header();
     void read_payload(const frame_header& header);
     void write_next();
+    void on_heartbeat(std::uint64_t sent);
+    void receive(const frame_header& header);
     void watch_silence();
+    void check_silence(monotonic_time now);
+    void send_heartbeat();
     void finish();
 
     boost::asio::ip::tcp::socket socket_;
@@ -70,11 +85,20 @@
     std::array<std::byte, frame_header_bytes> header_{};
     buffer payload_;
     std::atomic<bool> closed_{};
+    bool opener_{};
     bool established_{};
     bool finished_{};
     bool writing_{};
-    std::chrono::steady_clock::time_point last_received_;
+    bool closing_{};
+    monotonic_time started_{std::chrono::steady_clock::now()};
+    monotonic_time last_received_;
+    monotonic_time last_sent_;
+    std::optional<monotonic_time> closing_since_;
     std::mutex mutex_;
+    std::condition_variable opened_;
+    bool open_{};
+    peer_clock peer_clock_;
+    exchange_tracker exchanges_;
     std::deque<buffer> queue_;
     std::size_t queued_bytes_{};
 };
--- /dev/null
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -0,0 +1,68 @@
+#include <savorywheel/http/curl_http_client.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <support/scripted_server.hpp>
+
+namespace savorywheel::test {
+
+namespace {
+
+constexpr std::chrono::seconds timeout{5};
+const http_request booking{"POST", "/book", {}, "plug 7"};
+
+std::string whole_answer(bool chunked)
+{
+    if (chunked) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    }
+    return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+}
+
+} // namespace
+
+TEST(proof_whole_answers, an_answer_cut_anywhere_is_an_unknown_outcome)
+{
+    EXPECT_TRUE(rc::check([] {
+        const auto whole = whole_answer(*rc::gen::arbitrary<bool>());
+        const auto length = *rc::gen::inRange<std::size_t>(0, whole.size() + 1);
+        scripted_server server{{{whole.substr(0, length)}}};
+        curl_http_client client;
+        const auto answer = client.send(server.endpoint(), booking, timeout);
+        RC_ASSERT(static_cast<bool>(answer) == (length == whole.size()));
+        RC_ASSERT((answer || answer.reason().code == failure_code::unknown_outcome));
+    }));
+}
+
+TEST(proof_whole_answers, a_body_that_ends_with_the_connection_is_an_unknown_outcome)
+{
+    scripted_server server{{{"HTTP/1.1 200 OK\r\n\r\nhel"}}};
+    curl_http_client client;
+    const auto answer = client.send(server.endpoint(), booking, timeout);
+    ASSERT_FALSE(answer);
+    EXPECT_EQ(answer.reason().code, failure_code::unknown_outcome);
+}
+
+TEST(proof_at_most_once, a_kept_connection_that_closes_under_a_request_is_not_retried)
+{
+    scripted_server server{{{whole_answer(false), false}, {"", true}, {whole_answer(false)}}};
+    curl_http_client client;
+    ASSERT_TRUE(client.send(server.endpoint(), booking, timeout));
+    const auto second = client.send(server.endpoint(), booking, timeout);
+    ASSERT_FALSE(second);
+    EXPECT_EQ(second.reason().code, failure_code::unknown_outcome);
+    EXPECT_EQ(server.requests(), 2U);
+}
+
+TEST(curl_http_client, bytes_after_an_answer_never_become_the_next_answer)
+{
+    scripted_server server{
+        {{whole_answer(false) + "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate", false},
+         {whole_answer(false), false}}};
+    curl_http_client client;
+    ASSERT_TRUE(client.send(server.endpoint(), booking, timeout));
+    const auto second = client.send(server.endpoint(), booking, timeout);
+    EXPECT_TRUE(!second || second->body == "hello");
+}
+
+} // namespace savorywheel::test
--- /dev/null
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -0,0 +1,115 @@
+#include <savorywheel/traffic/gate.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <support/blocking_http_client.hpp>
+#include <support/manual_clock.hpp>
+#include <support/recording_sink.hpp>
+#include <support/wait_until.hpp>
+
+namespace savorywheel::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+backend_server make_backend(std::uint32_t slots)
+{
+    return {service_name{"bookdesk"}, version_name{"v1"}, {}, server_state::serving, slots};
+}
+
+call_request make_call(std::string body, milliseconds remaining, peer_time expires)
+{
+    call_request call;
+    call.service = service_name{"bookdesk"};
+    call.version = version_name{"v1"};
+    call.remaining = remaining;
+    call.expires = expires;
+    call.request = {"POST", "/book", {}, std::move(body)};
+    return call;
+}
+
+/** A gate over a client that a test controls; all that runs is let go at the end. */
+struct controlled_gate {
+    explicit controlled_gate(std::uint32_t slots) { subject.set_backend(make_backend(slots)); }
+
+    ~controlled_gate()
+    {
+        client.release(1'000'000);
+        subject.stop();
+    }
+    controlled_gate(const controlled_gate&) = delete;
+    controlled_gate& operator=(const controlled_gate&) = delete;
+    controlled_gate(controlled_gate&&) = delete;
+    controlled_gate& operator=(controlled_gate&&) = delete;
+
+    void submit(std::uint64_t id, milliseconds remaining, peer_time expires)
+    {
+        subject.on_frame(sink, frame_kind::call_request, id,
+                         encode(make_call(std::to_string(id), remaining, expires)));
+    }
+
+    void submit(std::uint64_t id, milliseconds remaining)
+    {
+        submit(id, remaining, to_peer_time(time.now() + remaining));
+    }
+
+    manual_clock time;
+    blocking_http_client client;
+    std::shared_ptr<recording_sink> sink = std::make_shared<recording_sink>();
+    gate subject{client, time};
+};
+
+} // namespace
+
+TEST(proof_at_most_once, a_call_whose_callers_node_gave_up_does_not_start)
+{
+    EXPECT_TRUE(rc::check([] {
+        controlled_gate mesh{2};
+        const auto lifetime = milliseconds{*rc::gen::inRange(1, 1000)};
+        const auto held_up = milliseconds{*rc::gen::inRange(0, 2000)};
+        const auto expires = to_peer_time(mesh.time.now() + lifetime);
+        mesh.time.advance(held_up);
+        mesh.client.release(1);
+        mesh.submit(1, lifetime, expires);
+        RC_ASSERT(wait_until([&mesh] { return mesh.sink->responses() == 1; }));
+        const bool late = held_up >= lifetime;
+        RC_ASSERT(mesh.client.count("1") == (late ? 0U : 1U));
+        RC_ASSERT((mesh.sink->response(1)->result == call_result::not_run) == late);
+    }));
+}
+
+TEST(proof_truthful_not_run, what_the_gate_refuses_or_cancels_never_runs)
+{
+    EXPECT_TRUE(rc::check([] {
+        const auto slots = *rc::gen::inRange<std::uint32_t>(1, 4);
+        const auto calls = *rc::gen::inRange<std::uint64_t>(1, 30);
+        controlled_gate mesh{slots};
+        std::vector<std::uint64_t> cancelled;
+        for (std::uint64_t id = 1; id <= calls; ++id) {
+            mesh.submit(id, milliseconds{1000});
+            if (*rc::gen::inRange(0, 4) == 0) {
+                mesh.client.release(1);
+            }
+            if (*rc::gen::inRange(0, 4) == 0) {
+                cancelled.push_back(id);
+                mesh.subject.on_frame(mesh.sink, frame_kind::call_cancel, id, {});
+            }
+            mesh.time.advance(milliseconds{*rc::gen::inRange(0, 200)});
+        }
+        mesh.client.release(calls);
+        mesh.subject.stop();
+        RC_ASSERT(mesh.client.most_running() <= slots);
+        for (std::uint64_t id = 1; id <= calls; ++id) {
+            const auto runs = mesh.client.count(std::to_string(id));
+            RC_ASSERT(runs <= 1U);
+            const auto response = mesh.sink->response(id);
+            RC_ASSERT((!response || response->result != call_result::not_run || runs == 0U));
+            RC_ASSERT((!response || response->result != call_result::answered ||
+                       response->response.body == std::to_string(id)));
+            RC_ASSERT((response || std::ranges::count(cancelled, id) == 1));
+        }
+    }));
+}
+
+} // namespace savorywheel::test
