--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -10,6 +10,7 @@
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/node/membership_service.hpp>
+#include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/settings/node_settings.hpp>
@@ -47,6 +48,10 @@
         routing_table_holder& tables;
         /** @brief The way to the backend server. */
         gate& backend_gate;
+        /** @brief What the traffic threads see of moving services. */
+        evidence_recorder& evidence;
+        /** @brief Ejected versions that the traffic threads heed. */
+        version_ejections& ejections;
         /** @brief Log. */
         event_log& log;
     };
@@ -72,6 +77,9 @@
     /** @return Floors, for the network's threads. */
     [[nodiscard]] floor_service& floors() noexcept { return floors_; }
 
+    /** @return Moves of traffic, for the network's threads. */
+    [[nodiscard]] rollout_service& rollouts() noexcept { return rollouts_; }
+
     [[nodiscard]] outcome<node_state_dump> dump() override;
     [[nodiscard]] outcome<mesh_state> configuration() override;
     [[nodiscard]] outcome<std::deque<commit>> history() override;
@@ -109,6 +117,7 @@
     floor_service floors_;
     commit_watcher watcher_;
     lease_keeper lease_;
+    rollout_service rollouts_;
     routing_table_builder builder_;
     std::map<config_version, mesh_state> accepted_;
     config_version checkpointed_;
