Count control bytes, store calls, processor time and memory of a node

Cause: none of the users' measures could be read from a node: bytes between nodes, calls to the platform's service, processor time and memory were not counted.

Ruled out: decorators over peer_network and frame_handler. request_client pairs an answer with its request by the identity of the connection, which a wrapper would change, and heartbeats never leave peer_connection. Counting in the encoder: it does not know the peer.

Change: transport tells a byte_meter of every frame and datagram with the peer's IP number and a traffic_class; region_byte_meter splits them by the region that the member record gives. An outgoing stream is bound to the node's own IP number, so that the accepting side knows its peer. metered_object_store counts calls. process_cost_source reads processor time per thread name and resident memory whenever /metrics is read.

--- /dev/null
+++ b/src/savorywheel/core/thread_name.cpp
@@ -0,0 +1,12 @@
+#include <savorywheel/core/thread_name.hpp>
+
+#include <pthread.h>
+
+namespace savorywheel {
+
+void name_this_thread(const char* name) noexcept
+{
+    pthread_setname_np(pthread_self(), name);
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/distribution/commit_watcher.cpp
+++ b/src/savorywheel/distribution/commit_watcher.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/distribution/commit_keys.hpp>
 #include <savorywheel/distribution/commit_watcher.hpp>
 #include <savorywheel/encoding/codec.hpp>
@@ -48,6 +49,7 @@
 
 void commit_watcher::run(config_version after)
 {
+    name_this_thread("store-watch");
     auto position = after;
     std::uint64_t revision{};
     bool listed = false;
--- a/src/savorywheel/metrics/fwd.hpp
+++ b/src/savorywheel/metrics/fwd.hpp
@@ -5,6 +5,9 @@
 
 class latency_recorder;
 class metric_registry;
+class metric_source;
+class process_cost_source;
+class region_byte_meter;
 struct latency_summary;
 
 } // namespace savorywheel
--- a/src/savorywheel/metrics/metric_registry.cpp
+++ b/src/savorywheel/metrics/metric_registry.cpp
@@ -16,8 +16,11 @@
     return latencies_[std::string{name}];
 }
 
-std::string metric_registry::render() const
+std::string metric_registry::render()
 {
+    for (auto* source : sources_) {
+        source->collect(*this);
+    }
     const std::scoped_lock lock{mutex_};
     std::string text;
     for (const auto& [name, value] : counters_) {
--- a/src/savorywheel/metrics/metric_registry.hpp
+++ b/src/savorywheel/metrics/metric_registry.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_METRICS_METRIC_REGISTRY_HPP
 
 #include <savorywheel/metrics/latency_recorder.hpp>
+#include <savorywheel/metrics/metric_source.hpp>
 
 #include <atomic>
 #include <cstdint>
@@ -10,6 +11,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace savorywheel {
 
@@ -25,11 +27,19 @@
     /** @return The latencies of that name; they live as long as the registry. */
     [[nodiscard]] latency_recorder& latency(std::string_view name);
 
+    /**
+     * @brief Adds a source that brings its values up to date before each render().
+     * @param source The source; must outlive the registry.
+     * @warning Call it before other threads use the registry.
+     */
+    void add_source(metric_source& source) { sources_.push_back(&source); }
+
     /** @return One line per value: name, a space, value. */
-    [[nodiscard]] std::string render() const;
+    [[nodiscard]] std::string render();
 
 private:
-    mutable std::mutex mutex_;
+    std::mutex mutex_;
+    std::vector<metric_source*> sources_;
     std::map<std::string, counter, std::less<>> counters_;
     std::map<std::string, latency_recorder, std::less<>> latencies_;
 };
--- /dev/null
+++ b/src/savorywheel/metrics/process_cost_source.hpp
@@ -0,0 +1,22 @@
+#ifndef SAVORYWHEEL_METRICS_PROCESS_COST_SOURCE_HPP
+#define SAVORYWHEEL_METRICS_PROCESS_COST_SOURCE_HPP
+
+#include <savorywheel/metrics/metric_source.hpp>
+
+namespace savorywheel {
+
+/**
+ * @brief Processor time and memory of this process.
+ *
+ * Keeps "process_cpu_us", "process_resident_kb", "process_threads", and "thread_cpu_us_NAME" for
+ * the living threads of each name; unnamed threads, such as those of HTTP servers, count under the
+ * name of the program.
+ */
+class process_cost_source final : public metric_source {
+public:
+    void collect(metric_registry& registry) override;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -148,6 +148,7 @@
 
 void control_plane::on_member_changed(const member_update& update)
 {
+    environment_.meter.set_region(update.record.peer.address, update.record.region);
     if (update.record.id != settings_.name) {
         environment_.log.write(event_of(update.status), update.record.id.str());
     }
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -7,6 +7,7 @@
 #include <savorywheel/distribution/distributor.hpp>
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
+#include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/membership_service.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
@@ -42,6 +43,8 @@
         routing_table_holder& tables;
         /** @brief The way to the backend server. */
         gate& backend_gate;
+        /** @brief Learns the regions of peers. */
+        region_byte_meter& meter;
         /** @brief Log. */
         event_log& log;
     };
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -2,13 +2,17 @@
 #include <savorywheel/core/control_loop.hpp>
 #include <savorywheel/core/seeded_random.hpp>
 #include <savorywheel/core/system_clock_source.hpp>
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/http/curl_http_client.hpp>
 #include <savorywheel/http/http_server.hpp>
+#include <savorywheel/metrics/process_cost_source.hpp>
+#include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/node.hpp>
 #include <savorywheel/routing/nearest_endpoint_chooser.hpp>
 #include <savorywheel/routing/weighted_version_chooser.hpp>
 #include <savorywheel/store/http_object_store.hpp>
+#include <savorywheel/store/metered_object_store.hpp>
 #include <savorywheel/traffic/peer_call_transport.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
 #include <savorywheel/transport/asio_datagram_channel.hpp>
@@ -40,11 +44,13 @@
 public:
     parts(node_settings settings, event_log& log)
         : settings_{std::move(settings)}, log_{log}, random_{random_seed()}, loop_{time_},
-          store_{http_, settings_.store, store_timeout}, worker_{store_}, network_{router_},
-          gate_{http_, time_}, control_{settings_,
-                                        control_plane::environment{loop_, random_, store_, worker_,
-                                                                   datagrams_, network_, requests_,
-                                                                   tables_, gate_, log_}},
+          meter_{settings_.region, metrics_}, platform_{http_, settings_.store, store_timeout},
+          store_{platform_, metrics_}, worker_{store_}, network_{router_, meter_},
+          datagrams_{meter_}, gate_{http_, time_}, control_{settings_,
+                                                            control_plane::environment{
+                                                                loop_, random_, store_, worker_,
+                                                                datagrams_, network_, requests_,
+                                                                tables_, gate_, meter_, log_}},
           versions_{random_}, endpoints_{settings_.domain, settings_.region, loads_, random_},
           transport_{network_, requests_}, proxy_{proxy_handler::environment{
                                                time_, tables_, versions_, endpoints_, loads_,
@@ -54,6 +60,7 @@
           admin_{admin_handler::environment{control_, changes_, operators_, metrics_, log_}},
           proxy_server_{proxy_}, admin_server_{admin_}
     {
+        metrics_.add_source(cost_);
         router_.add({frame_kind::call_request, frame_kind::call_cancel}, gate_);
         router_.add(
             {frame_kind::call_response, frame_kind::commit_batch, frame_kind::membership_full},
@@ -79,7 +86,10 @@
         }
         if (started) {
             loop_.post([this] { control_.start(); });
-            control_thread_ = std::thread{[this] { loop_.run(); }};
+            control_thread_ = std::thread{[this] {
+                name_this_thread("control");
+                loop_.run();
+            }};
             log_.write(event_id::process_started, settings_.name.str());
         }
         return started;
@@ -122,9 +132,12 @@
     seeded_random random_;
     control_loop loop_;
     curl_http_client http_;
-    http_object_store store_;
-    store_worker worker_;
     metric_registry metrics_;
+    process_cost_source cost_;
+    region_byte_meter meter_;
+    http_object_store platform_;
+    metered_object_store store_;
+    store_worker worker_;
     frame_router router_;
     request_client requests_;
     asio_peer_network network_;
--- a/src/savorywheel/store/fwd.hpp
+++ b/src/savorywheel/store/fwd.hpp
@@ -4,6 +4,7 @@
 namespace savorywheel {
 
 class http_object_store;
+class metered_object_store;
 class object_store;
 class store_worker;
 struct object_list;
--- /dev/null
+++ b/src/savorywheel/store/metered_object_store.cpp
@@ -0,0 +1,55 @@
+#include <savorywheel/store/metered_object_store.hpp>
+
+#include <utility>
+
+namespace savorywheel {
+
+metered_object_store::metered_object_store(object_store& inner, metric_registry& registry)
+    : inner_{inner}, reads_{registry.count("store_reads")}, writes_{registry.count("store_writes")},
+      watches_{registry.count("store_watches")}, failures_{registry.count("store_failures")}
+{
+}
+
+outcome<stored_object> metered_object_store::get(std::string_view key)
+{
+    return counted(reads_, inner_.get(key));
+}
+
+outcome<std::uint64_t> metered_object_store::create(std::string_view key, std::string_view value)
+{
+    return counted(writes_, inner_.create(key, value));
+}
+
+outcome<std::uint64_t> metered_object_store::update(std::string_view key, std::string_view value,
+                                                    std::uint64_t expected)
+{
+    return counted(writes_, inner_.update(key, value, expected));
+}
+
+outcome<std::uint64_t> metered_object_store::remove(std::string_view key, std::uint64_t expected)
+{
+    return counted(writes_, inner_.remove(key, expected));
+}
+
+outcome<object_list> metered_object_store::list(std::string_view prefix, std::string_view after)
+{
+    return counted(reads_, inner_.list(prefix, after));
+}
+
+outcome<object_list> metered_object_store::watch(std::string_view prefix, std::uint64_t after,
+                                                 std::chrono::milliseconds patience)
+{
+    return counted(watches_, inner_.watch(prefix, after, patience));
+}
+
+template<typename Result>
+Result metered_object_store::counted(counter& calls, Result result)
+{
+    calls += 1;
+    if (!result) {
+        failures_ += 1;
+    }
+    return result;
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/store/metered_object_store.hpp
@@ -0,0 +1,50 @@
+#ifndef SAVORYWHEEL_STORE_METERED_OBJECT_STORE_HPP
+#define SAVORYWHEEL_STORE_METERED_OBJECT_STORE_HPP
+
+#include <savorywheel/metrics/metric_registry.hpp>
+#include <savorywheel/store/object_store.hpp>
+
+namespace savorywheel {
+
+/**
+ * @brief Counts the calls to another object store.
+ *
+ * Keeps "store_reads", "store_writes", "store_watches" and "store_failures"; a watch that ends
+ * without objects counts as a call, too.
+ */
+class metered_object_store final : public object_store {
+public:
+    /**
+     * @param inner The store; must outlive this one.
+     * @param registry Receives the counters; must outlive the store.
+     */
+    metered_object_store(object_store& inner, metric_registry& registry);
+
+    [[nodiscard]] outcome<stored_object> get(std::string_view key) override;
+    [[nodiscard]] outcome<std::uint64_t> create(std::string_view key,
+                                                std::string_view value) override;
+    [[nodiscard]] outcome<std::uint64_t> update(std::string_view key, std::string_view value,
+                                                std::uint64_t expected) override;
+    [[nodiscard]] outcome<std::uint64_t> remove(std::string_view key,
+                                                std::uint64_t expected) override;
+    [[nodiscard]] outcome<object_list> list(std::string_view prefix,
+                                            std::string_view after) override;
+    [[nodiscard]] outcome<object_list> watch(std::string_view prefix, std::uint64_t after,
+                                             std::chrono::milliseconds patience) override;
+
+private:
+    using counter = metric_registry::counter;
+
+    template<typename Result>
+    Result counted(counter& calls, Result result);
+
+    object_store& inner_;
+    counter& reads_;
+    counter& writes_;
+    counter& watches_;
+    counter& failures_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/store/store_worker.cpp
+++ b/src/savorywheel/store/store_worker.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/store/store_worker.hpp>
 
 #include <utility>
@@ -35,6 +36,7 @@
 
 void store_worker::run()
 {
+    name_this_thread("store");
     while (true) {
         std::unique_lock lock{mutex_};
         wake_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/traffic/gate.hpp>
 
@@ -136,6 +137,7 @@
 
 void gate::run()
 {
+    name_this_thread("gate");
     std::unique_lock lock{mutex_};
     while (true) {
         wake_.wait(lock, [this] {
--- a/src/savorywheel/transport/asio_datagram_channel.cpp
+++ b/src/savorywheel/transport/asio_datagram_channel.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/transport/asio_datagram_channel.hpp>
 
 #include <boost/asio/buffer.hpp>
@@ -23,7 +24,7 @@
 /** Holds what the header hides, so that Boost.Asio stays in this file. */
 class asio_datagram_channel::state {
 public:
-    state() : socket_{context_} {}
+    explicit state(byte_meter& meter) : meter_{meter}, socket_{context_} {}
 
     outcome<bool> start(const network_endpoint& local, datagram_handler handler)
     {
@@ -43,7 +44,10 @@
         }
         socket_.non_blocking(true, error);
         receive_next();
-        thread_ = std::thread{[this] { context_.run(); }};
+        thread_ = std::thread{[this] {
+            name_this_thread("datagrams");
+            context_.run();
+        }};
         return true;
     }
 
@@ -66,6 +70,7 @@
         if (!error) {
             socket_.send_to(asio::buffer(payload.data(), payload.size()), {address, peer.port}, 0,
                             error);
+            meter_.on_sent(peer.address, traffic_class::probe, payload.size());
         }
     }
 
@@ -78,13 +83,20 @@
                                            return;
                                        }
                                        if (!error) {
-                                           handler_({sender_.address().to_string(), sender_.port()},
-                                                    std::span{buffer_}.first(size));
+                                           take(size);
                                        }
                                        receive_next();
                                    });
     }
 
+    void take(std::size_t size)
+    {
+        const network_endpoint sender{sender_.address().to_string(), sender_.port()};
+        meter_.on_received(sender.address, traffic_class::probe, size);
+        handler_(sender, std::span{buffer_}.first(size));
+    }
+
+    byte_meter& meter_;
     asio::io_context context_;
     asio::ip::udp::socket socket_;
     asio::ip::udp::endpoint sender_;
@@ -93,7 +105,10 @@
     std::thread thread_;
 };
 
-asio_datagram_channel::asio_datagram_channel() : state_{std::make_unique<state>()} {}
+asio_datagram_channel::asio_datagram_channel(byte_meter& meter)
+    : state_{std::make_unique<state>(meter)}
+{
+}
 
 asio_datagram_channel::~asio_datagram_channel()
 {
--- a/src/savorywheel/transport/asio_datagram_channel.hpp
+++ b/src/savorywheel/transport/asio_datagram_channel.hpp
@@ -2,8 +2,10 @@
 #define SAVORYWHEEL_TRANSPORT_ASIO_DATAGRAM_CHANNEL_HPP
 
 #include <savorywheel/core/outcome.hpp>
+#include <savorywheel/transport/byte_meter.hpp>
 #include <savorywheel/transport/datagram_channel.hpp>
 #include <savorywheel/transport/datagram_handler.hpp>
+#include <savorywheel/transport/null_byte_meter.hpp>
 
 #include <memory>
 
@@ -12,7 +14,8 @@
 /** @brief Datagrams over Boost.Asio, with one receiving thread. */
 class asio_datagram_channel final : public datagram_channel {
 public:
-    asio_datagram_channel();
+    /** @param meter Hears of all datagrams; must outlive the channel. */
+    explicit asio_datagram_channel(byte_meter& meter = null_byte_meter::instance());
     asio_datagram_channel(const asio_datagram_channel&) = delete;
     asio_datagram_channel& operator=(const asio_datagram_channel&) = delete;
     asio_datagram_channel(asio_datagram_channel&&) = delete;
--- a/src/savorywheel/transport/asio_peer_network.cpp
+++ b/src/savorywheel/transport/asio_peer_network.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/transport/asio_peer_network.hpp>
 #include <savorywheel/transport/peer_connection.hpp>
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <mutex>
 #include <set>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -29,10 +31,14 @@
 /** Holds what the header hides, so that Boost.Asio stays in this file. */
 class asio_peer_network::state {
 public:
-    explicit state(frame_handler& handler) : handler_{handler}, acceptor_{context_} {}
+    state(frame_handler& handler, byte_meter& meter)
+        : handler_{handler}, meter_{meter}, acceptor_{context_}
+    {
+    }
 
     outcome<bool> listen(const network_endpoint& local)
     {
+        local_address_ = local.address;
         error_code error;
         const asio::ip::tcp::endpoint endpoint{asio::ip::make_address(local.address, error),
                                                local.port};
@@ -53,7 +59,10 @@
                            "cannot listen on " + to_string(local) + ": " + error.message()};
         }
         accept_next();
-        thread_ = std::thread{[this] { context_.run(); }};
+        thread_ = std::thread{[this] {
+            name_this_thread("streams");
+            context_.run();
+        }};
         return true;
     }
 
@@ -75,14 +84,15 @@
             return slot;
         }
         slot = std::make_shared<peer_connection>(
-            context_, handler_, [this, peer](const connection_pointer& ended) {
+            context_, handler_, meter_, [this, peer](const connection_pointer& ended) {
                 const std::scoped_lock guard{mutex_};
                 const auto found = outgoing_.find(peer);
                 if (found != outgoing_.end() && found->second == ended) {
                     outgoing_.erase(found);
                 }
             });
-        asio::post(context_, [connection = slot, peer] { connection->connect(peer); });
+        asio::post(context_,
+                   [this, connection = slot, peer] { connection->connect(peer, local_address_); });
         return slot;
     }
 
@@ -115,7 +125,7 @@
     void adopt(asio::ip::tcp::socket socket)
     {
         auto connection = std::make_shared<peer_connection>(
-            context_, handler_, [this](const connection_pointer& ended) {
+            context_, handler_, meter_, [this](const connection_pointer& ended) {
                 const std::scoped_lock lock{mutex_};
                 incoming_.erase(ended);
             });
@@ -145,6 +155,8 @@
     }
 
     frame_handler& handler_;
+    byte_meter& meter_;
+    std::string local_address_;
     asio::io_context context_;
     asio::executor_work_guard<asio::io_context::executor_type> work_{
         asio::make_work_guard(context_)};
@@ -156,8 +168,8 @@
     std::set<connection_pointer> incoming_;
 };
 
-asio_peer_network::asio_peer_network(frame_handler& handler)
-    : state_{std::make_shared<state>(handler)}
+asio_peer_network::asio_peer_network(frame_handler& handler, byte_meter& meter)
+    : state_{std::make_shared<state>(handler, meter)}
 {
 }
 
--- a/src/savorywheel/transport/asio_peer_network.hpp
+++ b/src/savorywheel/transport/asio_peer_network.hpp
@@ -2,7 +2,9 @@
 #define SAVORYWHEEL_TRANSPORT_ASIO_PEER_NETWORK_HPP
 
 #include <savorywheel/core/outcome.hpp>
+#include <savorywheel/transport/byte_meter.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
+#include <savorywheel/transport/null_byte_meter.hpp>
 #include <savorywheel/transport/peer_network.hpp>
 
 #include <memory>
@@ -12,8 +14,12 @@
 /** @brief Streams over Boost.Asio: one listener, one connection per peer, one stream thread. */
 class asio_peer_network final : public peer_network {
 public:
-    /** @param handler Takes all frames; must outlive the network. */
-    explicit asio_peer_network(frame_handler& handler);
+    /**
+     * @param handler Takes all frames; must outlive the network.
+     * @param meter Hears of all frames; must outlive the network.
+     */
+    explicit asio_peer_network(frame_handler& handler,
+                               byte_meter& meter = null_byte_meter::instance());
     asio_peer_network(const asio_peer_network&) = delete;
     asio_peer_network& operator=(const asio_peer_network&) = delete;
     asio_peer_network(asio_peer_network&&) = delete;
--- a/src/savorywheel/transport/peer_connection.cpp
+++ b/src/savorywheel/transport/peer_connection.cpp
@@ -20,15 +20,24 @@
 } // namespace
 
 peer_connection::peer_connection(asio::io_context& context, frame_handler& handler,
-                                 closed_callback closed)
-    : socket_{context}, timer_{context}, handler_{handler}, on_closed_{std::move(closed)}
+                                 byte_meter& meter, closed_callback closed)
+    : socket_{context}, timer_{context}, handler_{handler}, meter_{meter}, on_closed_{
+                                                                               std::move(closed)}
 {
 }
 
-void peer_connection::connect(const network_endpoint& peer)
+void peer_connection::connect(const network_endpoint& peer, const std::string& local_address)
 {
+    peer_address_ = peer.address;
     error_code error;
     const auto address = asio::ip::make_address(peer.address, error);
+    const auto local = asio::ip::make_address(local_address, error);
+    if (!error) {
+        socket_.open(asio::ip::tcp::v4(), error);
+    }
+    if (!error) {
+        socket_.bind({local, 0}, error);
+    }
     if (error) {
         asio::post(socket_.get_executor(), [self = shared_from_this()] { self->finish(); });
         return;
@@ -48,6 +57,8 @@
 void peer_connection::accept(asio::ip::tcp::socket socket)
 {
     socket_ = std::move(socket);
+    error_code ignored;
+    peer_address_ = socket_.remote_endpoint(ignored).address().to_string();
     start();
     watch_silence();
 }
@@ -68,7 +79,7 @@
             return false;
         }
         queued_bytes_ += bytes.size();
-        queue_.push_back(std::move(bytes));
+        queue_.push_back({traffic_class_of(kind), std::move(bytes)});
     }
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->write_next(); });
     return true;
@@ -111,18 +122,20 @@
 void peer_connection::read_payload(const frame_header& header)
 {
     payload_.resize(header.length);
-    asio::async_read(socket_, asio::buffer(payload_),
-                     [self = shared_from_this(), header](const error_code& error, std::size_t) {
-                         if (error) {
-                             self->finish();
-                             return;
-                         }
-                         if (header.kind != frame_kind::heartbeat) {
-                             self->handler_.on_frame(self, header.kind, header.correlation,
-                                                     self->payload_);
-                         }
-                         self->read_header();
-                     });
+    asio::async_read(
+        socket_, asio::buffer(payload_),
+        [self = shared_from_this(), header](const error_code& error, std::size_t) {
+            if (error) {
+                self->finish();
+                return;
+            }
+            self->meter_.on_received(self->peer_address_, traffic_class_of(header.kind),
+                                     frame_header_bytes + header.length);
+            if (header.kind != frame_kind::heartbeat) {
+                self->handler_.on_frame(self, header.kind, header.correlation, self->payload_);
+            }
+            self->read_header();
+        });
 }
 
 void peer_connection::write_next()
@@ -135,7 +148,7 @@
         return;
     }
     writing_ = true;
-    asio::async_write(socket_, asio::buffer(queue_.front()),
+    asio::async_write(socket_, asio::buffer(queue_.front().bytes),
                       [self = shared_from_this()](const error_code& error, std::size_t) {
                           self->writing_ = false;
                           if (error) {
@@ -144,7 +157,10 @@
                           }
                           {
                               const std::scoped_lock guard{self->mutex_};
-                              self->queued_bytes_ -= self->queue_.front().size();
+                              const auto& sent = self->queue_.front();
+                              self->meter_.on_sent(self->peer_address_, sent.purpose,
+                                                   sent.bytes.size());
+                              self->queued_bytes_ -= sent.bytes.size();
                               self->queue_.pop_front();
                           }
                           self->write_next();
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_TRANSPORT_PEER_CONNECTION_HPP
 
 #include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/transport/byte_meter.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 #include <savorywheel/transport/frame_header.hpp>
 #include <savorywheel/transport/frame_sink.hpp>
@@ -17,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -35,13 +37,18 @@
     /**
      * @param context Context of the stream thread.
      * @param handler Takes the frames; must outlive the connection.
+     * @param meter Hears of all frames; must outlive the connection.
      * @param closed Called once at the end.
      */
-    peer_connection(boost::asio::io_context& context, frame_handler& handler,
+    peer_connection(boost::asio::io_context& context, frame_handler& handler, byte_meter& meter,
                     closed_callback closed);
 
-    /** @brief Opens the stream to a peer. */
-    void connect(const network_endpoint& peer);
+    /**
+     * @brief Opens the stream to a peer.
+     * @param peer The peer's endpoint.
+     * @param local_address IP number of this node, by which the peer knows the sender.
+     */
+    void connect(const network_endpoint& peer, const std::string& local_address);
 
     /** @brief Takes over an accepted socket. */
     void accept(boost::asio::ip::tcp::socket socket);
@@ -56,6 +63,11 @@
 private:
     using buffer = std::vector<std::byte>;
 
+    struct queued_frame {
+        traffic_class purpose;
+        buffer bytes;
+    };
+
     void start();
     void read_header();
     void read_payload(const frame_header& header);
@@ -66,7 +78,9 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     frame_handler& handler_;
+    byte_meter& meter_;
     closed_callback on_closed_;
+    std::string peer_address_;
     std::array<std::byte, frame_header_bytes> header_{};
     buffer payload_;
     std::atomic<bool> closed_{};
@@ -75,7 +89,7 @@
     bool writing_{};
     std::chrono::steady_clock::time_point last_received_;
     std::mutex mutex_;
-    std::deque<buffer> queue_;
+    std::deque<queued_frame> queue_;
     std::size_t queued_bytes_{};
 };
 
