--- /dev/null
+++ b/apps/load/bench_mesh.cpp
@@ -0,0 +1,184 @@
+#include <savorywheel/admin/node_state_dump.hpp>
+#include <savorywheel/core/system_clock_source.hpp>
+#include <savorywheel/encoding/codec.hpp>
+
+#include <fmt/format.h>
+#include <load/bench_mesh.hpp>
+#include <load/wait_until.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+namespace savorywheel::load {
+
+namespace {
+
+constexpr std::chrono::milliseconds request_timeout{10'000};
+constexpr std::chrono::seconds ready_patience{90};
+constexpr std::chrono::milliseconds ready_check_period{250};
+constexpr std::size_t seed_count = 3;
+constexpr unsigned admin_offset = 1;
+constexpr unsigned peer_offset = 2;
+constexpr unsigned backend_offset = 1000;
+constexpr unsigned platform_offset = 2000;
+constexpr const char* operator_key_text = "a-key-for-measurements";
+
+std::string address_of(unsigned network, std::size_t region, std::size_t position)
+{
+    return fmt::format("127.{}.{}.{}", network, region, position + 1);
+}
+
+} // namespace
+
+bench_mesh::bench_mesh(const measure_options& options, deployment layout)
+    : options_{options}, layout_{std::move(layout)}
+{
+    const auto count = options_.nodes > 0 ? options_.nodes : layout_.node_count();
+    std::vector<std::size_t> in_region(layout_.domains.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto& domain = layout_.domains[i % layout_.domains.size()];
+        const auto& service =
+            layout_.services[i / layout_.domains.size() % layout_.services.size()];
+        const auto address =
+            address_of(options_.network, domain.region_index, in_region[domain.region_index]++);
+        members_.push_back({fmt::format("node-{}", i),
+                            domain,
+                            service,
+                            {address, port(0)},
+                            {address, port(admin_offset)},
+                            {address, port(peer_offset)},
+                            {address, port(backend_offset)}});
+    }
+    std::filesystem::create_directories(options_.out);
+    platform_ = start("standin-platform", {"--listen", to_string(platform())}, "platform");
+    const auto answers = [this] { return !platform_metrics().values.empty(); };
+    static_cast<void>(wait_until(answers, request_timeout));
+    nodes_.resize(count);
+    backends_.resize(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        start_member(i);
+    }
+}
+
+bench_mesh::~bench_mesh()
+{
+    for (auto& node : nodes_) {
+        if (node) {
+            node->signal(SIGKILL);
+        }
+    }
+    backends_.clear();
+    nodes_.clear();
+    platform_.reset();
+}
+
+bool bench_mesh::wait_until_ready()
+{
+    for (const auto& member : members_) {
+        const auto complete = [this, &member] {
+            const auto answer =
+                client_.send(member.admin, {"GET", "/state", {}, {}}, request_timeout);
+            if (!answer) {
+                return false;
+            }
+            const auto dump = decode_json<node_state_dump>(answer->body);
+            const auto serving = [](const member_update& item) {
+                return item.status == member_status::alive &&
+                       item.record.state == server_state::serving;
+            };
+            return dump && std::ranges::count_if(dump->members, serving) ==
+                               static_cast<std::ptrdiff_t>(members_.size());
+        };
+        if (!wait_until(complete, ready_patience, ready_check_period)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+outcome<apply_report> bench_mesh::apply(std::size_t node, const std::string& text)
+{
+    const http_request request{"PUT", "/config", {{"x-savorywheel-key", operator_key_text}}, text};
+    const auto answer = client_.send(members_.at(node).admin, request, request_timeout);
+    if (!answer) {
+        return answer.reason();
+    }
+    return decode_json<apply_report>(answer->body);
+}
+
+metric_reading bench_mesh::node_metrics(std::size_t node)
+{
+    return metrics(members_.at(node).admin);
+}
+
+metric_reading bench_mesh::platform_metrics()
+{
+    return metrics(platform());
+}
+
+network_endpoint bench_mesh::platform() const
+{
+    constexpr std::size_t platform_position = 249;
+    return {address_of(options_.network, 0, platform_position), port(platform_offset)};
+}
+
+std::filesystem::path bench_mesh::node_log(std::size_t node) const
+{
+    return std::filesystem::path{options_.out} / (members_.at(node).name + ".log");
+}
+
+std::unique_ptr<standin::child_process> bench_mesh::start(const std::string& program,
+                                                          std::vector<std::string> arguments,
+                                                          const std::string& name)
+{
+    const auto log = std::filesystem::path{options_.out} / (name + ".log");
+    std::filesystem::remove(log);
+    return std::make_unique<standin::child_process>(options_.programs + "/" + program, arguments,
+                                                    log.string());
+}
+
+void bench_mesh::start_member(std::size_t index)
+{
+    const auto& member = members_[index];
+    const auto path = std::filesystem::path{options_.out} / (member.name + ".yaml");
+    std::ofstream{path} << settings_text(member);
+    nodes_[index] = start("standin-node",
+                          {"--settings", path.string(), "--region-delay-ms",
+                           std::to_string(options_.region_delay_ms)},
+                          member.name);
+    backends_[index] =
+        start("standin-backend",
+              {"--service", member.service, "--listen", to_string(member.backend), "--node",
+               to_string(member.admin), "--slots", std::to_string(layout_.slots)},
+              member.name + "-backend");
+}
+
+std::string bench_mesh::settings_text(const bench_member& member) const
+{
+    auto text = fmt::format("name: {}\nfailure_domain: {}\nregion: {}\naddress: {}\n"
+                            "ports: {{traffic: {}, admin: {}, peer: {}}}\nstore: {}\n"
+                            "operators:\n  - {{name: measurement, key: {}}}\nseeds:\n",
+                            member.name, member.domain.name, member.domain.region,
+                            member.peer.address, member.traffic.port, member.admin.port,
+                            member.peer.port, to_string(platform()), operator_key_text);
+    for (std::size_t i = 0; i < std::min(seed_count, members_.size()); ++i) {
+        text += fmt::format("  - {}\n", to_string(members_[i].peer));
+    }
+    return text;
+}
+
+std::uint16_t bench_mesh::port(unsigned offset) const noexcept
+{
+    return static_cast<std::uint16_t>(options_.port_base + offset);
+}
+
+metric_reading bench_mesh::metrics(const network_endpoint& server)
+{
+    const auto answer = client_.send(server, {"GET", "/metrics", {}, {}}, request_timeout);
+    return parse_metrics(answer ? answer->body : std::string{}, system_clock_source{}.now());
+}
+
+} // namespace savorywheel::load
--- /dev/null
+++ b/apps/load/bench_mesh.hpp
@@ -0,0 +1,86 @@
+#ifndef SAVORYWHEEL_APPS_LOAD_BENCH_MESH_HPP
+#define SAVORYWHEEL_APPS_LOAD_BENCH_MESH_HPP
+
+#include <savorywheel/admin/apply_report.hpp>
+#include <savorywheel/http/curl_http_client.hpp>
+
+#include <load/bench_member.hpp>
+#include <load/deployment.hpp>
+#include <load/measure_options.hpp>
+#include <load/metric_reading.hpp>
+#include <standin/support/child_process.hpp>
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace savorywheel::load {
+
+/**
+ * @brief A mesh of real processes on loopback; they are ended by their ids.
+ *
+ * Regions differ in the third number of their IP numbers, so that test nodes know whose messages
+ * to delay.
+ */
+class bench_mesh {
+public:
+    /**
+     * @brief Starts the platform stand-in, the nodes and the backend stand-ins.
+     * @param options What the measurement covers.
+     * @param layout The deployment.
+     */
+    bench_mesh(const measure_options& options, deployment layout);
+    bench_mesh(const bench_mesh&) = delete;
+    bench_mesh& operator=(const bench_mesh&) = delete;
+    bench_mesh(bench_mesh&&) = delete;
+    bench_mesh& operator=(bench_mesh&&) = delete;
+    ~bench_mesh();
+
+    /** @return True once each node knows a serving backend server at every other one. */
+    [[nodiscard]] bool wait_until_ready();
+
+    /** @return What became of a text that was sent to a node. */
+    [[nodiscard]] outcome<apply_report> apply(std::size_t node, const std::string& text);
+
+    /** @return Metrics of a node. */
+    [[nodiscard]] metric_reading node_metrics(std::size_t node);
+
+    /** @return Metrics of the platform stand-in. */
+    [[nodiscard]] metric_reading platform_metrics();
+
+    /** @return Nodes with their backend servers. */
+    [[nodiscard]] const std::vector<bench_member>& members() const noexcept { return members_; }
+
+    /** @return The deployment. */
+    [[nodiscard]] const deployment& layout() const noexcept { return layout_; }
+
+    /** @return Endpoint of the platform stand-in. */
+    [[nodiscard]] network_endpoint platform() const;
+
+    /** @return Log of a node. */
+    [[nodiscard]] std::filesystem::path node_log(std::size_t node) const;
+
+    /** @return Client for the processes of the mesh. */
+    [[nodiscard]] http_client& client() noexcept { return client_; }
+
+private:
+    [[nodiscard]] std::unique_ptr<standin::child_process>
+    start(const std::string& program, std::vector<std::string> arguments, const std::string& name);
+    void start_member(std::size_t index);
+    [[nodiscard]] std::string settings_text(const bench_member& member) const;
+    [[nodiscard]] std::uint16_t port(unsigned offset) const noexcept;
+    [[nodiscard]] metric_reading metrics(const network_endpoint& server);
+
+    measure_options options_;
+    deployment layout_;
+    std::vector<bench_member> members_;
+    curl_http_client client_;
+    std::unique_ptr<standin::child_process> platform_;
+    std::vector<std::unique_ptr<standin::child_process>> nodes_;
+    std::vector<std::unique_ptr<standin::child_process>> backends_;
+};
+
+} // namespace savorywheel::load
+
+#endif
--- /dev/null
+++ b/apps/load/change_listener.hpp
@@ -0,0 +1,27 @@
+#ifndef SAVORYWHEEL_APPS_LOAD_CHANGE_LISTENER_HPP
+#define SAVORYWHEEL_APPS_LOAD_CHANGE_LISTENER_HPP
+
+#include <savorywheel/core/clock.hpp>
+#include <savorywheel/core/config_version.hpp>
+
+#include <optional>
+
+namespace savorywheel::load {
+
+/** @brief Everyone who must hear of a change. */
+class change_listener {
+public:
+    change_listener() = default;
+    change_listener(const change_listener&) = delete;
+    change_listener& operator=(const change_listener&) = delete;
+    change_listener(change_listener&&) = delete;
+    change_listener& operator=(change_listener&&) = delete;
+    virtual ~change_listener() = default;
+
+    /** @return When the last one had the version; nothing while one lacks it. */
+    [[nodiscard]] virtual std::optional<calendar_time> complete_at(config_version version) = 0;
+};
+
+} // namespace savorywheel::load
+
+#endif
--- /dev/null
+++ b/apps/load/load_plan_reader.hpp
@@ -0,0 +1,22 @@
+#ifndef SAVORYWHEEL_APPS_LOAD_LOAD_PLAN_READER_HPP
+#define SAVORYWHEEL_APPS_LOAD_LOAD_PLAN_READER_HPP
+
+#include <savorywheel/core/findings.hpp>
+
+#include <load/load_plan.hpp>
+
+#include <string_view>
+
+namespace savorywheel::load {
+
+/**
+ * @brief Reads and checks the YAML settings of the load program.
+ * @param text YAML text.
+ * @param report Collects all faults.
+ * @return The plan; only whole if no fault was added.
+ */
+[[nodiscard]] load_plan read_load_plan(std::string_view text, findings& report);
+
+} // namespace savorywheel::load
+
+#endif
--- /dev/null
+++ b/apps/load/main.cpp
@@ -0,0 +1,121 @@
+#include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/core/system_clock_source.hpp>
+#include <savorywheel/http/curl_http_client.hpp>
+
+#include <CLI/CLI.hpp>
+#include <common/read_file.hpp>
+#include <load/load_generator.hpp>
+#include <load/load_plan_reader.hpp>
+#include <load/load_report.hpp>
+#include <load/measurement.hpp>
+#include <load/result_writer.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <string>
+
+using namespace savorywheel;
+
+namespace {
+
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+int run_load(const std::string& path, const std::string& json)
+{
+    const auto text = read_file(path);
+    if (!text) {
+        std::cerr << path << ": cannot be read\n";
+        return exit_usage;
+    }
+    findings report;
+    const auto plan = load::read_load_plan(*text, report);
+    if (!report.empty()) {
+        std::cerr << report.render(path);
+        return exit_usage;
+    }
+    system_clock_source time;
+    seeded_random random{plan.seed};
+    curl_http_client client;
+    const auto figures =
+        load::make_load_report(load::load_generator{plan, {time, random, client}}.run());
+    std::cout << figures.table();
+    if (!json.empty()) {
+        std::ofstream{json} << figures.json() << '\n';
+    }
+    return 0;
+}
+
+int run_measurement(load::measure_options options)
+{
+    const auto layout = load::find_deployment(options.deployment);
+    if (!layout) {
+        std::cerr << "no deployment " << options.deployment << '\n';
+        return exit_usage;
+    }
+    options.programs = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+    const auto result = load::measurement{options, *layout}.run();
+    const std::filesystem::path folder{options.out};
+    std::ofstream{folder / "measure.json"} << load::write_json(result);
+    std::ofstream{folder / "measure.html"} << load::write_html(result);
+    std::cout << result.figures.table();
+    for (const auto& fault : result.faults) {
+        std::cout << "fault: " << fault << '\n';
+    }
+    return result.faults.empty() ? 0 : exit_failed;
+}
+
+void add_measure_options(CLI::App& command, load::measure_options& options)
+{
+    command.add_option("--deployment", options.deployment, "frigoporto or kaldmaa")
+        ->capture_default_str();
+    command.add_option("--nodes", options.nodes, "Nodes; as the deployment has if absent");
+    command.add_option("--seconds", options.seconds, "Length of each window")
+        ->capture_default_str();
+    command.add_option("--out", options.out, "Folder of the results")->capture_default_str();
+    command.add_option("--rounds", options.rounds, "Rounds of mesh and baseline")
+        ->capture_default_str();
+    command.add_option("--changes", options.changes, "Changes in each half of a round")
+        ->capture_default_str();
+    command.add_option("--rate", options.per_second, "Requests in a second")->capture_default_str();
+    command.add_option("--services", options.extra_services, "Services without backend servers");
+    command.add_option("--region-delay-ms", options.region_delay_ms, "One way between regions")
+        ->capture_default_str();
+    command.add_option("--network", options.network, "Second number of all IP numbers")
+        ->capture_default_str();
+    command.add_option("--port-base", options.port_base, "First port")->capture_default_str();
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    ::setenv("TZ", "UTC", 1);
+    CLI::App app{"savorywheel-load: open-loop load, and the measures of a mesh"};
+    app.require_subcommand(1);
+    auto* run = app.add_subcommand("run", "Generate load and report latency and errors");
+    std::string path;
+    std::string json;
+    run->add_option("--settings", path, "YAML file with the load")->required();
+    run->add_option("--json", json, "File for the figures");
+    auto* measure = app.add_subcommand("measure", "Start a mesh on loopback and measure it");
+    load::measure_options options;
+    bool quick = false;
+    add_measure_options(*measure, options);
+    measure->add_flag("--quick", quick, "End within two minutes");
+    CLI11_PARSE(app, argc, argv);
+    if (run->parsed()) {
+        return run_load(path, json);
+    }
+    if (quick) {
+        constexpr unsigned quick_seconds = 10;
+        constexpr unsigned quick_changes = 3;
+        constexpr unsigned quick_settle_seconds = 20;
+        options.seconds = quick_seconds;
+        options.changes = quick_changes;
+        options.settle_seconds = quick_settle_seconds;
+    }
+    return run_measurement(options);
+}
--- /dev/null
+++ b/apps/load/measurement.cpp
@@ -0,0 +1,279 @@
+#include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/core/system_clock_source.hpp>
+#include <savorywheel/transport/traffic_class.hpp>
+
+#include <fmt/format.h>
+#include <load/cost_report.hpp>
+#include <load/load_generator.hpp>
+#include <load/load_report.hpp>
+#include <load/measurement.hpp>
+#include <load/path_summary.hpp>
+#include <load/store_watchers.hpp>
+#include <load/wait_until.hpp>
+
+#include <iostream>
+#include <thread>
+#include <utility>
+
+namespace savorywheel::load {
+
+namespace {
+
+constexpr double percentile_99 = 0.99;
+constexpr double convergence_budget_ms = 4000.0;
+constexpr std::uint32_t load_connections = 32;
+constexpr std::chrono::seconds warm_up_period{3};
+constexpr std::string_view root_path = "/";
+
+std::vector<double> copy_of(std::span<const double> values)
+{
+    return {values.begin(), values.end()};
+}
+
+sample_set joined(std::span<const sample_set> parts)
+{
+    std::vector<double> values;
+    for (const auto& part : parts) {
+        values.insert(values.end(), part.sorted().begin(), part.sorted().end());
+    }
+    return sample_set{std::move(values)};
+}
+
+load_plan make_plan(const measure_options& options, const bench_mesh& mesh,
+                    std::chrono::seconds period)
+{
+    load_plan plan;
+    plan.per_second = options.per_second;
+    plan.period = period;
+    plan.connections = load_connections;
+    plan.alternate_direct = true;
+    for (const auto& name : mesh.layout().services) {
+        load_target target;
+        target.service = service_name{name};
+        target.path = std::string{root_path};
+        for (const auto& member : mesh.members()) {
+            if (member.service == name) {
+                target.backends.push_back(member.backend);
+            }
+        }
+        if (!target.backends.empty()) {
+            plan.targets.push_back(std::move(target));
+        }
+    }
+    for (const auto& member : mesh.members()) {
+        plan.nodes.push_back(member.traffic);
+    }
+    return plan;
+}
+
+} // namespace
+
+measurement::measurement(measure_options options, const deployment& layout)
+    : options_{std::move(options)}, mesh_{options_, layout}, logs_{mesh_},
+      changes_{mesh_, options_.extra_services}, started_{system_clock_source{}.now()}
+{
+    result_.deployment = layout.name;
+    result_.nodes = mesh_.members().size();
+}
+
+measurement_result measurement::run()
+{
+    progress(fmt::format("waiting for {} nodes", mesh_.members().size()));
+    if (!mesh_.wait_until_ready()) {
+        result_.faults.emplace_back("the nodes did not find each other in time");
+        return result_;
+    }
+    result_.figures.add(
+        "join_all", std::chrono::duration<double>(system_clock_source{}.now() - started_).count(),
+        "s");
+    if (!changes_.change(logs_)) {
+        result_.faults.emplace_back("the first change was not in force in time");
+        return result_;
+    }
+    measure_convergence();
+    settle();
+    measure_idle();
+    measure_load();
+    result_.figures.add("good_versions_on_time", std::nullopt, "%");
+    result_.figures.add("bad_versions_taken_back", std::nullopt, "%");
+    return result_;
+}
+
+void measurement::measure_convergence()
+{
+    std::vector<half_round> mesh;
+    std::vector<half_round> baseline;
+    for (unsigned round = 0; round < options_.rounds; ++round) {
+        progress(fmt::format("convergence, round {} of {}", round + 1, options_.rounds));
+        mesh.push_back(through_mesh());
+        baseline.push_back(by_watching());
+    }
+    add_convergence("convergence", mesh);
+    add_convergence("watching_convergence", baseline);
+    add_ratios(mesh, baseline);
+}
+
+void measurement::add_convergence(std::string_view name, const std::vector<half_round>& halves)
+{
+    std::vector<sample_set> parts;
+    std::vector<sample_set> total_parts;
+    for (const auto& half : halves) {
+        parts.push_back(half.convergence_ms);
+        total_parts.push_back(half.total_ms);
+    }
+    const auto total = joined(total_parts);
+    const auto all = joined(parts);
+    if (all.sorted().empty()) {
+        return;
+    }
+    result_.figures.add(fmt::format("{}_p50", name), all.median(), "ms");
+    result_.figures.add(fmt::format("{}_p99", name), all.quantile(percentile_99), "ms");
+    result_.figures.add(fmt::format("{}_max", name), all.greatest(), "ms", convergence_budget_ms);
+    result_.figures.add(fmt::format("{}_from_sending_p50", name), total.median(), "ms");
+    result_.figures.add(fmt::format("{}_from_sending_max", name), total.greatest(), "ms",
+                        convergence_budget_ms);
+    result_.convergence.push_back({std::string{name}, copy_of(total.sorted())});
+}
+
+void measurement::add_ratios(const std::vector<half_round>& mesh,
+                             const std::vector<half_round>& baseline)
+{
+    sample_set time;
+    sample_set calls;
+    sample_set bytes;
+    sample_set watching_bytes;
+    for (std::size_t i = 0; i < mesh.size(); ++i) {
+        time.add(mesh[i].total_ms.median() / std::max(1.0, baseline[i].total_ms.median()));
+        calls.add(baseline[i].store_calls_per_second /
+                  std::max(0.1, mesh[i].store_calls_per_second));
+        bytes.add(mesh[i].bytes_per_change);
+        watching_bytes.add(baseline[i].bytes_per_change);
+    }
+    auto& figures = result_.figures;
+    figures.add("convergence_to_watching_median", time.median(), "ratio");
+    figures.add("convergence_to_watching_least", time.smallest(), "ratio");
+    figures.add("convergence_to_watching_greatest", time.greatest(), "ratio");
+    figures.add("watching_store_calls_to_mesh", calls.median(), "ratio");
+    figures.add("commit_bytes_per_change", bytes.median(), "B/node");
+    figures.add("watching_commit_bytes_per_change", watching_bytes.median(), "B/node");
+}
+
+measurement::half_round measurement::through_mesh()
+{
+    const auto before = read_mesh(mesh_);
+    half_round half;
+    make_changes(logs_, half);
+    const auto after = read_mesh(mesh_);
+    half.bytes_per_change = node_growth(before, after, "bytes_received_commit") / options_.changes;
+    half.store_calls_per_second = platform_rate(before, after, "reads") +
+                                  platform_rate(before, after, "watches") +
+                                  platform_rate(before, after, "writes");
+    return half;
+}
+
+measurement::half_round measurement::by_watching()
+{
+    store_watchers watchers{mesh_, std::chrono::milliseconds{options_.region_delay_ms}};
+    static_cast<void>(changes_.change(watchers));
+    const auto bytes = watchers.bytes();
+    const auto before = mesh_.platform_metrics();
+    half_round half;
+    make_changes(watchers, half);
+    const auto after = mesh_.platform_metrics();
+    const auto seconds = std::chrono::duration<double>(after.at - before.at).count();
+    half.bytes_per_change = static_cast<double>(watchers.bytes() - bytes) / options_.changes /
+                            static_cast<double>(mesh_.members().size());
+    for (const auto* name : {"reads", "watches", "writes"}) {
+        half.store_calls_per_second += (after.value(name) - before.value(name)) / seconds;
+    }
+    return half;
+}
+
+void measurement::make_changes(change_listener& listeners, half_round& half)
+{
+    constexpr std::chrono::milliseconds pause{100};
+    for (unsigned i = 0; i < options_.changes; ++i) {
+        if (const auto done = changes_.change(listeners)) {
+            half.convergence_ms.add(done->convergence_ms);
+            half.total_ms.add(done->total_ms);
+        }
+        else {
+            result_.faults.emplace_back("a change was refused or not in force in time");
+        }
+        std::this_thread::sleep_for(pause);
+    }
+}
+
+void measurement::settle()
+{
+    constexpr double settled_probe_bytes = 200.0;
+    constexpr std::chrono::seconds window{2};
+    progress("waiting until news about members has spread");
+    const auto begun = system_clock_source{}.now();
+    auto before = read_mesh(mesh_);
+    const auto settled = [&] {
+        const auto after = read_mesh(mesh_);
+        const auto mean = node_growth(before, after, "bytes_sent_probe") /
+                          std::max(1.0, node_growth(before, after, "messages_sent_probe"));
+        before = after;
+        return mean < settled_probe_bytes;
+    };
+    std::this_thread::sleep_for(window);
+    const bool done = wait_until(settled, std::chrono::seconds{options_.settle_seconds}, window);
+    const auto seconds = std::chrono::duration<double>(system_clock_source{}.now() - begun).count();
+    result_.figures.add("settle", done ? std::optional{seconds} : std::nullopt, "s");
+}
+
+void measurement::measure_idle()
+{
+    progress(fmt::format("{} s without changes or calls", options_.seconds));
+    const auto before = read_mesh(mesh_);
+    std::this_thread::sleep_for(std::chrono::seconds{options_.seconds});
+    const auto after = read_mesh(mesh_);
+    result_.figures.append("idle_", make_cost_report(before, after));
+    for (std::size_t i = 0; i < traffic_class_count; ++i) {
+        const std::string purpose{to_string(static_cast<traffic_class>(i))};
+        result_.bytes.push_back(
+            {purpose, {node_rate(before, after, fmt::format("bytes_sent_{}", purpose))}});
+    }
+}
+
+void measurement::measure_load()
+{
+    progress(fmt::format("{} s of {} calls/s, half of them direct", options_.seconds,
+                         options_.per_second));
+    std::vector<call_sample> samples;
+    generate(warm_up_period, samples);
+    samples.clear();
+    const auto before = read_mesh(mesh_);
+    generate(std::chrono::seconds{options_.seconds}, samples);
+    const auto after = read_mesh(mesh_);
+    result_.figures.append("load_", make_load_report(samples));
+    const auto calls = options_.per_second / 2.0 / static_cast<double>(mesh_.members().size());
+    const auto idle = result_.figures.find("idle_processor_node").value_or(0.0);
+    const auto busy = make_cost_report(before, after).find("processor_node").value_or(0.0);
+    constexpr double microseconds_per_percent = 10'000.0;
+    result_.figures.add("load_processor_per_call", (busy - idle) * microseconds_per_percent / calls,
+                        "us");
+    for (const auto path : {call_path::mesh, call_path::direct}) {
+        result_.latency.push_back({path == call_path::mesh ? "mesh" : "direct",
+                                   copy_of(summarize(samples, path).latency_ms.sorted())});
+    }
+}
+
+void measurement::generate(std::chrono::seconds period, std::vector<call_sample>& samples)
+{
+    system_clock_source time;
+    seeded_random random{1};
+    load_generator generator{make_plan(options_, mesh_, period), {time, random, mesh_.client()}};
+    samples = generator.run();
+}
+
+void measurement::progress(std::string_view text) const
+{
+    const auto elapsed =
+        std::chrono::duration<double>(system_clock_source{}.now() - started_).count();
+    std::cerr << fmt::format("[{:6.1f} s] {}\n", elapsed, text);
+}
+
+} // namespace savorywheel::load
--- /dev/null
+++ b/apps/load/measurement.hpp
@@ -0,0 +1,61 @@
+#ifndef SAVORYWHEEL_APPS_LOAD_MEASUREMENT_HPP
+#define SAVORYWHEEL_APPS_LOAD_MEASUREMENT_HPP
+
+#include <load/bench_mesh.hpp>
+#include <load/call_sample.hpp>
+#include <load/change_driver.hpp>
+#include <load/measure_options.hpp>
+#include <load/measurement_result.hpp>
+#include <load/node_logs.hpp>
+#include <load/sample_set.hpp>
+
+#include <chrono>
+#include <string_view>
+#include <vector>
+
+namespace savorywheel::load {
+
+/** @brief Measures a mesh of real processes in the users' four measures, beside baselines. */
+class measurement {
+public:
+    /**
+     * @param options What to cover.
+     * @param layout The deployment.
+     */
+    measurement(measure_options options, const deployment& layout);
+
+    /** @return The result; with faults if a part could not be measured. */
+    [[nodiscard]] measurement_result run();
+
+private:
+    /** Convergence of one half of a round, in milliseconds. */
+    struct half_round {
+        sample_set convergence_ms;
+        sample_set total_ms;
+        double bytes_per_change{};
+        double store_calls_per_second{};
+    };
+
+    void measure_convergence();
+    void add_convergence(std::string_view name, const std::vector<half_round>& halves);
+    void add_ratios(const std::vector<half_round>& mesh, const std::vector<half_round>& baseline);
+    [[nodiscard]] half_round through_mesh();
+    [[nodiscard]] half_round by_watching();
+    void make_changes(change_listener& listeners, half_round& half);
+    void settle();
+    void generate(std::chrono::seconds period, std::vector<call_sample>& samples);
+    void measure_idle();
+    void measure_load();
+    void progress(std::string_view text) const;
+
+    measure_options options_;
+    bench_mesh mesh_;
+    node_logs logs_;
+    change_driver changes_;
+    measurement_result result_;
+    monotonic_time started_;
+};
+
+} // namespace savorywheel::load
+
+#endif
--- /dev/null
+++ b/apps/load/node_logs.hpp
@@ -0,0 +1,29 @@
+#ifndef SAVORYWHEEL_APPS_LOAD_NODE_LOGS_HPP
+#define SAVORYWHEEL_APPS_LOAD_NODE_LOGS_HPP
+
+#include <load/bench_mesh.hpp>
+#include <load/change_listener.hpp>
+#include <load/log_follower.hpp>
+
+#include <fstream>
+#include <memory>
+#include <vector>
+
+namespace savorywheel::load {
+
+/** @brief The nodes of a mesh as listeners, by their logs. */
+class node_logs final : public change_listener {
+public:
+    /** @param mesh The mesh. */
+    explicit node_logs(const bench_mesh& mesh);
+
+    [[nodiscard]] std::optional<calendar_time> complete_at(config_version version) override;
+
+private:
+    std::vector<std::unique_ptr<std::ifstream>> files_;
+    std::vector<log_follower> followers_;
+};
+
+} // namespace savorywheel::load
+
+#endif
--- /dev/null
+++ b/apps/load/target_chooser.hpp
@@ -0,0 +1,22 @@
+#ifndef SAVORYWHEEL_APPS_LOAD_TARGET_CHOOSER_HPP
+#define SAVORYWHEEL_APPS_LOAD_TARGET_CHOOSER_HPP
+
+#include <savorywheel/core/random_source.hpp>
+
+#include <load/load_target.hpp>
+
+#include <span>
+
+namespace savorywheel::load {
+
+/**
+ * @brief Draws a target by weight.
+ * @param targets Targets; at least one.
+ * @param random Random numbers.
+ */
+[[nodiscard]] const load_target& choose_target(std::span<const load_target> targets,
+                                               random_source& random);
+
+} // namespace savorywheel::load
+
+#endif
--- a/src/savorywheel/node/fwd.hpp
+++ b/src/savorywheel/node/fwd.hpp
@@ -4,8 +4,10 @@
 namespace savorywheel {
 
 class control_plane;
+class link_decorator;
 class membership_service;
 class node;
+class plain_links;
 class stop_signal;
 
 } // namespace savorywheel
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -42,10 +42,12 @@
 /** All parts of a node, in the order of their construction. */
 class node::parts {
 public:
-    parts(node_settings settings, event_log& log)
-        : settings_{std::move(settings)}, log_{log}, random_{random_seed()}, loop_{time_},
-          meter_{settings_.region, metrics_}, platform_{http_, settings_.store, store_timeout},
-          store_{platform_, metrics_}, worker_{store_}, network_{router_, meter_},
+    parts(node_settings settings, event_log& log, link_decorator& links)
+        : settings_{std::move(settings)}, log_{log}, links_{links}, random_{random_seed()},
+          loop_{time_}, meter_{settings_.region, metrics_}, platform_{http_, settings_.store,
+                                                                      store_timeout},
+          store_{links.store(platform_), metrics_}, worker_{store_}, network_{links.frames(router_),
+                                                                              meter_},
           datagrams_{meter_}, gate_{http_, time_}, control_{settings_,
                                                             control_plane::environment{
                                                                 loop_, random_, store_, worker_,
@@ -73,10 +75,11 @@
     {
         auto started = network_.start(settings_.peer);
         if (started) {
-            started = datagrams_.start(settings_.peer, [this](const network_endpoint& /*sender*/,
-                                                              std::span<const std::byte> payload) {
-                control_.membership().on_datagram(payload);
-            });
+            started = datagrams_.start(settings_.peer,
+                                       links_.datagrams([this](const network_endpoint& /*sender*/,
+                                                               std::span<const std::byte> payload) {
+                                           control_.membership().on_datagram(payload);
+                                       }));
         }
         if (started) {
             started = admin_server_.start(settings_.admin);
@@ -110,6 +113,7 @@
         control_thread_.join();
         network_.stop();
         datagrams_.stop();
+        links_.stop();
         log_.write(event_id::process_stopped, settings_.name.str());
     }
 
@@ -128,6 +132,7 @@
 
     node_settings settings_;
     event_log& log_;
+    link_decorator& links_;
     system_clock_source time_;
     seeded_random random_;
     control_loop loop_;
@@ -159,8 +164,8 @@
     std::thread control_thread_;
 };
 
-node::node(node_settings settings, event_log& log)
-    : parts_{std::make_unique<parts>(std::move(settings), log)}
+node::node(node_settings settings, event_log& log, link_decorator& links)
+    : parts_{std::make_unique<parts>(std::move(settings), log, links)}
 {
 }
 
--- /dev/null
+++ b/src/savorywheel/node/plain_links.hpp
@@ -0,0 +1,26 @@
+#ifndef SAVORYWHEEL_NODE_PLAIN_LINKS_HPP
+#define SAVORYWHEEL_NODE_PLAIN_LINKS_HPP
+
+#include <savorywheel/node/link_decorator.hpp>
+
+namespace savorywheel {
+
+/** @brief Leaves all links as they are. */
+class plain_links final : public link_decorator {
+public:
+    /** @return The decorator of nodes in the field. */
+    [[nodiscard]] static plain_links& instance()
+    {
+        static plain_links links;
+        return links;
+    }
+
+    [[nodiscard]] frame_handler& frames(frame_handler& inner) override { return inner; }
+    [[nodiscard]] datagram_handler datagrams(datagram_handler inner) override { return inner; }
+    [[nodiscard]] object_store& store(object_store& inner) override { return inner; }
+    void stop() override {}
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/transport/frame_sink.hpp
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 namespace savorywheel {
 
@@ -29,6 +30,9 @@
     virtual bool send(frame_kind kind, std::uint64_t correlation,
                       std::span<const std::byte> payload) = 0;
 
+    /** @return The peer's IP number; empty if it is not known. */
+    [[nodiscard]] virtual std::string_view peer_address() const noexcept { return {}; }
+
     /** @brief Closes the connection; its handler hears of it. */
     virtual void close() = 0;
 };
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -58,6 +58,7 @@
 
     bool send(frame_kind kind, std::uint64_t correlation,
               std::span<const std::byte> payload) override;
+    [[nodiscard]] std::string_view peer_address() const noexcept override { return peer_address_; }
     void close() override;
 
 private:
--- /dev/null
+++ b/standin/node/delay_line.cpp
@@ -0,0 +1,56 @@
+#include <standin/node/delay_line.hpp>
+
+#include <utility>
+
+namespace savorywheel::standin {
+
+delay_line::delay_line(duration delay) : delay_{delay}, thread_{[this] { run(); }} {}
+
+delay_line::~delay_line()
+{
+    stop();
+}
+
+void delay_line::submit(task work)
+{
+    {
+        const std::scoped_lock lock{mutex_};
+        queue_.push_back({std::chrono::steady_clock::now() + delay_, std::move(work)});
+    }
+    wake_.notify_one();
+}
+
+void delay_line::stop()
+{
+    {
+        const std::scoped_lock lock{mutex_};
+        stopping_ = true;
+        queue_.clear();
+    }
+    wake_.notify_all();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void delay_line::run()
+{
+    std::unique_lock lock{mutex_};
+    while (true) {
+        wake_.wait(lock, [this] { return stopping_ || !queue_.empty(); });
+        if (stopping_) {
+            return;
+        }
+        const auto due = queue_.front().due;
+        if (wake_.wait_until(lock, due, [this] { return stopping_; })) {
+            return;
+        }
+        const auto work = std::move(queue_.front().work);
+        queue_.pop_front();
+        lock.unlock();
+        work();
+        lock.lock();
+    }
+}
+
+} // namespace savorywheel::standin
--- /dev/null
+++ b/standin/node/delayed_frame_handler.cpp
@@ -0,0 +1,33 @@
+#include <standin/node/address_region.hpp>
+#include <standin/node/delayed_frame_handler.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace savorywheel::standin {
+
+delayed_frame_handler::delayed_frame_handler(frame_handler& inner, std::string region,
+                                             delay_line& line)
+    : inner_{inner}, region_{std::move(region)}, line_{line}
+{
+}
+
+void delayed_frame_handler::on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
+                                     std::uint64_t correlation, std::span<const std::byte> payload)
+{
+    if (address_region(source->peer_address()) == region_) {
+        inner_.on_frame(source, kind, correlation, payload);
+        return;
+    }
+    line_.submit([this, source, kind, correlation,
+                  copy = std::vector<std::byte>{payload.begin(), payload.end()}] {
+        inner_.on_frame(source, kind, correlation, copy);
+    });
+}
+
+void delayed_frame_handler::on_closed(const frame_sink& source, bool established)
+{
+    inner_.on_closed(source, established);
+}
+
+} // namespace savorywheel::standin
--- /dev/null
+++ b/standin/node/delayed_frame_handler.hpp
@@ -0,0 +1,34 @@
+#ifndef SAVORYWHEEL_STANDIN_NODE_DELAYED_FRAME_HANDLER_HPP
+#define SAVORYWHEEL_STANDIN_NODE_DELAYED_FRAME_HANDLER_HPP
+
+#include <savorywheel/transport/frame_handler.hpp>
+
+#include <standin/node/delay_line.hpp>
+
+#include <string>
+
+namespace savorywheel::standin {
+
+/** @brief Delivers frames from other regions later; all others at once. */
+class delayed_frame_handler final : public frame_handler {
+public:
+    /**
+     * @param inner Takes the frames; must outlive this handler.
+     * @param region Own region, as address_region() tells it.
+     * @param line Delays the frames; must outlive this handler.
+     */
+    delayed_frame_handler(frame_handler& inner, std::string region, delay_line& line);
+
+    void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
+                  std::uint64_t correlation, std::span<const std::byte> payload) override;
+    void on_closed(const frame_sink& source, bool established) override;
+
+private:
+    frame_handler& inner_;
+    std::string region_;
+    delay_line& line_;
+};
+
+} // namespace savorywheel::standin
+
+#endif
--- /dev/null
+++ b/standin/node/delayed_object_store.cpp
@@ -0,0 +1,52 @@
+#include <standin/node/delayed_object_store.hpp>
+
+#include <thread>
+
+namespace savorywheel::standin {
+
+namespace {
+
+template<typename Call>
+auto delayed(duration delay, Call call)
+{
+    std::this_thread::sleep_for(delay);
+    auto result = call();
+    std::this_thread::sleep_for(delay);
+    return result;
+}
+
+} // namespace
+
+outcome<stored_object> delayed_object_store::get(std::string_view key)
+{
+    return delayed(delay_, [&] { return inner_.get(key); });
+}
+
+outcome<std::uint64_t> delayed_object_store::create(std::string_view key, std::string_view value)
+{
+    return delayed(delay_, [&] { return inner_.create(key, value); });
+}
+
+outcome<std::uint64_t> delayed_object_store::update(std::string_view key, std::string_view value,
+                                                    std::uint64_t expected)
+{
+    return delayed(delay_, [&] { return inner_.update(key, value, expected); });
+}
+
+outcome<std::uint64_t> delayed_object_store::remove(std::string_view key, std::uint64_t expected)
+{
+    return delayed(delay_, [&] { return inner_.remove(key, expected); });
+}
+
+outcome<object_list> delayed_object_store::list(std::string_view prefix, std::string_view after)
+{
+    return delayed(delay_, [&] { return inner_.list(prefix, after); });
+}
+
+outcome<object_list> delayed_object_store::watch(std::string_view prefix, std::uint64_t after,
+                                                 std::chrono::milliseconds patience)
+{
+    return delayed(delay_, [&] { return inner_.watch(prefix, after, patience); });
+}
+
+} // namespace savorywheel::standin
--- /dev/null
+++ b/standin/node/region_delay_links.hpp
@@ -0,0 +1,45 @@
+#ifndef SAVORYWHEEL_STANDIN_NODE_REGION_DELAY_LINKS_HPP
+#define SAVORYWHEEL_STANDIN_NODE_REGION_DELAY_LINKS_HPP
+
+#include <savorywheel/node/link_decorator.hpp>
+#include <savorywheel/settings/node_settings.hpp>
+
+#include <standin/node/delay_line.hpp>
+#include <standin/node/delayed_frame_handler.hpp>
+#include <standin/node/delayed_object_store.hpp>
+
+#include <memory>
+#include <string>
+
+namespace savorywheel::standin {
+
+/**
+ * @brief Delays what comes from other regions, in which IP numbers have another third number.
+ *
+ * Frames, datagrams and the platform's service are delayed, heartbeats of streams are not.
+ */
+class region_delay_links final : public link_decorator {
+public:
+    /**
+     * @param settings Settings of the node.
+     * @param delay Time of one way between regions.
+     */
+    region_delay_links(const node_settings& settings, duration delay);
+
+    [[nodiscard]] frame_handler& frames(frame_handler& inner) override;
+    [[nodiscard]] datagram_handler datagrams(datagram_handler inner) override;
+    [[nodiscard]] object_store& store(object_store& inner) override;
+    void stop() override { line_.stop(); }
+
+private:
+    std::string region_;
+    std::string store_region_;
+    duration delay_;
+    std::unique_ptr<delayed_frame_handler> frames_;
+    std::unique_ptr<delayed_object_store> store_;
+    delay_line line_;
+};
+
+} // namespace savorywheel::standin
+
+#endif
--- a/standin/platform/platform_handler.cpp
+++ b/standin/platform/platform_handler.cpp
@@ -69,6 +69,13 @@
 
 } // namespace
 
+platform_handler::platform_handler(object_table& table) : table_{table}
+{
+    for (const auto* name : {"reads", "watches", "writes", "refused"}) {
+        static_cast<void>(metrics_.count(name));
+    }
+}
+
 http_response platform_handler::handle(const http_request& request)
 {
     const auto path = path_of(request.target);
--- a/standin/platform/platform_handler.hpp
+++ b/standin/platform/platform_handler.hpp
@@ -19,7 +19,7 @@
 class platform_handler final : public http_handler {
 public:
     /** @param table Objects; must outlive the handler. */
-    explicit platform_handler(object_table& table) noexcept : table_{table} {}
+    explicit platform_handler(object_table& table);
 
     [[nodiscard]] http_response handle(const http_request& request) override;
 
--- a/test/support/child_process.cpp
+++ b/standin/support/child_process.cpp
@@ -1,6 +1,6 @@
 #include <fcntl.h>
 #include <spawn.h>
-#include <support/child_process.hpp>
+#include <standin/support/child_process.hpp>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -8,7 +8,7 @@
 #include <stdexcept>
 #include <vector>
 
-namespace savorywheel::test {
+namespace savorywheel::standin {
 
 namespace {
 
@@ -22,10 +22,9 @@
 
 } // namespace
 
-child_process::child_process(const std::string& program, std::span<const std::string> arguments,
+child_process::child_process(const std::string& path, std::span<const std::string> arguments,
                              const std::string& log)
 {
-    auto path = std::string{SAVORYWHEEL_BINARY_FOLDER} + "/" + program;
     std::vector<std::string> words{path};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
@@ -85,4 +84,4 @@
     return !ended_;
 }
 
-} // namespace savorywheel::test
+} // namespace savorywheel::standin
--- a/test/support/child_process.hpp
+++ b/test/support/child_process.hpp
@@ -1,46 +1,28 @@
 #ifndef SAVORYWHEEL_TEST_SUPPORT_CHILD_PROCESS_HPP
 #define SAVORYWHEEL_TEST_SUPPORT_CHILD_PROCESS_HPP
 
-#include <sys/types.h>
+#include <standin/support/child_process.hpp>
 
 #include <span>
 #include <string>
 
 namespace savorywheel::test {
 
-/** @brief A process that a test started; it is killed and awaited at the end. */
-class child_process {
+/** @brief A program of the build's bin folder that a test started. */
+class child_process : public standin::child_process {
 public:
     /**
-     * @brief Starts a program of the build's bin folder.
+     * @brief Starts the program.
      * @param program Name of the program.
      * @param arguments Its arguments.
      * @param log File that receives its output; appended to.
      */
     child_process(const std::string& program, std::span<const std::string> arguments,
-                  const std::string& log);
-    child_process(const child_process&) = delete;
-    child_process& operator=(const child_process&) = delete;
-    child_process(child_process&&) = delete;
-    child_process& operator=(child_process&&) = delete;
-    ~child_process();
-
-    /** @brief Sends a signal, such as SIGKILL, SIGSTOP, SIGCONT or SIGTERM. */
-    void signal(int number) const;
-
-    /** @return The exit code after waiting for the end; 128 plus the signal if one ended it. */
-    int wait();
-
-    /** @return True if the process has not ended. */
-    [[nodiscard]] bool running();
-
-    /** @return The process id. */
-    [[nodiscard]] pid_t id() const noexcept { return id_; }
-
-private:
-    pid_t id_{};
-    bool ended_{};
-    int code_{};
+                  const std::string& log)
+        : standin::child_process{std::string{SAVORYWHEEL_BINARY_FOLDER} + "/" + program, arguments,
+                                 log}
+    {
+    }
 };
 
 } // namespace savorywheel::test
