--- a/src/savorywheel/distribution/commit_watcher.cpp
+++ b/src/savorywheel/distribution/commit_watcher.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/distribution/commit_keys.hpp>
 #include <savorywheel/distribution/commit_reader.hpp>
 #include <savorywheel/distribution/commit_sequence.hpp>
@@ -51,6 +52,7 @@
 
 void commit_watcher::run()
 {
+    name_this_thread("store-watch");
     position place;
     while (wait_for_work(place)) {
         const bool answered = place.listed ? follow(place) : catch_up(place);
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -9,6 +9,7 @@
 #include <savorywheel/distribution/floor_service.hpp>
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
+#include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/membership_service.hpp>
 #include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
@@ -52,6 +53,8 @@
         evidence_recorder& evidence;
         /** @brief Ejected versions that the traffic threads heed. */
         version_ejections& ejections;
+        /** @brief Learns the regions of peers. */
+        region_byte_meter& meter;
         /** @brief Log. */
         event_log& log;
     };
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -2,14 +2,18 @@
 #include <savorywheel/core/control_loop.hpp>
 #include <savorywheel/core/seeded_random.hpp>
 #include <savorywheel/core/system_clock_source.hpp>
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/http/curl_http_client.hpp>
 #include <savorywheel/http/http_server.hpp>
+#include <savorywheel/metrics/process_cost_source.hpp>
+#include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/node.hpp>
 #include <savorywheel/routing/ejecting_version_chooser.hpp>
 #include <savorywheel/routing/nearest_endpoint_chooser.hpp>
 #include <savorywheel/routing/weighted_version_chooser.hpp>
 #include <savorywheel/store/http_object_store.hpp>
+#include <savorywheel/store/metered_object_store.hpp>
 #include <savorywheel/traffic/peer_call_transport.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
 #include <savorywheel/transport/asio_datagram_channel.hpp>
@@ -39,14 +43,18 @@
 /** All parts of a node, in the order of their construction. */
 class node::parts {
 public:
-    parts(node_settings settings, event_log& log)
-        : settings_{std::move(settings)}, log_{log}, random_{random_seed()}, loop_{time_},
-          store_{http_, settings_.store, store_timeout}, worker_{store_}, network_{router_},
-          gate_{http_, time_}, control_{settings_,
-                                        control_plane::environment{loop_, random_, store_, worker_,
-                                                                   datagrams_, network_, requests_,
-                                                                   tables_, gate_, evidence_,
-                                                                   ejections_, log_}},
+    parts(node_settings settings, event_log& log, link_decorator& links)
+        : settings_{std::move(settings)}, log_{log}, links_{links}, random_{random_seed()},
+          loop_{time_}, meter_{settings_.region, metrics_}, platform_{http_, settings_.store,
+                                                                      store_timeout},
+          store_{links.store(platform_), metrics_}, worker_{store_}, network_{links.frames(router_),
+                                                                              meter_},
+          datagrams_{meter_}, gate_{http_, time_}, control_{settings_,
+                                                            control_plane::environment{
+                                                                loop_, random_, store_, worker_,
+                                                                datagrams_, network_, requests_,
+                                                                tables_, gate_, evidence_,
+                                                                ejections_, meter_, log_}},
           weighted_versions_{random_}, versions_{weighted_versions_, ejections_, random_},
           endpoints_{settings_.domain, settings_.region, loads_, random_},
           transport_{network_, requests_}, proxy_{proxy_handler::environment{
@@ -57,6 +65,7 @@
           admin_{admin_handler::environment{control_, changes_, operators_, metrics_, log_}},
           proxy_server_{proxy_}, admin_server_{admin_}
     {
+        metrics_.add_source(cost_);
         router_.add({frame_kind::call_request, frame_kind::call_cancel}, gate_);
         router_.add({frame_kind::call_response, frame_kind::commit_batch,
                      frame_kind::membership_full, frame_kind::floor_stored,
@@ -73,10 +82,11 @@
     {
         auto started = network_.start(settings_.peer);
         if (started) {
-            started = datagrams_.start(settings_.peer, [this](const network_endpoint& /*sender*/,
-                                                              std::span<const std::byte> payload) {
-                static_cast<void>(control_.membership().on_datagram(payload));
-            });
+            started = datagrams_.start(
+                settings_.peer, links_.datagrams([this](const network_endpoint& /*sender*/,
+                                                        std::span<const std::byte> payload) {
+                    static_cast<void>(control_.membership().on_datagram(payload));
+                }));
         }
         if (started) {
             started = admin_server_.start(settings_.admin);
@@ -86,7 +96,10 @@
         }
         if (started) {
             loop_.post([this] { control_.start(); });
-            control_thread_ = std::thread{[this] { loop_.run(); }};
+            control_thread_ = std::thread{[this] {
+                name_this_thread("control");
+                loop_.run();
+            }};
             log_.write(event_id::process_started, settings_.name.str());
         }
         return started;
@@ -107,6 +120,7 @@
         control_thread_.join();
         network_.stop();
         datagrams_.stop();
+        links_.stop();
         log_.write(event_id::process_stopped, settings_.name.str());
     }
 
@@ -125,13 +139,17 @@
 
     node_settings settings_;
     event_log& log_;
+    link_decorator& links_;
     system_clock_source time_;
     seeded_random random_;
     control_loop loop_;
     curl_http_client http_;
-    http_object_store store_;
-    store_worker worker_;
     metric_registry metrics_;
+    process_cost_source cost_;
+    region_byte_meter meter_;
+    http_object_store platform_;
+    metered_object_store store_;
+    store_worker worker_;
     frame_router router_;
     request_client requests_;
     asio_peer_network network_;
@@ -156,8 +174,8 @@
     std::thread control_thread_;
 };
 
-node::node(node_settings settings, event_log& log)
-    : parts_{std::make_unique<parts>(std::move(settings), log)}
+node::node(node_settings settings, event_log& log, link_decorator& links)
+    : parts_{std::make_unique<parts>(std::move(settings), log, links)}
 {
 }
 
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/rollout/evidence_recorder.hpp>
 #include <savorywheel/routing/nearest_endpoint_chooser.hpp>
 #include <savorywheel/routing/weighted_version_chooser.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
@@ -69,10 +70,11 @@
     nearest_endpoint_chooser endpoints{failure_domain{"d"}, region_name{"r"}, loads, random};
     retry_budget retries;
     generated_transport transport{time};
+    evidence_recorder observer;
     metric_registry metrics;
     recording_event_log log;
     proxy_handler proxy{
-        {time, tables, versions, endpoints, loads, retries, transport, metrics, log}};
+        {time, tables, versions, endpoints, loads, retries, transport, observer, metrics, log}};
 };
 
 bool contains(std::span<const call_result> results, call_result wanted)
