--- a/src/savorywheel/admin/change_submitter.cpp
+++ b/src/savorywheel/admin/change_submitter.cpp
@@ -92,6 +92,7 @@
 {
     const auto written = commit_writer{store_}.append(change);
     if (written) {
+        source_.committed(change);
         return accept(change.version, {});
     }
     switch (written.reason().code) {
--- a/src/savorywheel/admin/configuration_source.hpp
+++ b/src/savorywheel/admin/configuration_source.hpp
@@ -20,6 +20,9 @@
     /** @return The newest state; the reason if the node or the store does not answer. */
     [[nodiscard]] outcome<mesh_state> latest();
 
+    /** @brief Hands an accepted commit to the node, so that it spreads at once. */
+    void committed(const commit& change) { view_.committed(change); }
+
 private:
     node_view& view_;
     object_store& store_;
--- a/src/savorywheel/admin/node_view.hpp
+++ b/src/savorywheel/admin/node_view.hpp
@@ -35,6 +35,9 @@
     /** @return What is known of the failure domains; timeout as above. */
     [[nodiscard]] virtual outcome<std::vector<domain_status>> domains() = 0;
 
+    /** @brief Hears of a commit that was accepted through this node, so that it spreads at once. */
+    virtual void committed(const commit& change) = 0;
+
     /** @brief Takes an announcement of the backend server beside the node. */
     virtual void announce(const backend_server& backend) = 0;
 };
--- a/src/savorywheel/admin/operation_settler.cpp
+++ b/src/savorywheel/admin/operation_settler.cpp
@@ -93,6 +93,9 @@
     }
     if (state->version() < change.version) {
         const auto written = commit_writer{store_}.append(change);
+        if (written) {
+            source_.committed(change);
+        }
         return written || written.reason().code != failure_code::conflict ? written
                                                                           : outcome<bool>{false};
     }
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -3,11 +3,14 @@
 
 #include <savorywheel/admin/node_view.hpp>
 #include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/core/event_quota.hpp>
 #include <savorywheel/distribution/commit_watcher.hpp>
 #include <savorywheel/distribution/distributor.hpp>
+#include <savorywheel/distribution/floor_service.hpp>
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/node/head_tracker.hpp>
+#include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/membership_service.hpp>
 #include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
@@ -15,14 +18,17 @@
 #include <savorywheel/settings/node_settings.hpp>
 #include <savorywheel/traffic/gate.hpp>
 
+#include <map>
 #include <optional>
+#include <string>
 
 namespace savorywheel {
 
 /** @brief The control state of a node, which belongs to the control thread. */
 class control_plane final : public node_view,
                             public membership_listener,
-                            public configuration_listener {
+                            public configuration_listener,
+                            public floor_listener {
 public:
     /** @brief What the control plane works with; all must outlive it. */
     struct environment {
@@ -48,6 +54,8 @@
         evidence_recorder& evidence;
         /** @brief Ejected versions that the traffic threads heed. */
         version_ejections& ejections;
+        /** @brief Learns the regions of peers. */
+        region_byte_meter& meter;
         /** @brief Log. */
         event_log& log;
     };
@@ -70,6 +78,9 @@
     /** @return Distribution, for the network's threads. */
     [[nodiscard]] distributor& distribution() noexcept { return distributor_; }
 
+    /** @return Floors, for the network's threads. */
+    [[nodiscard]] floor_service& floors() noexcept { return floors_; }
+
     /** @return Moves of traffic, for the network's threads. */
     [[nodiscard]] rollout_service& rollouts() noexcept { return rollouts_; }
 
@@ -80,9 +91,23 @@
     void announce(const backend_server& backend) override;
     void on_member_changed(const member_update& update) override;
     void on_head_seen(const network_endpoint& peer, config_version head) override;
+    void committed(const commit& change) override;
     void on_configuration(const mesh_state& state) override;
+    void on_bad_commit(const failure& reason) override;
+    void on_floor_settled(config_version floor) override;
+    void on_version_usable(config_version version) override;
+    void on_floor_delayed(config_version version) override;
+    void on_floor_skipped(config_version version) override;
 
 private:
+    [[nodiscard]] membership_service::environment membership_environment();
+    [[nodiscard]] distributor::environment distribution_environment();
+    [[nodiscard]] floor_service::environment floor_environment();
+    /** Reads the log in the store, so that this node learns its floor without buddies. */
+    void read_store();
+    void take_tail(const log_tail& tail);
+    void write_checkpoint();
+    void compete_for_lease();
     void publish_table();
     void set_backend(std::optional<backend_server> backend);
     void expire_backend();
@@ -91,13 +116,18 @@
 
     node_settings settings_;
     environment environment_;
+    event_quota quota_;
     membership_service membership_;
     distributor distributor_;
+    floor_service floors_;
     commit_watcher watcher_;
     lease_keeper lease_;
     rollout_service rollouts_;
     routing_table_builder builder_;
     head_tracker heads_;
+    std::map<config_version, mesh_state> accepted_;
+    config_version checkpointed_;
+    std::string last_fault_;
     std::optional<backend_server> backend_;
     monotonic_time backend_seen_at_;
     std::optional<bool> store_reachable_;
@@ -105,6 +135,8 @@
     bool leaving_{};
     subscription backend_timer_;
     subscription publish_timer_;
+    subscription candidate_timer_;
+    subscription reread_timer_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/traffic/gate.hpp>
 
@@ -84,7 +85,7 @@
         source->close();
         return;
     }
-    const auto deadline = clock_.now() + call->remaining;
+    const auto deadline = std::min(clock_.now() + call->remaining, monotonic_time{call->expires});
     admit({source, correlation, std::move(*call), deadline});
 }
 
@@ -136,6 +137,7 @@
 
 void gate::run()
 {
+    name_this_thread("gate");
     std::unique_lock lock{mutex_};
     while (true) {
         wake_.wait(lock, [this] {
--- a/src/savorywheel/transport/frame_sink.hpp
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -2,10 +2,13 @@
 #define SAVORYWHEEL_TRANSPORT_FRAME_SINK_HPP
 
 #include <savorywheel/transport/frame_kind.hpp>
+#include <savorywheel/transport/peer_clock.hpp>
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
+#include <string_view>
 
 namespace savorywheel {
 
@@ -29,8 +32,25 @@
     virtual bool send(frame_kind kind, std::uint64_t correlation,
                       std::span<const std::byte> payload) = 0;
 
+    /** @return The peer's IP number; empty if it is not known. */
+    [[nodiscard]] virtual std::string_view peer_address() const noexcept { return {}; }
+
     /** @brief Closes the connection; its handler hears of it. */
     virtual void close() = 0;
+
+    /** @brief Closes the connection once all queued frames were written. */
+    virtual void close_after_writing() { close(); }
+
+    /**
+     * @brief Waits until the peer has answered on the connection, so that frames reach it.
+     * @param deadline Longest wait.
+     * @return The deadline on the peer's clock, or earlier; nothing if the connection did not open.
+     * @warning Not for the stream thread.
+     */
+    [[nodiscard]] virtual std::optional<peer_time> await_open(monotonic_time deadline)
+    {
+        return to_peer_time(deadline);
+    }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -2,9 +2,12 @@
 #define SAVORYWHEEL_TRANSPORT_PEER_CONNECTION_HPP
 
 #include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/transport/byte_meter.hpp>
+#include <savorywheel/transport/exchange_tracker.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 #include <savorywheel/transport/frame_header.hpp>
 #include <savorywheel/transport/frame_sink.hpp>
+#include <savorywheel/transport/peer_clock.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -13,10 +16,13 @@
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -24,6 +30,11 @@
 
 /**
  * @brief One TCP stream to a peer; all input and output runs on the stream thread.
+ *
+ * The accepting end sends a heartbeat first. The opening end writes nothing before it arrives, so
+ * that a connection which never carried data in both directions has carried no request. Later
+ * heartbeats are sent in the absence of other frames while a request is unanswered or the stream
+ * was used recently. The opening end closes a stream that is no longer used.
  * @warning Include it only in source files of this module; it brings Boost.Asio.
  */
 class peer_connection final : public frame_sink,
@@ -35,13 +46,18 @@
     /**
      * @param context Context of the stream thread.
      * @param handler Takes the frames; must outlive the connection.
+     * @param meter Hears of all frames; must outlive the connection.
      * @param closed Called once at the end.
      */
-    peer_connection(boost::asio::io_context& context, frame_handler& handler,
+    peer_connection(boost::asio::io_context& context, frame_handler& handler, byte_meter& meter,
                     closed_callback closed);
 
-    /** @brief Opens the stream to a peer. */
-    void connect(const network_endpoint& peer);
+    /**
+     * @brief Opens the stream to a peer.
+     * @param peer The peer's endpoint.
+     * @param local_address IP number of this node, by which the peer knows the sender.
+     */
+    void connect(const network_endpoint& peer, const std::string& local_address);
 
     /** @brief Takes over an accepted socket. */
     void accept(boost::asio::ip::tcp::socket socket);
@@ -51,31 +67,54 @@
 
     bool send(frame_kind kind, std::uint64_t correlation,
               std::span<const std::byte> payload) override;
+    [[nodiscard]] std::string_view peer_address() const noexcept override { return peer_address_; }
     void close() override;
+    void close_after_writing() override;
+    [[nodiscard]] std::optional<peer_time> await_open(monotonic_time deadline) override;
 
 private:
     using buffer = std::vector<std::byte>;
 
+    struct queued_frame {
+        traffic_class purpose;
+        buffer bytes;
+    };
+
     void start();
     void read_header();
     void read_payload(const frame_header& header);
     void write_next();
+    void on_heartbeat(std::uint64_t sent);
+    void receive(const frame_header& header);
     void watch_silence();
+    void check_silence(monotonic_time now);
+    void send_heartbeat();
     void finish();
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     frame_handler& handler_;
+    byte_meter& meter_;
     closed_callback on_closed_;
+    std::string peer_address_;
     std::array<std::byte, frame_header_bytes> header_{};
     buffer payload_;
     std::atomic<bool> closed_{};
+    bool opener_{};
     bool established_{};
     bool finished_{};
     bool writing_{};
-    std::chrono::steady_clock::time_point last_received_;
+    bool closing_{};
+    monotonic_time started_{std::chrono::steady_clock::now()};
+    monotonic_time last_received_;
+    monotonic_time last_sent_;
+    std::optional<monotonic_time> closing_since_;
     std::mutex mutex_;
-    std::deque<buffer> queue_;
+    std::condition_variable opened_;
+    bool open_{};
+    peer_clock peer_clock_;
+    exchange_tracker exchanges_;
+    std::deque<queued_frame> queue_;
     std::size_t queued_bytes_{};
 };
 
--- a/test/savorywheel/admin/fixed_node_view.hpp
+++ b/test/savorywheel/admin/fixed_node_view.hpp
@@ -24,6 +24,8 @@
         return std::vector<domain_status>{};
     }
 
+    void committed(const commit& /*change*/) override {}
+
     void announce(const backend_server& backend) override { announced_ = backend; }
 
     /** @return The announcement that was taken last. */
