--- a/test/savorywheel/rollout/controller_proof_test.cpp
+++ b/test/savorywheel/rollout/controller_proof_test.cpp
@@ -83,7 +83,7 @@
     RC_ASSERT(commit_writer{store}.append(change));
 }
 
-void act_as_operator(object_store& store, mesh_state state, bool release, int number)
+void act_as_operator(object_store& store, const mesh_state& state, bool release, int number)
 {
     const author_name anna{"anna"};
     const std::array<version_weight, 1> old{{{version_name{"v1"}, weight_sum_permille}}};
