Compare latency at like distance only, and let no short stall decide

Cause: on a busy machine (load 24) the process test withdrew a good version: "more calls slower than 1.0 ms than the old version". Calls of a millisecond differ by where the servers run, and a stall of one server within a second decided alone.

Ruled out: a higher threshold; it would not help, as the difference was real but no harm of the version. Latency at the gate instead of at the caller would also remove the distance, but the gate does not know the route.

Change: evidence is kept apart for backend servers in the caller's region and in others (route_stratum), the bound of a slow call is never under 5 ms, and one block adds at most 4 to the sum for slowness, so that a short stall does not decide.

--- a/src/savorywheel/encoding/rollout_archive.hpp
+++ b/src/savorywheel/encoding/rollout_archive.hpp
@@ -32,8 +32,9 @@
 void serialize(Archive& archive, route_evidence& item)
 {
     archive(cereal::make_nvp("service", item.service), cereal::make_nvp("version", item.version),
-            cereal::make_nvp("route", item.route), cereal::make_nvp("calls", item.calls),
-            cereal::make_nvp("failures", item.failures),
+            cereal::make_nvp("route", item.route),
+            cereal::make_nvp("other_region", item.other_region),
+            cereal::make_nvp("calls", item.calls), cereal::make_nvp("failures", item.failures),
             cereal::make_nvp("failed_at", item.failed_at),
             cereal::make_nvp("latencies", item.latencies));
 }
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -51,7 +51,8 @@
           endpoints_{settings_.domain, settings_.region, loads_, random_},
           transport_{network_, requests_}, proxy_{proxy_handler::environment{
                                                time_, tables_, versions_, endpoints_, loads_,
-                                               retries_, transport_, evidence_, metrics_, log_}},
+                                               retries_, transport_, settings_.region, evidence_,
+                                               metrics_, log_}},
           operators_{settings_.operators}, changes_{change_service::environment{time_, random_,
                                                                                 store_, control_}},
           admin_{admin_handler::environment{control_, changes_, operators_, metrics_, log_}},
--- a/src/savorywheel/rollout/evidence_table.cpp
+++ b/src/savorywheel/rollout/evidence_table.cpp
@@ -6,20 +6,22 @@
 namespace savorywheel {
 
 route_evidence& evidence_table::entry(const service_name& service, const version_name& version,
-                                      std::string_view route)
+                                      std::string_view route, bool other_region)
 {
-    const auto [found, created] = entries_.try_emplace(key{service, version, std::string{route}});
+    const auto [found, created] =
+        entries_.try_emplace(key{service, version, std::string{route}, other_region});
     if (created) {
         found->second.service = service;
         found->second.version = version;
         found->second.route = route;
+        found->second.other_region = other_region;
     }
     return found->second;
 }
 
 void evidence_table::add(const route_evidence& item)
 {
-    auto& sum = entry(item.service, item.version, item.route);
+    auto& sum = entry(item.service, item.version, item.route, item.other_region);
     sum.calls += item.calls;
     sum.failures += item.failures;
     sum.latencies.add(item.latencies);
@@ -33,7 +35,7 @@
 std::vector<route_evidence> evidence_table::take(const service_name& service)
 {
     std::vector<route_evidence> taken;
-    for (auto item = entries_.lower_bound(key{service, {}, {}});
+    for (auto item = entries_.lower_bound(key{service, {}, {}, false});
          item != entries_.end() && std::get<0>(item->first) == service;) {
         taken.push_back(std::move(item->second));
         item = entries_.erase(item);
--- a/src/savorywheel/rollout/evidence_table.hpp
+++ b/src/savorywheel/rollout/evidence_table.hpp
@@ -11,12 +11,12 @@
 
 namespace savorywheel {
 
-/** @brief Evidence of many services, added up by service, version and route. */
+/** @brief Evidence of many services, added up by service, version, route and distance. */
 class evidence_table {
 public:
     /** @return The entry, created if it does not exist. */
     [[nodiscard]] route_evidence& entry(const service_name& service, const version_name& version,
-                                        std::string_view route);
+                                        std::string_view route, bool other_region);
 
     /** @brief Adds evidence to its entry. */
     void add(const route_evidence& item);
@@ -28,7 +28,7 @@
     [[nodiscard]] std::vector<route_evidence> take_all();
 
 private:
-    using key = std::tuple<service_name, version_name, std::string>;
+    using key = std::tuple<service_name, version_name, std::string, bool>;
 
     std::map<key, route_evidence> entries_;
 };
--- a/src/savorywheel/rollout/fault_monitor.cpp
+++ b/src/savorywheel/rollout/fault_monitor.cpp
@@ -13,6 +13,7 @@
 constexpr std::chrono::seconds shortest_watch{600};
 constexpr std::chrono::seconds longest_watch{86'400};
 constexpr std::size_t properties_per_route = 2;
+constexpr std::size_t strata_per_route = 2;
 
 struct sample_pair {
     route_sample old_sample;
@@ -26,16 +27,16 @@
     sample.failed_at.insert(item.failed_at.begin(), item.failed_at.end());
 }
 
-std::map<std::string, sample_pair> group(const rollout_view& view)
+std::map<route_stratum, sample_pair> group(const rollout_view& view)
 {
-    std::map<std::string, sample_pair> routes;
+    std::map<route_stratum, sample_pair> routes;
     const auto& move = *view.service.move;
     for (const auto& item : view.evidence) {
         if (gains_share(move, item.version)) {
-            add(item, routes[item.route].new_sample);
+            add(item, routes[{item.route, item.other_region}].new_sample);
         }
         else if (loses_share(move, item.version)) {
-            add(item, routes[item.route].old_sample);
+            add(item, routes[{item.route, item.other_region}].old_sample);
         }
     }
     return routes;
@@ -54,14 +55,14 @@
 {
     const bool alone = !old_versions_have_share(view.service);
     const auto samples = group(view);
-    for (const auto& [route, pair] : samples) {
+    for (const auto& [stratum, pair] : samples) {
         new_calls_ += pair.new_sample.failures.calls;
         if (new_calls_ > 0 && !first_new_call_) {
             first_new_call_ = view.now;
         }
     }
-    for (const auto& [route, pair] : samples) {
-        auto& monitor = routes_[route];
+    for (const auto& [stratum, pair] : samples) {
+        auto& monitor = routes_[stratum];
         if (alone) {
             monitor.observe_alone(pair.new_sample);
         }
@@ -70,8 +71,8 @@
         }
     }
     strongest_ = {};
-    for (const auto& [route, monitor] : routes_) {
-        auto item = monitor.finding(route, view.new_servers);
+    for (const auto& [stratum, monitor] : routes_) {
+        auto item = monitor.finding(stratum.route, view.new_servers);
         if (item.score > strongest_.score) {
             strongest_ = std::move(item);
         }
@@ -91,7 +92,7 @@
                            : shortest_watch;
     const auto watch = std::clamp(asked, shortest_watch, longest_watch);
     const auto sums = std::max<std::size_t>(service.spec.routes.size(), 1) * harm_degrees *
-                      properties_per_route * std::max<std::size_t>(watchers, 1);
+                      properties_per_route * strata_per_route * std::max<std::size_t>(watchers, 1);
     return std::log(static_cast<double>(watch.count()) * static_cast<double>(sums) /
                     false_alarms_per_move);
 }
--- a/src/savorywheel/rollout/fault_monitor.hpp
+++ b/src/savorywheel/rollout/fault_monitor.hpp
@@ -4,14 +4,14 @@
 #include <savorywheel/rollout/fault_finding.hpp>
 #include <savorywheel/rollout/rollout_view.hpp>
 #include <savorywheel/rollout/route_monitor.hpp>
+#include <savorywheel/rollout/route_stratum.hpp>
 
 #include <map>
 #include <optional>
-#include <string>
 
 namespace savorywheel {
 
-/** @brief Looks for faults of the new version of one move, route by route. */
+/** @brief Looks for faults of the new version of one move, by route and distance. */
 class fault_monitor {
 public:
     /**
@@ -29,7 +29,7 @@
 private:
     [[nodiscard]] bool warm(calendar_time now);
 
-    std::map<std::string, route_monitor> routes_;
+    std::map<route_stratum, route_monitor> routes_;
     std::optional<calendar_time> first_new_call_;
     std::uint64_t new_calls_{};
     fault_finding strongest_;
--- a/src/savorywheel/rollout/route_evidence.hpp
+++ b/src/savorywheel/rollout/route_evidence.hpp
@@ -18,6 +18,8 @@
     version_name version;
     /** @brief Path of the route. */
     std::string route;
+    /** @brief True if the backend servers were in another region than the callers' nodes. */
+    bool other_region{};
     /** @brief Calls that ended. */
     std::uint64_t calls{};
     /** @brief Calls that failed by the version's fault. */
--- a/src/savorywheel/rollout/route_monitor.cpp
+++ b/src/savorywheel/rollout/route_monitor.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-constexpr detector_settings failure_settings{0.002, 250.0, {0.01, 0.05, 0.4}};
-constexpr detector_settings slowness_settings{0.1, 50.0, {0.15, 0.4, 0.8}};
+constexpr detector_settings failure_settings{0.002, 250.0, {0.01, 0.05, 0.4}, 1000.0};
+constexpr detector_settings slowness_settings{0.1, 50.0, {0.15, 0.4, 0.8}, 4.0};
+constexpr std::chrono::milliseconds tolerated_latency{5};
 constexpr std::uint64_t fewest_latencies = 100;
 constexpr double slow_share = 0.1;
 constexpr std::size_t fewest_failed_servers = 2;
@@ -77,7 +78,7 @@
 std::size_t route_monitor::slow_bucket() const noexcept
 {
     const auto limit = static_cast<double>(old_latencies_.total()) * slow_share;
-    std::size_t bucket = 1;
+    std::size_t bucket = latency_bucket(tolerated_latency);
     while (bucket + 1 < latency_bucket_count &&
            static_cast<double>(old_latencies_.from_bucket(bucket)) > limit) {
         ++bucket;
--- a/src/savorywheel/rollout/sequential_detector.cpp
+++ b/src/savorywheel/rollout/sequential_detector.cpp
@@ -37,7 +37,8 @@
     const auto gross = std::min(rate + settings_.excess.back(), greatest_rate);
     if (gross > tolerated) {
         auto& sum = sums_.back();
-        sum = std::max(0.0, sum + log_likelihood_ratio(new_counts, tolerated, gross));
+        const auto block = log_likelihood_ratio(new_counts, tolerated, gross);
+        sum = std::max(0.0, sum + std::min(block, settings_.most_per_block));
     }
 }
 
@@ -58,7 +59,7 @@
     for (std::size_t i = 0; i < harm_degrees; ++i) {
         const auto harmed = std::min(rate + settings_.excess[i], greatest_rate);
         const auto block = log_e_value(old_block_, new_block_, {rate, harmed});
-        sums_[i] = std::max(0.0, sums_[i] + block);
+        sums_[i] = std::max(0.0, sums_[i] + std::min(block, settings_.most_per_block));
     }
 }
 
--- a/src/savorywheel/rollout/sequential_detector.hpp
+++ b/src/savorywheel/rollout/sequential_detector.hpp
@@ -19,6 +19,8 @@
     double prior_calls{};
     /** @brief Degrees of harm: what the new version has more than the old one. */
     std::array<double, harm_degrees> excess{};
+    /** @brief Most that one block may add, so that one short stall of a server does not decide. */
+    double most_per_block{};
 };
 
 /**
--- a/test/support/trial_case.hpp
+++ b/test/support/trial_case.hpp
@@ -27,6 +27,8 @@
     bool one_route{};
     /** @brief Seconds of an outage that makes both versions fail half of their calls. */
     int shared_outage{};
+    /** @brief Seconds between two stalls, each of one server for a second; zero for none. */
+    int stall_every{};
 
     /** @return True if the new version has no fault. */
     [[nodiscard]] bool good() const noexcept
