--- a/apps/load/log_follower.cpp
+++ b/apps/load/log_follower.cpp
@@ -13,9 +13,9 @@
 constexpr std::size_t read_bytes = 65536;
 constexpr std::string_view version_mark = "version ";
 
-int number_at(std::string_view text, std::size_t position, std::size_t length)
+unsigned number_at(std::string_view text, std::size_t position, std::size_t length)
 {
-    int value{};
+    unsigned value{};
     const auto part = text.substr(position, length);
     std::from_chars(part.data(), part.data() + part.size(), value);
     return value;
@@ -25,9 +25,9 @@
 calendar_time time_of(std::string_view line)
 {
     using namespace std::chrono;
-    const sys_days day{year{number_at(line, 0, 4)} / static_cast<unsigned>(number_at(line, 5, 2)) /
-                       static_cast<unsigned>(number_at(line, 8, 2))};
-    return day + hours{number_at(line, 11, 2)} + minutes{number_at(line, 14, 2)} +
+    const year_month_day date{year{static_cast<int>(number_at(line, 0, 4))},
+                              month{number_at(line, 5, 2)}, day{number_at(line, 8, 2)}};
+    return sys_days{date} + hours{number_at(line, 11, 2)} + minutes{number_at(line, 14, 2)} +
            seconds{number_at(line, 17, 2)} + milliseconds{number_at(line, 20, 3)};
 }
 
--- a/test/load/load_generator_test.cpp
+++ b/test/load/load_generator_test.cpp
@@ -28,7 +28,7 @@
         return http_response{200, {}, {}};
     }
 
-    unsigned direct() const { return direct_; }
+    [[nodiscard]] unsigned direct() const { return direct_; }
 
 private:
     unsigned expected_;
