Limit the calls of the platform stand-in

Cause: the stand-in answered any number of calls, so that no test met the rates of the platform's service.

Ruled out: counting a waiting watch again and again while it waits; the platform counts it as one call.

Conclusion: bursts above the rates can be tested.

--- a/standin/platform/main.cpp
+++ b/standin/platform/main.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/system_clock_source.hpp>
 #include <savorywheel/http/http_server.hpp>
 #include <savorywheel/node/stop_signal.hpp>
 
@@ -15,6 +16,11 @@
     CLI::App app{"Stands in for the platform's object API in tests and demos"};
     std::string listen = "127.0.0.1:9000";
     app.add_option("--listen", listen, "Address and port to listen on")->capture_default_str();
+    standin::platform_limits limits;
+    app.add_option("--reads-per-second", limits.reads_per_second, "Reads and watches; 0: no limit")
+        ->capture_default_str();
+    app.add_option("--writes-per-second", limits.writes_per_second, "Writes; 0: no limit")
+        ->capture_default_str();
     CLI11_PARSE(app, argc, argv);
     const auto endpoint = parse_endpoint(listen);
     if (!endpoint) {
@@ -23,7 +29,8 @@
     }
     const stop_signal signal;
     standin::object_table table;
-    standin::platform_handler handler{table};
+    const system_clock_source time;
+    standin::platform_handler handler{table, time, limits};
     http_server server{handler, http_server_limits{.max_connections = 4096}};
     if (const auto started = server.start(*endpoint); !started) {
         std::cerr << started.reason().message << '\n';
--- a/standin/platform/platform_handler.cpp
+++ b/standin/platform/platform_handler.cpp
@@ -4,6 +4,7 @@
 #include <standin/support/query.hpp>
 
 #include <charconv>
+#include <limits>
 #include <thread>
 #include <utility>
 
@@ -16,6 +17,7 @@
 constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
 constexpr int status_precondition_failed = 412;
+constexpr int status_too_many_requests = 429;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
 constexpr std::string_view objects_path = "/objects/";
@@ -69,9 +71,10 @@
 
 } // namespace
 
-platform_handler::platform_handler(object_table& table) : table_{table}
+platform_handler::platform_handler(object_table& table, const clock& time, platform_limits limits)
+    : table_{table}, reads_{time, limits.reads_per_second}, writes_{time, limits.writes_per_second}
 {
-    for (const auto* name : {"reads", "watches", "writes", "refused"}) {
+    for (const auto* name : {"reads", "watches", "writes", "refused", "throttled"}) {
         static_cast<void>(metrics_.count(name));
     }
 }
@@ -95,11 +98,25 @@
         metrics_.count("refused") += 1;
         return plain(status_unavailable, "out of service\n");
     }
+    auto& quota = request.method == "GET" ? reads_ : writes_;
+    if (!quota.take()) {
+        metrics_.count("throttled") += 1;
+        return plain(status_too_many_requests, "too many calls\n");
+    }
     return serve(request);
 }
 
 http_response platform_handler::set_faults(const http_request& request)
 {
+    constexpr auto unchanged = std::numeric_limits<std::uint64_t>::max();
+    const auto reads = query_number(request.target, "reads_per_second", unchanged);
+    if (reads != unchanged) {
+        reads_.set_rate(static_cast<double>(reads));
+    }
+    const auto writes = query_number(request.target, "writes_per_second", unchanged);
+    if (writes != unchanged) {
+        writes_.set_rate(static_cast<double>(writes));
+    }
     const std::scoped_lock lock{mutex_};
     faults_.down = query_number(request.target, "down", faults_.down ? 1 : 0) != 0;
     faults_.lost_answers =
--- a/standin/platform/platform_handler.hpp
+++ b/standin/platform/platform_handler.hpp
@@ -4,8 +4,10 @@
 #include <savorywheel/http/http_handler.hpp>
 #include <savorywheel/metrics/metric_registry.hpp>
 
+#include <standin/platform/call_quota.hpp>
 #include <standin/platform/fault_plan.hpp>
 #include <standin/platform/object_table.hpp>
+#include <standin/platform/platform_limits.hpp>
 
 #include <mutex>
 
@@ -14,12 +16,18 @@
 /**
  * @brief HTTP front of the platform stand-in.
  *
- * `PUT /fault?down=0|1&lost_answers=N&delay_ms=N` sets its faults, `GET /metrics` shows its calls.
+ * `PUT /fault?down=0|1&lost_answers=N&delay_ms=N&reads_per_second=N&writes_per_second=N` sets its
+ * faults and limits, `GET /metrics` shows its calls. A call above the limits is refused with 429
+ * and changes nothing; a watch counts as one read, however long it waits.
  */
 class platform_handler final : public http_handler {
 public:
-    /** @param table Objects; must outlive the handler. */
-    explicit platform_handler(object_table& table);
+    /**
+     * @param table Objects; must outlive the handler.
+     * @param time Clock of the limits; must outlive the handler.
+     * @param limits Calls in a second.
+     */
+    platform_handler(object_table& table, const clock& time, platform_limits limits = {});
 
     [[nodiscard]] http_response handle(const http_request& request) override;
 
@@ -31,6 +39,8 @@
 
     object_table& table_;
     metric_registry metrics_;
+    call_quota reads_;
+    call_quota writes_;
     std::mutex mutex_;
     fault_plan faults_;
 };
