Roll out good and bad versions under load in the measuring program

Cause: two of the users' four measures, good versions done in time and bad versions taken back, were reported as not measured.

Ruled out: judging by the node's events alone; operators read /status, so the trial reads it too.

Change: rollout_trial replaces half of the backend servers by version v2, then moves one service to a good and one to a failing version per round under open-loop load, and reports the time until done or withdrawn and the failed calls.

--- a/apps/load/bench_member.hpp
+++ b/apps/load/bench_member.hpp
@@ -17,6 +17,8 @@
     deployment_domain domain;
     /** @brief Service of the backend server. */
     std::string service;
+    /** @brief Version of the backend server. */
+    std::string version;
     /** @brief Where callers send requests. */
     network_endpoint traffic;
     /** @brief Administration endpoint. */
--- a/apps/load/bench_mesh.cpp
+++ b/apps/load/bench_mesh.cpp
@@ -47,6 +47,7 @@
         members_.push_back({fmt::format("node-{}", i),
                             domain,
                             service,
+                            "v1",
                             {address, port(0)},
                             {address, port(admin_offset)},
                             {address, port(peer_offset)},
@@ -59,7 +60,8 @@
     nodes_.resize(count);
     backends_.resize(count);
     for (std::size_t i = 0; i < count; ++i) {
-        start_member(i);
+        start_node(i);
+        start_backend(i);
     }
 }
 
@@ -85,9 +87,13 @@
                 return false;
             }
             const auto dump = decode_json<node_state_dump>(answer->body);
-            const auto serving = [](const member_update& item) {
-                return item.status == member_status::alive &&
-                       item.record.state == server_state::serving;
+            const auto serving = [this](const member_update& item) {
+                return std::ranges::any_of(members_, [&item](const bench_member& wanted) {
+                    return item.record.id.str() == wanted.name &&
+                           item.record.version.str() == wanted.version &&
+                           item.status == member_status::alive &&
+                           item.record.state == server_state::serving;
+                });
             };
             return dump && std::ranges::count_if(dump->members, serving) ==
                                static_cast<std::ptrdiff_t>(members_.size());
@@ -140,7 +146,15 @@
                                                     log.string());
 }
 
-void bench_mesh::start_member(std::size_t index)
+void bench_mesh::replace_backend(std::size_t index, const std::string& version)
+{
+    backends_.at(index)->signal(SIGTERM);
+    static_cast<void>(backends_.at(index)->wait());
+    members_.at(index).version = version;
+    start_backend(index);
+}
+
+void bench_mesh::start_node(std::size_t index)
 {
     const auto& member = members_[index];
     const auto path = std::filesystem::path{options_.out} / (member.name + ".yaml");
@@ -149,11 +163,16 @@
                           {"--settings", path.string(), "--region-delay-ms",
                            std::to_string(options_.region_delay_ms)},
                           member.name);
-    backends_[index] =
-        start("standin-backend",
-              {"--service", member.service, "--listen", to_string(member.backend), "--node",
-               to_string(member.admin), "--slots", std::to_string(layout_.slots)},
-              member.name + "-backend");
+}
+
+void bench_mesh::start_backend(std::size_t index)
+{
+    const auto& member = members_[index];
+    backends_[index] = start("standin-backend",
+                             {"--service", member.service, "--version-name", member.version,
+                              "--listen", to_string(member.backend), "--node",
+                              to_string(member.admin), "--slots", std::to_string(layout_.slots)},
+                             member.name + "-backend");
 }
 
 std::string bench_mesh::settings_text(const bench_member& member) const
--- a/apps/load/bench_mesh.hpp
+++ b/apps/load/bench_mesh.hpp
@@ -40,6 +40,9 @@
     /** @return True once each node knows a serving backend server at every other one. */
     [[nodiscard]] bool wait_until_ready();
 
+    /** @brief Stops a backend server gracefully and starts one of another version in its place. */
+    void replace_backend(std::size_t index, const std::string& version);
+
     /** @return What became of a text that was sent to a node. */
     [[nodiscard]] outcome<apply_report> apply(std::size_t node, const std::string& text);
 
@@ -67,7 +70,8 @@
 private:
     [[nodiscard]] std::unique_ptr<standin::child_process>
     start(const std::string& program, std::vector<std::string> arguments, const std::string& name);
-    void start_member(std::size_t index);
+    void start_node(std::size_t index);
+    void start_backend(std::size_t index);
     [[nodiscard]] std::string settings_text(const bench_member& member) const;
     [[nodiscard]] std::uint16_t port(unsigned offset) const noexcept;
     [[nodiscard]] metric_reading metrics(const network_endpoint& server);
--- a/apps/load/load_generator.cpp
+++ b/apps/load/load_generator.cpp
@@ -41,7 +41,7 @@
 {
     while (true) {
         const auto index = next_++;
-        if (index >= total) {
+        if (index >= total || stopping_) {
             return;
         }
         const auto due = schedule.due(index);
--- a/apps/load/load_generator.hpp
+++ b/apps/load/load_generator.hpp
@@ -41,6 +41,9 @@
     /** @return A sample per request, after all were answered or timed out. */
     [[nodiscard]] std::vector<call_sample> run();
 
+    /** @brief Sends no more requests, but for those that already wait; any thread may call it. */
+    void stop() noexcept { stopping_ = true; }
+
 private:
     void work(const arrival_schedule& schedule, std::uint64_t total,
               std::vector<call_sample>& samples);
@@ -49,6 +52,7 @@
     load_plan plan_;
     environment environment_;
     std::atomic<std::uint64_t> next_{};
+    std::atomic<bool> stopping_{};
 };
 
 } // namespace savorywheel::load
--- a/apps/load/main.cpp
+++ b/apps/load/main.cpp
@@ -79,6 +79,8 @@
         ->capture_default_str();
     command.add_option("--changes", options.changes, "Changes in each half of a round")
         ->capture_default_str();
+    command.add_option("--moves", options.moves, "Rounds with a good and a bad version")
+        ->capture_default_str();
     command.add_option("--rate", options.per_second, "Requests in a second")->capture_default_str();
     command.add_option("--services", options.extra_services, "Services without backend servers");
     command.add_option("--region-delay-ms", options.region_delay_ms, "One way between regions")
@@ -113,6 +115,8 @@
         constexpr unsigned quick_seconds = 10;
         constexpr unsigned quick_changes = 3;
         constexpr unsigned quick_settle_seconds = 20;
+        constexpr unsigned quick_moves = 1;
+        options.moves = quick_moves;
         options.seconds = quick_seconds;
         options.changes = quick_changes;
         options.settle_seconds = quick_settle_seconds;
--- a/apps/load/measure_options.hpp
+++ b/apps/load/measure_options.hpp
@@ -23,6 +23,8 @@
     unsigned rounds{5};
     /** @brief Changes of configuration in each half of a round. */
     unsigned changes{5};
+    /** @brief Rounds in which one good and one bad version are rolled out; zero for none. */
+    unsigned moves{5};
     /** @brief Requests in a second, direct ones included. */
     double per_second{200.0};
     /** @brief Services without backend servers, to make the configuration larger. */
--- a/apps/load/measurement.cpp
+++ b/apps/load/measurement.cpp
@@ -8,6 +8,7 @@
 #include <load/load_report.hpp>
 #include <load/measurement.hpp>
 #include <load/path_summary.hpp>
+#include <load/rollout_trial.hpp>
 #include <load/store_watchers.hpp>
 #include <load/wait_until.hpp>
 
@@ -94,8 +95,7 @@
     settle();
     measure_idle();
     measure_load();
-    result_.figures.add("good_versions_on_time", std::nullopt, "%");
-    result_.figures.add("bad_versions_taken_back", std::nullopt, "%");
+    measure_moves();
     return result_;
 }
 
@@ -261,6 +261,20 @@
     }
 }
 
+void measurement::measure_moves()
+{
+    progress(fmt::format("{} rounds of a good and a bad version, each up to 36 s", options_.moves));
+    figure_list moves;
+    if (options_.moves > 0) {
+        moves = rollout_trial{mesh_, options_.moves}.run();
+    }
+    if (moves.items().empty()) {
+        moves.add("good_versions_on_time", std::nullopt, "%");
+        moves.add("bad_versions_taken_back", std::nullopt, "%");
+    }
+    result_.figures.append("", moves);
+}
+
 void measurement::generate(std::chrono::seconds period, std::vector<call_sample>& samples)
 {
     system_clock_source time;
--- a/apps/load/mesh_text.cpp
+++ b/apps/load/mesh_text.cpp
@@ -9,25 +9,31 @@
 
 constexpr std::size_t first_deadline_ms = 2000;
 
-std::string service_text(std::string_view name, std::size_t deadline_ms)
+std::string domains_text(const deployment& layout)
+{
+    std::string text = "failure_domains:\n";
+    for (const auto& domain : layout.domains) {
+        text += fmt::format("  - {{name: {}, region: {}}}\n", domain.name, domain.region);
+    }
+    return text + "services:\n";
+}
+
+std::string service_text(std::string_view name, std::size_t deadline_ms,
+                         std::string_view version = "v1")
 {
     return fmt::format("  - name: {}\n"
                        "    routes:\n"
                        "      - {{path: /, idempotent: true, deadline_ms: {}}}\n"
                        "    versions:\n"
-                       "      - {{name: v1, weight: 100}}\n",
-                       name, deadline_ms);
+                       "      - {{name: {}, weight: 100}}\n",
+                       name, deadline_ms, version);
 }
 
 } // namespace
 
 std::string make_mesh_text(const deployment& layout, std::size_t extra_services, std::size_t edit)
 {
-    std::string text = "failure_domains:\n";
-    for (const auto& domain : layout.domains) {
-        text += fmt::format("  - {{name: {}, region: {}}}\n", domain.name, domain.region);
-    }
-    text += "services:\n";
+    auto text = domains_text(layout);
     for (std::size_t i = 0; i < layout.services.size(); ++i) {
         text += service_text(layout.services[i], first_deadline_ms + (i == 0 ? edit : 0));
     }
@@ -37,4 +43,20 @@
     return text;
 }
 
+std::string make_rollout_text(const deployment& layout,
+                              const std::map<std::string, std::string>& versions,
+                              const std::string& due)
+{
+    auto text = domains_text(layout);
+    for (const auto& service : layout.services) {
+        const auto found = versions.find(service);
+        text += service_text(service, first_deadline_ms,
+                             found == versions.end() ? std::string{"v1"} : found->second);
+        if (!due.empty()) {
+            text += fmt::format("    by: {}\n", due);
+        }
+    }
+    return text;
+}
+
 } // namespace savorywheel::load
--- a/apps/load/mesh_text.hpp
+++ b/apps/load/mesh_text.hpp
@@ -4,6 +4,7 @@
 #include <load/deployment.hpp>
 
 #include <cstddef>
+#include <map>
 #include <string>
 
 namespace savorywheel::load {
@@ -17,6 +18,16 @@
 [[nodiscard]] std::string make_mesh_text(const deployment& layout, std::size_t extra_services,
                                          std::size_t edit);
 
+/**
+ * @brief Writes the operators' text of a deployment with a version for each service.
+ * @param layout The deployment.
+ * @param versions Version by service.
+ * @param due Time by which the versions must carry the traffic; empty for none.
+ */
+[[nodiscard]] std::string make_rollout_text(const deployment& layout,
+                                            const std::map<std::string, std::string>& versions,
+                                            const std::string& due);
+
 } // namespace savorywheel::load
 
 #endif
--- /dev/null
+++ b/apps/load/rollout_trial.cpp
@@ -0,0 +1,227 @@
+#include <savorywheel/admin/status_report.hpp>
+#include <savorywheel/config/calendar_text.hpp>
+#include <savorywheel/encoding/codec.hpp>
+
+#include <fmt/format.h>
+#include <load/background_load.hpp>
+#include <load/mesh_text.hpp>
+#include <load/rollout_trial.hpp>
+#include <load/wait_until.hpp>
+
+#include <algorithm>
+
+namespace savorywheel::load {
+
+namespace {
+
+constexpr std::chrono::seconds move_length{30};
+constexpr std::chrono::seconds observation{36};
+constexpr std::chrono::seconds late_fault_delay{10};
+constexpr std::chrono::milliseconds request_timeout{2000};
+constexpr std::chrono::milliseconds status_period{100};
+constexpr double calls_per_second = 100.0;
+constexpr unsigned fail_permille = 500;
+constexpr std::uint32_t connections = 16;
+constexpr double percent = 100.0;
+
+std::string other_version(const std::string& version)
+{
+    return version == "v1" ? "v2" : "v1";
+}
+
+double seconds_between(monotonic_time from, monotonic_time until)
+{
+    return std::chrono::duration<double>(until - from).count();
+}
+
+load_plan plan_for(const bench_mesh& mesh, const std::string& service)
+{
+    load_plan plan;
+    plan.per_second = calls_per_second;
+    plan.period = observation;
+    plan.connections = connections;
+    load_target target;
+    target.service = service_name{service};
+    target.path = std::string{"/"};
+    plan.targets.push_back(std::move(target));
+    for (const auto& member : mesh.members()) {
+        plan.nodes.push_back(member.traffic);
+    }
+    return plan;
+}
+
+std::optional<double> share(std::uint64_t part, std::uint64_t whole)
+{
+    if (whole == 0) {
+        return std::nullopt;
+    }
+    return percent * static_cast<double>(part) / static_cast<double>(whole);
+}
+
+} // namespace
+
+figure_list rollout_trial::run()
+{
+    if (!start_versions()) {
+        return {};
+    }
+    for (unsigned round = 0; round < rounds_; ++round) {
+        run_round(round);
+    }
+    return report();
+}
+
+bool rollout_trial::start_versions()
+{
+    for (std::size_t i = 1; i < mesh_.members().size(); i += 2) {
+        mesh_.replace_backend(i, "v2");
+    }
+    for (const auto& service : mesh_.layout().services) {
+        current_[service] = "v1";
+    }
+    return mesh_.wait_until_ready() && apply(current_, false);
+}
+
+void rollout_trial::run_round(unsigned round)
+{
+    const auto& services = mesh_.layout().services;
+    const auto& good = services[round % services.size()];
+    const auto& bad = services[(round + 1) % services.size()];
+    std::vector<move_watch> moves(2);
+    moves[0].service = good;
+    moves[0].version = other_version(current_[good]);
+    moves[1].service = bad;
+    moves[1].version = other_version(current_[bad]);
+    moves[1].bad = true;
+    const bool at_once = round % 2 == 0;
+    if (at_once) {
+        set_fault(moves[1], fail_permille);
+    }
+    background_load good_load{plan_for(mesh_, good), mesh_.client()};
+    background_load bad_load{plan_for(mesh_, bad), mesh_.client()};
+    auto target = current_;
+    for (const auto& move : moves) {
+        target[move.service] = move.version;
+    }
+    due_ = time_.calendar_now() + move_length;
+    const bool asked = apply(target, true);
+    const auto started = time_.now();
+    for (auto& move : moves) {
+        move.started_at = started;
+    }
+    if (at_once) {
+        moves[1].faulty_since = started;
+    }
+    static_cast<void>(wait_until(
+        [&] {
+            const auto now = time_.now();
+            if (!moves[1].faulty_since && now - started > late_fault_delay) {
+                set_fault(moves[1], fail_permille);
+                moves[1].faulty_since = now;
+            }
+            observe(moves);
+            return !asked || std::ranges::all_of(moves, &move_watch::ended);
+        },
+        observation, status_period));
+    good_load.stop();
+    bad_load.stop();
+    const auto good_summary = good_load.finish();
+    const auto bad_summary = bad_load.finish();
+    count(moves[0], good_summary.failed(), good_summary.count());
+    count(moves[1], bad_summary.failed(), bad_summary.count());
+    set_fault(moves[1], 0);
+    if (moves[0].done_at) {
+        current_[good] = moves[0].version;
+    }
+    static_cast<void>(apply(current_, false));
+}
+
+void rollout_trial::set_fault(const move_watch& move, unsigned permille)
+{
+    for (const auto& member : mesh_.members()) {
+        if (member.service == move.service && member.version == move.version) {
+            static_cast<void>(mesh_.client().send(
+                member.backend, {"PUT", fmt::format("/control?fail_permille={}", permille), {}, {}},
+                request_timeout));
+        }
+    }
+}
+
+bool rollout_trial::apply(const std::map<std::string, std::string>& versions, bool with_due)
+{
+    const auto text = make_rollout_text(mesh_.layout(), versions,
+                                        with_due ? format_calendar_time(due_) : std::string{});
+    const auto report = mesh_.apply(0, text);
+    return report && report->outcome == "accepted";
+}
+
+void rollout_trial::observe(std::vector<move_watch>& moves)
+{
+    const auto answer =
+        mesh_.client().send(mesh_.members()[0].admin, {"GET", "/status", {}, {}}, request_timeout);
+    const auto report =
+        answer ? decode_json<status_report>(answer->body) : outcome<status_report>{answer.reason()};
+    if (!report) {
+        return;
+    }
+    const auto now = time_.now();
+    for (auto& move : moves) {
+        const auto found = std::ranges::find(report->services, service_name{move.service},
+                                             &service_status::service);
+        if (found == report->services.end() || found->due != format_calendar_time(due_)) {
+            continue;
+        }
+        if (found->move == "done" && !move.done_at) {
+            move.done_at = now;
+        }
+        if (found->move == "withdrawn" && !move.withdrawn_at) {
+            move.withdrawn_at = now;
+        }
+    }
+}
+
+void rollout_trial::count(const move_watch& move, std::uint64_t failed, std::uint64_t calls)
+{
+    if (!move.bad) {
+        ++good_;
+        good_failed_calls_.add(static_cast<double>(failed));
+        if (move.done_at && *move.done_at - move.started_at <= move_length) {
+            ++good_on_time_;
+            good_seconds_.add(seconds_between(move.started_at, *move.done_at));
+        }
+        return;
+    }
+    ++bad_;
+    bad_failed_calls_.add(static_cast<double>(failed));
+    bad_calls_.add(static_cast<double>(calls));
+    if (move.withdrawn_at) {
+        ++bad_taken_back_;
+        withdraw_seconds_.add(
+            seconds_between(move.faulty_since.value_or(move.started_at), *move.withdrawn_at));
+    }
+}
+
+figure_list rollout_trial::report() const
+{
+    figure_list figures;
+    const auto add = [&figures](std::string name, const sample_set& set, double quantile,
+                                std::string unit) {
+        figures.add(std::move(name),
+                    set.sorted().empty() ? std::nullopt : std::optional{set.quantile(quantile)},
+                    std::move(unit));
+    };
+    figures.add("good_versions", static_cast<double>(good_), "moves");
+    figures.add("good_versions_on_time", share(good_on_time_, good_), "%");
+    add("good_versions_time_p50", good_seconds_, 0.5, "s");
+    add("good_versions_failed_calls_max", good_failed_calls_, 1.0, "calls");
+    figures.add("bad_versions", static_cast<double>(bad_), "moves");
+    figures.add("bad_versions_taken_back", share(bad_taken_back_, bad_), "%");
+    add("bad_versions_time_p50", withdraw_seconds_, 0.5, "s");
+    add("bad_versions_time_max", withdraw_seconds_, 1.0, "s");
+    add("bad_versions_failed_calls_p50", bad_failed_calls_, 0.5, "calls");
+    add("bad_versions_failed_calls_max", bad_failed_calls_, 1.0, "calls");
+    add("bad_versions_calls_p50", bad_calls_, 0.5, "calls");
+    return figures;
+}
+
+} // namespace savorywheel::load
--- /dev/null
+++ b/apps/load/rollout_trial.hpp
@@ -0,0 +1,63 @@
+#ifndef SAVORYWHEEL_APPS_LOAD_ROLLOUT_TRIAL_HPP
+#define SAVORYWHEEL_APPS_LOAD_ROLLOUT_TRIAL_HPP
+
+#include <savorywheel/core/system_clock_source.hpp>
+
+#include <load/bench_mesh.hpp>
+#include <load/figure_list.hpp>
+#include <load/move_watch.hpp>
+#include <load/sample_set.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace savorywheel::load {
+
+/**
+ * @brief Moves traffic to good and bad versions at one time, under load.
+ *
+ * Half of each service's backend servers run the version "v2". In each round one service moves to
+ * a good version and one to a version that fails, by turns at once and some seconds later.
+ */
+class rollout_trial {
+public:
+    /**
+     * @param mesh The mesh; must outlive the trial.
+     * @param rounds Number of rounds.
+     */
+    rollout_trial(bench_mesh& mesh, unsigned rounds) noexcept : mesh_{mesh}, rounds_{rounds} {}
+
+    /** @return What became of the moves; empty if the versions could not be started. */
+    [[nodiscard]] figure_list run();
+
+private:
+    [[nodiscard]] bool start_versions();
+    void run_round(unsigned round);
+    void set_fault(const move_watch& move, unsigned fail_permille);
+    [[nodiscard]] bool apply(const std::map<std::string, std::string>& versions, bool with_due);
+    void observe(std::vector<move_watch>& moves);
+    void count(const move_watch& move, std::uint64_t failed, std::uint64_t calls);
+    [[nodiscard]] figure_list report() const;
+
+    bench_mesh& mesh_;
+    unsigned rounds_;
+    system_clock_source time_;
+    std::map<std::string, std::string> current_;
+    calendar_time due_{};
+    std::uint64_t good_{};
+    std::uint64_t good_on_time_{};
+    std::uint64_t bad_{};
+    std::uint64_t bad_taken_back_{};
+    sample_set good_seconds_;
+    sample_set withdraw_seconds_;
+    sample_set bad_failed_calls_;
+    sample_set good_failed_calls_;
+    sample_set bad_calls_;
+};
+
+} // namespace savorywheel::load
+
+#endif
