--- a/apps/load/store_watcher.cpp
+++ b/apps/load/store_watcher.cpp
@@ -15,7 +15,7 @@
 store_watcher::store_watcher(const network_endpoint& platform, duration delay,
                              random_source& random)
     : store_{client_, platform, store_timeout}, delayed_{store_, delay},
-      watcher_{delayed_, random, [this](std::vector<commit> commits) { take(commits); },
+      watcher_{delayed_, random, [this](const log_tail& tail) { take(tail.batch.commits); },
                [](bool /*reachable*/) {}}
 {
     watcher_.start({});
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -9,6 +9,7 @@
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/node.hpp>
+#include <savorywheel/routing/ejecting_version_chooser.hpp>
 #include <savorywheel/routing/nearest_endpoint_chooser.hpp>
 #include <savorywheel/routing/weighted_version_chooser.hpp>
 #include <savorywheel/store/http_object_store.hpp>
@@ -52,11 +53,13 @@
                                                             control_plane::environment{
                                                                 loop_, random_, store_, worker_,
                                                                 datagrams_, network_, requests_,
-                                                                tables_, gate_, meter_, log_}},
-          versions_{random_}, endpoints_{settings_.domain, settings_.region, loads_, random_},
+                                                                tables_, gate_, evidence_,
+                                                                ejections_, meter_, log_}},
+          weighted_versions_{random_}, versions_{weighted_versions_, ejections_, random_},
+          endpoints_{settings_.domain, settings_.region, loads_, random_},
           transport_{network_, requests_}, proxy_{proxy_handler::environment{
                                                time_, tables_, versions_, endpoints_, loads_,
-                                               retries_, transport_, metrics_, log_}},
+                                               retries_, transport_, evidence_, metrics_, log_}},
           operators_{settings_.operators}, changes_{change_service::environment{time_, random_,
                                                                                 store_, control_}},
           admin_{admin_handler::environment{control_, changes_, operators_, metrics_, log_}},
@@ -64,22 +67,26 @@
     {
         metrics_.add_source(cost_);
         router_.add({frame_kind::call_request, frame_kind::call_cancel}, gate_);
-        router_.add(
-            {frame_kind::call_response, frame_kind::commit_batch, frame_kind::membership_full},
-            requests_);
+        router_.add({frame_kind::call_response, frame_kind::commit_batch,
+                     frame_kind::membership_full, frame_kind::floor_stored,
+                     frame_kind::floor_value},
+                    requests_);
         router_.add({frame_kind::membership_sync}, control_.membership());
+        router_.add({frame_kind::evidence_report, frame_kind::withdrawal_push},
+                    control_.rollouts());
         router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
+        router_.add({frame_kind::floor_put, frame_kind::floor_get}, control_.floors());
     }
 
     outcome<bool> start()
     {
         auto started = network_.start(settings_.peer);
         if (started) {
-            started = datagrams_.start(settings_.peer,
-                                       links_.datagrams([this](const network_endpoint& /*sender*/,
-                                                               std::span<const std::byte> payload) {
-                                           control_.membership().on_datagram(payload);
-                                       }));
+            started = datagrams_.start(
+                settings_.peer, links_.datagrams([this](const network_endpoint& /*sender*/,
+                                                        std::span<const std::byte> payload) {
+                    static_cast<void>(control_.membership().on_datagram(payload));
+                }));
         }
         if (started) {
             started = admin_server_.start(settings_.admin);
@@ -149,10 +156,13 @@
     asio_datagram_channel datagrams_;
     routing_table_holder tables_;
     gate gate_;
+    evidence_recorder evidence_;
+    version_ejections ejections_;
     control_plane control_;
     load_table loads_;
     retry_budget retries_;
-    weighted_version_chooser versions_;
+    weighted_version_chooser weighted_versions_;
+    ejecting_version_chooser versions_;
     nearest_endpoint_chooser endpoints_;
     peer_call_transport transport_;
     proxy_handler proxy_;
--- a/src/savorywheel/transport/asio_peer_network.cpp
+++ b/src/savorywheel/transport/asio_peer_network.cpp
@@ -150,7 +150,7 @@
             }
         }
         for (const auto& connection : all) {
-            connection->close();
+            connection->close_after_writing();
         }
     }
 
--- a/src/savorywheel/transport/traffic_class.cpp
+++ b/src/savorywheel/transport/traffic_class.cpp
@@ -24,6 +24,7 @@
     case frame_kind::floor_value:
         return traffic_class::floor;
     case frame_kind::evidence_report:
+    case frame_kind::withdrawal_push:
         return traffic_class::evidence;
     }
     return traffic_class::evidence;
--- a/src/savorywheel/transport/traffic_class.hpp
+++ b/src/savorywheel/transport/traffic_class.hpp
@@ -17,7 +17,7 @@
     commit,     /**< Configuration. */
     membership, /**< Full exchanges of member records. */
     floor,      /**< Lowest usable versions, kept for peers. */
-    evidence,   /**< Results of calls, for rollouts. */
+    evidence,   /**< Results of calls, and withdrawals, for rollouts. */
     last_class = evidence
 };
 
