Compare rollouts with fixed steps on the same mesh

Cause: the figures of rollouts had no baseline.

Ruled out: fixed_step_policy inside the nodes; it would need a way to choose the policy through five classes of the node. Overrides give the same steps from outside, and the mesh's control of moves leaves them alone.

Change: in each round a third service moves to a failing version by the steps of the product's schedule, set as overrides, under the same load.

--- a/apps/load/bench_mesh.cpp
+++ b/apps/load/bench_mesh.cpp
@@ -115,6 +115,13 @@
     return decode_json<apply_report>(answer->body);
 }
 
+outcome<http_response> bench_mesh::operate(const std::string& method, const std::string& target,
+                                           const std::string& body)
+{
+    const http_request request{method, target, {{"x-savorywheel-key", operator_key_text}}, body};
+    return client_.send(members_.front().admin, request, request_timeout);
+}
+
 metric_reading bench_mesh::node_metrics(std::size_t node)
 {
     return metrics(members_.at(node).admin);
--- a/apps/load/bench_mesh.hpp
+++ b/apps/load/bench_mesh.hpp
@@ -46,6 +46,10 @@
     /** @return What became of a text that was sent to a node. */
     [[nodiscard]] outcome<apply_report> apply(std::size_t node, const std::string& text);
 
+    /** @return Answer to an operator's request at the first node. */
+    [[nodiscard]] outcome<http_response>
+    operate(const std::string& method, const std::string& target, const std::string& body);
+
     /** @return Metrics of a node. */
     [[nodiscard]] metric_reading node_metrics(std::size_t node);
 
--- /dev/null
+++ b/apps/load/fixed_steps.cpp
@@ -0,0 +1,46 @@
+#include <fmt/format.h>
+#include <load/fixed_steps.hpp>
+
+#include <array>
+#include <utility>
+
+namespace savorywheel::load {
+
+namespace {
+
+constexpr std::array<unsigned, 9> shares_permille{10, 20, 50, 100, 200, 350, 500, 700, 1000};
+constexpr unsigned whole_permille = 1000;
+constexpr int status_ok = 200;
+
+std::string override_body(const std::string& from, const std::string& to, unsigned permille)
+{
+    return fmt::format(R"({{"object":{{"weights":[{{"version":"{}","permille":{}}},)"
+                       R"({{"version":"{}","permille":{}}}],"reason":"fixed steps"}}}})",
+                       from, whole_permille - permille, to, permille);
+}
+
+} // namespace
+
+fixed_steps::fixed_steps(bench_mesh& mesh, std::string service, std::string from, std::string to)
+    : mesh_{mesh}, service_{std::move(service)}, from_{std::move(from)}, to_{std::move(to)}
+{
+}
+
+void fixed_steps::advance(duration elapsed, duration length)
+{
+    const auto due = static_cast<std::size_t>(elapsed * (shares_permille.size() - 1) / length) + 1;
+    if (done_ >= std::min(due, shares_permille.size())) {
+        return;
+    }
+    done_ = std::min(due, shares_permille.size());
+    const auto body = override_body(from_, to_, shares_permille.at(done_ - 1));
+    const auto answer = mesh_.operate("PUT", "/override/" + service_, body);
+    accepted_ = accepted_ && answer && answer->status == status_ok;
+}
+
+void fixed_steps::release()
+{
+    static_cast<void>(mesh_.operate("DELETE", "/override/" + service_, {}));
+}
+
+} // namespace savorywheel::load
--- a/apps/load/move_watch.hpp
+++ b/apps/load/move_watch.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/core/clock.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -25,6 +26,11 @@
     /** @brief When the move was seen as withdrawn. */
     std::optional<monotonic_time> withdrawn_at;
 
+    /** @brief Calls of the service in that time. */
+    std::uint64_t calls{};
+    /** @brief Those that failed. */
+    std::uint64_t failed_calls{};
+
     /** @return True if the move has ended. */
     [[nodiscard]] bool ended() const noexcept { return done_at || withdrawn_at; }
 };
--- a/apps/load/rollout_trial.cpp
+++ b/apps/load/rollout_trial.cpp
@@ -4,17 +4,20 @@
 
 #include <fmt/format.h>
 #include <load/background_load.hpp>
+#include <load/fixed_steps.hpp>
 #include <load/mesh_text.hpp>
 #include <load/rollout_trial.hpp>
 #include <load/wait_until.hpp>
 
 #include <algorithm>
+#include <memory>
 
 namespace savorywheel::load {
 
 namespace {
 
 constexpr std::chrono::seconds move_length{30};
+constexpr std::chrono::seconds steps_length{27};
 constexpr std::chrono::seconds observation{36};
 constexpr std::chrono::seconds late_fault_delay{10};
 constexpr std::chrono::milliseconds request_timeout{2000};
@@ -84,54 +87,76 @@
 
 void rollout_trial::run_round(unsigned round)
 {
-    const auto& services = mesh_.layout().services;
-    const auto& good = services[round % services.size()];
-    const auto& bad = services[(round + 1) % services.size()];
-    std::vector<move_watch> moves(2);
-    moves[0].service = good;
-    moves[0].version = other_version(current_[good]);
-    moves[1].service = bad;
-    moves[1].version = other_version(current_[bad]);
-    moves[1].bad = true;
-    const bool at_once = round % 2 == 0;
-    if (at_once) {
-        set_fault(moves[1], fail_permille);
-    }
-    background_load good_load{plan_for(mesh_, good), mesh_.client()};
-    background_load bad_load{plan_for(mesh_, bad), mesh_.client()};
-    auto target = current_;
+    auto moves = plan_moves(round);
+    auto& [good, bad, stepped] = moves;
+    fixed_steps steps{mesh_, stepped.service, current_[stepped.service], stepped.version};
+    if (round % 2 == 0) {
+        start_faults(moves, time_.now());
+    }
+    std::vector<std::unique_ptr<background_load>> loads;
     for (const auto& move : moves) {
-        target[move.service] = move.version;
+        loads.push_back(
+            std::make_unique<background_load>(plan_for(mesh_, move.service), mesh_.client()));
     }
+    auto target = current_;
+    target[good.service] = good.version;
+    target[bad.service] = bad.version;
     due_ = time_.calendar_now() + move_length;
     const bool asked = apply(target, true);
     const auto started = time_.now();
+    good.started_at = bad.started_at = stepped.started_at = started;
+    const auto ended = [&] {
+        const auto elapsed = time_.now() - started;
+        if (!bad.faulty_since && elapsed > late_fault_delay) {
+            start_faults(moves, time_.now());
+        }
+        steps.advance(elapsed, steps_length);
+        observe(moves);
+        return !asked || (good.ended() && bad.ended() && elapsed > move_length);
+    };
+    static_cast<void>(wait_until(ended, observation, status_period));
+    for (std::size_t i = 0; i < moves.size(); ++i) {
+        loads[i]->stop();
+        const auto summary = loads[i]->finish();
+        moves[i].calls = summary.count();
+        moves[i].failed_calls = summary.failed();
+    }
+    count(moves, steps.accepted());
+    steps.release();
+    clean_up(moves);
+}
+
+std::array<move_watch, 3> rollout_trial::plan_moves(unsigned round) const
+{
+    const auto& services = mesh_.layout().services;
+    std::array<move_watch, 3> moves;
+    for (std::size_t i = 0; i < moves.size(); ++i) {
+        moves.at(i).service = services[(round + i) % services.size()];
+        moves.at(i).version = other_version(current_.at(moves.at(i).service));
+        moves.at(i).bad = i > 0;
+    }
+    return moves;
+}
+
+void rollout_trial::start_faults(std::span<move_watch> moves, monotonic_time now)
+{
     for (auto& move : moves) {
-        move.started_at = started;
-    }
-    if (at_once) {
-        moves[1].faulty_since = started;
-    }
-    static_cast<void>(wait_until(
-        [&] {
-            const auto now = time_.now();
-            if (!moves[1].faulty_since && now - started > late_fault_delay) {
-                set_fault(moves[1], fail_permille);
-                moves[1].faulty_since = now;
-            }
-            observe(moves);
-            return !asked || std::ranges::all_of(moves, &move_watch::ended);
-        },
-        observation, status_period));
-    good_load.stop();
-    bad_load.stop();
-    const auto good_summary = good_load.finish();
-    const auto bad_summary = bad_load.finish();
-    count(moves[0], good_summary.failed(), good_summary.count());
-    count(moves[1], bad_summary.failed(), bad_summary.count());
-    set_fault(moves[1], 0);
-    if (moves[0].done_at) {
-        current_[good] = moves[0].version;
+        if (move.bad) {
+            set_fault(move, fail_permille);
+            move.faulty_since = now;
+        }
+    }
+}
+
+void rollout_trial::clean_up(std::span<const move_watch> moves)
+{
+    for (const auto& move : moves) {
+        if (move.bad) {
+            set_fault(move, 0);
+        }
+        else if (move.done_at) {
+            current_[move.service] = move.version;
+        }
     }
     static_cast<void>(apply(current_, false));
 }
@@ -155,7 +180,7 @@
     return report && report->outcome == "accepted";
 }
 
-void rollout_trial::observe(std::vector<move_watch>& moves)
+void rollout_trial::observe(std::span<move_watch> moves)
 {
     const auto answer =
         mesh_.client().send(mesh_.members()[0].admin, {"GET", "/status", {}, {}}, request_timeout);
@@ -180,24 +205,26 @@
     }
 }
 
-void rollout_trial::count(const move_watch& move, std::uint64_t failed, std::uint64_t calls)
+void rollout_trial::count(const std::array<move_watch, 3>& moves, bool stepped)
 {
-    if (!move.bad) {
-        ++good_;
-        good_failed_calls_.add(static_cast<double>(failed));
-        if (move.done_at && *move.done_at - move.started_at <= move_length) {
-            ++good_on_time_;
-            good_seconds_.add(seconds_between(move.started_at, *move.done_at));
-        }
-        return;
+    const auto& [good, bad, baseline] = moves;
+    ++good_;
+    good_failed_calls_.add(static_cast<double>(good.failed_calls));
+    if (good.done_at && *good.done_at - good.started_at <= move_length) {
+        ++good_on_time_;
+        good_seconds_.add(seconds_between(good.started_at, *good.done_at));
     }
     ++bad_;
-    bad_failed_calls_.add(static_cast<double>(failed));
-    bad_calls_.add(static_cast<double>(calls));
-    if (move.withdrawn_at) {
+    bad_failed_calls_.add(static_cast<double>(bad.failed_calls));
+    if (stepped) {
+        baseline_failed_calls_.add(static_cast<double>(baseline.failed_calls));
+        failed_ratio_.add(static_cast<double>(bad.failed_calls) /
+                          std::max(1.0, static_cast<double>(baseline.failed_calls)));
+    }
+    if (bad.withdrawn_at) {
         ++bad_taken_back_;
-        withdraw_seconds_.add(
-            seconds_between(move.faulty_since.value_or(move.started_at), *move.withdrawn_at));
+        const auto since = std::max(bad.started_at, bad.faulty_since.value_or(bad.started_at));
+        withdraw_seconds_.add(seconds_between(since, *bad.withdrawn_at));
     }
 }
 
@@ -220,7 +247,10 @@
     add("bad_versions_time_max", withdraw_seconds_, 1.0, "s");
     add("bad_versions_failed_calls_p50", bad_failed_calls_, 0.5, "calls");
     add("bad_versions_failed_calls_max", bad_failed_calls_, 1.0, "calls");
-    add("bad_versions_calls_p50", bad_calls_, 0.5, "calls");
+    add("fixed_steps_failed_calls_p50", baseline_failed_calls_, 0.5, "calls");
+    add("failed_calls_to_fixed_steps_median", failed_ratio_, 0.5, "ratio");
+    add("failed_calls_to_fixed_steps_least", failed_ratio_, 0.0, "ratio");
+    add("failed_calls_to_fixed_steps_greatest", failed_ratio_, 1.0, "ratio");
     return figures;
 }
 
--- a/apps/load/rollout_trial.hpp
+++ b/apps/load/rollout_trial.hpp
@@ -8,9 +8,11 @@
 #include <load/move_watch.hpp>
 #include <load/sample_set.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -20,7 +22,8 @@
  * @brief Moves traffic to good and bad versions at one time, under load.
  *
  * Half of each service's backend servers run the version "v2". In each round one service moves to
- * a good version and one to a version that fails, by turns at once and some seconds later.
+ * a good version and one to a version that fails, by turns at once and some seconds later. A third
+ * one moves to such a version by fixed steps, the baseline.
  */
 class rollout_trial {
 public:
@@ -38,8 +41,11 @@
     void run_round(unsigned round);
     void set_fault(const move_watch& move, unsigned fail_permille);
     [[nodiscard]] bool apply(const std::map<std::string, std::string>& versions, bool with_due);
-    void observe(std::vector<move_watch>& moves);
-    void count(const move_watch& move, std::uint64_t failed, std::uint64_t calls);
+    [[nodiscard]] std::array<move_watch, 3> plan_moves(unsigned round) const;
+    void start_faults(std::span<move_watch> moves, monotonic_time now);
+    void observe(std::span<move_watch> moves);
+    void count(const std::array<move_watch, 3>& moves, bool stepped);
+    void clean_up(std::span<const move_watch> moves);
     [[nodiscard]] figure_list report() const;
 
     bench_mesh& mesh_;
@@ -55,7 +61,8 @@
     sample_set withdraw_seconds_;
     sample_set bad_failed_calls_;
     sample_set good_failed_calls_;
-    sample_set bad_calls_;
+    sample_set baseline_failed_calls_;
+    sample_set failed_ratio_;
 };
 
 } // namespace savorywheel::load
