Measure the state of one node at the planned size

Cause: a loopback mesh of dozens of processes says nothing about tables of 15,000 members.

Ruled out: extrapolating resident memory from 8 to 64 nodes; 0.4 MB of growth is within what the allocator does by itself.

Change: savorywheel-load state builds the member table, configuration and routing table of a node at a given size in one process and reports memory and the time of the work that control threads do on them.

--- /dev/null
+++ b/apps/load/state_scale.hpp
@@ -0,0 +1,21 @@
+#ifndef SAVORYWHEEL_APPS_LOAD_STATE_SCALE_HPP
+#define SAVORYWHEEL_APPS_LOAD_STATE_SCALE_HPP
+
+#include <load/figure_list.hpp>
+
+#include <cstddef>
+
+namespace savorywheel::load {
+
+/**
+ * @brief Measures the state of one node at a size, and what work on it takes.
+ *
+ * The state is built in this process alone: member records, configuration, routing table.
+ * @param members Number of members.
+ * @param services Number of services.
+ */
+[[nodiscard]] figure_list measure_state(std::size_t members, std::size_t services);
+
+} // namespace savorywheel::load
+
+#endif
