--- a/apps/load/move_watch.hpp
+++ b/apps/load/move_watch.hpp
@@ -26,9 +26,7 @@
     /** @brief When the move was seen as withdrawn. */
     std::optional<monotonic_time> withdrawn_at;
 
-    /** @brief Calls of the service in that time. */
-    std::uint64_t calls{};
-    /** @brief Those that failed. */
+    /** @brief Calls of the service that failed in that time. */
     std::uint64_t failed_calls{};
 
     /** @return True if the move has ended. */
--- a/apps/load/rollout_trial.cpp
+++ b/apps/load/rollout_trial.cpp
@@ -88,8 +88,7 @@
 void rollout_trial::run_round(unsigned round)
 {
     auto moves = plan_moves(round);
-    auto& [good, bad, stepped] = moves;
-    fixed_steps steps{mesh_, stepped.service, current_[stepped.service], stepped.version};
+    fixed_steps steps{mesh_, moves[2].service, current_[moves[2].service], moves[2].version};
     if (round % 2 == 0) {
         start_faults(moves, time_.now());
     }
@@ -98,13 +97,32 @@
         loads.push_back(
             std::make_unique<background_load>(plan_for(mesh_, move.service), mesh_.client()));
     }
+    await_end(moves, steps);
+    for (std::size_t i = 0; i < moves.size(); ++i) {
+        loads[i]->stop();
+        const auto summary = loads[i]->finish();
+        moves.at(i).failed_calls = summary.failed();
+    }
+    count(moves, steps.accepted());
+    steps.release();
+    clean_up(moves);
+}
+
+void rollout_trial::await_end(std::array<move_watch, 3>& moves, fixed_steps& steps)
+{
+    auto& good = moves[0];
+    auto& bad = moves[1];
     auto target = current_;
     target[good.service] = good.version;
     target[bad.service] = bad.version;
     due_ = time_.calendar_now() + move_length;
-    const bool asked = apply(target, true);
+    if (!apply(target, true)) {
+        return;
+    }
     const auto started = time_.now();
-    good.started_at = bad.started_at = stepped.started_at = started;
+    for (auto& move : moves) {
+        move.started_at = started;
+    }
     const auto ended = [&] {
         const auto elapsed = time_.now() - started;
         if (!bad.faulty_since && elapsed > late_fault_delay) {
@@ -112,18 +130,9 @@
         }
         steps.advance(elapsed, steps_length);
         observe(moves);
-        return !asked || (good.ended() && bad.ended() && elapsed > move_length);
+        return good.ended() && bad.ended() && elapsed > move_length;
     };
     static_cast<void>(wait_until(ended, observation, status_period));
-    for (std::size_t i = 0; i < moves.size(); ++i) {
-        loads[i]->stop();
-        const auto summary = loads[i]->finish();
-        moves[i].calls = summary.count();
-        moves[i].failed_calls = summary.failed();
-    }
-    count(moves, steps.accepted());
-    steps.release();
-    clean_up(moves);
 }
 
 std::array<move_watch, 3> rollout_trial::plan_moves(unsigned round) const
@@ -207,7 +216,9 @@
 
 void rollout_trial::count(const std::array<move_watch, 3>& moves, bool stepped)
 {
-    const auto& [good, bad, baseline] = moves;
+    const auto& good = moves[0];
+    const auto& bad = moves[1];
+    const auto& baseline = moves[2];
     ++good_;
     good_failed_calls_.add(static_cast<double>(good.failed_calls));
     if (good.done_at && *good.done_at - good.started_at <= move_length) {
--- a/apps/load/rollout_trial.hpp
+++ b/apps/load/rollout_trial.hpp
@@ -5,6 +5,7 @@
 
 #include <load/bench_mesh.hpp>
 #include <load/figure_list.hpp>
+#include <load/fixed_steps.hpp>
 #include <load/move_watch.hpp>
 #include <load/sample_set.hpp>
 
@@ -39,6 +40,7 @@
 private:
     [[nodiscard]] bool start_versions();
     void run_round(unsigned round);
+    void await_end(std::array<move_watch, 3>& moves, fixed_steps& steps);
     void set_fault(const move_watch& move, unsigned fail_permille);
     [[nodiscard]] bool apply(const std::map<std::string, std::string>& versions, bool with_due);
     [[nodiscard]] std::array<move_watch, 3> plan_moves(unsigned round) const;
--- a/apps/load/state_scale.cpp
+++ b/apps/load/state_scale.cpp
@@ -89,9 +89,7 @@
     message.members = table.all();
     const auto bytes = encode(message);
     figures.add("members_encoded", static_cast<double>(bytes.size()), "B");
-    figures.add("members_encode",
-                median_ms([&] { static_cast<void>(encode(message)); }),
-                "ms");
+    figures.add("members_encode", median_ms([&] { static_cast<void>(encode(message)); }), "ms");
     figures.add("members_decode",
                 median_ms([&] { static_cast<void>(decode<membership_sync_message>(bytes)); }),
                 "ms");
--- /dev/null
+++ b/test/standin/delayed_frame_handler_test.cpp
@@ -0,0 +1,84 @@
+#include <gtest/gtest.h>
+#include <standin/node/address_region.hpp>
+#include <standin/node/delayed_frame_handler.hpp>
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <vector>
+
+namespace savorywheel::test {
+
+namespace {
+
+class sink_at final : public frame_sink {
+public:
+    explicit sink_at(std::string address) : address_{std::move(address)} {}
+
+    bool send(frame_kind /*kind*/, std::uint64_t /*correlation*/,
+              std::span<const std::byte> /*payload*/) override
+    {
+        return true;
+    }
+
+    [[nodiscard]] std::string_view peer_address() const noexcept override { return address_; }
+    void close() override {}
+
+private:
+    std::string address_;
+};
+
+class arrival_recorder final : public frame_handler {
+public:
+    void on_frame(const std::shared_ptr<frame_sink>& /*source*/, frame_kind /*kind*/,
+                  std::uint64_t correlation, std::span<const std::byte> /*payload*/) override
+    {
+        const std::scoped_lock lock{mutex_};
+        arrived_.push_back(correlation);
+        changed_.notify_all();
+    }
+
+    void on_closed(const frame_sink& /*source*/, bool /*established*/) override {}
+
+    std::vector<std::uint64_t> wait_for(std::size_t count)
+    {
+        std::unique_lock lock{mutex_};
+        changed_.wait(lock, [&] { return arrived_.size() >= count; });
+        return arrived_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<std::uint64_t> arrived_;
+};
+
+} // namespace
+
+TEST(delayed_frame_handler, lets_only_frames_of_other_regions_wait)
+{
+    constexpr std::chrono::milliseconds delay{20};
+    arrival_recorder inner;
+    standin::delay_line line{delay};
+    standin::delayed_frame_handler handler{inner, "0", line};
+    const auto far = std::make_shared<sink_at>("127.9.1.7");
+    const auto near = std::make_shared<sink_at>("127.9.0.8");
+    const auto started = std::chrono::steady_clock::now();
+    handler.on_frame(far, frame_kind::commit_push, 1, {});
+    handler.on_frame(near, frame_kind::commit_push, 2, {});
+    EXPECT_TRUE(std::ranges::count(inner.wait_for(0), 2U) == 1) << "it waited";
+    handler.on_frame(far, frame_kind::commit_push, 3, {});
+    auto arrived = inner.wait_for(3);
+    std::erase(arrived, 2U);
+    EXPECT_EQ(arrived, (std::vector<std::uint64_t>{1, 3}));
+    EXPECT_GE(std::chrono::steady_clock::now() - started, delay);
+    line.stop();
+}
+
+TEST(address_region, is_the_third_number)
+{
+    EXPECT_EQ(standin::address_region("127.9.12.7"), "12");
+    EXPECT_EQ(standin::address_region("localhost"), "");
+}
+
+} // namespace savorywheel::test
