--- a/apps/load/rollout_trial.cpp
+++ b/apps/load/rollout_trial.cpp
@@ -93,6 +93,7 @@
         start_faults(moves, time_.now());
     }
     std::vector<std::unique_ptr<background_load>> loads;
+    loads.reserve(moves.size());
     for (const auto& move : moves) {
         loads.push_back(
             std::make_unique<background_load>(plan_for(mesh_, move.service), mesh_.client()));
