Refuse what breaks the protocol, at a bounded cost

Cause: cereal loads any number into an enumeration. A stream's header made the node reserve up to 16 MB before a byte of the payload had come. Nothing was logged when a peer broke the protocol.

Change: archive_enum() refuses values that do not exist. Payloads are read in steps of 64 KB. At most 2,048 incoming connections. Events SW2010 to SW2012, each with a limit of its own: a shared one let a flood on the stream port hide the datagrams' event, which the new test found.

Seen: proof_input.decoders_refuse_values_that_do_not_exist with the check off: all four values were taken; with it: passes. proof_peer_input with a buffer of the announced size: memory grew by more than 8 MB from 40 headers; with steps of 64 KB: passes. A first form of that test read the memory before the node had read the headers and passed either way; it now watches for a second. The random-bytes and damaged-message properties passed with the check off as well; they guard against crashes and are not listed as proofs.

--- a/src/savorywheel/config/move_status.hpp
+++ b/src/savorywheel/config/move_status.hpp
@@ -10,7 +10,8 @@
 enum class move_status : std::uint8_t {
     in_progress, /**< The shares still change. */
     done,        /**< The target is in force. */
-    withdrawn    /**< The old shares are in force again. */
+    withdrawn,   /**< The old shares are in force again. */
+    last_status = withdrawn
 };
 
 /** @return The status in words, for example "in progress". */
--- a/src/savorywheel/distribution/distributor.cpp
+++ b/src/savorywheel/distribution/distributor.cpp
@@ -87,7 +87,7 @@
     if (kind == frame_kind::commit_push) {
         auto push = decode<commit_push_message>(payload);
         if (!push) {
-            source->close();
+            source->refuse(push.reason());
             return;
         }
         environment_.quota.post(payload.size(), [this, message = std::move(*push)] {
@@ -97,7 +97,7 @@
     }
     const auto fetch = decode<commit_fetch_message>(payload);
     if (!fetch) {
-        source->close();
+        source->refuse(fetch.reason());
         return;
     }
     environment_.quota.post(payload.size(), [this, source, correlation, after = fetch->after] {
--- a/src/savorywheel/distribution/floor_service.cpp
+++ b/src/savorywheel/distribution/floor_service.cpp
@@ -18,7 +18,7 @@
 {
     const auto message = decode<floor_message>(payload);
     if (!message) {
-        source->close();
+        source->refuse(message.reason());
         return;
     }
     environment_.quota.post(payload.size(), [this, source, kind, correlation, floor = *message] {
--- a/src/savorywheel/encoding/admin_archive.hpp
+++ b/src/savorywheel/encoding/admin_archive.hpp
@@ -16,8 +16,9 @@
 {
     archive(cereal::make_nvp("service", backend.service),
             cereal::make_nvp("version", backend.version),
-            cereal::make_nvp("endpoint", backend.endpoint),
-            cereal::make_nvp("state", backend.state), cereal::make_nvp("slots", backend.slots));
+            cereal::make_nvp("endpoint", backend.endpoint));
+    archive_enum(archive, "state", backend.state, server_state::last_state);
+    archive(cereal::make_nvp("slots", backend.slots));
 }
 
 /** @brief Lists the members of a report on a change. */
--- a/src/savorywheel/encoding/config_archive.hpp
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -60,8 +60,9 @@
 {
     archive(cereal::make_nvp("asked_at", move.asked_at), cereal::make_nvp("from", move.from),
             cereal::make_nvp("to", move.to), cereal::make_nvp("started_at", move.started_at),
-            cereal::make_nvp("due", move.due), cereal::make_nvp("status", move.status),
-            cereal::make_nvp("ended_at", move.ended_at), cereal::make_nvp("reason", move.reason));
+            cereal::make_nvp("due", move.due));
+    archive_enum(archive, "status", move.status, move_status::last_status);
+    archive(cereal::make_nvp("ended_at", move.ended_at), cereal::make_nvp("reason", move.reason));
 }
 
 /** @brief Lists the members of a service's state. */
@@ -80,8 +81,9 @@
 {
     archive(cereal::make_nvp("version", item.version), cereal::make_nvp("base", item.base),
             cereal::make_nvp("operation", item.operation), cereal::make_nvp("author", item.author),
-            cereal::make_nvp("written_at", item.written_at), cereal::make_nvp("kind", item.kind),
-            cereal::make_nvp("reason", item.reason), cereal::make_nvp("upserts", item.upserts),
+            cereal::make_nvp("written_at", item.written_at));
+    archive_enum(archive, "kind", item.kind, commit_kind::last_kind);
+    archive(cereal::make_nvp("reason", item.reason), cereal::make_nvp("upserts", item.upserts),
             cereal::make_nvp("removals", item.removals), cereal::make_nvp("domains", item.domains));
 }
 
--- a/src/savorywheel/encoding/core_archive.hpp
+++ b/src/savorywheel/encoding/core_archive.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/core/finding.hpp>
 #include <savorywheel/core/named.hpp>
 #include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/encoding/enum_archive.hpp>
 
 #include <cereal/cereal.hpp>
 
--- a/src/savorywheel/encoding/membership_archive.hpp
+++ b/src/savorywheel/encoding/membership_archive.hpp
@@ -14,8 +14,9 @@
     archive(cereal::make_nvp("id", record.id), cereal::make_nvp("domain", record.domain),
             cereal::make_nvp("region", record.region), cereal::make_nvp("peer", record.peer),
             cereal::make_nvp("service", record.service),
-            cereal::make_nvp("version", record.version), cereal::make_nvp("state", record.state),
-            cereal::make_nvp("slots", record.slots),
+            cereal::make_nvp("version", record.version));
+    archive_enum(archive, "state", record.state, server_state::last_state);
+    archive(cereal::make_nvp("slots", record.slots),
             cereal::make_nvp("incarnation", record.incarnation));
 }
 
@@ -23,15 +24,17 @@
 template<typename Archive>
 void serialize(Archive& archive, member_update& update)
 {
-    archive(cereal::make_nvp("record", update.record), cereal::make_nvp("status", update.status));
+    archive(cereal::make_nvp("record", update.record));
+    archive_enum(archive, "status", update.status, member_status::last_status);
 }
 
 /** @brief Lists the members of a datagram message. */
 template<typename Archive>
 void serialize(Archive& archive, membership_message& message)
 {
-    archive(cereal::make_nvp("protocol", message.protocol), cereal::make_nvp("kind", message.kind),
-            cereal::make_nvp("sequence", message.sequence),
+    archive(cereal::make_nvp("protocol", message.protocol));
+    archive_enum(archive, "kind", message.kind, membership_kind::last_kind);
+    archive(cereal::make_nvp("sequence", message.sequence),
             cereal::make_nvp("sender", message.sender),
             cereal::make_nvp("sender_peer", message.sender_peer),
             cereal::make_nvp("target", message.target), cereal::make_nvp("head", message.head),
--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -44,8 +44,8 @@
 template<typename Archive>
 void serialize(Archive& archive, call_response& call)
 {
-    archive(cereal::make_nvp("result", call.result), cereal::make_nvp("reason", call.reason),
-            cereal::make_nvp("response", call.response));
+    archive_enum(archive, "result", call.result, call_result::last_result);
+    archive(cereal::make_nvp("reason", call.reason), cereal::make_nvp("response", call.response));
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/membership/member_status.hpp
+++ b/src/savorywheel/membership/member_status.hpp
@@ -10,7 +10,8 @@
 enum class member_status : std::uint8_t {
     alive,   /**< It answers. */
     suspect, /**< It did not answer a probe, and has not yet objected. */
-    dead     /**< It did not object in time, or it left. */
+    dead,    /**< It did not object in time, or it left. */
+    last_status = dead
 };
 
 /** @return The status in words. */
--- a/src/savorywheel/membership/server_state.hpp
+++ b/src/savorywheel/membership/server_state.hpp
@@ -8,10 +8,11 @@
 
 /** @brief State of the backend server beside a node. */
 enum class server_state : std::uint8_t {
-    absent,  /**< No backend server has announced itself. */
-    warming, /**< It starts, and serves slowly. */
-    serving, /**< It serves. */
-    draining /**< It finishes its work and takes no more. */
+    absent,   /**< No backend server has announced itself. */
+    warming,  /**< It starts, and serves slowly. */
+    serving,  /**< It serves. */
+    draining, /**< It finishes its work and takes no more. */
+    last_state = draining
 };
 
 /** @return The state in words. */
--- a/src/savorywheel/node/membership_service.cpp
+++ b/src/savorywheel/node/membership_service.cpp
@@ -41,7 +41,7 @@
 {
     auto request = decode<membership_sync_message>(payload);
     if (!request) {
-        source->close();
+        source->refuse(request.reason());
         return;
     }
     environment_.quota.post(
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -14,6 +14,7 @@
 #include <savorywheel/transport/asio_datagram_channel.hpp>
 #include <savorywheel/transport/asio_peer_network.hpp>
 #include <savorywheel/transport/frame_router.hpp>
+#include <savorywheel/transport/input_reporter.hpp>
 
 #include <future>
 #include <random>
@@ -40,11 +41,12 @@
 public:
     parts(node_settings settings, event_log& log)
         : settings_{std::move(settings)}, log_{log}, random_{random_seed()}, loop_{time_},
-          store_{http_, settings_.store, store_timeout}, worker_{store_}, network_{router_},
-          gate_{http_, time_}, control_{settings_,
-                                        control_plane::environment{loop_, random_, store_, worker_,
-                                                                   datagrams_, network_, requests_,
-                                                                   tables_, gate_, log_}},
+          store_{http_, settings_.store, store_timeout}, worker_{store_}, reporter_{time_, log_},
+          network_{router_}, gate_{http_, time_}, control_{settings_,
+                                                           control_plane::environment{
+                                                               loop_, random_, store_, worker_,
+                                                               datagrams_, network_, requests_,
+                                                               tables_, gate_, log_}},
           versions_{random_}, endpoints_{settings_.domain, settings_.region, loads_, random_},
           transport_{network_, requests_}, proxy_{proxy_handler::environment{
                                                time_, tables_, versions_, endpoints_, loads_,
@@ -61,6 +63,7 @@
                     requests_);
         router_.add({frame_kind::membership_sync}, control_.membership());
         router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
+        router_.add({}, reporter_);
         router_.add({frame_kind::floor_put, frame_kind::floor_get}, control_.floors());
     }
 
@@ -70,7 +73,10 @@
         if (started) {
             started = datagrams_.start(settings_.peer, [this](const network_endpoint& /*sender*/,
                                                               std::span<const std::byte> payload) {
-                static_cast<void>(control_.membership().on_datagram(payload));
+                const auto taken = control_.membership().on_datagram(payload);
+                if (!taken) {
+                    reporter_.on_bad_datagram(taken.reason());
+                }
             });
         }
         if (started) {
@@ -127,6 +133,7 @@
     http_object_store store_;
     store_worker worker_;
     metric_registry metrics_;
+    input_reporter reporter_;
     frame_router router_;
     request_client requests_;
     asio_peer_network network_;
--- a/src/savorywheel/traffic/call_result.hpp
+++ b/src/savorywheel/traffic/call_result.hpp
@@ -10,7 +10,8 @@
 enum class call_result : std::uint8_t {
     answered, /**< The backend server gave a whole answer. */
     not_run,  /**< No backend server has run it, nor ever will. */
-    unknown   /**< It may have been run, and there is no whole answer. */
+    unknown,  /**< It may have been run, and there is no whole answer. */
+    last_result = unknown
 };
 
 /** @return The result in words, as responses carry it. */
--- a/src/savorywheel/transport/asio_peer_network.cpp
+++ b/src/savorywheel/transport/asio_peer_network.cpp
@@ -22,6 +22,7 @@
 using boost::system::error_code;
 using connection_pointer = std::shared_ptr<peer_connection>;
 
+constexpr std::size_t max_incoming = 2048;
 constexpr std::chrono::milliseconds accept_retry_delay{100};
 
 } // namespace
@@ -121,6 +122,9 @@
             });
         {
             const std::scoped_lock lock{mutex_};
+            if (incoming_.size() >= max_incoming) {
+                return;
+            }
             incoming_.insert(connection);
         }
         connection->accept(std::move(socket));
--- a/src/savorywheel/transport/frame_handler.hpp
+++ b/src/savorywheel/transport/frame_handler.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_TRANSPORT_FRAME_HANDLER_HPP
 #define SAVORYWHEEL_TRANSPORT_FRAME_HANDLER_HPP
 
+#include <savorywheel/core/failure.hpp>
 #include <savorywheel/transport/frame_kind.hpp>
 #include <savorywheel/transport/frame_sink.hpp>
 
@@ -37,6 +38,12 @@
      * @param established False if it could never be opened, so that nothing was sent.
      */
     virtual void on_closed(const frame_sink& source, bool established) = 0;
+
+    /**
+     * @brief Hears that input on a connection broke the protocol, so that it is closed.
+     * @param reason What was wrong.
+     */
+    virtual void on_malformed(const failure& reason) { static_cast<void>(reason); }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/frame_router.cpp
+++ b/src/savorywheel/transport/frame_router.cpp
@@ -19,6 +19,13 @@
     }
 }
 
+void frame_router::on_malformed(const failure& reason)
+{
+    for (auto* handler : handlers_) {
+        handler->on_malformed(reason);
+    }
+}
+
 void frame_router::on_closed(const frame_sink& source, bool established)
 {
     for (auto* handler : handlers_) {
--- a/src/savorywheel/transport/frame_router.hpp
+++ b/src/savorywheel/transport/frame_router.hpp
@@ -23,6 +23,7 @@
     void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
                   std::uint64_t correlation, std::span<const std::byte> payload) override;
     void on_closed(const frame_sink& source, bool established) override;
+    void on_malformed(const failure& reason) override;
 
 private:
     std::map<frame_kind, frame_handler*> by_kind_;
--- a/src/savorywheel/transport/frame_sink.hpp
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_TRANSPORT_FRAME_SINK_HPP
 #define SAVORYWHEEL_TRANSPORT_FRAME_SINK_HPP
 
+#include <savorywheel/core/failure.hpp>
 #include <savorywheel/transport/frame_kind.hpp>
 
 #include <cstddef>
@@ -31,6 +32,16 @@
 
     /** @brief Closes the connection; its handler hears of it. */
     virtual void close() = 0;
+
+    /**
+     * @brief Closes the connection because a payload on it could not be decoded.
+     * @param reason What was wrong.
+     */
+    virtual void refuse(const failure& reason)
+    {
+        static_cast<void>(reason);
+        close();
+    }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/peer_connection.cpp
+++ b/src/savorywheel/transport/peer_connection.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::chrono::milliseconds heartbeat_period{500};
 constexpr std::chrono::milliseconds silence_limit{1500};
+constexpr std::size_t read_step_bytes = 64UL * 1024UL;
 constexpr std::size_t max_queued_bytes = 4UL * max_frame_bytes;
 
 } // namespace
@@ -80,6 +81,12 @@
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->finish(); });
 }
 
+void peer_connection::refuse(const failure& reason)
+{
+    handler_.on_malformed(reason);
+    close();
+}
+
 void peer_connection::start()
 {
     established_ = true;
@@ -101,6 +108,7 @@
                          self->last_received_ = std::chrono::steady_clock::now();
                          const auto header = decode_header(self->header_);
                          if (!header) {
+                             self->handler_.on_malformed(header.reason());
                              self->finish();
                              return;
                          }
@@ -110,13 +118,30 @@
 
 void peer_connection::read_payload(const frame_header& header)
 {
-    payload_.resize(header.length);
-    asio::async_read(socket_, asio::buffer(payload_),
+    payload_.clear();
+    if (payload_.capacity() > read_step_bytes) {
+        payload_.shrink_to_fit();
+    }
+    read_more(header);
+}
+
+void peer_connection::read_more(const frame_header& header)
+{
+    // Memory grows with what has arrived, not with what a header announces.
+    const auto known = payload_.size();
+    const auto step = std::min<std::size_t>(header.length - known, read_step_bytes);
+    payload_.resize(known + step);
+    asio::async_read(socket_, asio::buffer(payload_.data() + known, step),
                      [self = shared_from_this(), header](const error_code& error, std::size_t) {
                          if (error) {
                              self->finish();
                              return;
                          }
+                         self->last_received_ = std::chrono::steady_clock::now();
+                         if (self->payload_.size() < header.length) {
+                             self->read_more(header);
+                             return;
+                         }
                          if (header.kind != frame_kind::heartbeat) {
                              self->handler_.on_frame(self, header.kind, header.correlation,
                                                      self->payload_);
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -52,6 +52,7 @@
     bool send(frame_kind kind, std::uint64_t correlation,
               std::span<const std::byte> payload) override;
     void close() override;
+    void refuse(const failure& reason) override;
 
 private:
     using buffer = std::vector<std::byte>;
@@ -59,6 +60,7 @@
     void start();
     void read_header();
     void read_payload(const frame_header& header);
+    void read_more(const frame_header& header);
     void write_next();
     void watch_silence();
     void finish();
--- /dev/null
+++ b/test/process/proof_peer_input_test.cpp
@@ -0,0 +1,137 @@
+#include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/transport/frame_header.hpp>
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <support/local_mesh.hpp>
+#include <support/wait_until.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace savorywheel::test {
+
+namespace {
+
+constexpr std::uint64_t seed = 20261204;
+constexpr std::size_t connections = 40;
+constexpr std::size_t datagrams = 200;
+constexpr long allowed_growth_pages = 8L * 1024 * 1024 / 4096;
+
+sockaddr_in address_of(const network_endpoint& endpoint)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    ::inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+    return address;
+}
+
+int connected(int kind, const network_endpoint& endpoint)
+{
+    const int socket = ::socket(AF_INET, kind, 0);
+    const auto address = address_of(endpoint);
+    EXPECT_EQ(::connect(socket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)), 0);
+    return socket;
+}
+
+std::vector<std::byte> random_bytes(random_source& random, std::size_t size)
+{
+    std::vector<std::byte> bytes(size);
+    for (auto& item : bytes) {
+        item = static_cast<std::byte>(random.below(256));
+    }
+    return bytes;
+}
+
+long resident_pages(pid_t process)
+{
+    std::ifstream file{"/proc/" + std::to_string(process) + "/statm"};
+    long size{};
+    long resident{};
+    file >> size >> resident;
+    return resident;
+}
+
+bool logged(const local_mesh& mesh, const std::string& event)
+{
+    std::ifstream file{mesh.folder() / "a1.log"};
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str().find(event) != std::string::npos;
+}
+
+/** Announces the largest payload on many connections and never sends it. */
+std::vector<int> announce_large_frames(const network_endpoint& peer)
+{
+    const auto header = encode_header({max_frame_bytes, frame_kind::commit_push, 1});
+    std::vector<int> sockets;
+    for (std::size_t i = 0; i < connections; ++i) {
+        sockets.push_back(connected(SOCK_STREAM, peer));
+        EXPECT_GT(::send(sockets.back(), header.data(), header.size(), MSG_NOSIGNAL), 0);
+    }
+    return sockets;
+}
+
+/** True once the other end has closed the connection. */
+bool closed_by_peer(int socket)
+{
+    timeval patience{5, 0};
+    ::setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof(patience));
+    std::array<char, 64> ignored{};
+    ssize_t size{};
+    do {
+        size = ::recv(socket, ignored.data(), ignored.size(), 0);
+    } while (size > 0);
+    return size == 0 || errno == ECONNRESET;
+}
+
+} // namespace
+
+TEST(proof_peer_input, a_node_refuses_what_breaks_the_protocol_and_goes_on)
+{
+    local_mesh mesh{24, {{"a1", "a-1", "north", "bookdesk"}}};
+    ASSERT_TRUE(mesh.wait_for_members());
+    const auto peer = mesh.peer_endpoint(0);
+    const auto before = resident_pages(mesh.node(0).id());
+    seeded_random random{seed};
+    for (std::size_t i = 0; i < connections; ++i) {
+        const int socket = connected(SOCK_STREAM, peer);
+        auto bytes = random_bytes(random, 1000);
+        if (i % 2 == 0) {
+            const auto header = encode_header({100, frame_kind::commit_push, i});
+            std::ranges::copy(header, bytes.begin());
+        }
+        ::send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        EXPECT_TRUE(closed_by_peer(socket));
+        ::close(socket);
+    }
+    const int datagram = connected(SOCK_DGRAM, peer);
+    for (std::size_t i = 0; i < datagrams; ++i) {
+        const auto bytes = random_bytes(random, random.below(3000));
+        ::send(datagram, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    ::close(datagram);
+    const auto sockets = announce_large_frames(peer);
+    EXPECT_TRUE(wait_until([&] { return logged(mesh, "SW2010"); }));
+    EXPECT_TRUE(wait_until([&] { return logged(mesh, "SW2011"); }));
+    const auto grown = [&] {
+        return resident_pages(mesh.node(0).id()) > before + allowed_growth_pages;
+    };
+    EXPECT_FALSE(wait_until(grown, std::chrono::milliseconds{1000}));
+    for (const int socket : sockets) {
+        EXPECT_TRUE(closed_by_peer(socket));
+        ::close(socket);
+    }
+    EXPECT_TRUE(mesh.state(0));
+    EXPECT_TRUE(mesh.node(0).running());
+}
+
+} // namespace savorywheel::test
--- /dev/null
+++ b/test/savorywheel/encoding/decoder_input_test.cpp
@@ -0,0 +1,97 @@
+#include <savorywheel/distribution/checkpoint.hpp>
+#include <savorywheel/distribution/commit_fetch_message.hpp>
+#include <savorywheel/distribution/commit_push_message.hpp>
+#include <savorywheel/distribution/floor_message.hpp>
+#include <savorywheel/distribution/lease_record.hpp>
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/membership/membership_message.hpp>
+#include <savorywheel/membership/membership_sync_message.hpp>
+#include <savorywheel/traffic/call_request.hpp>
+#include <savorywheel/traffic/call_response.hpp>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace savorywheel::test {
+
+namespace {
+
+membership_message sample_message()
+{
+    membership_message message;
+    message.protocol = 1;
+    message.sender = node_id{"plug-1"};
+    message.sender_peer = {"127.0.0.1", 7002};
+    member_update update;
+    update.record.id = node_id{"plug-2"};
+    update.record.service = service_name{"plugboard"};
+    update.record.state = server_state::serving;
+    message.updates.assign(3, update);
+    return message;
+}
+
+/** Decodes and encodes again: what a decoder accepts must be a message that exists. */
+template<typename Message>
+void check(std::span<const std::byte> bytes)
+{
+    if (const auto message = decode<Message>(bytes)) {
+        RC_ASSERT(static_cast<bool>(decode<Message>(encode(*message))));
+    }
+}
+
+void check_all(std::span<const std::byte> bytes)
+{
+    check<commit>(bytes);
+    check<commit_batch_message>(bytes);
+    check<commit_push_message>(bytes);
+    check<commit_fetch_message>(bytes);
+    check<floor_message>(bytes);
+    check<membership_message>(bytes);
+    check<membership_sync_message>(bytes);
+    check<call_request>(bytes);
+    check<call_response>(bytes);
+}
+
+} // namespace
+
+RC_GTEST_PROP(decoder_input, random_bytes_are_taken, (const std::vector<std::uint8_t>& bytes))
+{
+    check_all(std::as_bytes(std::span{bytes}));
+}
+
+RC_GTEST_PROP(decoder_input, damaged_messages_are_taken, ())
+{
+    auto bytes = encode(sample_message());
+    const auto place = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    bytes[place] = static_cast<std::byte>(*rc::gen::arbitrary<std::uint8_t>());
+    bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+    check_all(bytes);
+    const auto message = decode<membership_message>(bytes);
+    for (const auto& update : message ? message->updates : std::vector<member_update>{}) {
+        RC_ASSERT(update.status <= member_status::last_status);
+        RC_ASSERT(update.record.state <= server_state::last_state);
+    }
+}
+
+RC_GTEST_PROP(decoder_input, random_text_is_taken, (const std::string& text))
+{
+    static_cast<void>(decode_json<commit>(text));
+    static_cast<void>(decode_json<checkpoint>(text));
+    static_cast<void>(decode_json<lease_record>(text));
+}
+
+TEST(proof_input, decoders_refuse_values_that_do_not_exist)
+{
+    auto message = sample_message();
+    message.updates.front().status = static_cast<member_status>(7);
+    EXPECT_FALSE(decode<membership_message>(encode(message)));
+    message = sample_message();
+    message.updates.front().record.state = static_cast<server_state>(9);
+    EXPECT_FALSE(decode<membership_message>(encode(message)));
+    commit change;
+    change.kind = static_cast<commit_kind>(99);
+    EXPECT_FALSE(decode<commit>(encode(change)));
+    EXPECT_FALSE(decode_json<commit>(encode_json(change)));
+}
+
+} // namespace savorywheel::test
