--- a/src/savorywheel/distribution/lease_keeper.hpp
+++ b/src/savorywheel/distribution/lease_keeper.hpp
@@ -51,8 +51,11 @@
     /** @brief Stops to compete; a held lease is let lapse. */
     void stop();
 
-    /** @return True if this node holds the lease. */
-    [[nodiscard]] bool held() const noexcept { return held_; }
+    /** @return True if this node holds the lease and it has not lapsed. */
+    [[nodiscard]] bool held() const noexcept
+    {
+        return held_ && environment_.loop.time().now() < valid_until_;
+    }
 
     /** @return The holder that was last seen, if any. */
     [[nodiscard]] const std::optional<lease_record>& seen() const noexcept { return seen_; }
--- a/test/process/proof_configuration_test.cpp
+++ b/test/process/proof_configuration_test.cpp
@@ -1,3 +1,7 @@
+#include <savorywheel/config/commit.hpp>
+#include <savorywheel/distribution/commit_keys.hpp>
+#include <savorywheel/encoding/codec.hpp>
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <support/local_mesh.hpp>
@@ -7,9 +11,12 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <fstream>
 #include <iterator>
 #include <span>
+#include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace savorywheel::test {
@@ -51,6 +58,16 @@
     return dump ? dump->version : config_version{};
 }
 
+bool any_log_has(const local_mesh& mesh, const std::string& event)
+{
+    return std::ranges::any_of(five_members(), [&](const auto& member) {
+        std::ifstream file{mesh.folder() / (member.name + ".log")};
+        std::stringstream text;
+        text << file.rdbuf();
+        return text.str().find(event) != std::string::npos;
+    });
+}
+
 /** Nodes that relay, out of the given ones. */
 std::vector<std::size_t> relays_of(local_mesh& mesh, std::span<const std::size_t> nodes)
 {
@@ -206,4 +223,49 @@
     EXPECT_EQ(history.faults(), "");
 }
 
+TEST(proof_bad_version, a_faulty_commit_is_reported_and_goes_on_once_mended)
+{
+    local_mesh mesh{25, five_members()};
+    apply_first_text(mesh);
+    const auto target = "/objects/" + commit_key({2});
+    const auto put = [&](std::string condition, std::string value, std::string body) {
+        return mesh.client().send(
+            mesh.platform_endpoint(),
+            {"PUT", target, {{std::move(condition), std::move(value)}}, std::move(body)}, 2s);
+    };
+    ASSERT_TRUE(put("If-None-Match", "*", "not a commit"));
+    EXPECT_TRUE(wait_until([&] { return any_log_has(mesh, "SW2009"); }));
+    const auto refused = mesh.apply(0, text_with_deadline(3000));
+    ASSERT_TRUE(refused);
+    EXPECT_EQ(refused->outcome, "refused");
+    for (const auto index : all_nodes) {
+        EXPECT_EQ(used_by(mesh, index), config_version{1});
+    }
+    const auto object = mesh.client().send(mesh.platform_endpoint(), {"GET", target, {}, {}}, 2s);
+    ASSERT_TRUE(object);
+    commit mended;
+    mended.version = {2};
+    mended.reason = "takes the place of a faulty commit";
+    const std::string tag{find_header(object->headers, "ETag")};
+    ASSERT_TRUE(put("If-Match", tag, encode_json(mended)));
+    EXPECT_TRUE(in_force(mesh, all_nodes, {2}));
+}
+
+TEST(proof_lease, a_paused_relay_is_replaced_and_gives_way_when_it_wakes)
+{
+    local_mesh mesh{26, five_members()};
+    apply_first_text(mesh);
+    ASSERT_TRUE(wait_until([&] { return relays_of(mesh, last_domain).size() == 1; }));
+    const auto paused = relays_of(mesh, last_domain).front();
+    const std::array<std::size_t, 1> other{paused == 3 ? 4U : 3U};
+    mesh.node(paused).signal(SIGSTOP);
+    EXPECT_TRUE(wait_until([&] { return relays_of(mesh, other).size() == 1; }));
+    const auto report = mesh.apply(0, text_with_deadline(2000));
+    ASSERT_TRUE(report && report->outcome == "accepted");
+    EXPECT_TRUE(in_force(mesh, other, report->version));
+    mesh.node(paused).signal(SIGCONT);
+    EXPECT_TRUE(in_force(mesh, all_nodes, report->version));
+    EXPECT_EQ(relays_of(mesh, last_domain).size(), 1U);
+}
+
 } // namespace savorywheel::test
