--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -19,6 +19,7 @@
 #include <savorywheel/transport/asio_datagram_channel.hpp>
 #include <savorywheel/transport/asio_peer_network.hpp>
 #include <savorywheel/transport/frame_router.hpp>
+#include <savorywheel/transport/input_reporter.hpp>
 
 #include <future>
 #include <random>
@@ -47,10 +48,9 @@
         : settings_{std::move(settings)}, log_{log}, links_{links}, random_{random_seed()},
           loop_{time_}, meter_{settings_.region, metrics_}, platform_{http_, settings_.store,
                                                                       store_timeout},
-          store_{links.store(platform_), metrics_}, worker_{store_}, network_{links.frames(router_),
-                                                                              meter_},
-          datagrams_{meter_}, gate_{http_, time_}, control_{settings_,
-                                                            control_plane::environment{
+          store_{links.store(platform_), metrics_}, worker_{store_}, reporter_{time_, log_},
+          network_{links.frames(router_), meter_}, datagrams_{meter_}, gate_{http_, time_},
+          control_{settings_, control_plane::environment{
                                                                 loop_, random_, store_, worker_,
                                                                 datagrams_, network_, requests_,
                                                                 tables_, gate_, evidence_,
@@ -77,6 +77,7 @@
         router_.add({frame_kind::evidence_report, frame_kind::withdrawal_push},
                     control_.rollouts());
         router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
+        router_.add({}, reporter_);
         router_.add({frame_kind::floor_put, frame_kind::floor_get}, control_.floors());
     }
 
@@ -87,7 +88,10 @@
             started = datagrams_.start(
                 settings_.peer, links_.datagrams([this](const network_endpoint& /*sender*/,
                                                         std::span<const std::byte> payload) {
-                    static_cast<void>(control_.membership().on_datagram(payload));
+                    const auto taken = control_.membership().on_datagram(payload);
+                    if (!taken) {
+                        reporter_.on_bad_datagram(taken.reason());
+                    }
                 }));
         }
         if (started) {
@@ -152,6 +156,7 @@
     http_object_store platform_;
     metered_object_store store_;
     store_worker worker_;
+    input_reporter reporter_;
     frame_router router_;
     request_client requests_;
     asio_peer_network network_;
