Answer a crash only once the other gates have noted it

Cause: process.proof_crashing_request failed in 1 of 3 runs under load: the streams between gates were not open yet, so that the caller's next request overtook the crash report. Change: crash reports are requests; the gate answers the call when all gates of the service have answered or 300 ms have passed.

--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -42,8 +42,8 @@
     parts(node_settings settings, event_log& log)
         : settings_{std::move(settings)}, log_{log}, random_{random_seed()}, loop_{time_},
           store_{http_, settings_.store, store_timeout}, worker_{store_}, network_{router_},
-          crashes_{tables_, network_}, gate_{gate::environment{http_, time_, crashes_, log_,
-                                                               settings_.name}},
+          crashes_{tables_, network_, requests_}, gate_{gate::environment{http_, time_, crashes_,
+                                                                          log_, settings_.name}},
           control_{settings_,
                    control_plane::environment{loop_, random_, store_, worker_, datagrams_, network_,
                                               requests_, tables_, gate_, log_}},
@@ -58,9 +58,9 @@
     {
         router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_report},
                     gate_);
-        router_.add(
-            {frame_kind::call_response, frame_kind::commit_batch, frame_kind::membership_full},
-            requests_);
+        router_.add({frame_kind::call_response, frame_kind::crash_noted, frame_kind::commit_batch,
+                     frame_kind::membership_full},
+                    requests_);
         router_.add({frame_kind::membership_sync}, control_.membership());
         router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
     }
--- a/src/savorywheel/traffic/crash_reporter.hpp
+++ b/src/savorywheel/traffic/crash_reporter.hpp
@@ -15,7 +15,7 @@
     crash_reporter& operator=(crash_reporter&&) = delete;
     virtual ~crash_reporter() = default;
 
-    /** @brief Sends a report; does not wait. */
+    /** @brief Sends a report, and waits a short while until the other gates have noted it. */
     virtual void spread(const crash_report& report) = 0;
 };
 
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -86,7 +86,7 @@
         });
         break;
     case frame_kind::crash_report:
-        on_crash_report(*source, payload);
+        on_crash_report(*source, correlation, payload);
         break;
     default:
         break;
@@ -116,15 +116,19 @@
     admit(item);
 }
 
-void gate::on_crash_report(frame_sink& source, std::span<const std::byte> payload)
+void gate::on_crash_report(frame_sink& source, std::uint64_t correlation,
+                           std::span<const std::byte> payload)
 {
     const auto report = decode<crash_report>(payload);
     if (!report) {
         refuse_malformed(source, report.reason().message);
         return;
     }
-    const std::scoped_lock lock{mutex_};
-    suspects_.add(*report, environment_.time.now());
+    {
+        const std::scoped_lock lock{mutex_};
+        suspects_.add(*report, environment_.time.now());
+    }
+    source.send(frame_kind::crash_noted, correlation, {});
 }
 
 void gate::refuse_malformed(frame_sink& source, std::string_view reason)
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -72,7 +72,8 @@
 
     void on_call(const std::shared_ptr<frame_sink>& source, std::uint64_t correlation,
                  std::span<const std::byte> payload);
-    void on_crash_report(frame_sink& source, std::span<const std::byte> payload);
+    void on_crash_report(frame_sink& source, std::uint64_t correlation,
+                         std::span<const std::byte> payload);
     void refuse_malformed(frame_sink& source, std::string_view reason);
     [[nodiscard]] call_refusal refusal(const gate_call& item) const;
     [[nodiscard]] call_refusal start_refusal(const gate_call& item) const;
--- a/src/savorywheel/traffic/peer_crash_reporter.cpp
+++ b/src/savorywheel/traffic/peer_crash_reporter.cpp
@@ -1,8 +1,26 @@
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/traffic/peer_crash_reporter.hpp>
 
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
 namespace savorywheel {
 
+namespace {
+
+/** Longest wait for the other gates; the caller waits as long for its answer. */
+constexpr std::chrono::milliseconds note_limit{300};
+
+/** Counts the gates that have not answered yet. */
+struct open_reports {
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::size_t count{};
+};
+
+} // namespace
+
 void peer_crash_reporter::spread(const crash_report& report)
 {
     const auto routes = tables_.current()->find(report.service);
@@ -10,11 +28,24 @@
         return;
     }
     const auto bytes = encode(report);
+    const auto open = std::make_shared<open_reports>();
     for (const auto& endpoint : routes->endpoints) {
-        if (endpoint.node != report.node) {
-            network_.connection_to(endpoint.peer)->send(frame_kind::crash_report, 0, bytes);
+        if (endpoint.node == report.node) {
+            continue;
+        }
+        {
+            const std::scoped_lock lock{open->mutex};
+            ++open->count;
         }
+        requests_.submit(network_.connection_to(endpoint.peer), frame_kind::crash_report, bytes,
+                         [open](const request_client::answer& /*noted*/) {
+                             const std::scoped_lock lock{open->mutex};
+                             --open->count;
+                             open->changed.notify_one();
+                         });
     }
+    std::unique_lock lock{open->mutex};
+    open->changed.wait_for(lock, note_limit, [&open] { return open->count == 0; });
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/peer_crash_reporter.hpp
+++ b/src/savorywheel/traffic/peer_crash_reporter.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/traffic/crash_reporter.hpp>
 #include <savorywheel/transport/peer_network.hpp>
+#include <savorywheel/transport/request_client.hpp>
 
 namespace savorywheel {
 
@@ -13,9 +14,11 @@
     /**
      * @param tables Knows the nodes; must outlive the reporter.
      * @param network Streams; must outlive the reporter.
+     * @param requests Pairs answers with reports; must outlive the reporter.
      */
-    peer_crash_reporter(const routing_table_holder& tables, peer_network& network) noexcept
-        : tables_{tables}, network_{network}
+    peer_crash_reporter(const routing_table_holder& tables, peer_network& network,
+                        request_client& requests) noexcept
+        : tables_{tables}, network_{network}, requests_{requests}
     {
     }
 
@@ -24,6 +27,7 @@
 private:
     const routing_table_holder& tables_;
     peer_network& network_;
+    request_client& requests_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/exchange_tracker.cpp
+++ b/src/savorywheel/transport/exchange_tracker.cpp
@@ -7,13 +7,13 @@
 bool opens(frame_kind kind) noexcept
 {
     return kind == frame_kind::call_request || kind == frame_kind::commit_fetch ||
-           kind == frame_kind::membership_sync;
+           kind == frame_kind::membership_sync || kind == frame_kind::crash_report;
 }
 
 bool closes(frame_kind kind) noexcept
 {
     return kind == frame_kind::call_response || kind == frame_kind::commit_batch ||
-           kind == frame_kind::membership_full;
+           kind == frame_kind::membership_full || kind == frame_kind::crash_noted;
 }
 
 } // namespace
--- a/src/savorywheel/transport/frame_kind.hpp
+++ b/src/savorywheel/transport/frame_kind.hpp
@@ -22,7 +22,8 @@
     floor_value,     /**< The answer to a floor_get. */
     evidence_report, /**< Results of calls, for the rollout controller. */
     crash_report,    /**< A request was running when a backend server crashed. */
-    last_kind = crash_report
+    crash_noted,     /**< The answer to a crash_report. */
+    last_kind = crash_noted
 };
 
 } // namespace savorywheel
