Choose by what calls met: capacity, outliers, slow start

Cause: the choice knew only this node's outstanding calls; it kept on choosing endpoints that refused for want of capacity, that did not answer, or that had just started. Ruled out: loads reported in membership (they lag, and cost control bytes at 15,000 nodes); health endpoints (they may mislead). The draw is of two different endpoints. A call that had less than 100 ms says nothing about an endpoint.

--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -47,10 +47,12 @@
           control_{settings_,
                    control_plane::environment{loop_, random_, store_, worker_, datagrams_, network_,
                                               requests_, tables_, gate_, log_}},
-          versions_{random_}, endpoints_{settings_.domain, settings_.region, loads_, random_},
+          health_{time_}, versions_{random_}, endpoints_{settings_.domain, settings_.region,
+                                                         nearest_endpoint_chooser::environment{
+                                                             loads_, health_, random_}},
           transport_{network_, requests_}, proxy_{proxy_handler::environment{
                                                time_, tables_, versions_, endpoints_, loads_,
-                                               retries_, transport_, metrics_, log_}},
+                                               health_, retries_, transport_, metrics_, log_}},
           operators_{settings_.operators}, changes_{change_service::environment{time_, random_,
                                                                                 store_, control_}},
           admin_{admin_handler::environment{control_, changes_, operators_, metrics_, log_}},
@@ -137,6 +139,7 @@
     gate gate_;
     control_plane control_;
     load_table loads_;
+    endpoint_health health_;
     retry_budget retries_;
     weighted_version_chooser versions_;
     nearest_endpoint_chooser endpoints_;
--- a/src/savorywheel/routing/nearest_endpoint_chooser.cpp
+++ b/src/savorywheel/routing/nearest_endpoint_chooser.cpp
@@ -6,28 +6,40 @@
 
 namespace savorywheel {
 
+namespace {
+
+/** Share of its slots that a warming backend server is trusted with. */
+constexpr std::uint32_t warming_divisor = 4;
+
+} // namespace
+
 const route_endpoint* nearest_endpoint_chooser::choose(std::span<const route_endpoint> endpoints,
                                                        const version_name& version,
                                                        std::span<const node_id> tried)
 {
     constexpr std::size_t groups = 3;
     std::array<std::vector<const route_endpoint*>, groups> free;
+    std::vector<const route_endpoint*> trusted;
     std::vector<const route_endpoint*> all;
     for (const auto& endpoint : endpoints) {
         if (endpoint.version != version || std::ranges::find(tried, endpoint.node) != tried.end()) {
             continue;
         }
         all.push_back(&endpoint);
-        if (loads_.outstanding(endpoint.node) < endpoint.slots) {
+        if (environment_.health.avoided(endpoint.node)) {
+            continue;
+        }
+        trusted.push_back(&endpoint);
+        if (has_capacity(endpoint)) {
             free[static_cast<std::size_t>(distance_to(endpoint))].push_back(&endpoint);
         }
     }
-    for (const auto& group : free) {
-        if (!group.empty()) {
-            return less_loaded(group);
+    for (const auto& candidates : free) {
+        if (!candidates.empty()) {
+            return less_loaded(candidates);
         }
     }
-    return less_loaded(all);
+    return less_loaded(trusted.empty() ? all : trusted);
 }
 
 nearest_endpoint_chooser::distance
@@ -39,15 +51,34 @@
     return endpoint.region == region_ ? distance::same_region : distance::other_region;
 }
 
-const route_endpoint*
-nearest_endpoint_chooser::less_loaded(std::span<const route_endpoint* const> group)
+bool nearest_endpoint_chooser::has_capacity(const route_endpoint& endpoint) const
+{
+    const auto slots = endpoint.state == server_state::warming
+                           ? std::max(endpoint.slots / warming_divisor, 1U)
+                           : endpoint.slots;
+    return !environment_.health.full(endpoint.node) &&
+           environment_.loads.outstanding(endpoint.node) < slots;
+}
+
+double nearest_endpoint_chooser::load_of(const route_endpoint& endpoint)
+{
+    return (environment_.loads.outstanding(endpoint.node) + 1) /
+           environment_.health.weight(endpoint.node);
+}
+
+const route_endpoint* nearest_endpoint_chooser::less_loaded(group candidates)
 {
-    if (group.empty()) {
+    if (candidates.empty()) {
         return nullptr;
     }
-    const auto* first = group[random_.below(group.size())];
-    const auto* second = group[random_.below(group.size())];
-    return loads_.outstanding(second->node) < loads_.outstanding(first->node) ? second : first;
+    if (candidates.size() == 1) {
+        return candidates.front();
+    }
+    const auto position = environment_.random.below(candidates.size());
+    const auto step = 1 + environment_.random.below(candidates.size() - 1);
+    const auto* first = candidates[position];
+    const auto* second = candidates[(position + step) % candidates.size()];
+    return load_of(*second) < load_of(*first) ? second : first;
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/nearest_endpoint_chooser.hpp
+++ b/src/savorywheel/routing/nearest_endpoint_chooser.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/core/random_source.hpp>
 #include <savorywheel/routing/endpoint_chooser.hpp>
+#include <savorywheel/routing/endpoint_health.hpp>
 #include <savorywheel/routing/load_table.hpp>
 
 #include <utility>
@@ -12,20 +13,28 @@
 /**
  * @brief Prefers the own failure domain, then the own region; takes the less loaded of two.
  *
- * A nearer group is left when all of its endpoints have as many calls of this node outstanding as
- * they have slots.
+ * A nearer group is left when each of its endpoints is taken out, has refused a call for want of
+ * capacity, or has as many calls of this node outstanding as it has slots.
  */
 class nearest_endpoint_chooser final : public endpoint_chooser {
 public:
+    /** @brief What the chooser works with; all must outlive it. */
+    struct environment {
+        /** @brief Outstanding calls. */
+        const load_table& loads;
+        /** @brief What earlier calls met. */
+        endpoint_health& health;
+        /** @brief Random numbers. */
+        random_source& random;
+    };
+
     /**
      * @param domain Failure domain of this node.
      * @param region Region of this node.
-     * @param loads Outstanding calls; must outlive the chooser.
-     * @param random Random numbers; must outlive the chooser.
+     * @param surroundings What the chooser works with.
      */
-    nearest_endpoint_chooser(failure_domain domain, region_name region, const load_table& loads,
-                             random_source& random)
-        : domain_{std::move(domain)}, region_{std::move(region)}, loads_{loads}, random_{random}
+    nearest_endpoint_chooser(failure_domain domain, region_name region, environment surroundings)
+        : domain_{std::move(domain)}, region_{std::move(region)}, environment_{surroundings}
     {
     }
 
@@ -34,15 +43,17 @@
                                                std::span<const node_id> tried) override;
 
 private:
+    using group = std::span<const route_endpoint* const>;
     enum class distance { same_domain, same_region, other_region };
 
     [[nodiscard]] distance distance_to(const route_endpoint& endpoint) const noexcept;
-    [[nodiscard]] const route_endpoint* less_loaded(std::span<const route_endpoint* const> group);
+    [[nodiscard]] bool has_capacity(const route_endpoint& endpoint) const;
+    [[nodiscard]] double load_of(const route_endpoint& endpoint);
+    [[nodiscard]] const route_endpoint* less_loaded(group candidates);
 
     failure_domain domain_;
     region_name region_;
-    const load_table& loads_;
-    random_source& random_;
+    environment environment_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -14,6 +14,8 @@
 constexpr int status_not_found = 404;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
+/** A call that had less time says nothing about the endpoint that did not answer it. */
+constexpr std::chrono::milliseconds least_telling_time{100};
 constexpr std::string_view deadline_header = "x-savorywheel-deadline-ms";
 constexpr std::string_view outcome_header = "x-savorywheel-outcome";
 constexpr std::array<std::string_view, 9> hop_by_hop_headers{
@@ -123,9 +125,38 @@
     environment_.loads.begin(endpoint->node);
     auto outcome = environment_.transport.call(endpoint->peer, item.call, item.deadline);
     environment_.loads.end(endpoint->node);
+    note(endpoint->node, item.call, outcome);
     return outcome;
 }
 
+void proxy_handler::note(const node_id& endpoint, const call_request& call,
+                         const call_response& outcome)
+{
+    switch (outcome.refusal) {
+    case call_refusal::none:
+        if (outcome.result == call_result::answered) {
+            environment_.health.answered(endpoint);
+        }
+        else if (call.remaining >= least_telling_time) {
+            environment_.health.failed(endpoint);
+        }
+        break;
+    case call_refusal::overload:
+        environment_.health.overloaded(endpoint);
+        break;
+    case call_refusal::leaving:
+    case call_refusal::wrong_version:
+        environment_.health.leaving(endpoint);
+        break;
+    case call_refusal::absent:
+        environment_.health.failed(endpoint);
+        break;
+    case call_refusal::expired:
+    case call_refusal::crashing:
+        break;
+    }
+}
+
 http_response proxy_handler::conclude(const plan& item, call_response outcome)
 {
     if (outcome.result == call_result::answered) {
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/metric_registry.hpp>
 #include <savorywheel/routing/endpoint_chooser.hpp>
+#include <savorywheel/routing/endpoint_health.hpp>
 #include <savorywheel/routing/load_table.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/routing/version_chooser.hpp>
@@ -32,6 +33,8 @@
         endpoint_chooser& endpoints;
         /** @brief Outstanding calls. */
         load_table& loads;
+        /** @brief What calls met at endpoints. */
+        endpoint_health& health;
         /** @brief Bounds retries. */
         retry_budget& retries;
         /** @brief Carries calls. */
@@ -57,6 +60,7 @@
 
     [[nodiscard]] http_response execute(plan& item);
     [[nodiscard]] call_response attempt(plan& item, std::vector<node_id>& tried);
+    void note(const node_id& endpoint, const call_request& call, const call_response& outcome);
     [[nodiscard]] http_response conclude(const plan& item, call_response outcome);
 
     environment environment_;
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -8,6 +8,8 @@
 #include <support/manual_clock.hpp>
 #include <support/recording_event_log.hpp>
 
+#include <deque>
+
 namespace savorywheel::test {
 
 namespace {
@@ -54,25 +56,77 @@
         config_version{1}, routing_table::route_map{{service_name{"bookdesk"}, routes}});
 }
 
-/** A proxy over a generated transport. */
-struct generated_proxy {
-    generated_proxy(bool idempotent, std::size_t size)
+/** A proxy of one node, with all that it works with. */
+struct proxy_fixture {
+    proxy_fixture(call_transport& transport, manual_clock& clock, bool idempotent, std::size_t size)
+        : time{clock}, carrier{transport}
     {
         tables.publish(make_table(idempotent, size));
     }
 
-    manual_clock time;
+    manual_clock& time;
+    call_transport& carrier;
     seeded_random random{1};
     routing_table_holder tables;
     load_table loads;
     weighted_version_chooser versions{random};
-    nearest_endpoint_chooser endpoints{failure_domain{"d"}, region_name{"r"}, loads, random};
+    endpoint_health health{time};
+    nearest_endpoint_chooser endpoints{
+        failure_domain{"d"}, region_name{"r"}, {loads, health, random}};
     retry_budget retries;
-    generated_transport transport{time};
     metric_registry metrics;
     recording_event_log log;
     proxy_handler proxy{
-        {time, tables, versions, endpoints, loads, retries, transport, metrics, log}};
+        {time, tables, versions, endpoints, loads, health, retries, carrier, metrics, log}};
+};
+
+/** A proxy over a generated transport. */
+struct generated_proxy {
+    generated_proxy(bool idempotent, std::size_t size) : fixture{transport, time, idempotent, size}
+    {
+    }
+
+    http_response handle()
+    {
+        return fixture.proxy.handle({"POST", "/", {{"Host", "bookdesk"}}, "x"});
+    }
+
+    manual_clock time;
+    generated_transport transport{time};
+    proxy_fixture fixture;
+};
+
+/** One hop of a chain: its backend server passes each request on to the next hop's proxy. */
+class chained_hop final : public call_transport {
+public:
+    chained_hop(manual_clock& time, chained_hop* next) : next_{next}, fixture_{*this, time, true, 6}
+    {
+    }
+
+    call_response call(const network_endpoint& /*peer*/, const call_request& call,
+                       monotonic_time /*deadline*/) override
+    {
+        ++attempts;
+        if (next_ == nullptr) {
+            return call_response::unknown("the connection was reset");
+        }
+        return {call_result::answered, call_refusal::none, {}, next_->handle(call.request)};
+    }
+
+    http_response handle(const http_request& request)
+    {
+        ++requests;
+        auto named = request;
+        named.headers = {{"Host", "bookdesk"}};
+        return fixture_.proxy.handle(named);
+    }
+
+    std::size_t requests{};
+    std::size_t attempts{};
+
+private:
+    chained_hop* next_;
+    proxy_fixture fixture_;
 };
 
 bool contains(std::span<const call_result> results, call_result wanted)
@@ -89,7 +143,7 @@
         auto& results = mesh.transport.results;
         for (int call = 0; call < calls_per_case; ++call) {
             results.clear();
-            const auto answer = mesh.proxy.handle({"POST", "/", {{"Host", "bookdesk"}}, "x"});
+            const auto answer = mesh.handle();
             if (find_header(answer.headers, "x-savorywheel-outcome") == "not-run") {
                 RC_ASSERT(!contains(results, call_result::unknown));
                 RC_ASSERT(!contains(results, call_result::answered));
@@ -103,7 +157,7 @@
 {
     EXPECT_TRUE(rc::check([] {
         generated_proxy mesh{false, *rc::gen::inRange<std::size_t>(1, 6)};
-        static_cast<void>(mesh.proxy.handle({"POST", "/", {{"Host", "bookdesk"}}, "x"}));
+        static_cast<void>(mesh.handle());
         const auto& results = mesh.transport.results;
         for (std::size_t i = 0; i + 1 < results.size(); ++i) {
             RC_ASSERT(results[i] == call_result::not_run);
@@ -111,4 +165,22 @@
     }));
 }
 
+TEST(proof_retry_budget, retries_do_not_multiply_over_27_hops)
+{
+    constexpr int depth = 27;
+    constexpr std::size_t calls = 1000;
+    manual_clock time;
+    std::deque<chained_hop> hops;
+    for (int i = 0; i < depth; ++i) {
+        hops.emplace_back(time, hops.empty() ? nullptr : &hops.back());
+    }
+    for (std::size_t i = 0; i < calls; ++i) {
+        static_cast<void>(hops.back().handle({"GET", "/", {}, {}}));
+    }
+    for (const auto& hop : hops) {
+        EXPECT_EQ(hop.requests, calls);
+        EXPECT_LE(hop.attempts, calls + calls / 10 + 10);
+    }
+}
+
 } // namespace savorywheel::test
