Cut nothing at a stop; notice callers who hang up; pass targets as sent

Cause: (1) a stopping HTTP server polled for running handlers and could still cut their answers, and the next request on a kept connection; (2) ulfius gives a request no handle on its connection, so that a caller who hung up kept its call running; (3) targets were rebuilt from parsed parts, which loses repeated and empty query fields; (4) the limit of connections was not set. Change: the server starts libmicrohttpd through ulfius with its own options: connections are tracked by the caller's address, the target is taken from the URI callback on the connection's thread, the connection limit is set. A stop marks each answer as the last of its connection and waits on a condition variable until connections are closed, or for 1 s without requests. One thread waits in epoll for callers that close their side; it cancels the call, the cancellation goes over the stream and aborts the transfer to the backend server.

--- a/src/savorywheel/http/cancellation.hpp
+++ b/src/savorywheel/http/cancellation.hpp
@@ -28,13 +28,17 @@
     }
 
     /**
-     * @brief Sets what wakes the thread; an empty function removes it.
+     * @brief Sets what wakes the thread, and calls it if cancel() was called; an empty function
+     * removes it.
      * @warning The function must not wait; it is called during cancel().
      */
     void set_wake(std::function<void()> wake)
     {
         const std::scoped_lock lock{mutex_};
         wake_ = std::move(wake);
+        if (cancelled_ && wake_) {
+            wake_();
+        }
     }
 
 private:
--- a/src/savorywheel/http/http_handler.hpp
+++ b/src/savorywheel/http/http_handler.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_HTTP_HTTP_HANDLER_HPP
 #define SAVORYWHEEL_HTTP_HTTP_HANDLER_HPP
 
+#include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/http/http_request.hpp>
 #include <savorywheel/http/http_response.hpp>
 
@@ -18,6 +19,19 @@
 
     /** @return The response to the request. */
     [[nodiscard]] virtual http_response handle(const http_request& request) = 0;
+
+    /**
+     * @brief Answers a request unless its caller goes away.
+     * @param request The request.
+     * @param stop Cancelled when the caller closes its connection.
+     * @return The response; nobody receives it after cancellation.
+     */
+    [[nodiscard]] virtual http_response handle_until_cancelled(const http_request& request,
+                                                               cancellation& stop)
+    {
+        static_cast<void>(stop);
+        return handle(request);
+    }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -1,39 +1,52 @@
+#include <savorywheel/http/connection_table.hpp>
+#include <savorywheel/http/hangup_watcher.hpp>
 #include <savorywheel/http/http_server.hpp>
 
 #include <arpa/inet.h>
 #include <ulfius.h>
 
+#include <array>
 #include <atomic>
 #include <charconv>
 #include <string>
-#include <thread>
 
 namespace savorywheel {
 
 namespace {
 
 constexpr int status_payload_too_large = 413;
-constexpr std::chrono::milliseconds drain_poll_period{5};
+constexpr unsigned port_bits = 16;
+constexpr unsigned server_flags =
+    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_AUTO;
 
-std::string target_of(const _u_request& request)
+/** Target of the request that this connection's thread reads, as it was sent. */
+thread_local std::string raw_target;
+
+void* on_target(void* self, const char* target)
 {
-    std::string target = request.url_path != nullptr ? request.url_path : "/";
-    if (target.empty() || target.front() != '/') {
-        target.insert(target.begin(), '/');
-    }
-    char separator = '?';
-    const char** keys = u_map_enum_keys(request.map_url);
-    for (std::size_t i = 0; keys != nullptr && keys[i] != nullptr; ++i) {
-        const char* value = u_map_get(request.map_url, keys[i]);
-        char* key_text = ulfius_url_encode(keys[i]);
-        char* value_text = ulfius_url_encode(value != nullptr ? value : "");
-        target += separator + std::string{key_text != nullptr ? key_text : ""} + '=' +
-                  (value_text != nullptr ? value_text : "");
-        u_free(key_text);
-        u_free(value_text);
-        separator = '&';
+    raw_target = target;
+    return ulfius_uri_logger(self, target);
+}
+
+connection_table::key key_of(const sockaddr& address)
+{
+    const auto& caller = reinterpret_cast<const sockaddr_in&>(address);
+    return (std::uint64_t{caller.sin_addr.s_addr} << port_bits) | caller.sin_port;
+}
+
+void on_connection(void* self, MHD_Connection* connection, void** /*context*/,
+                   MHD_ConnectionNotificationCode code)
+{
+    auto& table = *static_cast<connection_table*>(self);
+    const auto* caller =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS)->client_addr;
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        table.closed(key_of(*caller));
+        return;
     }
-    return target;
+    table.opened(
+        key_of(*caller),
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
 }
 
 std::vector<http_header> headers_of(const _u_request& request)
@@ -47,6 +60,19 @@
     return headers;
 }
 
+http_request read(const _u_request& source)
+{
+    http_request request;
+    request.method = source.http_verb != nullptr ? source.http_verb : "";
+    request.target = raw_target;
+    request.headers = headers_of(source);
+    if (source.binary_body != nullptr) {
+        request.body.assign(static_cast<const char*>(source.binary_body),
+                            source.binary_body_length);
+    }
+    return request;
+}
+
 bool body_complete(const http_request& request)
 {
     const auto announced = find_header(request.headers, "Content-Length");
@@ -94,7 +120,7 @@
         instance_.check_utf8 = 0;
         ulfius_add_endpoint_by_val(&instance_, "*", "", "/*", 0, &state::dispatch, this);
         ulfius_set_default_endpoint(&instance_, &state::dispatch, this);
-        if (ulfius_start_framework(&instance_) != U_OK) {
+        if (!listen(address)) {
             return failure{failure_code::unavailable, "cannot listen on " + to_string(local)};
         }
         running_ = true;
@@ -115,14 +141,28 @@
     }
 
 private:
+    [[nodiscard]] bool listen(sockaddr_in& address)
+    {
+        const auto function = [](auto* pointer) { return reinterpret_cast<intptr_t>(pointer); };
+        std::array options{
+            MHD_OptionItem{MHD_OPTION_NOTIFY_COMPLETED, function(&mhd_request_completed), nullptr},
+            MHD_OptionItem{MHD_OPTION_URI_LOG_CALLBACK, function(&on_target), nullptr},
+            MHD_OptionItem{MHD_OPTION_NOTIFY_CONNECTION, function(&on_connection), &connections_},
+            MHD_OptionItem{MHD_OPTION_SOCK_ADDR, 0, &address},
+            MHD_OptionItem{MHD_OPTION_CONNECTION_TIMEOUT,
+                           static_cast<intptr_t>(limits_.idle_timeout.count()), nullptr},
+            MHD_OptionItem{MHD_OPTION_CONNECTION_LIMIT,
+                           static_cast<intptr_t>(limits_.max_connections), nullptr},
+            MHD_OptionItem{MHD_OPTION_END, 0, nullptr}};
+        return ulfius_start_framework_with_mhd_options(&instance_, server_flags, options.data()) ==
+               U_OK;
+    }
+
     void drain()
     {
         closing_ = true;
         const auto socket = MHD_quiesce_daemon(instance_.mhd_daemon);
-        const auto limit = std::chrono::steady_clock::now() + limits_.drain_limit;
-        while (in_progress_ > 0 && std::chrono::steady_clock::now() < limit) {
-            std::this_thread::sleep_for(drain_poll_period);
-        }
+        static_cast<void>(connections_.wait_until_idle(limits_.drain_limit, limits_.drain_idle));
         if (socket != MHD_INVALID_SOCKET) {
             ::close(socket);
         }
@@ -135,32 +175,39 @@
 
     int serve(const _u_request& source, _u_response& target)
     {
-        ++in_progress_;
-        http_request request;
-        request.method = source.http_verb != nullptr ? source.http_verb : "";
-        request.target = target_of(source);
-        request.headers = headers_of(source);
-        if (source.binary_body != nullptr) {
-            request.body.assign(static_cast<const char*>(source.binary_body),
-                                source.binary_body_length);
-        }
+        connections_.request_changed(1);
+        const auto request = read(source);
         if (request.body.size() > limits_.max_body_bytes || !body_complete(request)) {
             answer(target, {status_payload_too_large, {}, "request body too large\n"}, closing_);
         }
         else {
-            answer(target, handler_.handle(request), closing_);
+            answer(target, handle(request, key_of(*source.client_address)), closing_);
         }
-        --in_progress_;
+        connections_.request_changed(-1);
         return U_CALLBACK_COMPLETE;
     }
 
+    [[nodiscard]] http_response handle(const http_request& request, connection_table::key caller)
+    {
+        cancellation stop;
+        const auto socket = connections_.socket_of(caller);
+        if (!socket) {
+            return handler_.handle(request);
+        }
+        hangups_.watch(*socket, stop);
+        auto response = handler_.handle_until_cancelled(request, stop);
+        hangups_.unwatch(*socket);
+        return response;
+    }
+
     http_handler& handler_;
     http_server_limits limits_;
     _u_instance instance_{};
     bool initialized_{};
     bool running_{};
     std::atomic<bool> closing_{};
-    std::atomic<int> in_progress_{};
+    connection_table connections_;
+    hangup_watcher hangups_;
 };
 
 http_server::http_server(http_handler& handler, http_server_limits limits)
--- a/src/savorywheel/http/http_server_limits.hpp
+++ b/src/savorywheel/http/http_server_limits.hpp
@@ -14,6 +14,8 @@
     unsigned max_connections{512};
     /** @brief Idle time after which a connection is closed. */
     std::chrono::seconds idle_timeout{60};
+    /** @brief Time without requests after which a graceful stop closes open connections. */
+    std::chrono::milliseconds drain_idle{1000};
     /** @brief Longest wait of a graceful stop for requests in progress. */
     std::chrono::milliseconds drain_limit{10'000};
 };
--- a/src/savorywheel/traffic/call_transport.hpp
+++ b/src/savorywheel/traffic/call_transport.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/traffic/call_request.hpp>
 #include <savorywheel/traffic/call_response.hpp>
 
@@ -27,6 +28,20 @@
      */
     [[nodiscard]] virtual call_response call(const network_endpoint& peer, const call_request& call,
                                              monotonic_time deadline) = 0;
+
+    /**
+     * @brief Sends a call and waits for its outcome, unless it is cancelled.
+     * @param stop Cancels the call, also at the node beside the backend server.
+     * @return As call(); unknown after cancellation.
+     */
+    [[nodiscard]] virtual call_response call_until_cancelled(const network_endpoint& peer,
+                                                             const call_request& call,
+                                                             monotonic_time deadline,
+                                                             cancellation& stop)
+    {
+        static_cast<void>(stop);
+        return this->call(peer, call, deadline);
+    }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/peer_call_transport.cpp
+++ b/src/savorywheel/traffic/peer_call_transport.cpp
@@ -16,8 +16,26 @@
     std::mutex mutex;
     std::condition_variable arrived;
     std::optional<request_client::answer> answer;
+    bool cancelled{};
 };
 
+std::optional<request_client::answer> await(answer_slot& slot, monotonic_time deadline,
+                                            cancellation& stop)
+{
+    stop.set_wake([&slot] {
+        const std::scoped_lock lock{slot.mutex};
+        slot.cancelled = true;
+        slot.arrived.notify_one();
+    });
+    std::unique_lock lock{slot.mutex};
+    slot.arrived.wait_until(lock, deadline,
+                            [&slot] { return slot.answer.has_value() || slot.cancelled; });
+    auto answer = std::move(slot.answer);
+    lock.unlock();
+    stop.set_wake({});
+    return answer;
+}
+
 call_response read_answer(const request_client::answer& answer)
 {
     if (!answer) {
@@ -37,6 +55,14 @@
 
 call_response peer_call_transport::call(const network_endpoint& peer, const call_request& call,
                                         monotonic_time deadline)
+{
+    cancellation never;
+    return call_until_cancelled(peer, call, deadline, never);
+}
+
+call_response peer_call_transport::call_until_cancelled(const network_endpoint& peer,
+                                                        const call_request& call,
+                                                        monotonic_time deadline, cancellation& stop)
 {
     const auto connection = network_.connection_to(peer);
     const auto expires = connection->await_open(deadline);
@@ -54,15 +80,14 @@
                              slot->answer = std::move(answer);
                              slot->arrived.notify_one();
                          });
-    std::unique_lock lock{slot->mutex};
-    if (slot->arrived.wait_until(lock, deadline, [&slot] { return slot->answer.has_value(); })) {
-        return read_answer(*slot->answer);
+    const auto answer = await(*slot, deadline, stop);
+    if (answer) {
+        return read_answer(*answer);
     }
-    lock.unlock();
     if (requests_.forget(correlation)) {
         connection->send(frame_kind::call_cancel, correlation, {});
     }
-    return call_response::unknown("the deadline passed");
+    return call_response::unknown(stop.cancelled() ? "the caller hung up" : "the deadline passed");
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/peer_call_transport.hpp
+++ b/src/savorywheel/traffic/peer_call_transport.hpp
@@ -21,6 +21,10 @@
 
     [[nodiscard]] call_response call(const network_endpoint& peer, const call_request& call,
                                      monotonic_time deadline) override;
+    [[nodiscard]] call_response call_until_cancelled(const network_endpoint& peer,
+                                                     const call_request& call,
+                                                     monotonic_time deadline,
+                                                     cancellation& stop) override;
 
 private:
     peer_network& network_;
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -58,6 +58,12 @@
 } // namespace
 
 http_response proxy_handler::handle(const http_request& request)
+{
+    cancellation never;
+    return handle_until_cancelled(request, never);
+}
+
+http_response proxy_handler::handle_until_cancelled(const http_request& request, cancellation& stop)
 {
     const auto started = environment_.time.now();
     const auto service = service_of(request);
@@ -74,6 +80,7 @@
     item.call.idempotent = item.route->idempotent;
     item.call.request = request;
     drop_hop_by_hop(item.call.request.headers);
+    item.stop = &stop;
     item.deadline = started + deadline_of(request, *item.route);
     environment_.metrics.count("calls") += 1;
     auto response = execute(item);
@@ -92,7 +99,7 @@
         const bool may_repeat =
             (outcome.result == call_result::not_run && outcome.refusal != call_refusal::crashing) ||
             (outcome.result == call_result::unknown && item.call.idempotent);
-        if (!may_repeat || environment_.time.now() >= item.deadline ||
+        if (!may_repeat || item.stop->cancelled() || environment_.time.now() >= item.deadline ||
             tried.size() >= item.routes->endpoints.size() ||
             !environment_.retries.spend(item.call.service)) {
             if (may_have_run && outcome.result == call_result::not_run) {
@@ -123,9 +130,12 @@
     item.call.remaining = remaining;
     tried.push_back(endpoint->node);
     environment_.loads.begin(endpoint->node);
-    auto outcome = environment_.transport.call(endpoint->peer, item.call, item.deadline);
+    auto outcome = environment_.transport.call_until_cancelled(endpoint->peer, item.call,
+                                                               item.deadline, *item.stop);
     environment_.loads.end(endpoint->node);
-    note(endpoint->node, item.call, outcome);
+    if (!item.stop->cancelled()) {
+        note(endpoint->node, item.call, outcome);
+    }
     return outcome;
 }
 
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -49,6 +49,8 @@
     explicit proxy_handler(environment surroundings) noexcept : environment_{surroundings} {}
 
     [[nodiscard]] http_response handle(const http_request& request) override;
+    [[nodiscard]] http_response handle_until_cancelled(const http_request& request,
+                                                       cancellation& stop) override;
 
 private:
     struct plan {
@@ -56,6 +58,7 @@
         const route_spec* route{};
         call_request call;
         monotonic_time deadline;
+        cancellation* stop{};
     };
 
     [[nodiscard]] http_response execute(plan& item);
--- a/standin/backend/backend_handler.cpp
+++ b/standin/backend/backend_handler.cpp
@@ -69,6 +69,12 @@
         query_number(request.target, "fail_permille", behaviour_.fail_permille));
     behaviour_.latency = std::chrono::microseconds{query_number(
         request.target, "latency_us", static_cast<std::uint64_t>(behaviour_.latency.count()))};
+    if (!query_text(request.target, "mark").empty()) {
+        marked_ = executed_;
+    }
+    if (!query_text(request.target, "since_mark").empty()) {
+        return {status_ok, {}, std::to_string(executed_ - marked_) + "\n"};
+    }
     if (const auto path = query_text(request.target, "fail_path"); !path.empty()) {
         behaviour_.fail_path = path;
     }
--- a/standin/backend/backend_handler.hpp
+++ b/standin/backend/backend_handler.hpp
@@ -19,7 +19,8 @@
  * @brief Answers like a backend server: echoes the request and names itself.
  *
  * `PUT /control?fail_permille=N&fail_path=P&latency_us=N&state=serving|draining` changes its
- * behaviour. A request with the header `x-crash: 1` ends the process at once.
+ * behaviour. `mark=1` remembers the number of requests run; `since_mark=1` returns how many have
+ * run since. A request with the header `x-crash: 1` ends the process at once.
  */
 class backend_handler final : public http_handler {
 public:
@@ -51,6 +52,7 @@
     random_source& random_;
     const execution_log& executions_;
     std::atomic<std::uint64_t> executed_{};
+    std::uint64_t marked_{};
 };
 
 } // namespace savorywheel::standin
--- a/test/process/calls_under_faults_test.cpp
+++ b/test/process/calls_under_faults_test.cpp
@@ -24,6 +24,7 @@
 )";
 
 constexpr std::chrono::milliseconds phase{600};
+constexpr std::chrono::seconds drain_limit{3};
 
 std::vector<mesh_member> members()
 {
@@ -134,4 +135,53 @@
     EXPECT_EQ(crashed, 2);
 }
 
+TEST(proof_drain, nodes_and_backend_servers_leave_without_a_cut_request)
+{
+    local_mesh mesh{62, members()};
+    ASSERT_TRUE(prepare(mesh));
+    for (std::size_t i = 1; i < mesh.size(); ++i) {
+        mesh.control_backend(i, "latency_us=20000");
+    }
+    booking_callers callers{mesh};
+    std::this_thread::sleep_for(phase);
+    mesh.control_backend(1, "state=draining");
+    std::this_thread::sleep_for(drain_limit);
+    mesh.control_backend(1, "mark=drained");
+    mesh.node(2).signal(SIGTERM);
+    EXPECT_EQ(mesh.node(2).wait(), 0);
+    std::this_thread::sleep_for(phase);
+    callers.stop();
+    expect_sound(callers.history(), mesh);
+    EXPECT_EQ(callers.history().unknown(), 0U);
+    EXPECT_EQ(callers.history().refused(), 0U);
+    const auto late = mesh.client().send(mesh.backend_endpoint(1),
+                                         {"GET", "/control?since_mark=1", {}, {}}, phase * 10);
+    ASSERT_TRUE(late);
+    EXPECT_EQ(late->body, "0\n");
+}
+
+TEST(proof_cancellation, a_caller_that_hangs_up_ends_its_call_at_the_backend_server)
+{
+    local_mesh mesh{
+        63, {{"caller", "east-1", "east", ""}, {"book-1", "east-1", "east", "bookdesk", "v1", 1}}};
+    ASSERT_TRUE(prepare(mesh));
+    mesh.control_backend(1, "latency_us=900000");
+    cancellation stop;
+    std::thread caller{[&mesh, &stop] {
+        static_cast<void>(mesh.client().send_until_cancelled(
+            mesh.traffic_endpoint(0), {"POST", "/book", {{"Host", "bookdesk"}}, "x"}, phase * 10,
+            stop));
+    }};
+    const auto running = [&mesh] {
+        const auto state = mesh.state(1);
+        return state ? state->running : 0U;
+    };
+    EXPECT_TRUE(wait_until([&running] { return running() == 1; }));
+    const auto hung_up = std::chrono::steady_clock::now();
+    stop.cancel();
+    caller.join();
+    EXPECT_TRUE(wait_until([&running] { return running() == 0; }));
+    EXPECT_LT(std::chrono::steady_clock::now() - hung_up, phase);
+}
+
 } // namespace savorywheel::test
--- /dev/null
+++ b/test/savorywheel/http/http_server_test.cpp
@@ -0,0 +1,130 @@
+#include <savorywheel/http/curl_http_client.hpp>
+#include <savorywheel/http/http_server.hpp>
+
+#include <gtest/gtest.h>
+#include <support/loopback_socket.hpp>
+#include <support/wait_until.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <condition_variable>
+#include <thread>
+
+namespace savorywheel::test {
+
+namespace {
+
+constexpr std::chrono::seconds timeout{10};
+
+/** Answers with the target, after a time; notes when a caller went away. */
+class slow_handler final : public http_handler {
+public:
+    explicit slow_handler(std::chrono::milliseconds time) : time_{time} {}
+
+    http_response handle(const http_request& request) override
+    {
+        std::this_thread::sleep_for(time_);
+        return {200, {}, request.target};
+    }
+
+    http_response handle_until_cancelled(const http_request& request, cancellation& stop) override
+    {
+        if (request.target != "/wait") {
+            return handle(request);
+        }
+        waiting = true;
+        cancelled = wait_until([&stop] { return stop.cancelled(); });
+        return {200, {}, {}};
+    }
+
+    std::atomic<bool> waiting{};
+    std::atomic<bool> cancelled{};
+
+private:
+    std::chrono::milliseconds time_;
+};
+
+/** Port that was free a moment ago. */
+network_endpoint free_endpoint()
+{
+    network_endpoint endpoint;
+    ::close(listen_on_loopback(endpoint));
+    return endpoint;
+}
+
+/** Sends requests on one kept connection until the server closes it. */
+int requests_cut(const network_endpoint& server, std::atomic<int>& answered)
+{
+    curl_http_client client;
+    while (true) {
+        const auto answer = client.send(server, {"POST", "/a", {}, "x"}, timeout);
+        if (!answer) {
+            return answer.reason().code == failure_code::unavailable ? 0 : 1;
+        }
+        ++answered;
+        if (!find_header(answer->headers, "Connection").empty()) {
+            return 0;
+        }
+    }
+}
+
+} // namespace
+
+TEST(proof_graceful_stop, cuts_no_request_of_kept_connections)
+{
+    slow_handler handler{std::chrono::milliseconds{20}};
+    http_server server{handler};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(server.start(endpoint));
+    std::atomic<int> answered{};
+    std::atomic<int> cut{};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 16; ++i) {
+        callers.emplace_back([&] { cut += requests_cut(endpoint, answered); });
+    }
+    ASSERT_TRUE(wait_until([&answered] { return answered > 50; }));
+    server.stop();
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(cut, 0);
+}
+
+TEST(proof_cancellation, a_caller_that_hangs_up_cancels_its_request)
+{
+    slow_handler handler{{}};
+    http_server server{handler};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(server.start(endpoint));
+    const int connection = connect_to(endpoint);
+    const std::string request = "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n";
+    ASSERT_EQ(::send(connection, request.data(), request.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(request.size()));
+    ASSERT_TRUE(wait_until([&handler] { return handler.waiting.load(); }));
+    ::close(connection);
+    EXPECT_TRUE(
+        wait_until([&handler] { return handler.cancelled.load(); }, std::chrono::seconds{10}));
+}
+
+TEST(http_server, passes_the_target_as_it_was_sent_and_refuses_large_bodies)
+{
+    slow_handler handler{{}};
+    http_server server{handler, {.max_body_bytes = 1000}};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(server.start(endpoint));
+    curl_http_client client;
+    const std::string target = "/a%2Fb/c;d?x=1&x=2&y=%20+&z";
+    const auto answer = client.send(endpoint, {"GET", target, {}, {}}, timeout);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, target);
+    const auto whole = client.send(endpoint, {"POST", "/", {}, std::string(1000, 'x')}, timeout);
+    ASSERT_TRUE(whole);
+    EXPECT_EQ(whole->status, 200);
+    const auto large = client.send(endpoint, {"POST", "/", {}, std::string(1001, 'x')}, timeout);
+    ASSERT_TRUE(large);
+    EXPECT_EQ(large->status, 413);
+}
+
+} // namespace savorywheel::test
--- /dev/null
+++ b/test/savorywheel/transport/peer_connection_test.cpp
@@ -0,0 +1,164 @@
+#include <savorywheel/transport/asio_peer_network.hpp>
+#include <savorywheel/transport/frame_header.hpp>
+#include <savorywheel/transport/request_client.hpp>
+
+#include <gtest/gtest.h>
+#include <support/loopback_socket.hpp>
+#include <support/silencing_proxy.hpp>
+#include <support/wait_until.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <vector>
+
+namespace savorywheel::test {
+
+namespace {
+
+/** Echoes calls, or keeps them unanswered. */
+class echo_handler final : public frame_handler {
+public:
+    void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind /*kind*/,
+                  std::uint64_t correlation, std::span<const std::byte> payload) override
+    {
+        ++received;
+        if (answering) {
+            source->send(frame_kind::call_response, correlation, payload);
+        }
+    }
+    void on_closed(const frame_sink& /*source*/, bool /*established*/) override { ++closed; }
+
+    std::atomic<bool> answering{true};
+    std::atomic<int> received{};
+    std::atomic<int> closed{};
+};
+
+/** Answers each call with many bytes. */
+class large_answer_handler final : public frame_handler {
+public:
+    explicit large_answer_handler(std::size_t bytes) : payload_(bytes) {}
+
+    void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind /*kind*/,
+                  std::uint64_t correlation, std::span<const std::byte> /*payload*/) override
+    {
+        source->send(frame_kind::call_response, correlation, payload_);
+        answered = true;
+    }
+    void on_closed(const frame_sink& /*source*/, bool /*established*/) override {}
+
+    std::atomic<bool> answered{};
+
+private:
+    std::vector<std::byte> payload_;
+};
+
+network_endpoint free_endpoint()
+{
+    network_endpoint endpoint;
+    ::close(listen_on_loopback(endpoint));
+    return endpoint;
+}
+
+/** A calling node, a proxy between, and a called node. */
+struct two_nodes {
+    two_nodes()
+    {
+        EXPECT_TRUE(callee.start(callee_endpoint));
+        EXPECT_TRUE(caller.start(free_endpoint()));
+    }
+
+    void submit()
+    {
+        const std::vector payload(100, std::byte{7});
+        requests.submit(caller.connection_to(proxy.endpoint()), frame_kind::call_request, payload,
+                        [this](const request_client::answer& answer) {
+                            ++(answer ? answers : failures);
+                            last = answer.reason().code;
+                        });
+    }
+
+    network_endpoint callee_endpoint{free_endpoint()};
+    echo_handler handler;
+    request_client requests;
+    asio_peer_network callee{handler};
+    asio_peer_network caller{requests};
+    silencing_proxy proxy{callee_endpoint};
+    std::atomic<int> answers{};
+    std::atomic<int> failures{};
+    std::atomic<failure_code> last{};
+};
+
+} // namespace
+
+TEST(proof_silent_connections, a_call_on_a_silent_connection_is_unknown_and_the_next_one_works)
+{
+    two_nodes mesh;
+    mesh.submit();
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.answers == 1; }));
+    mesh.proxy.silence();
+    mesh.submit();
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.failures == 1; }, std::chrono::seconds{10}));
+    EXPECT_EQ(mesh.last, failure_code::unknown_outcome);
+    EXPECT_EQ(mesh.answers, 1);
+    mesh.submit();
+    EXPECT_TRUE(wait_until([&mesh] { return mesh.answers == 2; }, std::chrono::seconds{10}));
+    EXPECT_TRUE(wait_until([&mesh] { return mesh.handler.closed == 1; }, std::chrono::seconds{10}));
+}
+
+TEST(proof_truthful_not_run, a_call_on_a_connection_that_never_answered_was_not_sent)
+{
+    network_endpoint endpoint;
+    const int mute = listen_on_loopback(endpoint);
+    request_client requests;
+    asio_peer_network caller{requests};
+    ASSERT_TRUE(caller.start(free_endpoint()));
+    std::atomic<failure_code> code{};
+    requests.submit(caller.connection_to(endpoint), frame_kind::call_request, {},
+                    [&code](const request_client::answer& answer) { code = answer.reason().code; });
+    EXPECT_TRUE(wait_until([&code] { return code == failure_code::unavailable; },
+                           std::chrono::seconds{10}));
+    const int accepted = ::accept(mute, nullptr, nullptr);
+    std::byte first{};
+    EXPECT_EQ(::recv(accepted, &first, 1, 0), 0);
+    ::close(accepted);
+    ::close(mute);
+}
+
+TEST(proof_graceful_stop, an_answer_that_is_queued_is_written_before_a_stream_closes)
+{
+    constexpr std::size_t answer_bytes = 8UL * 1024UL * 1024UL;
+    large_answer_handler handler{answer_bytes};
+    asio_peer_network callee{handler};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(callee.start(endpoint));
+    const int connection = connect_to(endpoint);
+    const auto header = encode_header({0, frame_kind::call_request, 1});
+    ASSERT_EQ(::send(connection, header.data(), header.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(header.size()));
+    ASSERT_TRUE(wait_until([&handler] { return handler.answered.load(); }));
+    std::thread stopper{[&callee] { callee.stop(); }};
+    std::size_t received = 0;
+    std::vector<std::byte> part(65536);
+    for (ssize_t size = 1; size > 0; received += static_cast<std::size_t>(size)) {
+        size = std::max<ssize_t>(::recv(connection, part.data(), part.size(), 0), 0);
+    }
+    ::close(connection);
+    stopper.join();
+    EXPECT_EQ(received, 2 * frame_header_bytes + answer_bytes);
+}
+
+TEST(peer_connection, closes_when_it_receives_random_bytes)
+{
+    two_nodes mesh;
+    const int connection = connect_to(mesh.callee_endpoint);
+    const std::string noise(64, '\x7f');
+    ASSERT_GT(::send(connection, noise.data(), noise.size(), MSG_NOSIGNAL), 0);
+    EXPECT_TRUE(wait_until([&mesh] { return mesh.handler.closed == 1; }));
+    EXPECT_EQ(mesh.handler.received, 0);
+    ::close(connection);
+}
+
+} // namespace savorywheel::test
--- a/test/support/call_history.cpp
+++ b/test/support/call_history.cpp
@@ -67,6 +67,11 @@
     return count(result::not_run);
 }
 
+std::size_t call_history::unknown() const
+{
+    return count(result::unknown);
+}
+
 std::size_t call_history::count(result wanted) const
 {
     const std::scoped_lock lock{mutex_};
--- a/test/support/call_history.hpp
+++ b/test/support/call_history.hpp
@@ -38,6 +38,9 @@
     /** @return Requests that were refused as not run. */
     [[nodiscard]] std::size_t refused() const;
 
+    /** @return Requests whose outcome their callers do not know. */
+    [[nodiscard]] std::size_t unknown() const;
+
 private:
     enum class result { answered, wrong_answer, not_run, unknown };
 
--- a/test/support/scripted_server.cpp
+++ b/test/support/scripted_server.cpp
@@ -1,33 +1,16 @@
-#include <arpa/inet.h>
+#include <support/loopback_socket.hpp>
 #include <support/scripted_server.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
-#include <stdexcept>
 #include <utility>
 
 namespace savorywheel::test {
 
-namespace {
-
-constexpr int backlog = 16;
-
-} // namespace
-
 scripted_server::scripted_server(std::vector<scripted_exchange> script)
-    : script_{std::move(script)}, listener_{::socket(AF_INET, SOCK_STREAM, 0)}
+    : script_{std::move(script)}, listener_{listen_on_loopback(endpoint_)}
 {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof(address);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    if (::bind(listener_, generic, length) != 0 || ::listen(listener_, backlog) != 0 ||
-        ::getsockname(listener_, generic, &length) != 0) {
-        throw std::runtime_error{"cannot listen on loopback"};
-    }
-    endpoint_ = {"127.0.0.1", ntohs(address.sin_port)};
     thread_ = std::thread{[this] { run(); }};
 }
 
--- a/test/support/scripted_server.hpp
+++ b/test/support/scripted_server.hpp
@@ -43,8 +43,8 @@
     [[nodiscard]] bool receive_request(int connection);
 
     std::vector<scripted_exchange> script_;
-    int listener_{};
     network_endpoint endpoint_;
+    int listener_{};
     std::atomic<std::size_t> requests_{};
     std::atomic<std::size_t> ended_{};
     std::atomic<bool> stopping_{};
