--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/encoding/core_archive.hpp>
 #include <savorywheel/traffic/call_request.hpp>
 #include <savorywheel/traffic/call_response.hpp>
+#include <savorywheel/traffic/crash_report.hpp>
 
 namespace savorywheel {
 
@@ -46,9 +47,18 @@
 void serialize(Archive& archive, call_response& call)
 {
     archive_enum(archive, "result", call.result, call_result::last_result);
+    archive_enum(archive, "refusal", call.refusal, call_refusal::last_refusal);
     archive(cereal::make_nvp("reason", call.reason), cereal::make_nvp("response", call.response));
 }
 
+/** @brief Lists the members of a crash report. */
+template<typename Archive>
+void serialize(Archive& archive, crash_report& report)
+{
+    archive(cereal::make_nvp("service", report.service), cereal::make_nvp("node", report.node),
+            cereal::make_nvp("crash", report.crash), cereal::make_nvp("digest", report.digest));
+}
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/transport/frame_kind.hpp
+++ b/src/savorywheel/transport/frame_kind.hpp
@@ -22,7 +22,9 @@
     floor_value,     /**< The answer to a floor_get. */
     evidence_report, /**< Results of calls, for the rollout controller. */
     withdrawal_push, /**< A withdrawal notice, spread between nodes. */
-    last_kind = withdrawal_push
+    crash_report,    /**< A request was running when a backend server crashed. */
+    crash_noted,     /**< The answer to a crash_report. */
+    last_kind = crash_noted
 };
 
 } // namespace savorywheel
--- a/test/support/scripted_server.hpp
+++ b/test/support/scripted_server.hpp
@@ -35,14 +35,18 @@
     /** @return Requests whose header was received. */
     [[nodiscard]] std::size_t requests() const noexcept { return requests_; }
 
+    /** @return Connections that ended. */
+    [[nodiscard]] std::size_t ended() const noexcept { return ended_; }
+
 private:
     void run();
     [[nodiscard]] bool receive_request(int connection);
 
     std::vector<scripted_exchange> script_;
-    int listener_{};
     network_endpoint endpoint_;
+    int listener_{};
     std::atomic<std::size_t> requests_{};
+    std::atomic<std::size_t> ended_{};
     std::atomic<bool> stopping_{};
     std::thread thread_;
 };
