Publish what was changed past the tool; prove overrides and replaced controllers

Cause: a commit that somebody edits in the platform's service kept its old meaning at running nodes and got the new one at nodes that started later, and nobody was told. Overrides during a move, and paused or killed controllers, had no proof with running processes.

Ways weighed for secret changes: heed the edited object (the log would no longer be ordered, and nodes would differ); write the old value back (undoes an operator's override silently); only log it. Taken: log it as an error, and publish its shares as an override of the author "unknown" at the head of the log, where the team sees it in status and releases it. A service that is already under an override keeps that one. Each relay compares; the create-only key lets one of them publish.

Change: the watcher hands on rewritten commits, rewrite_guard compares and publishes. The region of the endpoint is now in the observation, so that the proxy's environment needs no region.

Seen to fail: secret change without the comparison (nothing within 20 s), override without the two refusals, replacement with leases that never lapse.

Not covered: a commit that is removed, one that is not a commit any more, and changes while no relay watches.

--- a/src/savorywheel/distribution/commit_watcher.cpp
+++ b/src/savorywheel/distribution/commit_watcher.cpp
@@ -3,6 +3,7 @@
 #include <savorywheel/distribution/commit_reader.hpp>
 #include <savorywheel/distribution/commit_sequence.hpp>
 #include <savorywheel/distribution/commit_watcher.hpp>
+#include <savorywheel/encoding/codec.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -15,6 +16,23 @@
 constexpr std::chrono::milliseconds first_delay{100};
 constexpr std::chrono::milliseconds longest_delay{1000};
 
+/** Reads commits that the watcher had already read, but that were written again. */
+std::vector<commit> read_rewritten(std::span<const stored_object> objects, config_version position)
+{
+    std::vector<commit> rewritten;
+    for (const auto& object : objects) {
+        const auto version = version_of_key(object.key);
+        if (!version || *version > position) {
+            continue;
+        }
+        auto item = decode_json<commit>(object.value);
+        if (item && item->version == *version) {
+            rewritten.push_back(std::move(*item));
+        }
+    }
+    return rewritten;
+}
+
 } // namespace
 
 commit_watcher::commit_watcher(object_store& store, random_source& random, tail_callback tail,
@@ -100,12 +118,13 @@
     }
     commit_sequence sequence{place.version};
     log_tail tail;
+    tail.rewritten = read_rewritten(objects->objects, place.version);
     tail.batch.commits = sequence.take(objects->objects);
     tail.head = sequence.position();
     tail.fault = sequence.fault();
     // What is missing may come in another order, or be mended: the next round lists again.
     place = {tail.head, std::max(place.revision, objects->revision), !tail.fault, false};
-    if (!tail.batch.commits.empty()) {
+    if (!tail.batch.commits.empty() || !tail.rewritten.empty()) {
         tail_(std::move(tail));
     }
     return true;
--- a/src/savorywheel/distribution/log_tail.hpp
+++ b/src/savorywheel/distribution/log_tail.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace savorywheel {
 
@@ -14,6 +15,8 @@
 struct log_tail {
     /** @brief Commits, after a checkpoint if one was read. */
     commit_batch_message batch;
+    /** @brief Commits before those whose objects were written again; they are not applied. */
+    std::vector<commit> rewritten;
     /** @brief Version of the last commit that was read. */
     config_version head;
     /** @brief Revision of the store from which a watch goes on. */
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -68,6 +68,10 @@
                       "This node now controls the moves of a service."},
     event_description{event_id::controller_lease_lost, info,
                       "This node no longer controls the moves of a service."},
+    event_description{event_id::commit_rewritten, error,
+                      "An accepted commit was changed in the platform's service."},
+    event_description{event_id::unknown_override, warning,
+                      "An override of an unknown author was published."},
 };
 
 } // namespace
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -39,7 +39,9 @@
     withdrawal_heard = 6006,
     override_faulty = 6007,
     controller_lease_gained = 6008,
-    controller_lease_lost = 6009
+    controller_lease_lost = 6009,
+    commit_rewritten = 6010,
+    unknown_override = 6011
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -307,6 +307,7 @@
 void control_plane::take_tail(const log_tail& tail)
 {
     distributor_.take_from_store(tail.batch);
+    rollouts_.on_rewritten(tail.rewritten, distributor_.log().commits());
     if (tail.fault) {
         on_bad_commit(*tail.fault);
     }
--- a/src/savorywheel/node/rollout_service.cpp
+++ b/src/savorywheel/node/rollout_service.cpp
@@ -26,7 +26,8 @@
               lease_keeper::environment{surroundings.loop, surroundings.worker,
                                         surroundings.random},
               move_controller::environment{commits_, surroundings.random, surroundings.log}}},
-      ejector_{surroundings.log}
+      ejector_{surroundings.log}, rewrites_{move_controller::environment{
+                                      commits_, surroundings.random, surroundings.log}}
 {
 }
 
@@ -90,6 +91,7 @@
             control(*service);
         }
     }
+    rewrites_.run(state_, environment_.loop.time().calendar_now());
     notices_.repeat();
     publish_ejections();
 }
--- a/src/savorywheel/node/rollout_service.hpp
+++ b/src/savorywheel/node/rollout_service.hpp
@@ -7,6 +7,7 @@
 #include <savorywheel/node/withdrawal_spreader.hpp>
 #include <savorywheel/rollout/evidence_recorder.hpp>
 #include <savorywheel/rollout/local_ejector.hpp>
+#include <savorywheel/rollout/rewrite_guard.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 
 #include <functional>
@@ -54,6 +55,16 @@
     /** @brief Hears of a newer configuration. */
     void on_configuration(const mesh_state& state);
 
+    /**
+     * @brief Hears of accepted commits whose objects were written again.
+     * @param found The commits as the platform's service holds them now.
+     * @param accepted The latest accepted commits.
+     */
+    void on_rewritten(std::span<const commit> found, const std::deque<commit>& accepted)
+    {
+        rewrites_.compare(found, accepted);
+    }
+
     /** @brief Hears that a member's record or status changed. */
     void on_members_changed() { exchange_.on_members_changed(); }
 
@@ -76,6 +87,7 @@
     withdrawal_spreader notices_;
     controller_set controllers_;
     local_ejector ejector_;
+    rewrite_guard rewrites_;
     subscription timer_;
 };
 
--- a/src/savorywheel/rollout/evidence_recorder.cpp
+++ b/src/savorywheel/rollout/evidence_recorder.cpp
@@ -37,7 +37,7 @@
     if (!watched_.contains(seen.service)) {
         return;
     }
-    auto& item = table_.entry(seen.service, seen.version, seen.route, seen.other_region);
+    auto& item = table_.entry(seen.service, seen.version, seen.route, seen.region != region_);
     ++item.calls;
     item.latencies.record(seen.latency);
     if (failed(seen)) {
--- a/src/savorywheel/rollout/evidence_recorder.hpp
+++ b/src/savorywheel/rollout/evidence_recorder.hpp
@@ -6,6 +6,7 @@
 
 #include <mutex>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace savorywheel {
@@ -18,6 +19,9 @@
  */
 class evidence_recorder final : public call_observer {
 public:
+    /** @param region Region of this node; empty if all backend servers count as far. */
+    explicit evidence_recorder(region_name region = {}) : region_{std::move(region)} {}
+
     /** @brief Sets the services of which evidence is kept. */
     void watch(std::set<service_name> services);
 
@@ -27,6 +31,7 @@
     void on_attempt(const call_observation& seen) override;
 
 private:
+    region_name region_;
     std::mutex mutex_;
     std::set<service_name> watched_;
     evidence_table table_;
--- a/src/savorywheel/traffic/call_observation.hpp
+++ b/src/savorywheel/traffic/call_observation.hpp
@@ -19,8 +19,8 @@
     std::string_view route;
     /** @brief Node beside the backend server. */
     const node_id& node;
-    /** @brief True if that node is in another region. */
-    bool other_region{};
+    /** @brief Region of that node. */
+    const region_name& region;
     /** @brief What became of the attempt. */
     call_result result{call_result::unknown};
     /** @brief HTTP status of the answer, if there is one. */
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -124,8 +124,8 @@
     auto outcome = environment_.transport.call(endpoint->peer, item.call, item.deadline);
     environment_.loads.end(endpoint->node);
     environment_.observer.on_attempt({item.call.service, *version, item.route->path, endpoint->node,
-                                      endpoint->region != environment_.region, outcome.result,
-                                      outcome.response.status, environment_.time.now() - sent_at});
+                                      endpoint->region, outcome.result, outcome.response.status,
+                                      environment_.time.now() - sent_at});
     return outcome;
 }
 
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -37,8 +37,6 @@
         retry_budget& retries;
         /** @brief Carries calls. */
         call_transport& transport;
-        /** @brief Region of this node. */
-        const region_name& region;
         /** @brief Hears of attempts. */
         call_observer& observer;
         /** @brief Metrics. */
--- a/test/process/rollout_test.cpp
+++ b/test/process/rollout_test.cpp
@@ -1,4 +1,10 @@
+#include <savorywheel/admin/override_planner.hpp>
 #include <savorywheel/config/calendar_text.hpp>
+#include <savorywheel/distribution/commit_keys.hpp>
+#include <savorywheel/distribution/commit_writer.hpp>
+#include <savorywheel/distribution/lease_record.hpp>
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/store/http_object_store.hpp>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -7,7 +13,9 @@
 #include <support/wait_until.hpp>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
+#include <fstream>
 #include <optional>
 
 namespace savorywheel::test {
@@ -78,6 +86,71 @@
     ASSERT_TRUE(mesh.wait_for_version(report->version));
 }
 
+http_object_store store_of(local_mesh& mesh)
+{
+    return {mesh.client(), mesh.platform_endpoint(), std::chrono::milliseconds{2000}};
+}
+
+/** Sets an override past the administration API, as an operator with access to the store can. */
+config_version set_override(local_mesh& mesh, const std::string& service, const char* version)
+{
+    auto store = store_of(mesh);
+    commit_writer writer{store};
+    while (true) {
+        mesh_state state;
+        const auto commits = writer.read_after({});
+        for (const auto& item : *commits) {
+            state = *state.apply(item);
+        }
+        const std::array<version_weight, 1> weights{{{version_name{version}, weight_sum_permille}}};
+        auto change =
+            plan_override_set(state, service_name{service}, weights, author_name{"anna"}, "alarm",
+                              state.find(service_name{service})->move->started_at, state.version());
+        change->operation = operation_id{fmt::format("override {}", state.version().number)};
+        if (writer.append(*change)) {
+            return change->version;
+        }
+    }
+}
+
+std::vector<commit> commits_after(local_mesh& mesh, config_version version)
+{
+    auto store = store_of(mesh);
+    const auto commits = commit_writer{store}.read_after(version);
+    return commits ? *commits : std::vector<commit>{};
+}
+
+std::optional<std::size_t> controller_of(local_mesh& mesh, const std::string& service)
+{
+    auto store = store_of(mesh);
+    const auto object = store.get("leases/rollout/" + service);
+    const auto lease =
+        object ? decode_json<lease_record>(object->value) : outcome<lease_record>{object.reason()};
+    const auto all = members();
+    const auto found = std::ranges::find(all, lease ? lease->holder.str() : "", &mesh_member::name);
+    return found == all.end() ? std::nullopt
+                              : std::optional{static_cast<std::size_t>(found - all.begin())};
+}
+
+/** Steps that the controller at a node wrote. */
+std::size_t steps_by(local_mesh& mesh, std::size_t node)
+{
+    const author_name author{"rollout controller at " + members()[node].name};
+    const auto commits = commits_after(mesh, {});
+    return static_cast<std::size_t>(std::ranges::count(commits, author, &commit::author));
+}
+
+bool logs_event(const local_mesh& mesh, const std::string& process, const std::string& event)
+{
+    std::ifstream log{mesh.folder() / (process + ".log")};
+    for (std::string line; std::getline(log, line);) {
+        if (line.find(event) != std::string::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 TEST(proof_rollout, a_good_version_is_done_by_its_time_and_a_bad_one_is_withdrawn)
@@ -127,4 +200,91 @@
     EXPECT_TRUE(wait_until([&] { return has_move(mesh, "coldlog", "withdrawn"); }));
 }
 
+TEST(proof_rollout, an_override_during_a_move_stands_and_a_fault_under_it_is_told)
+{
+    local_mesh mesh{102, members()};
+    start_with(mesh, mesh_text("v1", "v1", ""));
+    const steady_load books{mesh, {0, 1}, "bookdesk", "/book"};
+    start_with(mesh, mesh_text("v2", "v1", due_in(std::chrono::seconds{30})));
+    ASSERT_TRUE(wait_until([&] { return books.answers_of("v2") > 0; }));
+    const auto set_at = set_override(mesh, "bookdesk", "v1");
+    ASSERT_TRUE(mesh.wait_for_version(set_at));
+    const auto before = books.answers_of("v2");
+    const auto calls = books.calls();
+    ASSERT_TRUE(wait_until([&] { return books.calls() >= calls + 1000; }));
+    EXPECT_LE(books.answers_of("v2"), before + 2) << "more than the calls under way";
+    EXPECT_TRUE(commits_after(mesh, set_at).empty());
+    const auto status = status_of(mesh, "bookdesk");
+    ASSERT_TRUE(status && status->override_in_force);
+    EXPECT_EQ(status->override_in_force->author, author_name{"anna"});
+    EXPECT_EQ(status->move, "in progress");
+    mesh.control_backend(book_v2, "fail_permille=1000");
+    const auto faulty = set_override(mesh, "bookdesk", "v2");
+    EXPECT_TRUE(wait_until([&] { return logs_event(mesh, "plug-1", "SW6007"); }));
+    EXPECT_TRUE(commits_after(mesh, faulty).empty());
+}
+
+TEST(proof_rollout, a_paused_and_a_killed_controller_are_replaced)
+{
+    local_mesh mesh{103, members()};
+    start_with(mesh, mesh_text("v1", "v1", ""));
+    start_with(mesh, mesh_text("v2", "v1", due_in(std::chrono::seconds{30})));
+    ASSERT_TRUE(wait_until([&] { return has_move(mesh, "bookdesk", "in progress"); }));
+    ASSERT_TRUE(wait_until([&] { return controller_of(mesh, "bookdesk").has_value(); }));
+    const auto first = *controller_of(mesh, "bookdesk");
+    ASSERT_TRUE(wait_until([&] { return steps_by(mesh, first) > 0; }));
+    mesh.node(first).signal(SIGSTOP);
+    const auto replaced = [&](std::size_t old) {
+        const auto now = controller_of(mesh, "bookdesk");
+        return now && *now != old && steps_by(mesh, *now) > 0;
+    };
+    ASSERT_TRUE(wait_until([&] { return replaced(first); }));
+    const auto second = *controller_of(mesh, "bookdesk");
+    mesh.node(first).signal(SIGCONT);
+    const auto seen = steps_by(mesh, second);
+    ASSERT_TRUE(wait_until([&] { return steps_by(mesh, second) > seen; }));
+    mesh.node(second).signal(SIGKILL);
+    EXPECT_TRUE(wait_until([&] {
+        const auto now = controller_of(mesh, "bookdesk");
+        return now && *now != second;
+    }));
+    const auto third = *controller_of(mesh, "bookdesk");
+    const auto steps = steps_by(mesh, third);
+    EXPECT_TRUE(wait_until([&] { return steps_by(mesh, third) > steps; }));
+    mesh_state state;
+    for (const auto& item : commits_after(mesh, {})) {
+        EXPECT_EQ(item.base.next(), item.version);
+        const auto next = state.apply(item);
+        ASSERT_TRUE(next) << next.reason().message;
+        state = *next;
+    }
+}
+
+TEST(proof_rollout, a_commit_changed_past_the_tool_becomes_an_override_of_an_unknown_author)
+{
+    local_mesh mesh{104, members()};
+    start_with(mesh, mesh_text("v1", "v1", ""));
+    auto store = store_of(mesh);
+    const auto object = store.get(commit_key({1}));
+    ASSERT_TRUE(object);
+    auto secret = decode_json<commit>(object->value);
+    ASSERT_TRUE(secret);
+    const auto book = std::ranges::find_if(secret->upserts, [](const service_state& service) {
+        return service.spec.name == service_name{"bookdesk"};
+    });
+    ASSERT_NE(book, secret->upserts.end());
+    book->weights = {{version_name{"v2"}, weight_sum_permille}};
+    ASSERT_TRUE(store.update(object->key, encode_json(*secret), object->revision));
+    EXPECT_TRUE(wait_until([&] {
+        const auto status = status_of(mesh, "bookdesk");
+        return status && status->override_in_force &&
+               status->override_in_force->author == author_name{"unknown"};
+    }));
+    const auto commits = commits_after(mesh, {1});
+    ASSERT_EQ(commits.size(), 1U) << "both relays saw it, one override is published";
+    EXPECT_EQ(commits.front().kind, commit_kind::override_set);
+    EXPECT_EQ(status_of(mesh, "bookdesk")->weights, book->weights);
+    EXPECT_FALSE(status_of(mesh, "coldlog")->override_in_force);
+}
+
 } // namespace savorywheel::test
