--- a/src/savorywheel/encoding/rollout_archive.hpp
+++ b/src/savorywheel/encoding/rollout_archive.hpp
@@ -5,25 +5,31 @@
 #include <savorywheel/rollout/evidence_report.hpp>
 #include <savorywheel/rollout/withdrawal_notice.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <vector>
 
 namespace savorywheel {
 
-/** @brief Writes a histogram as its counts. */
+/** @brief Writes a histogram as its counts, without the empty buckets at the start. */
 template<typename Archive>
 void save(Archive& archive, const latency_histogram& histogram)
 {
     const auto counts = histogram.counts();
-    archive(cereal::make_nvp("counts", std::vector<std::uint32_t>(counts.begin(), counts.end())));
+    const auto first = std::ranges::find_if(counts, [](std::uint32_t count) { return count > 0; });
+    const auto empty = static_cast<std::uint8_t>(first - counts.begin());
+    archive(cereal::make_nvp("empty", empty),
+            cereal::make_nvp("counts", std::vector<std::uint32_t>(first, counts.end())));
 }
 
 /** @brief Reads a histogram from its counts. */
 template<typename Archive>
 void load(Archive& archive, latency_histogram& histogram)
 {
+    std::uint8_t empty{};
     std::vector<std::uint32_t> counts;
-    archive(cereal::make_nvp("counts", counts));
+    archive(cereal::make_nvp("empty", empty), cereal::make_nvp("counts", counts));
+    counts.insert(counts.begin(), empty, 0);
     histogram = latency_histogram{counts};
 }
 
--- a/src/savorywheel/node/evidence_exchange.cpp
+++ b/src/savorywheel/node/evidence_exchange.cpp
@@ -1,9 +1,7 @@
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/node/evidence_exchange.hpp>
-#include <savorywheel/rollout/controller_candidates.hpp>
 #include <savorywheel/rollout/live_members.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace savorywheel {
@@ -15,22 +13,28 @@
 
 bool evidence_exchange::is_candidate(const service_name& service)
 {
-    return std::ranges::find(candidates(service), self_) != candidates(service).end();
+    return tree_of(service).controls(self_);
 }
 
 void evidence_exchange::send(const service_name& service, std::span<const route_evidence> evidence)
 {
-    if (evidence.empty()) {
+    const auto& tree = tree_of(service);
+    for (const auto& item : evidence) {
+        inbox_.add(item);
+    }
+    if (tree.controls(self_) && tree.controllers().size() == 1) {
+        return;
+    }
+    const auto whole = tree.controls(self_)
+                           ? std::vector<route_evidence>{evidence.begin(), evidence.end()}
+                           : inbox_.take(service);
+    if (whole.empty()) {
         return;
     }
-    const evidence_report report{{evidence.begin(), evidence.end()}};
-    const auto payload = encode(report);
-    for (const auto& node : candidates(service)) {
+    const auto payload = encode(evidence_report{whole});
+    for (const auto& node : tree.targets_of(self_)) {
         const auto* entry = environment_.members().find(node);
-        if (node == self_) {
-            take(report);
-        }
-        else if (entry != nullptr) {
+        if (node != self_ && entry != nullptr) {
             environment_.network.connection_to(entry->update.record.peer)
                 ->send(frame_kind::evidence_report, 0, payload);
         }
@@ -40,7 +44,7 @@
 void evidence_exchange::take(const evidence_report& report)
 {
     for (const auto& item : report.items) {
-        if (is_candidate(item.service)) {
+        if (tree_of(item.service).receives(self_)) {
             inbox_.add(item);
         }
     }
@@ -51,14 +55,16 @@
     return inbox_.take(service);
 }
 
-const std::vector<node_id>& evidence_exchange::candidates(const service_name& service)
+const evidence_tree& evidence_exchange::tree_of(const service_name& service)
 {
-    const auto found = candidates_.find(service);
-    if (found != candidates_.end()) {
+    const auto found = trees_.find(service);
+    if (found != trees_.end()) {
         return found->second;
     }
-    const auto members = live_members(environment_.members());
-    return candidates_.emplace(service, controller_candidates(service, members)).first->second;
+    if (live_.empty()) {
+        live_ = live_members(environment_.members());
+    }
+    return trees_.emplace(service, evidence_tree{service, live_}).first->second;
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/node/evidence_exchange.hpp
+++ b/src/savorywheel/node/evidence_exchange.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/membership/member_table.hpp>
 #include <savorywheel/rollout/evidence_report.hpp>
 #include <savorywheel/rollout/evidence_table.hpp>
+#include <savorywheel/rollout/evidence_tree.hpp>
 #include <savorywheel/transport/peer_network.hpp>
 
 #include <functional>
@@ -34,27 +35,35 @@
     evidence_exchange(node_id self, environment surroundings);
 
     /** @brief Forgets who controls which service. */
-    void on_members_changed() { candidates_.clear(); }
+    void on_members_changed()
+    {
+        trees_.clear();
+        live_.clear();
+    }
 
     /** @return True if this node may control the service's moves. */
     [[nodiscard]] bool is_candidate(const service_name& service);
 
-    /** @brief Sends this node's evidence to those who may control the service. */
+    /**
+     * @brief Sends evidence on its way to the controllers.
+     * @param service Service.
+     * @param evidence What this node saw; what it added up for others goes with it.
+     */
     void send(const service_name& service, std::span<const route_evidence> evidence);
 
-    /** @brief Takes a peer's report; evidence of services that this node does not control is
-     * dropped. */
+    /** @brief Takes a peer's report; evidence that is none of its business is dropped. */
     void take(const evidence_report& report);
 
     /** @return Evidence of a service that this node may control. */
     [[nodiscard]] std::vector<route_evidence> collect(const service_name& service);
 
 private:
-    [[nodiscard]] const std::vector<node_id>& candidates(const service_name& service);
+    [[nodiscard]] const evidence_tree& tree_of(const service_name& service);
 
     node_id self_;
     environment environment_;
-    std::map<service_name, std::vector<node_id>> candidates_;
+    std::vector<node_id> live_;
+    std::map<service_name, evidence_tree> trees_;
     evidence_table inbox_;
 };
 
--- a/src/savorywheel/node/rollout_service.cpp
+++ b/src/savorywheel/node/rollout_service.cpp
@@ -59,7 +59,7 @@
         return;
     }
     if (auto report = decode<evidence_report>(payload)) {
-        environment_.loop.post([this, item = std::move(*report)] { exchange_.take(item); });
+        environment_.loop.post([this, item = std::move(*report)] { take_report(item); });
     }
 }
 
@@ -129,6 +129,19 @@
     }
 }
 
+/** Takes what belongs to a move of the accepted configuration; the rest may come from a fault. */
+void rollout_service::take_report(const evidence_report& report)
+{
+    evidence_report known;
+    for (const auto& item : report.items) {
+        const auto service = state_.find(item.service);
+        if (service && concerns_move(*service, item)) {
+            known.items.push_back(item);
+        }
+    }
+    exchange_.take(known);
+}
+
 void rollout_service::publish_ejections()
 {
     version_ejections::move_map moves;
--- a/src/savorywheel/node/rollout_service.hpp
+++ b/src/savorywheel/node/rollout_service.hpp
@@ -77,6 +77,7 @@
     void judge_own_calls(const service_state& service, std::span<const route_evidence> evidence);
     void control(const service_state& service);
     void take_notice(const withdrawal_notice& notice);
+    void take_report(const evidence_report& report);
     void publish_ejections();
 
     node_id self_;
--- a/src/savorywheel/rollout/evidence_table.cpp
+++ b/src/savorywheel/rollout/evidence_table.cpp
@@ -5,6 +5,12 @@
 
 namespace savorywheel {
 
+namespace {
+
+constexpr std::size_t most_failed_nodes = 16;
+
+} // namespace
+
 route_evidence& evidence_table::entry(const service_name& service, const version_name& version,
                                       std::string_view route, bool other_region)
 {
@@ -26,7 +32,8 @@
     sum.failures += item.failures;
     sum.latencies.add(item.latencies);
     for (const auto& node : item.failed_at) {
-        if (std::ranges::find(sum.failed_at, node) == sum.failed_at.end()) {
+        if (sum.failed_at.size() < most_failed_nodes &&
+            std::ranges::find(sum.failed_at, node) == sum.failed_at.end()) {
             sum.failed_at.push_back(node);
         }
     }
--- a/src/savorywheel/rollout/watched_moves.cpp
+++ b/src/savorywheel/rollout/watched_moves.cpp
@@ -29,6 +29,14 @@
     return found;
 }
 
+bool concerns_move(const service_state& service, const route_evidence& item)
+{
+    const auto& routes = service.spec.routes;
+    return service.move &&
+           (gains_share(*service.move, item.version) || loses_share(*service.move, item.version)) &&
+           std::ranges::find(routes, item.route, &route_spec::path) != routes.end();
+}
+
 std::size_t count_new_servers(const member_table& members, const service_state& service)
 {
     const auto serves = [&service](const auto& item) {
--- a/src/savorywheel/rollout/watched_moves.hpp
+++ b/src/savorywheel/rollout/watched_moves.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/config/mesh_state.hpp>
 #include <savorywheel/membership/member_table.hpp>
+#include <savorywheel/rollout/route_evidence.hpp>
 
 #include <memory>
 #include <vector>
@@ -16,6 +17,9 @@
 [[nodiscard]] std::vector<std::shared_ptr<const service_state>>
 find_watched_moves(const mesh_state& state, calendar_time now);
 
+/** @return True if the evidence is of a version and a route that the service's move concerns. */
+[[nodiscard]] bool concerns_move(const service_state& service, const route_evidence& item);
+
 /** @return Serving backend servers of the versions that gain a share in the service's move. */
 [[nodiscard]] std::size_t count_new_servers(const member_table& members,
                                             const service_state& service);
