--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -146,7 +146,7 @@
     routing_table_holder tables_;
     peer_crash_reporter crashes_{tables_, network_, requests_};
     gate gate_{gate::environment{http_, time_, crashes_, log_, settings_.name}};
-    evidence_recorder evidence_;
+    evidence_recorder evidence_{settings_.region};
     version_ejections ejections_;
     control_plane control_{settings_,
                            control_plane::environment{loop_, random_, store_, worker_, datagrams_,
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -136,10 +136,9 @@
     environment_.loads.end(endpoint->node);
     if (!item.stop->cancelled()) {
         note(endpoint->node, item.call, outcome);
-        environment_.observer.on_attempt({item.call.service, *version, item.route->path,
-                                          endpoint->node, endpoint->region != environment_.region,
-                                          outcome.result, outcome.response.status,
-                                          environment_.time.now() - sent_at});
+        environment_.observer.on_attempt(
+            {item.call.service, *version, item.route->path, endpoint->node, endpoint->region,
+             outcome.result, outcome.response.status, environment_.time.now() - sent_at});
     }
     return outcome;
 }
