--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -97,7 +97,13 @@
                }},
       lease_{relay_lease_key(settings.domain), make_lease(settings),
              lease_keeper::environment{surroundings.loop, surroundings.worker, surroundings.random},
-             [this](bool held) { on_relay_lease(held); }}
+             [this](bool held) { on_relay_lease(held); }},
+      rollouts_{make_lease(settings),
+                rollout_service::environment{
+                    surroundings.loop, surroundings.random, surroundings.worker,
+                    surroundings.network, surroundings.log, surroundings.evidence,
+                    surroundings.ejections,
+                    [this]() -> const member_table& { return membership_.agent().table(); }}}
 {
 }
 
@@ -148,6 +154,7 @@
     floors_.keeper().start();
     candidate_timer_ =
         environment_.loop.timers().every(candidate_period, [this] { compete_for_lease(); });
+    rollouts_.start();
     backend_timer_ =
         environment_.loop.timers().every(backend_check_period, [this] { expire_backend(); });
 }
@@ -159,6 +166,7 @@
     reread_timer_.reset();
     floors_.keeper().stop();
     lease_.stop();
+    rollouts_.stop();
     watcher_.pause();
     membership_.agent().leave();
     backend_timer_.reset();
@@ -209,9 +217,11 @@
 
 void control_plane::on_member_changed(const member_update& update)
 {
+    environment_.meter.set_region(update.record.peer.address, update.record.region);
     if (update.record.id != settings_.name) {
         environment_.log.write(event_of(update.status), update.record.id.str());
     }
+    rollouts_.on_members_changed();
     publish_table();
 }
 
@@ -230,6 +240,7 @@
 void control_plane::on_configuration(const mesh_state& state)
 {
     last_fault_.clear();
+    rollouts_.on_configuration(state);
     membership_.agent().set_head(state.version());
     accepted_.insert_or_assign(state.version(), state);
     std::erase_if(accepted_, [this, &state](const auto& item) {
