--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -162,8 +162,8 @@
         nearest_endpoint_chooser::environment{loads_, health_, random_}};
     peer_call_transport transport_{network_, requests_};
     proxy_handler proxy_{proxy_handler::environment{time_, tables_, versions_, endpoints_, loads_,
-                                                    health_, retries_, transport_, settings_.region,
-                                                    evidence_, metrics_, log_}};
+                                                    health_, retries_, transport_, evidence_,
+                                                    metrics_, log_}};
     operator_directory operators_{settings_.operators};
     change_service changes_{change_service::environment{time_, random_, store_, control_}};
     admin_handler admin_{
