--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/traffic/admission.hpp>
 #include <savorywheel/traffic/gate.hpp>
@@ -199,6 +200,7 @@
 
 void gate::run()
 {
+    name_this_thread("gate");
     std::unique_lock lock{mutex_};
     while (true) {
         wake_.wait(lock, [this] {
--- a/src/savorywheel/transport/frame_kind.hpp
+++ b/src/savorywheel/transport/frame_kind.hpp
@@ -21,6 +21,7 @@
     floor_get,       /**< Asks a peer what it remembers. */
     floor_value,     /**< The answer to a floor_get. */
     evidence_report, /**< Results of calls, for the rollout controller. */
+    withdrawal_push, /**< A withdrawal notice, spread between nodes. */
     crash_report,    /**< A request was running when a backend server crashed. */
     crash_noted,     /**< The answer to a crash_report. */
     last_kind = crash_noted
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/rollout/evidence_recorder.hpp>
 #include <savorywheel/routing/nearest_endpoint_chooser.hpp>
 #include <savorywheel/routing/weighted_version_chooser.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
@@ -74,10 +75,11 @@
     nearest_endpoint_chooser endpoints{
         failure_domain{"d"}, region_name{"r"}, {loads, health, random}};
     retry_budget retries;
+    evidence_recorder observer;
     metric_registry metrics;
     recording_event_log log;
-    proxy_handler proxy{
-        {time, tables, versions, endpoints, loads, health, retries, carrier, metrics, log}};
+    proxy_handler proxy{{time, tables, versions, endpoints, loads, health, retries, carrier,
+                         observer, metrics, log}};
 };
 
 /** A proxy over a generated transport. */
