--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/distribution/commit_fetch_message.hpp>
 #include <savorywheel/distribution/commit_push_message.hpp>
 #include <savorywheel/distribution/floor_message.hpp>
+#include <savorywheel/distribution/head_message.hpp>
 #include <savorywheel/distribution/lease_record.hpp>
 #include <savorywheel/encoding/config_archive.hpp>
 
@@ -42,6 +43,13 @@
     archive(cereal::make_nvp("root", push.root), cereal::make_nvp("batch", push.batch));
 }
 
+/** @brief Lists the members of a head. */
+template<typename Archive>
+void serialize(Archive& archive, head_message& head)
+{
+    archive(cereal::make_nvp("version", head.version));
+}
+
 /** @brief Lists the members of a fetch. */
 template<typename Archive>
 void serialize(Archive& archive, commit_fetch_message& fetch)
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -3,6 +3,7 @@
 #include <savorywheel/distribution/commit_reader.hpp>
 #include <savorywheel/distribution/relay_candidates.hpp>
 #include <savorywheel/node/control_plane.hpp>
+#include <savorywheel/node/domain_survey.hpp>
 
 #include <fmt/format.h>
 
@@ -24,6 +25,7 @@
 constexpr std::chrono::milliseconds backend_check_period{500};
 constexpr std::chrono::milliseconds publish_delay{20};
 constexpr std::chrono::milliseconds view_timeout{2000};
+constexpr std::chrono::milliseconds survey_patience{1000};
 
 member_record make_self(const node_settings& settings, const clock& time)
 {
@@ -103,7 +105,8 @@
                     surroundings.loop, surroundings.random, surroundings.worker,
                     surroundings.network, surroundings.log, surroundings.evidence,
                     surroundings.ejections,
-                    [this]() -> const member_table& { return membership_.agent().table(); }}}
+                    [this]() -> const member_table& { return membership_.agent().table(); }}},
+      heads_{surroundings.tables, surroundings.network, surroundings.requests}
 {
 }
 
@@ -204,10 +207,17 @@
 
 outcome<std::vector<domain_status>> control_plane::domains()
 {
-    return ask<std::vector<domain_status>>(environment_.loop, [this] {
-        heads_.record(settings_.peer, distributor_.log().state().version());
-        return heads_.summarize(membership_.agent().table().all());
-    });
+    const auto members = ask<std::vector<member_update>>(
+        environment_.loop, [this] { return membership_.agent().table().all(); });
+    if (!members) {
+        return members.reason();
+    }
+    const domain_survey survey{*members};
+    auto peers = survey.sample();
+    std::erase(peers, settings_.peer);
+    auto heads = heads_.collect(peers, survey_patience);
+    heads[settings_.peer] = environment_.tables.current()->version();
+    return survey.summarize(heads);
 }
 
 void control_plane::announce(const backend_server& backend)
@@ -229,16 +239,12 @@
     if (update.record.id != settings_.name) {
         environment_.log.write(event_of(update.status), update.record.id.str());
     }
-    if (update.status == member_status::dead) {
-        heads_.forget(update.record.peer);
-    }
     rollouts_.on_members_changed();
     publish_table();
 }
 
 void control_plane::on_head_seen(const network_endpoint& peer, config_version head)
 {
-    heads_.record(peer, head);
     distributor_.peer_has(peer, head);
 }
 
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -9,8 +9,8 @@
 #include <savorywheel/distribution/floor_service.hpp>
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
-#include <savorywheel/node/head_tracker.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
+#include <savorywheel/node/head_service.hpp>
 #include <savorywheel/node/membership_service.hpp>
 #include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
@@ -72,6 +72,9 @@
     /** @brief Tells the mesh that the node leaves and ends its threads; on the control thread. */
     void leave();
 
+    /** @return Versions in force, for the network's threads. */
+    [[nodiscard]] head_service& heads() noexcept { return heads_; }
+
     /** @return Membership, for the network's threads. */
     [[nodiscard]] membership_service& membership() noexcept { return membership_; }
 
@@ -124,7 +127,7 @@
     lease_keeper lease_;
     rollout_service rollouts_;
     routing_table_builder builder_;
-    head_tracker heads_;
+    head_service heads_;
     std::map<config_version, mesh_state> accepted_;
     config_version checkpointed_;
     std::string last_fault_;
--- /dev/null
+++ b/src/savorywheel/node/head_service.cpp
@@ -0,0 +1,73 @@
+#include <savorywheel/distribution/head_message.hpp>
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/node/head_service.hpp>
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+
+namespace savorywheel {
+
+namespace {
+
+/** Answers to one question; callbacks that come after the wait find it still there. */
+class head_answers {
+public:
+    explicit head_answers(std::size_t expected) : missing_{expected} {}
+
+    void take(const network_endpoint& peer, const request_client::answer& answer)
+    {
+        const std::scoped_lock lock{mutex_};
+        if (answer) {
+            if (const auto message = decode<head_message>(*answer)) {
+                heads_[peer] = message->version;
+            }
+        }
+        --missing_;
+        complete_.notify_all();
+    }
+
+    head_service::heads wait(std::chrono::milliseconds patience)
+    {
+        std::unique_lock lock{mutex_};
+        complete_.wait_for(lock, patience, [this] { return missing_ == 0; });
+        return heads_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable complete_;
+    std::size_t missing_;
+    head_service::heads heads_;
+};
+
+} // namespace
+
+head_service::heads head_service::collect(std::span<const network_endpoint> peers,
+                                          std::chrono::milliseconds patience)
+{
+    const auto answers = std::make_shared<head_answers>(peers.size());
+    std::vector<std::uint64_t> requests;
+    for (const auto& peer : peers) {
+        requests.push_back(requests_.submit(network_.connection_to(peer), frame_kind::head_get, {},
+                                            [answers, peer](const request_client::answer& answer) {
+                                                answers->take(peer, answer);
+                                            }));
+    }
+    auto result = answers->wait(patience);
+    for (const auto request : requests) {
+        requests_.forget(request);
+    }
+    return result;
+}
+
+void head_service::on_frame(const std::shared_ptr<frame_sink>& source, frame_kind /*kind*/,
+                            std::uint64_t correlation, std::span<const std::byte> /*payload*/)
+{
+    const head_message message{tables_.current()->version()};
+    source->send(frame_kind::head_value, correlation, encode(message));
+}
+
+void head_service::on_closed(const frame_sink& /*source*/, bool /*established*/) {}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/node/head_service.hpp
@@ -0,0 +1,54 @@
+#ifndef SAVORYWHEEL_NODE_HEAD_SERVICE_HPP
+#define SAVORYWHEEL_NODE_HEAD_SERVICE_HPP
+
+#include <savorywheel/core/config_version.hpp>
+#include <savorywheel/routing/routing_table_holder.hpp>
+#include <savorywheel/transport/frame_handler.hpp>
+#include <savorywheel/transport/peer_network.hpp>
+#include <savorywheel/transport/request_client.hpp>
+
+#include <chrono>
+#include <map>
+#include <span>
+
+namespace savorywheel {
+
+/** @brief Tells other nodes the version in force at this one, and asks them for theirs. */
+class head_service final : public frame_handler {
+public:
+    /** @brief Versions by the peer endpoint of their node. */
+    using heads = std::map<network_endpoint, config_version>;
+
+    /**
+     * @param tables Table in force; must outlive the service.
+     * @param network Streams to peers; must outlive the service.
+     * @param requests Requests to peers; must outlive the service.
+     */
+    head_service(const routing_table_holder& tables, peer_network& network,
+                 request_client& requests) noexcept
+        : tables_{tables}, network_{network}, requests_{requests}
+    {
+    }
+
+    /**
+     * @brief Asks peers, and waits; not for the control thread.
+     * @param peers Peers to ask.
+     * @param patience Longest wait.
+     * @return The versions of the peers that answered in time.
+     */
+    [[nodiscard]] heads collect(std::span<const network_endpoint> peers,
+                                std::chrono::milliseconds patience);
+
+    void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
+                  std::uint64_t correlation, std::span<const std::byte> payload) override;
+    void on_closed(const frame_sink& source, bool established) override;
+
+private:
+    const routing_table_holder& tables_;
+    peer_network& network_;
+    request_client& requests_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -70,9 +70,10 @@
         metrics_.add_source(cost_);
         router_.add({frame_kind::call_request, frame_kind::call_cancel}, gate_);
         router_.add({frame_kind::call_response, frame_kind::commit_batch,
-                     frame_kind::membership_full, frame_kind::floor_stored,
-                     frame_kind::floor_value},
+                     frame_kind::membership_full, frame_kind::floor_stored, frame_kind::floor_value,
+                     frame_kind::head_value},
                     requests_);
+        router_.add({frame_kind::head_get}, control_.heads());
         router_.add({frame_kind::membership_sync}, control_.membership());
         router_.add({frame_kind::evidence_report, frame_kind::withdrawal_push},
                     control_.rollouts());
--- a/src/savorywheel/transport/frame_kind.hpp
+++ b/src/savorywheel/transport/frame_kind.hpp
@@ -22,7 +22,9 @@
     floor_value,     /**< The answer to a floor_get. */
     evidence_report, /**< Results of calls, for the rollout controller. */
     withdrawal_push, /**< A withdrawal notice, spread between nodes. */
-    last_kind = withdrawal_push
+    head_get,        /**< Empty; asks for the version in force at the receiver. */
+    head_value,      /**< The answer to a head_get. */
+    last_kind = head_value
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/traffic_class.cpp
+++ b/src/savorywheel/transport/traffic_class.cpp
@@ -11,6 +11,8 @@
     case frame_kind::call_response:
     case frame_kind::call_cancel:
         return traffic_class::call;
+    case frame_kind::head_get:
+    case frame_kind::head_value:
     case frame_kind::commit_push:
     case frame_kind::commit_fetch:
     case frame_kind::commit_batch:
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -70,11 +70,12 @@
     nearest_endpoint_chooser endpoints{failure_domain{"d"}, region_name{"r"}, loads, random};
     retry_budget retries;
     generated_transport transport{time};
+    region_name region{"r"};
     evidence_recorder observer;
     metric_registry metrics;
     recording_event_log log;
-    proxy_handler proxy{
-        {time, tables, versions, endpoints, loads, retries, transport, observer, metrics, log}};
+    proxy_handler proxy{{time, tables, versions, endpoints, loads, retries, transport, region,
+                         observer, metrics, log}};
 };
 
 bool contains(std::span<const call_result> results, call_result wanted)
