--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -15,10 +15,12 @@
 #include <savorywheel/store/http_object_store.hpp>
 #include <savorywheel/store/metered_object_store.hpp>
 #include <savorywheel/traffic/peer_call_transport.hpp>
+#include <savorywheel/traffic/peer_crash_reporter.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
 #include <savorywheel/transport/asio_datagram_channel.hpp>
 #include <savorywheel/transport/asio_peer_network.hpp>
 #include <savorywheel/transport/frame_router.hpp>
+#include <savorywheel/transport/input_reporter.hpp>
 
 #include <future>
 #include <random>
@@ -44,32 +46,12 @@
 class node::parts {
 public:
     parts(node_settings settings, event_log& log, link_decorator& links)
-        : settings_{std::move(settings)}, log_{log}, links_{links}, random_{random_seed()},
-          loop_{time_}, meter_{settings_.region, metrics_}, platform_{http_, settings_.store,
-                                                                      store_timeout},
-          store_{links.store(platform_), metrics_}, worker_{store_}, network_{links.frames(router_),
-                                                                              meter_},
-          datagrams_{meter_}, gate_{http_, time_}, control_{settings_,
-                                                            control_plane::environment{
-                                                                loop_, random_, store_, worker_,
-                                                                datagrams_, network_, requests_,
-                                                                tables_, gate_, evidence_,
-                                                                ejections_, meter_, log_}},
-          weighted_versions_{random_}, versions_{weighted_versions_, ejections_, random_},
-          endpoints_{settings_.domain, settings_.region, loads_, random_},
-          transport_{network_, requests_}, proxy_{proxy_handler::environment{
-                                               time_, tables_, versions_, endpoints_, loads_,
-                                               retries_, transport_, settings_.region, evidence_,
-                                               metrics_, log_}},
-          operators_{settings_.operators}, changes_{change_service::environment{time_, random_,
-                                                                                store_, control_}},
-          admin_{admin_handler::environment{control_, changes_, operators_, metrics_, log_}},
-          proxy_server_{proxy_}, admin_server_{admin_, http_server_limits{.max_body_bytes =
-                                                                              max_admin_body_bytes}}
+        : settings_{std::move(settings)}, log_{log}, links_{links}
     {
         metrics_.add_source(cost_);
-        router_.add({frame_kind::call_request, frame_kind::call_cancel}, gate_);
-        router_.add({frame_kind::call_response, frame_kind::commit_batch,
+        router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_report},
+                    gate_);
+        router_.add({frame_kind::call_response, frame_kind::crash_noted, frame_kind::commit_batch,
                      frame_kind::membership_full, frame_kind::floor_stored, frame_kind::floor_value,
                      frame_kind::head_value},
                     requests_);
@@ -78,6 +60,7 @@
         router_.add({frame_kind::evidence_report, frame_kind::withdrawal_push},
                     control_.rollouts());
         router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
+        router_.add({}, reporter_);
         router_.add({frame_kind::floor_put, frame_kind::floor_get}, control_.floors());
     }
 
@@ -88,7 +71,10 @@
             started = datagrams_.start(
                 settings_.peer, links_.datagrams([this](const network_endpoint& /*sender*/,
                                                         std::span<const std::byte> payload) {
-                    static_cast<void>(control_.membership().on_datagram(payload));
+                    const auto taken = control_.membership().on_datagram(payload);
+                    if (!taken) {
+                        reporter_.on_bad_datagram(taken.reason());
+                    }
                 }));
         }
         if (started) {
@@ -144,36 +130,47 @@
     event_log& log_;
     link_decorator& links_;
     system_clock_source time_;
-    seeded_random random_;
-    control_loop loop_;
+    seeded_random random_{random_seed()};
+    control_loop loop_{time_};
     curl_http_client http_;
     metric_registry metrics_;
     process_cost_source cost_;
-    region_byte_meter meter_;
-    http_object_store platform_;
-    metered_object_store store_;
-    store_worker worker_;
+    region_byte_meter meter_{settings_.region, metrics_};
+    http_object_store platform_{http_, settings_.store, store_timeout};
+    metered_object_store store_{links_.store(platform_), metrics_};
+    store_worker worker_{store_};
+    input_reporter reporter_{time_, log_};
     frame_router router_;
     request_client requests_;
-    asio_peer_network network_;
-    asio_datagram_channel datagrams_;
+    asio_peer_network network_{links_.frames(router_), meter_};
+    asio_datagram_channel datagrams_{meter_};
     routing_table_holder tables_;
-    gate gate_;
+    peer_crash_reporter crashes_{tables_, network_, requests_};
+    gate gate_{gate::environment{http_, time_, crashes_, log_, settings_.name}};
     evidence_recorder evidence_;
     version_ejections ejections_;
-    control_plane control_;
+    control_plane control_{settings_,
+                           control_plane::environment{loop_, random_, store_, worker_, datagrams_,
+                                                      network_, requests_, tables_, gate_,
+                                                      evidence_, ejections_, meter_, log_}};
     load_table loads_;
+    endpoint_health health_{time_};
     retry_budget retries_;
-    weighted_version_chooser weighted_versions_;
-    ejecting_version_chooser versions_;
-    nearest_endpoint_chooser endpoints_;
-    peer_call_transport transport_;
-    proxy_handler proxy_;
-    operator_directory operators_;
-    change_service changes_;
-    admin_handler admin_;
-    http_server proxy_server_;
-    http_server admin_server_;
+    weighted_version_chooser weighted_versions_{random_};
+    ejecting_version_chooser versions_{weighted_versions_, ejections_, random_};
+    nearest_endpoint_chooser endpoints_{
+        settings_.domain, settings_.region,
+        nearest_endpoint_chooser::environment{loads_, health_, random_}};
+    peer_call_transport transport_{network_, requests_};
+    proxy_handler proxy_{proxy_handler::environment{time_, tables_, versions_, endpoints_, loads_,
+                                                    health_, retries_, transport_, settings_.region,
+                                                    evidence_, metrics_, log_}};
+    operator_directory operators_{settings_.operators};
+    change_service changes_{change_service::environment{time_, random_, store_, control_}};
+    admin_handler admin_{
+        admin_handler::environment{control_, changes_, operators_, metrics_, log_}};
+    http_server proxy_server_{proxy_};
+    http_server admin_server_{admin_, http_server_limits{.max_body_bytes = max_admin_body_bytes}};
     std::thread control_thread_;
 };
 
--- a/src/savorywheel/transport/peer_connection.cpp
+++ b/src/savorywheel/transport/peer_connection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <sys/socket.h>
 
 #include <algorithm>
 
@@ -19,6 +20,7 @@
 constexpr std::chrono::milliseconds open_limit{1000};
 constexpr std::chrono::seconds idle_limit{10};
 constexpr std::chrono::seconds accepted_idle_limit{30};
+constexpr std::size_t read_step_bytes = 64UL * 1024UL;
 constexpr std::size_t max_queued_bytes = 4UL * max_frame_bytes;
 
 } // namespace
@@ -66,6 +68,7 @@
     error_code ignored;
     peer_address_ = socket_.remote_endpoint(ignored).address().to_string();
     start();
+    open();
     send_heartbeat();
     watch_silence();
 }
@@ -85,7 +88,17 @@
         if (closed_ || closing_ || queued_bytes_ + bytes.size() > max_queued_bytes) {
             return false;
         }
-        exchanges_.on_sent(kind, correlation, steady_clock::now());
+        const auto now = steady_clock::now();
+        exchanges_.on_sent(kind, correlation, now);
+        const auto written = write_directly(bytes);
+        if (written > 0) {
+            meter_.on_sent(peer_address_, traffic_class_of(kind), written);
+        }
+        if (written == bytes.size()) {
+            last_sent_ = now;
+            return true;
+        }
+        bytes.erase(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(written));
         queued_bytes_ += bytes.size();
         queue_.push_back({traffic_class_of(kind), std::move(bytes)});
     }
@@ -93,6 +106,16 @@
     return true;
 }
 
+std::size_t peer_connection::write_directly(std::span<const std::byte> bytes) noexcept
+{
+    if (!open_ || writing_ || !queue_.empty()) {
+        return 0;
+    }
+    const auto written =
+        ::send(socket_.native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    return written > 0 ? static_cast<std::size_t>(written) : 0;
+}
+
 void peer_connection::close()
 {
     closed_ = true;
@@ -121,10 +144,15 @@
     return peer_clock_.convert(deadline);
 }
 
+void peer_connection::refuse(const failure& reason)
+{
+    handler_.on_malformed(reason);
+    close();
+}
+
 void peer_connection::start()
 {
     last_received_ = steady_clock::now();
-    last_sent_ = last_received_;
     error_code ignored;
     socket_.set_option(asio::ip::tcp::no_delay{true}, ignored);
     read_header();
@@ -141,6 +169,7 @@
                          self->last_received_ = steady_clock::now();
                          const auto header = decode_header(self->header_);
                          if (!header) {
+                             self->handler_.on_malformed(header.reason());
                              self->finish();
                              return;
                          }
@@ -150,13 +179,30 @@
 
 void peer_connection::read_payload(const frame_header& header)
 {
-    payload_.resize(header.length);
-    asio::async_read(socket_, asio::buffer(payload_),
+    payload_.clear();
+    if (payload_.capacity() > read_step_bytes) {
+        payload_.shrink_to_fit();
+    }
+    read_more(header);
+}
+
+void peer_connection::read_more(const frame_header& header)
+{
+    // Memory grows with what has arrived, not with what a header announces.
+    const auto known = payload_.size();
+    const auto step = std::min<std::size_t>(header.length - known, read_step_bytes);
+    payload_.resize(known + step);
+    asio::async_read(socket_, asio::buffer(payload_.data() + known, step),
                      [self = shared_from_this(), header](const error_code& error, std::size_t) {
                          if (error) {
                              self->finish();
                              return;
                          }
+                         self->last_received_ = steady_clock::now();
+                         if (self->payload_.size() < header.length) {
+                             self->read_more(header);
+                             return;
+                         }
                          self->meter_.on_received(self->peer_address_,
                                                   traffic_class_of(header.kind),
                                                   frame_header_bytes + header.length);
@@ -184,19 +230,29 @@
     {
         const std::scoped_lock lock{mutex_};
         peer_clock_.observe(peer_time{static_cast<peer_time::rep>(sent)}, last_received_);
-        open_ = true;
+    }
+    if (!established_) {
+        established_ = true;
+        open();
+        write_next();
+    }
+}
+
+void peer_connection::open()
+{
+    {
+        const std::scoped_lock lock{mutex_};
+        open_ = !closed_;
     }
     opened_.notify_all();
-    established_ = true;
-    write_next();
 }
 
 void peer_connection::write_next()
 {
-    if (writing_ || !established_ || finished_) {
+    const std::scoped_lock lock{mutex_};
+    if (writing_ || !open_) {
         return;
     }
-    const std::scoped_lock lock{mutex_};
     if (queue_.empty()) {
         if (closing_) {
             error_code ignored;
@@ -208,13 +264,13 @@
     last_sent_ = steady_clock::now();
     asio::async_write(socket_, asio::buffer(queue_.front().bytes),
                       [self = shared_from_this()](const error_code& error, std::size_t) {
-                          self->writing_ = false;
                           if (error) {
                               self->finish();
                               return;
                           }
                           {
                               const std::scoped_lock guard{self->mutex_};
+                              self->writing_ = false;
                               const auto& sent = self->queue_.front();
                               self->meter_.on_sent(self->peer_address_, sent.purpose,
                                                    sent.bytes.size());
@@ -240,8 +296,10 @@
 {
     bool unanswered{};
     duration idle{};
+    duration unsent{};
     {
         const std::scoped_lock lock{mutex_};
+        unsent = now - last_sent_;
         unanswered = exchanges_.unanswered();
         idle = now - std::max(exchanges_.last_used(), started_);
     }
@@ -256,7 +314,7 @@
         finish();
         return;
     }
-    if (active && established_ && now - last_sent_ >= heartbeat_period) {
+    if (active && established_ && unsent >= heartbeat_period) {
         send_heartbeat();
     }
     watch_silence();
@@ -273,13 +331,14 @@
     {
         const std::scoped_lock lock{mutex_};
         closed_ = true;
+        open_ = false;
+        error_code ignored;
+        socket_.close(ignored);
     }
     opened_.notify_all();
     if (std::exchange(finished_, true)) {
         return;
     }
-    error_code ignored;
-    socket_.close(ignored);
     timer_.cancel();
     handler_.on_closed(*this, established_);
     on_closed_(shared_from_this());
