--- a/apps/load/bench_mesh.cpp
+++ b/apps/load/bench_mesh.cpp
@@ -26,6 +26,15 @@
 constexpr unsigned platform_offset = 2000;
 constexpr const char* operator_key_text = "a-key-for-measurements";
 
+void remove_logs(const std::filesystem::path& folder)
+{
+    for (const auto& item : std::filesystem::directory_iterator{folder}) {
+        if (item.path().extension() == ".log") {
+            std::filesystem::remove(item.path());
+        }
+    }
+}
+
 std::string address_of(unsigned network, std::size_t region, std::size_t position)
 {
     return fmt::format("127.{}.{}.{}", network, region, position + 1);
@@ -54,6 +63,7 @@
                             {address, port(backend_offset)}});
     }
     std::filesystem::create_directories(options_.out);
+    remove_logs(options_.out);
     platform_ = start("standin-platform", {"--listen", to_string(platform())}, "platform");
     const auto answers = [this] { return !platform_metrics().values.empty(); };
     static_cast<void>(wait_until(answers, request_timeout));
@@ -148,7 +158,6 @@
                                                           const std::string& name)
 {
     const auto log = std::filesystem::path{options_.out} / (name + ".log");
-    std::filesystem::remove(log);
     return std::make_unique<standin::child_process>(options_.programs + "/" + program, arguments,
                                                     log.string());
 }
@@ -161,6 +170,23 @@
     start_backend(index);
 }
 
+void bench_mesh::restart_domain(const std::string& domain)
+{
+    std::vector<std::size_t> places;
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+        if (members_[i].domain.name == domain) {
+            places.push_back(i);
+            nodes_[i]->signal(SIGKILL);
+        }
+    }
+    for (const auto i : places) {
+        static_cast<void>(nodes_[i]->wait());
+    }
+    for (const auto i : places) {
+        start_node(i);
+    }
+}
+
 void bench_mesh::start_node(std::size_t index)
 {
     const auto& member = members_[index];
--- a/apps/load/bench_mesh.hpp
+++ b/apps/load/bench_mesh.hpp
@@ -43,6 +43,9 @@
     /** @brief Stops a backend server gracefully and starts one of another version in its place. */
     void replace_backend(std::size_t index, const std::string& version);
 
+    /** @brief Kills the nodes of a failure domain and starts them again at one time. */
+    void restart_domain(const std::string& domain);
+
     /** @return What became of a text that was sent to a node. */
     [[nodiscard]] outcome<apply_report> apply(std::size_t node, const std::string& text);
 
--- a/apps/load/change_driver.cpp
+++ b/apps/load/change_driver.cpp
@@ -17,12 +17,13 @@
 
 } // namespace
 
-std::optional<change_result> change_driver::change(change_listener& listeners)
+std::optional<change_result> change_driver::change(change_listener& listeners,
+                                                   std::optional<std::size_t> writer)
 {
     ++edit_;
     const auto text = make_mesh_text(mesh_.layout(), extra_services_, edit_);
     const auto sent = time_.calendar_now();
-    const auto report = mesh_.apply(edit_ % mesh_.members().size(), text);
+    const auto report = mesh_.apply(writer.value_or(edit_ % mesh_.members().size()), text);
     const auto accepted = time_.calendar_now();
     if (!report || report->outcome != "accepted") {
         return std::nullopt;
--- a/apps/load/change_driver.hpp
+++ b/apps/load/change_driver.hpp
@@ -26,9 +26,11 @@
     /**
      * @brief Makes one change and waits until all listeners have it.
      * @param listeners Who must have it.
+     * @param writer Node that takes the change; by turns if absent.
      * @return Times of the change; nothing if it was refused, or not in force in time.
      */
-    [[nodiscard]] std::optional<change_result> change(change_listener& listeners);
+    [[nodiscard]] std::optional<change_result> change(change_listener& listeners,
+                                                      std::optional<std::size_t> writer = {});
 
 private:
     bench_mesh& mesh_;
--- a/apps/load/measurement.cpp
+++ b/apps/load/measurement.cpp
@@ -95,6 +95,7 @@
     settle();
     measure_idle();
     measure_load();
+    measure_return();
     measure_moves();
     return result_;
 }
@@ -261,6 +262,37 @@
     }
 }
 
+void measurement::measure_return()
+{
+    const auto domain = mesh_.layout().domains.back().name;
+    progress(fmt::format("failure domain {} returns", domain));
+    mesh_.restart_domain(domain);
+    const auto started = system_clock_source{}.now();
+    if (!changes_.change(logs_, 0)) {
+        result_.faults.emplace_back("a change was not in force after a failure domain returned");
+        return;
+    }
+    const auto seconds =
+        std::chrono::duration<double>(system_clock_source{}.now() - started).count();
+    sample_set reads;
+    sample_set writes;
+    sample_set bytes;
+    for (std::size_t i = 0; i < mesh_.members().size(); ++i) {
+        if (mesh_.members()[i].domain.name == domain) {
+            const auto node = mesh_.node_metrics(i);
+            reads.add(node.value("store_reads"));
+            writes.add(node.value("store_writes"));
+            bytes.add(node.value("control_bytes_received"));
+        }
+    }
+    auto& figures = result_.figures;
+    figures.add("return_until_in_force", seconds, "s");
+    figures.add("return_store_reads_mean", reads.mean(), "1/node");
+    figures.add("return_store_writes_mean", writes.mean(), "1/node");
+    figures.add("return_control_bytes_received_mean", bytes.mean(), "B/node");
+    static_cast<void>(mesh_.wait_until_ready());
+}
+
 void measurement::measure_moves()
 {
     progress(fmt::format("{} rounds of a good and a bad version, each up to 36 s", options_.moves));
--- a/apps/load/measurement.hpp
+++ b/apps/load/measurement.hpp
@@ -46,6 +46,7 @@
     void generate(std::chrono::seconds period, std::vector<call_sample>& samples);
     void measure_idle();
     void measure_load();
+    void measure_return();
     void measure_moves();
     void progress(std::string_view text) const;
 
