--- a/standin/backend/backend_handler.hpp
+++ b/standin/backend/backend_handler.hpp
@@ -7,6 +7,7 @@
 #include <savorywheel/traffic/backend_server.hpp>
 
 #include <standin/backend/backend_behaviour.hpp>
+#include <standin/backend/execution_log.hpp>
 
 #include <atomic>
 #include <mutex>
@@ -18,15 +19,17 @@
  * @brief Answers like a backend server: echoes the request and names itself.
  *
  * `PUT /control?fail_permille=N&fail_path=P&latency_us=N&state=serving|draining` changes its
- * behaviour. A request with the header `x-crash: 1` ends the process at once.
+ * behaviour. `mark=1` remembers the number of requests run; `since_mark=1` returns how many have
+ * run since. A request with the header `x-crash: 1` ends the process at once.
  */
 class backend_handler final : public http_handler {
 public:
     /**
      * @param self What the backend server announces.
      * @param random Chooses the requests that fail; must outlive the handler.
+     * @param executions Records the requests that run; must outlive the handler.
      */
-    backend_handler(backend_server self, random_source& random);
+    backend_handler(backend_server self, random_source& random, const execution_log& executions);
 
     [[nodiscard]] http_response handle(const http_request& request) override;
 
@@ -47,7 +50,9 @@
     backend_server self_;
     backend_behaviour behaviour_;
     random_source& random_;
+    const execution_log& executions_;
     std::atomic<std::uint64_t> executed_{};
+    std::uint64_t marked_{};
 };
 
 } // namespace savorywheel::standin
