--- a/src/savorywheel/transport/frame_kind.hpp
+++ b/src/savorywheel/transport/frame_kind.hpp
@@ -24,7 +24,9 @@
     withdrawal_push, /**< A withdrawal notice, spread between nodes. */
     crash_report,    /**< A request was running when a backend server crashed. */
     crash_noted,     /**< The answer to a crash_report. */
-    last_kind = crash_noted
+    head_get,        /**< Empty; asks for the version in force at the receiver. */
+    head_value,      /**< The answer to a head_get. */
+    last_kind = head_value
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/traffic_class.cpp
+++ b/src/savorywheel/transport/traffic_class.cpp
@@ -13,6 +13,8 @@
     case frame_kind::crash_report:
     case frame_kind::crash_noted:
         return traffic_class::call;
+    case frame_kind::head_get:
+    case frame_kind::head_value:
     case frame_kind::commit_push:
     case frame_kind::commit_fetch:
     case frame_kind::commit_batch:
