--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -1,6 +1,9 @@
 #include <savorywheel/http/curl_http_client.hpp>
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <string_view>
 #include <utility>
@@ -11,6 +14,8 @@
 
 constexpr std::size_t max_idle_handles = 64;
 constexpr long max_connect_milliseconds = 1000;
+constexpr long max_idle_seconds = 20;
+constexpr unsigned unacknowledged_milliseconds = 1500;
 constexpr int max_wait_milliseconds = 60'000;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -96,6 +101,8 @@
         curl_easy_setopt(handle_, CURLOPT_PROXY, "");
         curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
         curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS, max_connect_milliseconds);
+        curl_easy_setopt(handle_, CURLOPT_SOCKOPTFUNCTION, &transfer::on_socket);
+        curl_easy_setopt(handle_, CURLOPT_MAXAGE_CONN, max_idle_seconds);
         curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &transfer::before_request);
         curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
         curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &transfer::on_body);
@@ -166,6 +173,14 @@
         return std::exchange(sent, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
     }
 
+    /** Bytes that are not acknowledged in time end the connection. */
+    static int on_socket(void* /*self*/, curl_socket_t socket, curlsocktype /*purpose*/)
+    {
+        ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_milliseconds,
+                     sizeof(unacknowledged_milliseconds));
+        return CURL_SOCKOPT_OK;
+    }
+
     static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self)
     {
         static_cast<transfer*>(self)->response_.body.append(data, size * count);
@@ -224,6 +239,9 @@
     if (result) {
         give_back(server, std::move(handle));
     }
+    else if (!stop.cancelled()) {
+        drop_idle(server);
+    }
     return result;
 }
 
@@ -253,6 +271,13 @@
     return handle;
 }
 
+void curl_http_client::drop_idle(const network_endpoint& server)
+{
+    std::vector<std::unique_ptr<transfer>> dropped;
+    const std::scoped_lock lock{mutex_};
+    dropped.swap(idle_[server]);
+}
+
 void curl_http_client::give_back(const network_endpoint& server, std::unique_ptr<transfer> handle)
 {
     const std::scoped_lock lock{mutex_};
--- a/src/savorywheel/http/curl_http_client.hpp
+++ b/src/savorywheel/http/curl_http_client.hpp
@@ -33,6 +33,8 @@
     class transfer;
 
     [[nodiscard]] std::unique_ptr<transfer> borrow(const network_endpoint& server);
+    /** A failure may mean that the kept connections no longer carry data. */
+    void drop_idle(const network_endpoint& server);
     void give_back(const network_endpoint& server, std::unique_ptr<transfer> handle);
 
     std::mutex mutex_;
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -51,8 +51,6 @@
                       "A backend server stopped while it ran this request."},
     event_description{event_id::crashing_request_refused, warning,
                       "A request that crashed two backend servers was refused."},
-    event_description{event_id::request_refused, warning,
-                      "A caller's request was too large or cut, and was refused."},
     event_description{event_id::change_accepted, info, "A change of configuration was accepted."},
     event_description{event_id::change_refused, info, "A change of configuration was refused."},
     event_description{event_id::change_unknown, warning,
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -30,7 +30,6 @@
     call_frame_malformed = 4003,
     backend_crashed = 4004,
     crashing_request_refused = 4005,
-    request_refused = 4006,
     change_accepted = 5001,
     change_refused = 5002,
     change_unknown = 5003,
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -1,11 +1,17 @@
 #include <savorywheel/http/curl_http_client.hpp>
+#include <savorywheel/http/http_server.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
+#include <support/loopback_socket.hpp>
 #include <support/scripted_server.hpp>
+#include <support/silencing_proxy.hpp>
 #include <support/wait_until.hpp>
+#include <unistd.h>
 
+#include <latch>
 #include <thread>
+#include <vector>
 
 namespace savorywheel::test {
 
@@ -14,6 +20,23 @@
 constexpr std::chrono::seconds timeout{5};
 const http_request booking{"POST", "/book", {}, "plug 7"};
 
+/** Answers the first requests only once a number of them are there. */
+class waiting_handler final : public http_handler {
+public:
+    explicit waiting_handler(std::size_t count) : missing_{static_cast<std::ptrdiff_t>(count)} {}
+
+    http_response handle(const http_request& /*request*/) override
+    {
+        if (!missing_.try_wait()) {
+            missing_.arrive_and_wait();
+        }
+        return {200, {}, "x"};
+    }
+
+private:
+    std::latch missing_;
+};
+
 std::string whole_answer(bool chunked)
 {
     if (chunked) {
@@ -87,4 +110,27 @@
     EXPECT_TRUE(wait_until([&server] { return server.ended() == 1; }));
 }
 
+TEST(proof_silent_connections, one_failure_replaces_all_kept_connections_to_a_server)
+{
+    constexpr std::size_t kept = 4;
+    waiting_handler handler{kept};
+    http_server server{handler};
+    network_endpoint endpoint;
+    ::close(listen_on_loopback(endpoint));
+    ASSERT_TRUE(server.start(endpoint));
+    silencing_proxy proxy{endpoint};
+    curl_http_client client;
+    std::vector<std::thread> callers;
+    callers.reserve(kept);
+    for (std::size_t i = 0; i < kept; ++i) {
+        callers.emplace_back([&] { EXPECT_TRUE(client.send(proxy.endpoint(), booking, timeout)); });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    proxy.silence();
+    EXPECT_FALSE(client.send(proxy.endpoint(), booking, std::chrono::milliseconds{300}));
+    EXPECT_TRUE(client.send(proxy.endpoint(), booking, timeout));
+}
+
 } // namespace savorywheel::test
--- a/test/savorywheel/http/http_server_test.cpp
+++ b/test/savorywheel/http/http_server_test.cpp
@@ -80,8 +80,10 @@
     ASSERT_TRUE(server.start(endpoint));
     std::atomic<int> answered{};
     std::atomic<int> cut{};
+    constexpr std::size_t caller_count = 16;
     std::vector<std::thread> callers;
-    for (int i = 0; i < 16; ++i) {
+    callers.reserve(caller_count);
+    for (std::size_t i = 0; i < caller_count; ++i) {
         callers.emplace_back([&] { cut += requests_cut(endpoint, answered); });
     }
     ASSERT_TRUE(wait_until([&answered] { return answered > 50; }));
--- a/test/savorywheel/traffic/crash_suspects_test.cpp
+++ b/test/savorywheel/traffic/crash_suspects_test.cpp
@@ -16,7 +16,7 @@
 
 TEST(proof_crashing_request, is_blocked_after_two_crashes_however_often_each_is_reported)
 {
-    EXPECT_TRUE(rc::check([](std::vector<bool> news) {
+    EXPECT_TRUE(rc::check([](const std::vector<bool>& news) {
         crash_suspects suspects;
         std::set<bool> crashes;
         for (const bool second : news) {
