--- a/src/savorywheel/distribution/checkpoint_reader.cpp
+++ b/src/savorywheel/distribution/checkpoint_reader.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 #include <utility>
 
 namespace savorywheel {
@@ -24,8 +23,9 @@
     if (!manifests) {
         return manifests.reason();
     }
-    for (const auto& object : std::views::reverse(manifests->objects)) {
-        const auto manifest = decode_json<checkpoint_manifest>(object.value);
+    const auto& objects = manifests->objects;
+    for (auto object = objects.rbegin(); object != objects.rend(); ++object) {
+        const auto manifest = decode_json<checkpoint_manifest>(object->value);
         if (!manifest) {
             continue;
         }
