Compare all routes together as well

Cause: a fault of the whole version was judged route by route, so that few calls took long to speak.

Change: fault_monitor has one more comparison over all routes of the service; the threshold counts it.

--- a/src/savorywheel/rollout/fault_monitor.cpp
+++ b/src/savorywheel/rollout/fault_monitor.cpp
@@ -14,6 +14,7 @@
 constexpr std::chrono::seconds longest_watch{86'400};
 constexpr std::size_t properties_per_route = 2;
 constexpr std::size_t strata_per_route = 2;
+constexpr const char* all_routes = "all";
 
 struct sample_pair {
     route_sample old_sample;
@@ -27,16 +28,24 @@
     sample.failed_at.insert(item.failed_at.begin(), item.failed_at.end());
 }
 
+void add(const rollout_move& move, const route_evidence& item, sample_pair& pair)
+{
+    if (gains_share(move, item.version)) {
+        add(item, pair.new_sample);
+    }
+    else if (loses_share(move, item.version)) {
+        add(item, pair.old_sample);
+    }
+}
+
+/** Groups evidence by route, and once more over all routes, where small faults show sooner. */
 std::map<route_stratum, sample_pair> group(const rollout_view& view)
 {
     std::map<route_stratum, sample_pair> routes;
-    const auto& move = *view.service.move;
     for (const auto& item : view.evidence) {
-        if (gains_share(move, item.version)) {
-            add(item, routes[{item.route, item.other_region}].new_sample);
-        }
-        else if (loses_share(move, item.version)) {
-            add(item, routes[{item.route, item.other_region}].old_sample);
+        add(*view.service.move, item, routes[{item.route, item.other_region}]);
+        if (view.service.spec.routes.size() > 1) {
+            add(*view.service.move, item, routes[{all_routes, item.other_region}]);
         }
     }
     return routes;
@@ -56,7 +65,9 @@
     const bool alone = !old_versions_have_share(view.service);
     const auto samples = group(view);
     for (const auto& [stratum, pair] : samples) {
-        new_calls_ += pair.new_sample.failures.calls;
+        if (stratum.route != all_routes) {
+            new_calls_ += pair.new_sample.failures.calls;
+        }
         if (new_calls_ > 0 && !first_new_call_) {
             first_new_call_ = view.now;
         }
@@ -91,8 +102,8 @@
                            ? std::chrono::floor<std::chrono::seconds>(*move.due - move.started_at)
                            : shortest_watch;
     const auto watch = std::clamp(asked, shortest_watch, longest_watch);
-    const auto sums = std::max<std::size_t>(service.spec.routes.size(), 1) * harm_degrees *
-                      properties_per_route * strata_per_route * std::max<std::size_t>(watchers, 1);
+    const auto sums = (service.spec.routes.size() + 1) * harm_degrees * properties_per_route *
+                      strata_per_route * std::max<std::size_t>(watchers, 1);
     return std::log(static_cast<double>(watch.count()) * static_cast<double>(sums) /
                     false_alarms_per_move);
 }
--- a/test/savorywheel/rollout/evidence_tree_test.cpp
+++ b/test/savorywheel/rollout/evidence_tree_test.cpp
@@ -15,6 +15,7 @@
 std::vector<node_id> make_members(int count)
 {
     std::vector<node_id> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         members.emplace_back(fmt::format("node-{}", i));
     }
