--- a/src/savorywheel/rollout/evidence_recorder.hpp
+++ b/src/savorywheel/rollout/evidence_recorder.hpp
@@ -19,8 +19,8 @@
  */
 class evidence_recorder final : public call_observer {
 public:
-    /** @param region Region of this node; empty if all backend servers count as far. */
-    explicit evidence_recorder(region_name region = {}) : region_{std::move(region)} {}
+    /** @param region Region of this node. */
+    explicit evidence_recorder(region_name region) : region_{std::move(region)} {}
 
     /** @brief Sets the services of which evidence is kept. */
     void watch(std::set<service_name> services);
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -71,6 +71,7 @@
     void close() override;
     void close_after_writing() override;
     [[nodiscard]] std::optional<peer_time> await_open(monotonic_time deadline) override;
+    void refuse(const failure& reason) override;
 
 private:
     using buffer = std::vector<std::byte>;
@@ -81,8 +82,11 @@
     };
 
     void start();
+    void open();
+    [[nodiscard]] std::size_t write_directly(std::span<const std::byte> bytes) noexcept;
     void read_header();
     void read_payload(const frame_header& header);
+    void read_more(const frame_header& header);
     void write_next();
     void on_heartbeat(std::uint64_t sent);
     void receive(const frame_header& header);
@@ -107,7 +111,7 @@
     bool closing_{};
     monotonic_time started_{std::chrono::steady_clock::now()};
     monotonic_time last_received_;
-    monotonic_time last_sent_;
+    monotonic_time last_sent_{started_};
     std::optional<monotonic_time> closing_since_;
     std::mutex mutex_;
     std::condition_variable opened_;
--- a/src/savorywheel/transport/traffic_class.cpp
+++ b/src/savorywheel/transport/traffic_class.cpp
@@ -10,6 +10,8 @@
     case frame_kind::call_request:
     case frame_kind::call_response:
     case frame_kind::call_cancel:
+    case frame_kind::crash_report:
+    case frame_kind::crash_noted:
         return traffic_class::call;
     case frame_kind::commit_push:
     case frame_kind::commit_fetch:
