--- a/src/savorywheel/config/commit_kind.hpp
+++ b/src/savorywheel/config/commit_kind.hpp
@@ -13,7 +13,7 @@
     override_released, /**< An operator released an override. */
     rollout_step,      /**< The automation moved a share of the traffic. */
     rollout_done,      /**< The automation finished a move. */
-    withdrawal,        /**< The automation took a version back. */
+    withdrawal,        /**< The automation withdrew a version. */
     last_kind = withdrawal
 };
 
--- a/test/process/rollout_test.cpp
+++ b/test/process/rollout_test.cpp
@@ -175,7 +175,7 @@
     EXPECT_LE(failed * 50, logs.calls());
 }
 
-TEST(proof_rollout, a_faulty_version_is_taken_back_while_the_store_is_down)
+TEST(proof_rollout, a_faulty_version_is_withdrawn_while_the_store_is_down)
 {
     local_mesh mesh{101, members()};
     start_with(mesh, mesh_text("v1", "v1", ""));
@@ -267,14 +267,14 @@
     auto store = store_of(mesh);
     const auto object = store.get(commit_key({1}));
     ASSERT_TRUE(object);
-    auto secret = decode_json<commit>(object->value);
-    ASSERT_TRUE(secret);
-    const auto book = std::ranges::find_if(secret->upserts, [](const service_state& service) {
+    auto changed = decode_json<commit>(object->value);
+    ASSERT_TRUE(changed);
+    const auto book = std::ranges::find_if(changed->upserts, [](const service_state& service) {
         return service.spec.name == service_name{"bookdesk"};
     });
-    ASSERT_NE(book, secret->upserts.end());
+    ASSERT_NE(book, changed->upserts.end());
     book->weights = {{version_name{"v2"}, weight_sum_permille}};
-    ASSERT_TRUE(store.update(object->key, encode_json(*secret), object->revision));
+    ASSERT_TRUE(store.update(object->key, encode_json(*changed), object->revision));
     EXPECT_TRUE(wait_until([&] {
         const auto status = status_of(mesh, "bookdesk");
         return status && status->override_in_force &&
