Build the demonstration apart from the tests

Cause: on a fresh clone the demo configured build/ without tests, and tools/test.sh would then have found none.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -4,7 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 keep="${1:-}"
-build="${BUILD_DIR:-build}"
+export BUILD_DIR="${BUILD_DIR:-build/demo}" # Without tests, so apart from the build for these.
+build="$BUILD_DIR"
 example=examples/frigoporto
 ctl="$build/bin/savorywheelctl"
 folder="$(mktemp -d "${TMPDIR:-/tmp}/savorywheel-demo.XXXXXX")"
