--- a/apps/load/bench_mesh.cpp
+++ b/apps/load/bench_mesh.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/admin/node_state_dump.hpp>
+#include <savorywheel/admin/status_report.hpp>
 #include <savorywheel/core/system_clock_source.hpp>
 #include <savorywheel/encoding/codec.hpp>
 
@@ -128,7 +129,11 @@
 outcome<http_response> bench_mesh::operate(const std::string& method, const std::string& target,
                                            const std::string& body)
 {
-    const http_request request{method, target, {{"x-savorywheel-key", operator_key_text}}, body};
+    const http_request request{method,
+                               target,
+                               {{"x-savorywheel-key", operator_key_text},
+                                {"x-savorywheel-base", std::to_string(seen_version().number)}},
+                               body};
     return client_.send(members_.front().admin, request, request_timeout);
 }
 
@@ -222,6 +227,15 @@
     return text;
 }
 
+config_version bench_mesh::seen_version()
+{
+    const auto answer =
+        client_.send(members_.front().admin, {"GET", "/status", {}, {}}, request_timeout);
+    const auto report =
+        answer ? decode_json<status_report>(answer->body) : outcome<status_report>{answer.reason()};
+    return report ? report->version : config_version{};
+}
+
 std::uint16_t bench_mesh::port(unsigned offset) const noexcept
 {
     return static_cast<std::uint16_t>(options_.port_base + offset);
--- a/apps/load/bench_mesh.hpp
+++ b/apps/load/bench_mesh.hpp
@@ -49,7 +49,7 @@
     /** @return What became of a text that was sent to a node. */
     [[nodiscard]] outcome<apply_report> apply(std::size_t node, const std::string& text);
 
-    /** @return Answer to an operator's request at the first node. */
+    /** @return Answer at the first node to an operator who has seen its current version. */
     [[nodiscard]] outcome<http_response>
     operate(const std::string& method, const std::string& target, const std::string& body);
 
@@ -80,6 +80,7 @@
     void start_node(std::size_t index);
     void start_backend(std::size_t index);
     [[nodiscard]] std::string settings_text(const bench_member& member) const;
+    [[nodiscard]] config_version seen_version();
     [[nodiscard]] std::uint16_t port(unsigned offset) const noexcept;
     [[nodiscard]] metric_reading metrics(const network_endpoint& server);
 
--- a/apps/load/fixed_steps.cpp
+++ b/apps/load/fixed_steps.cpp
@@ -40,7 +40,8 @@
 
 void fixed_steps::release()
 {
-    static_cast<void>(mesh_.operate("DELETE", "/override/" + service_, {}));
+    static_cast<void>(mesh_.operate("DELETE", "/override/" + service_,
+                                    R"({"object":{"weights":[],"reason":"done"}})"));
 }
 
 } // namespace savorywheel::load
--- a/apps/load/rollout_trial.cpp
+++ b/apps/load/rollout_trial.cpp
@@ -26,6 +26,7 @@
 constexpr unsigned fail_permille = 500;
 constexpr std::uint32_t connections = 16;
 constexpr double percent = 100.0;
+constexpr int status_ok = 200;
 
 std::string other_version(const std::string& version)
 {
@@ -186,8 +187,8 @@
 {
     const auto text = make_rollout_text(mesh_.layout(), versions,
                                         with_due ? format_calendar_time(due_) : std::string{});
-    const auto report = mesh_.apply(0, text);
-    return report && report->outcome == "accepted";
+    const auto answer = mesh_.operate("PUT", "/config", text);
+    return answer && answer->status == status_ok;
 }
 
 void rollout_trial::observe(std::span<move_watch> moves)
