--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t max_peer_bytes = 64UL * 1024UL * 1024UL;
 constexpr std::chrono::milliseconds backend_lifetime{3000};
 constexpr std::chrono::milliseconds backend_check_period{500};
-constexpr std::chrono::milliseconds publish_delay{20};
+constexpr std::chrono::milliseconds publish_delay{100};
 constexpr std::chrono::milliseconds view_timeout{2000};
 constexpr std::chrono::milliseconds survey_patience{1000};
 
@@ -325,6 +325,7 @@
 void control_plane::take_tail(const log_tail& tail)
 {
     distributor_.take_from_store(tail.batch);
+    rollouts_.on_rewritten(tail.rewritten, distributor_.log().commits());
     if (tail.fault) {
         on_bad_commit(*tail.fault);
     }
