--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -9,6 +9,7 @@
 #include <savorywheel/distribution/floor_service.hpp>
 #include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
+#include <savorywheel/node/head_tracker.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/membership_service.hpp>
 #include <savorywheel/node/rollout_service.hpp>
@@ -86,6 +87,7 @@
     [[nodiscard]] outcome<node_state_dump> dump() override;
     [[nodiscard]] outcome<mesh_state> configuration() override;
     [[nodiscard]] outcome<std::deque<commit>> history() override;
+    [[nodiscard]] outcome<std::vector<domain_status>> domains() override;
     void announce(const backend_server& backend) override;
     void on_member_changed(const member_update& update) override;
     void on_head_seen(const network_endpoint& peer, config_version head) override;
@@ -122,6 +124,7 @@
     lease_keeper lease_;
     rollout_service rollouts_;
     routing_table_builder builder_;
+    head_tracker heads_;
     std::map<config_version, mesh_state> accepted_;
     config_version checkpointed_;
     std::string last_fault_;
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/metric_registry.hpp>
 #include <savorywheel/routing/endpoint_chooser.hpp>
+#include <savorywheel/routing/endpoint_health.hpp>
 #include <savorywheel/routing/load_table.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/routing/version_chooser.hpp>
@@ -33,10 +34,14 @@
         endpoint_chooser& endpoints;
         /** @brief Outstanding calls. */
         load_table& loads;
+        /** @brief What calls met at endpoints. */
+        endpoint_health& health;
         /** @brief Bounds retries. */
         retry_budget& retries;
         /** @brief Carries calls. */
         call_transport& transport;
+        /** @brief Region of this node. */
+        const region_name& region;
         /** @brief Hears of attempts. */
         call_observer& observer;
         /** @brief Metrics. */
@@ -49,6 +54,8 @@
     explicit proxy_handler(environment surroundings) noexcept : environment_{surroundings} {}
 
     [[nodiscard]] http_response handle(const http_request& request) override;
+    [[nodiscard]] http_response handle_until_cancelled(const http_request& request,
+                                                       cancellation& stop) override;
 
 private:
     struct plan {
@@ -56,10 +63,12 @@
         const route_spec* route{};
         call_request call;
         monotonic_time deadline;
+        cancellation* stop{};
     };
 
     [[nodiscard]] http_response execute(plan& item);
     [[nodiscard]] call_response attempt(plan& item, std::vector<node_id>& tried);
+    void note(const node_id& endpoint, const call_request& call, const call_response& outcome);
     [[nodiscard]] http_response conclude(const plan& item, call_response outcome);
 
     environment environment_;
--- a/src/savorywheel/transport/frame_sink.hpp
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -39,16 +39,6 @@
     /** @brief Closes the connection; its handler hears of it. */
     virtual void close() = 0;
 
-    /**
-     * @brief Closes the connection because a payload on it could not be decoded.
-     * @param reason What was wrong.
-     */
-    virtual void refuse(const failure& reason)
-    {
-        static_cast<void>(reason);
-        close();
-    }
-
     /** @brief Closes the connection once all queued frames were written. */
     virtual void close_after_writing() { close(); }
 
@@ -62,6 +52,16 @@
     {
         return to_peer_time(deadline);
     }
+
+    /**
+     * @brief Closes the connection because a payload on it could not be decoded.
+     * @param reason What was wrong.
+     */
+    virtual void refuse(const failure& reason)
+    {
+        static_cast<void>(reason);
+        close();
+    }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -69,9 +69,9 @@
               std::span<const std::byte> payload) override;
     [[nodiscard]] std::string_view peer_address() const noexcept override { return peer_address_; }
     void close() override;
-    void refuse(const failure& reason) override;
     void close_after_writing() override;
     [[nodiscard]] std::optional<peer_time> await_open(monotonic_time deadline) override;
+    void refuse(const failure& reason) override;
 
 private:
     using buffer = std::vector<std::byte>;
@@ -82,6 +82,8 @@
     };
 
     void start();
+    void open();
+    [[nodiscard]] std::size_t write_directly(std::span<const std::byte> bytes) noexcept;
     void read_header();
     void read_payload(const frame_header& header);
     void read_more(const frame_header& header);
@@ -109,7 +111,7 @@
     bool closing_{};
     monotonic_time started_{std::chrono::steady_clock::now()};
     monotonic_time last_received_;
-    monotonic_time last_sent_;
+    monotonic_time last_sent_{started_};
     std::optional<monotonic_time> closing_since_;
     std::mutex mutex_;
     std::condition_variable opened_;
