--- a/src/savorywheel/node/rollout_service.cpp
+++ b/src/savorywheel/node/rollout_service.cpp
@@ -26,7 +26,8 @@
               lease_keeper::environment{surroundings.loop, surroundings.worker,
                                         surroundings.random},
               move_controller::environment{commits_, surroundings.random, surroundings.log}}},
-      ejector_{surroundings.log}
+      ejector_{surroundings.log}, rewrites_{move_controller::environment{
+                                      commits_, surroundings.random, surroundings.log}}
 {
 }
 
@@ -58,7 +59,7 @@
         return;
     }
     if (auto report = decode<evidence_report>(payload)) {
-        environment_.loop.post([this, item = std::move(*report)] { exchange_.take(item); });
+        environment_.loop.post([this, item = std::move(*report)] { take_report(item); });
     }
 }
 
@@ -90,6 +91,7 @@
             control(*service);
         }
     }
+    rewrites_.run(state_, environment_.loop.time().calendar_now());
     notices_.repeat();
     publish_ejections();
 }
@@ -127,6 +129,19 @@
     }
 }
 
+/** Takes what belongs to a move of the accepted configuration; the rest may come from a fault. */
+void rollout_service::take_report(const evidence_report& report)
+{
+    evidence_report known;
+    for (const auto& item : report.items) {
+        const auto service = state_.find(item.service);
+        if (service && concerns_move(*service, item)) {
+            known.items.push_back(item);
+        }
+    }
+    exchange_.take(known);
+}
+
 void rollout_service::publish_ejections()
 {
     version_ejections::move_map moves;
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -75,11 +75,10 @@
     nearest_endpoint_chooser endpoints{
         failure_domain{"d"}, region_name{"r"}, {loads, health, random}};
     retry_budget retries;
-    evidence_recorder observer;
-    region_name region{"r"};
+    evidence_recorder observer{region_name{"r"}};
     metric_registry metrics;
     recording_event_log log;
-    proxy_handler proxy{{time, tables, versions, endpoints, loads, health, retries, carrier, region,
+    proxy_handler proxy{{time, tables, versions, endpoints, loads, health, retries, carrier,
                          observer, metrics, log}};
 };
 
