--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -46,8 +46,9 @@
 template<typename Archive>
 void serialize(Archive& archive, call_response& call)
 {
-    archive(cereal::make_nvp("result", call.result), cereal::make_nvp("refusal", call.refusal),
-            cereal::make_nvp("reason", call.reason), cereal::make_nvp("response", call.response));
+    archive_enum(archive, "result", call.result, call_result::last_result);
+    archive_enum(archive, "refusal", call.refusal, call_refusal::last_refusal);
+    archive(cereal::make_nvp("reason", call.reason), cereal::make_nvp("response", call.response));
 }
 
 /** @brief Lists the members of a crash report. */
--- a/src/savorywheel/traffic/call_refusal.hpp
+++ b/src/savorywheel/traffic/call_refusal.hpp
@@ -14,7 +14,8 @@
     wrong_version, /**< The backend server runs another service or version. */
     overload,      /**< It could not be finished before its deadline. */
     expired,       /**< Its deadline had passed. */
-    crashing       /**< The same request has crashed backend servers. */
+    crashing,      /**< The same request has crashed backend servers. */
+    last_refusal = crashing
 };
 
 /** @return The refusal in words. */
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -137,7 +137,8 @@
     if (!item.stop->cancelled()) {
         note(endpoint->node, item.call, outcome);
         environment_.observer.on_attempt({item.call.service, *version, item.route->path,
-                                          endpoint->node, outcome.result, outcome.response.status,
+                                          endpoint->node, endpoint->region != environment_.region,
+                                          outcome.result, outcome.response.status,
                                           environment_.time.now() - sent_at});
     }
     return outcome;
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -71,6 +71,7 @@
     void close() override;
     void close_after_writing() override;
     [[nodiscard]] std::optional<peer_time> await_open(monotonic_time deadline) override;
+    void refuse(const failure& reason) override;
 
 private:
     using buffer = std::vector<std::byte>;
@@ -85,6 +86,7 @@
     [[nodiscard]] std::size_t write_directly(std::span<const std::byte> bytes) noexcept;
     void read_header();
     void read_payload(const frame_header& header);
+    void read_more(const frame_header& header);
     void write_next();
     void on_heartbeat(std::uint64_t sent);
     void receive(const frame_header& header);
--- a/src/savorywheel/transport/traffic_class.cpp
+++ b/src/savorywheel/transport/traffic_class.cpp
@@ -10,6 +10,8 @@
     case frame_kind::call_request:
     case frame_kind::call_response:
     case frame_kind::call_cancel:
+    case frame_kind::crash_report:
+    case frame_kind::crash_noted:
         return traffic_class::call;
     case frame_kind::commit_push:
     case frame_kind::commit_fetch:
@@ -25,8 +27,6 @@
         return traffic_class::floor;
     case frame_kind::evidence_report:
     case frame_kind::withdrawal_push:
-    case frame_kind::crash_report:
-    case frame_kind::crash_noted:
         return traffic_class::evidence;
     }
     return traffic_class::evidence;
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -76,9 +76,10 @@
         failure_domain{"d"}, region_name{"r"}, {loads, health, random}};
     retry_budget retries;
     evidence_recorder observer;
+    region_name region{"r"};
     metric_registry metrics;
     recording_event_log log;
-    proxy_handler proxy{{time, tables, versions, endpoints, loads, health, retries, carrier,
+    proxy_handler proxy{{time, tables, versions, endpoints, loads, health, retries, carrier, region,
                          observer, metrics, log}};
 };
 
