--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -3,6 +3,7 @@
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <string_view>
@@ -16,6 +17,8 @@
 constexpr long max_connect_milliseconds = 1000;
 constexpr long max_idle_seconds = 20;
 constexpr unsigned unacknowledged_milliseconds = 1500;
+/** A process that ends resets the connections that its listener has not accepted. */
+constexpr int probe_milliseconds = 50;
 constexpr int max_wait_milliseconds = 60'000;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
@@ -254,9 +257,14 @@
     curl_easy_setopt(handle, CURLOPT_PROXY, "");
     curl_easy_setopt(handle, CURLOPT_CONNECT_ONLY, 1L);
     curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, max_connect_milliseconds);
-    const auto result = curl_easy_perform(handle);
+    bool open = curl_easy_perform(handle) == CURLE_OK;
+    if (open) {
+        pollfd connection{CURL_SOCKET_BAD, POLLIN, 0};
+        curl_easy_getinfo(handle, CURLINFO_ACTIVESOCKET, &connection.fd);
+        open = ::poll(&connection, 1, probe_milliseconds) == 0;
+    }
     curl_easy_cleanup(handle);
-    return result == CURLE_OK;
+    return open;
 }
 
 std::unique_ptr<curl_http_client::transfer> curl_http_client::borrow(const network_endpoint& server)
--- a/src/savorywheel/http/http_client.hpp
+++ b/src/savorywheel/http/http_client.hpp
@@ -46,7 +46,7 @@
         return send(server, request, timeout);
     }
 
-    /** @return False if the server refuses connections. */
+    /** @return False if the server refuses connections, or closes a new one at once. */
     [[nodiscard]] virtual bool accepts_connections(const network_endpoint& server)
     {
         static_cast<void>(server);
