--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -52,9 +52,10 @@
         router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_report},
                     gate_);
         router_.add({frame_kind::call_response, frame_kind::crash_noted, frame_kind::commit_batch,
-                     frame_kind::membership_full, frame_kind::floor_stored,
-                     frame_kind::floor_value},
+                     frame_kind::membership_full, frame_kind::floor_stored, frame_kind::floor_value,
+                     frame_kind::head_value},
                     requests_);
+        router_.add({frame_kind::head_get}, control_.heads());
         router_.add({frame_kind::membership_sync}, control_.membership());
         router_.add({frame_kind::evidence_report, frame_kind::withdrawal_push},
                     control_.rollouts());
@@ -146,7 +147,7 @@
     routing_table_holder tables_;
     peer_crash_reporter crashes_{tables_, network_, requests_};
     gate gate_{gate::environment{http_, time_, crashes_, log_, settings_.name}};
-    evidence_recorder evidence_;
+    evidence_recorder evidence_{settings_.region};
     version_ejections ejections_;
     control_plane control_{settings_,
                            control_plane::environment{loop_, random_, store_, worker_, datagrams_,
@@ -162,8 +163,8 @@
         nearest_endpoint_chooser::environment{loads_, health_, random_}};
     peer_call_transport transport_{network_, requests_};
     proxy_handler proxy_{proxy_handler::environment{time_, tables_, versions_, endpoints_, loads_,
-                                                    health_, retries_, transport_, settings_.region,
-                                                    evidence_, metrics_, log_}};
+                                                    health_, retries_, transport_, evidence_,
+                                                    metrics_, log_}};
     operator_directory operators_{settings_.operators};
     change_service changes_{change_service::environment{time_, random_, store_, control_}};
     admin_handler admin_{
