Bring about many faults together and judge the histories

Change: a seeded schedule kills, pauses and starts nodes and backend servers and lets the platform stand-in be down, slow or lose answers, while callers book and operators apply texts. The histories are judged at the end.

--- a/test/process/calls_under_faults_test.cpp
+++ b/test/process/calls_under_faults_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <support/booking_callers.hpp>
 #include <support/call_history.hpp>
 #include <support/local_mesh.hpp>
 #include <support/wait_until.hpp>
@@ -41,51 +42,6 @@
     return report && report->outcome == "accepted" && mesh.wait_for_version(report->version);
 }
 
-/** Callers that book without end, each request once. */
-class booking_callers {
-public:
-    explicit booking_callers(local_mesh& mesh) : mesh_{mesh}
-    {
-        for (int i = 0; i < callers; ++i) {
-            threads_.emplace_back([this, i] { run(i); });
-        }
-    }
-    booking_callers(const booking_callers&) = delete;
-    booking_callers& operator=(const booking_callers&) = delete;
-    booking_callers(booking_callers&&) = delete;
-    booking_callers& operator=(booking_callers&&) = delete;
-    ~booking_callers() { stop(); }
-
-    void stop()
-    {
-        stopping_ = true;
-        for (auto& thread : threads_) {
-            if (thread.joinable()) {
-                thread.join();
-            }
-        }
-    }
-
-    [[nodiscard]] const call_history& history() const noexcept { return history_; }
-
-private:
-    static constexpr int callers = 8;
-
-    void run(int caller)
-    {
-        for (int number = 0; !stopping_; ++number) {
-            const auto id = std::to_string(caller) + "-" + std::to_string(number);
-            history_.add(id, "POST /book\n" + id,
-                         mesh_.call(0, "bookdesk", {"POST", "/book", {{"x-request", id}}, id}));
-        }
-    }
-
-    local_mesh& mesh_;
-    call_history history_;
-    std::atomic<bool> stopping_{};
-    std::vector<std::thread> threads_;
-};
-
 void expect_sound(const call_history& history, const local_mesh& mesh)
 {
     for (const auto& finding : history.check(mesh.folder() / "executions")) {
@@ -102,7 +58,7 @@
     for (std::size_t i = 1; i < mesh.size(); ++i) {
         mesh.control_backend(i, "latency_us=20000");
     }
-    booking_callers callers{mesh};
+    booking_callers callers{mesh, {0}};
     for (std::size_t i = 1; i < mesh.size(); ++i) {
         std::this_thread::sleep_for(phase);
         mesh.backend(i).signal(SIGKILL);
@@ -142,7 +98,7 @@
     for (std::size_t i = 1; i < mesh.size(); ++i) {
         mesh.control_backend(i, "latency_us=20000");
     }
-    booking_callers callers{mesh};
+    booking_callers callers{mesh, {0}};
     std::this_thread::sleep_for(phase);
     mesh.control_backend(1, "state=draining");
     std::this_thread::sleep_for(drain_limit);
--- /dev/null
+++ b/test/process/proof_combined_faults_test.cpp
@@ -0,0 +1,148 @@
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <support/booking_callers.hpp>
+#include <support/fault_schedule.hpp>
+#include <support/local_mesh.hpp>
+#include <support/version_history.hpp>
+#include <support/wait_until.hpp>
+
+#include <algorithm>
+#include <array>
+#include <thread>
+
+namespace savorywheel::test {
+
+namespace {
+
+constexpr std::chrono::seconds convergence_bound{4};
+constexpr std::chrono::milliseconds step_period{400};
+constexpr int steps = 40;
+constexpr std::uint64_t seed = 20261204;
+
+std::vector<mesh_member> eight_members()
+{
+    std::vector<mesh_member> members;
+    const std::array<std::pair<const char*, const char*>, 4> places{
+        {{"north-1", "north"}, {"north-2", "north"}, {"south-1", "south"}, {"south-2", "south"}}};
+    for (const auto* service : {"bookdesk", "plugboard"}) {
+        for (const auto& [domain, region] : places) {
+            members.push_back({fmt::format("{}-{}", service, domain), domain, region, service});
+        }
+    }
+    return members;
+}
+
+/** A text whose only difference between rounds is a deadline. */
+std::string text_of_round(int round)
+{
+    return fmt::format("failure_domains:\n"
+                       "  - {{name: north-1, region: north}}\n"
+                       "  - {{name: north-2, region: north}}\n"
+                       "  - {{name: south-1, region: south}}\n"
+                       "  - {{name: south-2, region: south}}\n"
+                       "services:\n"
+                       "  - name: bookdesk\n"
+                       "    routes:\n"
+                       "      - {{path: /book, deadline_ms: {}}}\n"
+                       "    versions:\n"
+                       "      - {{name: v1, weight: 100}}\n"
+                       "  - name: plugboard\n"
+                       "    depends_on: [bookdesk]\n"
+                       "    routes:\n"
+                       "      - {{path: /check, idempotent: true, deadline_ms: 800}}\n"
+                       "    versions:\n"
+                       "      - {{name: v1, weight: 100}}\n",
+                       800 + round);
+}
+
+/** Versions that operators were told to be accepted, and those that nodes were seen to use. */
+class operators {
+public:
+    operators(local_mesh& mesh, const fault_schedule& faults) : mesh_{mesh}, faults_{faults} {}
+
+    /** Applies a text at the first node that runs, from a place that depends on the round. */
+    void apply(int round)
+    {
+        auto index = static_cast<std::size_t>(round) % mesh_.size();
+        while (!faults_.runs(index)) {
+            index = (index + 1) % mesh_.size();
+        }
+        const auto report = mesh_.apply(index, text_of_round(round));
+        if (report && report->outcome == "accepted") {
+            accepted_ = std::max(accepted_, report->version);
+        }
+    }
+
+    void observe()
+    {
+        for (std::size_t i = 0; i < mesh_.size(); ++i) {
+            if (!faults_.runs(i)) {
+                continue;
+            }
+            if (const auto dump = mesh_.state(i)) {
+                history_.record(std::to_string(i), dump->version);
+            }
+        }
+    }
+
+    [[nodiscard]] config_version accepted() const noexcept { return accepted_; }
+    [[nodiscard]] const std::string& returns() const noexcept { return history_.faults(); }
+
+private:
+    local_mesh& mesh_;
+    const fault_schedule& faults_;
+    version_history history_;
+    config_version accepted_;
+};
+
+} // namespace
+
+TEST(proof_combined_faults, all_promises_hold_while_processes_die_pause_and_the_store_fails)
+{
+    local_mesh mesh{15, eight_members()};
+    ASSERT_TRUE(mesh.wait_for_members());
+    fault_schedule faults{mesh, seed};
+    operators team{mesh, faults};
+    team.apply(0);
+    ASSERT_TRUE(mesh.wait_for_version({1}));
+    const auto override_set = mesh.set_override(3, "plugboard", "v1", "reefer alarm");
+    ASSERT_TRUE(override_set && override_set->outcome == "accepted");
+
+    booking_callers callers{mesh, {0, 6}};
+    for (int round = 1; round <= steps; ++round) {
+        faults.step();
+        if (round % 5 == 0) {
+            team.apply(round);
+        }
+        team.observe();
+        std::this_thread::sleep_for(step_period);
+    }
+    faults.heal();
+    const auto everywhere = [&] {
+        team.observe();
+        for (std::size_t i = 0; i < mesh.size(); ++i) {
+            const auto dump = mesh.state(i);
+            if (!dump || dump->version < team.accepted()) {
+                return false;
+            }
+        }
+        return true;
+    };
+    EXPECT_TRUE(wait_until(everywhere, convergence_bound)) << team.accepted().number;
+    callers.stop();
+    for (const auto& finding : callers.history().check(mesh.folder() / "executions")) {
+        ADD_FAILURE() << finding;
+    }
+    EXPECT_GT(callers.history().answered(), 100U);
+    EXPECT_EQ(team.returns(), "");
+    EXPECT_GT(team.accepted(), override_set->version);
+    const auto status = mesh.status(5);
+    ASSERT_TRUE(status);
+    const auto service =
+        std::ranges::find(status->services, service_name{"plugboard"}, &service_status::service);
+    ASSERT_NE(service, status->services.end());
+    ASSERT_TRUE(service->override_in_force);
+    EXPECT_EQ(service->override_in_force->reason, "reefer alarm");
+}
+
+} // namespace savorywheel::test
--- a/test/support/local_mesh.cpp
+++ b/test/support/local_mesh.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/admin/override_request.hpp>
 #include <savorywheel/encoding/codec.hpp>
 
 #include <fmt/format.h>
@@ -116,6 +117,23 @@
     return decode_json<apply_report>(response->body);
 }
 
+outcome<apply_report> local_mesh::set_override(std::size_t index, const std::string& service,
+                                               const std::string& version,
+                                               const std::string& reason)
+{
+    const override_request wanted{{{version_name{version}, weight_sum_permille}}, reason};
+    const auto response = client_.send(admin_endpoint(index),
+                                       {"PUT",
+                                        "/override/" + service,
+                                        {{"x-savorywheel-key", test_operator_key}},
+                                        encode_json(wanted)},
+                                       request_timeout);
+    if (!response) {
+        return response.reason();
+    }
+    return decode_json<apply_report>(response->body);
+}
+
 outcome<node_state_dump> local_mesh::state(std::size_t index)
 {
     const auto response =
--- a/test/support/local_mesh.hpp
+++ b/test/support/local_mesh.hpp
@@ -59,6 +59,11 @@
     /** @brief Sends a text to a node as the test's operator. */
     [[nodiscard]] outcome<apply_report> apply(std::size_t index, const std::string& text);
 
+    /** @brief Sets an override that gives a version the whole traffic of a service. */
+    [[nodiscard]] outcome<apply_report> set_override(std::size_t index, const std::string& service,
+                                                     const std::string& version,
+                                                     const std::string& reason);
+
     /** @return State of a node. */
     [[nodiscard]] outcome<node_state_dump> state(std::size_t index);
 
