--- a/test/savorywheel/membership/proof_partition_test.cpp
+++ b/test/savorywheel/membership/proof_partition_test.cpp
@@ -78,7 +78,7 @@
 private:
     static std::size_t side_of(std::size_t index) { return index % 2; }
 
-    bool reaches(std::size_t from, std::size_t to) const
+    [[nodiscard]] bool reaches(std::size_t from, std::size_t to) const
     {
         return !cut_ || side_of(from) == side_of(to);
     }
