Part the control plane by task; bound how often tables are compiled

Change: relay_role, backend_monitor, table_publisher, node_record, node_lease and query_control have files of their own; tables for changed members are at least 100 ms apart, the first one still after 20 ms. The load plan leaves measurement.cpp.

--- a/apps/load/measurement.cpp
+++ b/apps/load/measurement.cpp
@@ -7,6 +7,7 @@
 #include <load/load_generator.hpp>
 #include <load/load_report.hpp>
 #include <load/measurement.hpp>
+#include <load/mesh_load_plan.hpp>
 #include <load/path_summary.hpp>
 #include <load/rollout_trial.hpp>
 #include <load/store_watchers.hpp>
@@ -22,9 +23,7 @@
 
 constexpr double percentile_99 = 0.99;
 constexpr double convergence_budget_ms = 4000.0;
-constexpr std::uint32_t load_connections = 32;
 constexpr std::chrono::seconds warm_up_period{3};
-constexpr std::string_view root_path = "/";
 
 std::vector<double> copy_of(std::span<const double> values)
 {
@@ -40,33 +39,6 @@
     return sample_set{std::move(values)};
 }
 
-load_plan make_plan(const measure_options& options, const bench_mesh& mesh,
-                    std::chrono::seconds period)
-{
-    load_plan plan;
-    plan.per_second = options.per_second;
-    plan.period = period;
-    plan.connections = load_connections;
-    plan.alternate_direct = true;
-    for (const auto& name : mesh.layout().services) {
-        load_target target;
-        target.service = service_name{name};
-        target.path = std::string{root_path};
-        for (const auto& member : mesh.members()) {
-            if (member.service == name) {
-                target.backends.push_back(member.backend);
-            }
-        }
-        if (!target.backends.empty()) {
-            plan.targets.push_back(std::move(target));
-        }
-    }
-    for (const auto& member : mesh.members()) {
-        plan.nodes.push_back(member.traffic);
-    }
-    return plan;
-}
-
 } // namespace
 
 measurement::measurement(measure_options options, const deployment& layout)
@@ -311,7 +283,8 @@
 {
     system_clock_source time;
     seeded_random random{1};
-    load_generator generator{make_plan(options_, mesh_, period), {time, random, mesh_.client()}};
+    load_generator generator{make_mesh_load_plan(options_, mesh_, period),
+                             {time, random, mesh_.client()}};
     samples = generator.run();
 }
 
--- /dev/null
+++ b/src/savorywheel/node/backend_monitor.hpp
@@ -0,0 +1,60 @@
+#ifndef SAVORYWHEEL_NODE_BACKEND_MONITOR_HPP
+#define SAVORYWHEEL_NODE_BACKEND_MONITOR_HPP
+
+#include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/log/event_log.hpp>
+#include <savorywheel/traffic/backend_server.hpp>
+
+#include <functional>
+#include <optional>
+
+namespace savorywheel {
+
+/**
+ * @brief Follows the announcements of the backend server beside this node.
+ *
+ * A backend server that no longer announces itself is taken as gone.
+ * @warning All members are for the control thread.
+ */
+class backend_monitor {
+public:
+    /** @brief Hears of the latest announcement; nothing if the backend server is gone. */
+    using change_callback = std::function<void(const std::optional<backend_server>&)>;
+
+    /** @brief What the monitor works with; all must outlive it. */
+    struct environment {
+        /** @brief Control thread's events and timers. */
+        control_loop& loop;
+        /** @brief Log. */
+        event_log& log;
+    };
+
+    /**
+     * @param surroundings What the monitor works with.
+     * @param changed Hears of changes.
+     */
+    backend_monitor(environment surroundings, change_callback changed);
+
+    /** @brief Starts to watch for silence. */
+    void start();
+
+    /** @brief Takes no more announcements. */
+    void stop();
+
+    /** @brief Takes an announcement. */
+    void announce(const backend_server& backend);
+
+private:
+    void check();
+
+    environment environment_;
+    change_callback changed_;
+    std::optional<backend_server> backend_;
+    monotonic_time seen_at_;
+    bool stopped_{};
+    subscription timer_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -1,53 +1,23 @@
-#include <savorywheel/distribution/checkpoint_writer.hpp>
-#include <savorywheel/distribution/commit_keys.hpp>
 #include <savorywheel/distribution/commit_reader.hpp>
-#include <savorywheel/distribution/relay_candidates.hpp>
 #include <savorywheel/node/control_plane.hpp>
+#include <savorywheel/node/control_query.hpp>
 #include <savorywheel/node/domain_survey.hpp>
+#include <savorywheel/node/node_lease.hpp>
+#include <savorywheel/node/node_record.hpp>
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <future>
-#include <memory>
 #include <utility>
 
 namespace savorywheel {
 
 namespace {
 
-constexpr std::chrono::milliseconds relay_lease_lifetime{2000};
-constexpr std::chrono::milliseconds candidate_period{500};
-constexpr std::chrono::milliseconds reread_delay{2000};
 constexpr std::size_t max_peer_events = 4096;
 constexpr std::size_t max_peer_bytes = 64UL * 1024UL * 1024UL;
-constexpr std::chrono::milliseconds backend_lifetime{3000};
-constexpr std::chrono::milliseconds backend_check_period{500};
-constexpr std::chrono::milliseconds publish_delay{20};
-constexpr std::chrono::milliseconds view_timeout{2000};
 constexpr std::chrono::milliseconds survey_patience{1000};
 
-member_record make_self(const node_settings& settings, const clock& time)
-{
-    member_record self;
-    self.id = settings.name;
-    self.domain = settings.domain;
-    self.region = settings.region;
-    self.peer = settings.peer;
-    const auto since_epoch = time.calendar_now().time_since_epoch();
-    self.incarnation = static_cast<std::uint64_t>(since_epoch.count());
-    return self;
-}
-
-lease_record make_lease(const node_settings& settings)
-{
-    lease_record record;
-    record.holder = settings.name;
-    record.peer = settings.peer;
-    record.lifetime = relay_lease_lifetime;
-    return record;
-}
-
 /** Tells whether the node was given no other peer to join through. */
 bool is_alone(const node_settings& settings)
 {
@@ -55,19 +25,6 @@
                                [&](const auto& seed) { return seed == settings.peer; });
 }
 
-/** Runs a function on the control thread and waits for what it returns. */
-template<typename Result, typename Function>
-outcome<Result> ask(control_loop& loop, Function function)
-{
-    const auto promise = std::make_shared<std::promise<Result>>();
-    auto result = promise->get_future();
-    loop.post([promise, function] { promise->set_value(function()); });
-    if (result.wait_for(view_timeout) != std::future_status::ready) {
-        return failure{failure_code::timeout, "the control thread does not answer"};
-    }
-    return result.get();
-}
-
 event_id event_of(member_status status)
 {
     switch (status) {
@@ -86,26 +43,21 @@
 control_plane::control_plane(const node_settings& settings, environment surroundings)
     : settings_{settings}, environment_{surroundings}, quota_{surroundings.loop, max_peer_events,
                                                               max_peer_bytes},
-      membership_{make_self(settings, surroundings.loop.time()), settings.seeds,
+      membership_{make_node_record(settings, surroundings.loop.time()), settings.seeds,
                   membership_environment()},
       distributor_{settings.name, settings.domain, distribution_environment()},
-      floors_{is_alone(settings), floor_environment()},
-      watcher_{surroundings.store, surroundings.random,
-               [this](log_tail tail) {
-                   environment_.loop.post([this, item = std::move(tail)] { take_tail(item); });
-               },
-               [this](bool reachable) {
-                   environment_.loop.post([this, reachable] { on_store_health(reachable); });
-               }},
-      lease_{relay_lease_key(settings.domain), make_lease(settings),
-             lease_keeper::environment{surroundings.loop, surroundings.worker, surroundings.random},
-             [this](bool held) { on_relay_lease(held); }},
-      rollouts_{make_lease(settings),
+      floors_{is_alone(settings), floor_environment()}, relay_{settings_, relay_environment()},
+      backend_{backend_monitor::environment{surroundings.loop, surroundings.log},
+               [this](const auto& backend) { on_backend(backend); }},
+      rollouts_{make_node_lease(settings),
                 rollout_service::environment{
                     surroundings.loop, surroundings.random, surroundings.worker,
                     surroundings.network, surroundings.log, surroundings.evidence,
                     surroundings.ejections,
                     [this]() -> const member_table& { return membership_.agent().table(); }}},
+      publisher_{table_publisher::environment{
+          surroundings.loop, surroundings.tables,
+          [this]() -> const member_table& { return membership_.agent().table(); }}},
       heads_{surroundings.tables, surroundings.network, surroundings.requests}
 {
 }
@@ -151,33 +103,40 @@
             [this] { read_store(); }};
 }
 
+relay_role::environment control_plane::relay_environment()
+{
+    return {environment_.loop,
+            environment_.random,
+            environment_.store,
+            environment_.worker,
+            environment_.log,
+            [this]() -> const member_record& { return membership_.agent().self(); },
+            [this]() -> const member_table& { return membership_.agent().table(); },
+            [this]() -> const commit_log& { return distributor_.log(); },
+            [this](const log_tail& tail) { take_tail(tail); }};
+}
+
 void control_plane::start()
 {
     membership_.agent().start();
     floors_.keeper().start();
-    candidate_timer_ =
-        environment_.loop.timers().every(candidate_period, [this] { compete_for_lease(); });
+    relay_.start();
     rollouts_.start();
-    backend_timer_ =
-        environment_.loop.timers().every(backend_check_period, [this] { expire_backend(); });
+    backend_.start();
 }
 
 void control_plane::leave()
 {
-    leaving_ = true;
-    candidate_timer_.reset();
-    reread_timer_.reset();
     floors_.keeper().stop();
-    lease_.stop();
+    relay_.stop();
     rollouts_.stop();
-    watcher_.pause();
     membership_.agent().leave();
-    backend_timer_.reset();
+    backend_.stop();
 }
 
 outcome<node_state_dump> control_plane::dump()
 {
-    return ask<node_state_dump>(environment_.loop, [this] {
+    return query_control<node_state_dump>(environment_.loop, [this] {
         node_state_dump state;
         state.node = settings_.name;
         state.domain = settings_.domain;
@@ -185,8 +144,8 @@
         state.known_version = distributor_.log().state().version();
         state.floor = floors_.keeper().floor();
         state.floor_known = floors_.keeper().settled();
-        state.store_reachable = store_reachable_;
-        state.relay = lease_.held();
+        state.store_reachable = relay_.store_reachable();
+        state.relay = relay_.held();
         state.running = environment_.backend_gate.running();
         state.waiting = environment_.backend_gate.waiting();
         state.members = membership_.agent().table().all();
@@ -196,18 +155,19 @@
 
 outcome<mesh_state> control_plane::configuration()
 {
-    return ask<mesh_state>(environment_.loop, [this] { return distributor_.log().state(); });
+    return query_control<mesh_state>(environment_.loop,
+                                     [this] { return distributor_.log().state(); });
 }
 
 outcome<std::deque<commit>> control_plane::history()
 {
-    return ask<std::deque<commit>>(environment_.loop,
-                                   [this] { return distributor_.log().commits(); });
+    return query_control<std::deque<commit>>(environment_.loop,
+                                             [this] { return distributor_.log().commits(); });
 }
 
 outcome<std::vector<domain_status>> control_plane::domains()
 {
-    const auto members = ask<std::vector<member_update>>(
+    const auto members = query_control<std::vector<member_update>>(
         environment_.loop, [this] { return membership_.agent().table().all(); });
     if (!members) {
         return members.reason();
@@ -222,15 +182,7 @@
 
 void control_plane::announce(const backend_server& backend)
 {
-    environment_.loop.post([this, backend] {
-        backend_seen_at_ = environment_.loop.time().now();
-        if (!leaving_ && backend_ != backend) {
-            environment_.log.write(event_id::backend_announced,
-                                   fmt::format("{} {} {}", backend.service.str(),
-                                               backend.version.str(), to_string(backend.state)));
-            set_backend(backend);
-        }
-    });
+    environment_.loop.post([this, backend] { backend_.announce(backend); });
 }
 
 void control_plane::on_member_changed(const member_update& update)
@@ -240,7 +192,7 @@
         environment_.log.write(event_of(update.status), update.record.id.str());
     }
     rollouts_.on_members_changed();
-    publish_table();
+    publisher_.on_members_changed();
 }
 
 void control_plane::on_head_seen(const network_endpoint& peer, config_version head)
@@ -257,7 +209,6 @@
 
 void control_plane::on_configuration(const mesh_state& state)
 {
-    last_fault_.clear();
     rollouts_.on_configuration(state);
     membership_.agent().set_head(state.version());
     accepted_.insert_or_assign(state.version(), state);
@@ -265,18 +216,12 @@
         return item.first != state.version() && item.first != floors_.keeper().putting();
     });
     floors_.keeper().on_log_version(state.version());
-    write_checkpoint();
+    relay_.on_advanced();
 }
 
 void control_plane::on_bad_commit(const failure& reason)
 {
-    if (std::exchange(last_fault_, reason.message) != reason.message) {
-        environment_.log.write(event_id::commit_faulty, reason.message);
-    }
-    if (lease_.held()) {
-        reread_timer_ = environment_.loop.timers().after(
-            reread_delay, [this] { watcher_.start(distributor_.log().state().version()); });
-    }
+    relay_.on_bad_commit(reason);
 }
 
 void control_plane::on_floor_settled(config_version floor)
@@ -290,9 +235,8 @@
     if (found == accepted_.end()) {
         return;
     }
-    builder_.set_state(found->second);
+    publisher_.on_configuration(found->second);
     accepted_.erase(accepted_.begin(), found);
-    environment_.tables.publish(builder_.build(membership_.agent().table()));
     environment_.log.write(event_id::configuration_in_force,
                            fmt::format("version {}", version.number));
 }
@@ -313,7 +257,7 @@
         [this, after = distributor_.log().state().version()](object_store& store) {
             auto tail = commit_reader{store}.read_after(after);
             environment_.loop.post([this, item = std::move(tail)] {
-                on_store_health(static_cast<bool>(item));
+                relay_.on_store_health(static_cast<bool>(item));
                 if (item) {
                     distributor_.take_quietly(item->batch);
                     floors_.keeper().on_store_head(item->head);
@@ -327,84 +271,20 @@
     distributor_.take_from_store(tail.batch);
     rollouts_.on_rewritten(tail.rewritten, distributor_.log().commits());
     if (tail.fault) {
-        on_bad_commit(*tail.fault);
+        relay_.on_bad_commit(*tail.fault);
     }
     floors_.keeper().on_store_head(tail.head);
 }
 
-void control_plane::write_checkpoint()
-{
-    const auto version = distributor_.log().state().version();
-    if (!lease_.held() || version.number < checkpointed_.number + checkpoint_interval) {
-        return;
-    }
-    checkpointed_ = {version.number - version.number % checkpoint_interval};
-    environment_.worker.submit([point = distributor_.log().make_checkpoint()](object_store& store) {
-        static_cast<void>(checkpoint_writer{store}.write(point));
-    });
-}
-
-void control_plane::compete_for_lease()
+void control_plane::on_backend(const std::optional<backend_server>& backend)
 {
-    if (is_relay_candidate(membership_.agent().self(), membership_.agent().table())) {
-        lease_.start();
-    }
-    else if (!lease_.held()) {
-        lease_.stop();
-    }
-}
-
-void control_plane::publish_table()
-{
-    if (std::exchange(publish_pending_, true)) {
-        return;
-    }
-    publish_timer_ = environment_.loop.timers().after(publish_delay, [this] {
-        publish_pending_ = false;
-        environment_.tables.publish(builder_.build(membership_.agent().table()));
-    });
-}
-
-void control_plane::set_backend(std::optional<backend_server> backend)
-{
-    backend_ = std::move(backend);
-    environment_.backend_gate.set_backend(backend_);
+    environment_.backend_gate.set_backend(backend);
     auto record = membership_.agent().self();
-    record.service = backend_ ? backend_->service : service_name{};
-    record.version = backend_ ? backend_->version : version_name{};
-    record.state = backend_ ? backend_->state : server_state::absent;
-    record.slots = backend_ ? backend_->slots : 0;
+    record.service = backend ? backend->service : service_name{};
+    record.version = backend ? backend->version : version_name{};
+    record.state = backend ? backend->state : server_state::absent;
+    record.slots = backend ? backend->slots : 0;
     membership_.agent().update_self(std::move(record));
 }
 
-void control_plane::expire_backend()
-{
-    if (backend_ && environment_.loop.time().now() - backend_seen_at_ > backend_lifetime) {
-        environment_.log.write(event_id::backend_lost, backend_->service.str());
-        set_backend(std::nullopt);
-    }
-}
-
-void control_plane::on_relay_lease(bool held)
-{
-    environment_.log.write(held ? event_id::relay_lease_gained : event_id::relay_lease_lost,
-                           settings_.domain.str());
-    if (held) {
-        watcher_.start(distributor_.log().state().version());
-    }
-    else {
-        watcher_.pause();
-    }
-}
-
-void control_plane::on_store_health(bool reachable)
-{
-    if (store_reachable_ == reachable) {
-        return;
-    }
-    store_reachable_ = reachable;
-    environment_.log.write(reachable ? event_id::store_reachable : event_id::store_unreachable,
-                           to_string(settings_.store));
-}
-
 } // namespace savorywheel
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -4,23 +4,21 @@
 #include <savorywheel/admin/node_view.hpp>
 #include <savorywheel/core/control_loop.hpp>
 #include <savorywheel/core/event_quota.hpp>
-#include <savorywheel/distribution/commit_watcher.hpp>
 #include <savorywheel/distribution/distributor.hpp>
 #include <savorywheel/distribution/floor_service.hpp>
-#include <savorywheel/distribution/lease_keeper.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
+#include <savorywheel/node/backend_monitor.hpp>
 #include <savorywheel/node/head_service.hpp>
 #include <savorywheel/node/membership_service.hpp>
+#include <savorywheel/node/relay_role.hpp>
 #include <savorywheel/node/rollout_service.hpp>
-#include <savorywheel/routing/routing_table_builder.hpp>
-#include <savorywheel/routing/routing_table_holder.hpp>
+#include <savorywheel/node/table_publisher.hpp>
 #include <savorywheel/settings/node_settings.hpp>
 #include <savorywheel/traffic/gate.hpp>
 
 #include <map>
 #include <optional>
-#include <string>
 
 namespace savorywheel {
 
@@ -106,16 +104,11 @@
     [[nodiscard]] membership_service::environment membership_environment();
     [[nodiscard]] distributor::environment distribution_environment();
     [[nodiscard]] floor_service::environment floor_environment();
+    [[nodiscard]] relay_role::environment relay_environment();
     /** Reads the log in the store, so that this node learns its floor without buddies. */
     void read_store();
     void take_tail(const log_tail& tail);
-    void write_checkpoint();
-    void compete_for_lease();
-    void publish_table();
-    void set_backend(std::optional<backend_server> backend);
-    void expire_backend();
-    void on_relay_lease(bool held);
-    void on_store_health(bool reachable);
+    void on_backend(const std::optional<backend_server>& backend);
 
     node_settings settings_;
     environment environment_;
@@ -123,23 +116,12 @@
     membership_service membership_;
     distributor distributor_;
     floor_service floors_;
-    commit_watcher watcher_;
-    lease_keeper lease_;
+    relay_role relay_;
+    backend_monitor backend_;
     rollout_service rollouts_;
-    routing_table_builder builder_;
+    table_publisher publisher_;
     head_service heads_;
     std::map<config_version, mesh_state> accepted_;
-    config_version checkpointed_;
-    std::string last_fault_;
-    std::optional<backend_server> backend_;
-    monotonic_time backend_seen_at_;
-    std::optional<bool> store_reachable_;
-    bool publish_pending_{};
-    bool leaving_{};
-    subscription backend_timer_;
-    subscription publish_timer_;
-    subscription candidate_timer_;
-    subscription reread_timer_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/fwd.hpp
+++ b/src/savorywheel/node/fwd.hpp
@@ -3,12 +3,15 @@
 
 namespace savorywheel {
 
+class backend_monitor;
 class control_plane;
 class link_decorator;
 class membership_service;
 class node;
 class plain_links;
+class relay_role;
 class stop_signal;
+class table_publisher;
 
 } // namespace savorywheel
 
