--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -43,6 +43,9 @@
 control_plane::control_plane(const node_settings& settings, environment surroundings)
     : settings_{settings}, environment_{surroundings}, quota_{surroundings.loop, max_peer_events,
                                                               max_peer_bytes},
+      publisher_{table_publisher::environment{
+          surroundings.loop, surroundings.tables,
+          [this]() -> const member_table& { return membership_.agent().table(); }}},
       membership_{make_node_record(settings, surroundings.loop.time()), settings.seeds,
                   membership_environment()},
       distributor_{settings.name, settings.domain, distribution_environment()},
@@ -55,9 +58,6 @@
                     surroundings.network, surroundings.log, surroundings.evidence,
                     surroundings.ejections,
                     [this]() -> const member_table& { return membership_.agent().table(); }}},
-      publisher_{table_publisher::environment{
-          surroundings.loop, surroundings.tables,
-          [this]() -> const member_table& { return membership_.agent().table(); }}},
       heads_{surroundings.tables, surroundings.network, surroundings.requests}
 {
 }
@@ -118,6 +118,7 @@
 
 void control_plane::start()
 {
+    started_ = true;
     membership_.agent().start();
     floors_.keeper().start();
     relay_.start();
@@ -188,6 +189,9 @@
 void control_plane::on_member_changed(const member_update& update)
 {
     environment_.meter.set_region(update.record.peer.address, update.record.region);
+    if (!started_) {
+        return;
+    }
     if (update.record.id != settings_.name) {
         environment_.log.write(event_of(update.status), update.record.id.str());
     }
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -113,13 +113,15 @@
     node_settings settings_;
     environment environment_;
     event_quota quota_;
+    /** News that the parts give while they are built must not reach parts that are not. */
+    bool started_{};
+    table_publisher publisher_;
     membership_service membership_;
     distributor distributor_;
     floor_service floors_;
     relay_role relay_;
     backend_monitor backend_;
     rollout_service rollouts_;
-    table_publisher publisher_;
     head_service heads_;
     std::map<config_version, mesh_state> accepted_;
 };
