--- a/apps/node/main.cpp
+++ b/apps/node/main.cpp
@@ -1,55 +1,12 @@
-#include <savorywheel/log/log4cxx_event_log.hpp>
-#include <savorywheel/node/node.hpp>
-#include <savorywheel/node/stop_signal.hpp>
-#include <savorywheel/settings/node_settings_reader.hpp>
+#include <savorywheel/node/own_front_end.hpp>
 
-#include <CLI/CLI.hpp>
-#include <common/read_file.hpp>
-
-#include <iostream>
-#include <string>
-
-using namespace savorywheel;
-
-namespace {
-
-constexpr int exit_failed = 1;
-constexpr int exit_bad_settings = 2;
-
-} // namespace
+#include <common/node_program.hpp>
 
 int main(int argc, char** argv)
 {
-    CLI::App app{"savorywheel-node: proxy and gate beside a backend server"};
-    std::string path;
-    bool check_only = false;
-    app.add_option("--settings", path, "YAML file with the node's settings")->required();
-    app.add_flag("--check-settings", check_only, "Check the settings and exit");
-    CLI11_PARSE(app, argc, argv);
-    const auto text = read_file(path);
-    if (!text) {
-        std::cerr << path << ": cannot be read\n";
-        return exit_bad_settings;
-    }
-    findings report;
-    const auto settings = read_node_settings(*text, report);
-    if (!report.empty()) {
-        std::cerr << report.render(path);
-        log4cxx_event_log{"savorywheel-node"}.write(event_id::settings_refused, path);
-        return exit_bad_settings;
-    }
-    if (check_only) {
-        std::cout << path << ": no faults\n";
-        return 0;
-    }
-    const stop_signal signal;
-    log4cxx_event_log log{settings.name.str(), settings.log_level};
-    node process{settings, log};
-    if (const auto started = process.start(); !started) {
-        std::cerr << started.reason().message << '\n';
-        return exit_failed;
-    }
-    signal.wait();
-    process.stop();
-    return 0;
+    using namespace savorywheel;
+    return run_node_program("savorywheel-node", argc, argv,
+                            [](const node_settings&) -> std::unique_ptr<front_end> {
+                                return std::make_unique<own_front_end>();
+                            });
 }
--- a/src/savorywheel/admin/node_view.hpp
+++ b/src/savorywheel/admin/node_view.hpp
@@ -5,10 +5,11 @@
 #include <savorywheel/admin/node_state_dump.hpp>
 #include <savorywheel/config/mesh_state.hpp>
 #include <savorywheel/core/outcome.hpp>
-#include <savorywheel/traffic/backend_server.hpp>
+#include <savorywheel/traffic/backend_announcement.hpp>
 
 #include <deque>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace savorywheel {
@@ -40,6 +41,18 @@
 
     /** @brief Takes an announcement of the backend server beside the node. */
     virtual void announce(const backend_server& backend) = 0;
+
+    /**
+     * @brief Takes a numbered announcement, and waits until it is in force at the gate.
+     * @return False if a later announcement was taken before; timeout as above.
+     */
+    [[nodiscard]] virtual outcome<bool> take(const backend_announcement& announcement) = 0;
+
+    /**
+     * @brief Hears that a backend server leaves, and waits until the gate sends it nothing new.
+     * @param identity The backend server.
+     */
+    [[nodiscard]] virtual outcome<bool> withdraw(std::string_view identity) = 0;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/config/fwd.hpp
+++ b/src/savorywheel/config/fwd.hpp
@@ -10,14 +10,19 @@
 class place_index;
 struct commit;
 struct domain_spec;
+struct host_route;
 struct manual_override;
 struct mesh_spec;
+struct operator_configuration;
 struct rollout_move;
+struct rollout_order;
 struct route_spec;
+struct service_share;
 struct service_spec;
 struct service_state;
 struct traffic_target;
 struct version_weight;
+struct virtual_host;
 
 } // namespace savorywheel
 
--- a/src/savorywheel/config/mesh_state.cpp
+++ b/src/savorywheel/config/mesh_state.cpp
@@ -15,6 +15,18 @@
     }
 }
 
+mesh_state::mesh_state(const operator_configuration& source)
+    : version_{source.version},
+      hosts_{std::make_shared<const std::vector<virtual_host>>(source.hosts)}
+{
+    for (const auto& name : source.services) {
+        auto service = std::make_shared<service_state>();
+        service->changed_at = source.version;
+        service->spec.name = name;
+        services_.emplace(name, std::move(service));
+    }
+}
+
 outcome<mesh_state> mesh_state::apply(const commit& change) const
 {
     if (change.version != version_.next()) {
--- a/src/savorywheel/config/mesh_state.hpp
+++ b/src/savorywheel/config/mesh_state.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_CONFIG_MESH_STATE_HPP
 
 #include <savorywheel/config/commit.hpp>
+#include <savorywheel/config/operator_configuration.hpp>
 #include <savorywheel/core/outcome.hpp>
 
 #include <map>
@@ -39,6 +40,13 @@
      */
     [[nodiscard]] outcome<mesh_state> apply(const commit& change) const;
 
+    /**
+     * @brief Creates the state of a configuration that lies in one object.
+     * @param source The configuration; its services have no shares of versions, so that every
+     * version that runs serves.
+     */
+    explicit mesh_state(const operator_configuration& source);
+
     /** @return Version of the last commit. */
     [[nodiscard]] config_version version() const noexcept { return version_; }
 
@@ -48,6 +56,12 @@
     /** @return Failure domains. */
     [[nodiscard]] std::span<const domain_spec> domains() const noexcept { return domains_; }
 
+    /** @return Hosts with their routes; nullptr if each service is a host of its own. */
+    [[nodiscard]] const std::shared_ptr<const std::vector<virtual_host>>& hosts() const noexcept
+    {
+        return hosts_;
+    }
+
     /** @return The service, or nothing. */
     [[nodiscard]] std::shared_ptr<const service_state> find(const service_name& name) const;
 
@@ -57,6 +71,7 @@
     config_version version_;
     std::vector<domain_spec> domains_;
     service_map services_;
+    std::shared_ptr<const std::vector<virtual_host>> hosts_;
 };
 
 } // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -0,0 +1,108 @@
+#include <savorywheel/core/thread_name.hpp>
+#include <savorywheel/distribution/document_watcher.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+/** Longer watches cost fewer calls; a silent connection goes unnoticed for as long. */
+constexpr std::chrono::milliseconds watch_patience{20'000};
+/** Changes within this time are fetched together; a tenth of the shortest time to be in force. */
+constexpr std::chrono::milliseconds gather_time{250};
+constexpr std::chrono::milliseconds first_delay{100};
+constexpr std::chrono::milliseconds longest_delay{1000};
+
+} // namespace
+
+document_watcher::document_watcher(std::string key, environment surroundings)
+    : key_{std::move(key)}, environment_{std::move(surroundings)}, delay_{first_delay}
+{
+}
+
+document_watcher::~document_watcher()
+{
+    stop();
+    if (thread_.joinable()) {
+        thread_.join();
+    }
+}
+
+void document_watcher::start()
+{
+    thread_ = std::thread{[this] { run(); }};
+}
+
+void document_watcher::stop()
+{
+    {
+        const std::scoped_lock lock{mutex_};
+        stopping_ = true;
+    }
+    wake_.notify_all();
+}
+
+void document_watcher::run()
+{
+    name_this_thread("document-watch");
+    while (true) {
+        const bool answered = revision_ ? follow() : read();
+        environment_.health(answered);
+        if (!pause(answered ? gather_time : next_delay())) {
+            return;
+        }
+    }
+}
+
+bool document_watcher::read()
+{
+    const auto seen = environment_.store.list(key_, {});
+    if (!seen) {
+        return false;
+    }
+    revision_ = seen->revision;
+    delay_ = first_delay;
+    take(*seen);
+    return true;
+}
+
+bool document_watcher::follow()
+{
+    const auto seen = environment_.store.watch(key_, *revision_, watch_patience);
+    if (!seen) {
+        // After a gap in the store's history only a fresh read shows the newest value.
+        revision_.reset();
+        return seen.reason().code == failure_code::not_found;
+    }
+    revision_ = std::max(*revision_, seen->revision);
+    delay_ = first_delay;
+    take(*seen);
+    return true;
+}
+
+void document_watcher::take(const object_list& seen)
+{
+    const auto newest = std::ranges::max_element(
+        seen.objects, {}, [](const stored_object& item) { return item.revision; });
+    if (newest != seen.objects.end()) {
+        environment_.document(*newest);
+    }
+}
+
+bool document_watcher::pause(std::chrono::milliseconds length)
+{
+    std::unique_lock lock{mutex_};
+    return !wake_.wait_for(lock, length, [this] { return stopping_; });
+}
+
+std::chrono::milliseconds document_watcher::next_delay()
+{
+    const auto jitter = environment_.random.below(static_cast<std::uint64_t>(delay_.count()));
+    const auto wait = delay_ / 2 + std::chrono::milliseconds{jitter};
+    delay_ = std::min(delay_ * 2, longest_delay);
+    return wait;
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/distribution/document_watcher.hpp
@@ -0,0 +1,80 @@
+#ifndef SAVORYWHEEL_DISTRIBUTION_DOCUMENT_WATCHER_HPP
+#define SAVORYWHEEL_DISTRIBUTION_DOCUMENT_WATCHER_HPP
+
+#include <savorywheel/core/random_source.hpp>
+#include <savorywheel/store/object_store.hpp>
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace savorywheel {
+
+/**
+ * @brief Thread that watches one object of the platform's service.
+ *
+ * It owns no state but its position; what it reads goes to the control thread by a callback.
+ * Changes that follow closely on each other cost one call together.
+ */
+class document_watcher {
+public:
+    /** @brief Takes the newest value; called on the watching thread. */
+    using document_callback = std::function<void(stored_object)>;
+
+    /** @brief Hears whether the platform's service answers; called on the watching thread. */
+    using health_callback = std::function<void(bool reachable)>;
+
+    /** @brief What the watcher works with; all must outlive it. */
+    struct environment {
+        /** @brief The platform's service. */
+        object_store& store;
+        /** @brief Spreads the retries. */
+        random_source& random;
+        /** @brief Takes the newest value. */
+        document_callback document;
+        /** @brief Hears whether the service answers. */
+        health_callback health;
+    };
+
+    /**
+     * @param key Key of the object.
+     * @param surroundings What the watcher works with.
+     */
+    document_watcher(std::string key, environment surroundings);
+    document_watcher(const document_watcher&) = delete;
+    document_watcher& operator=(const document_watcher&) = delete;
+    document_watcher(document_watcher&&) = delete;
+    document_watcher& operator=(document_watcher&&) = delete;
+    ~document_watcher();
+
+    /** @brief Starts to watch. */
+    void start();
+
+    /** @brief Makes the thread end after the call to the store in progress. */
+    void stop();
+
+private:
+    void run();
+    [[nodiscard]] bool read();
+    [[nodiscard]] bool follow();
+    void take(const object_list& seen);
+    /** Waits; false at the end. */
+    [[nodiscard]] bool pause(std::chrono::milliseconds length);
+    [[nodiscard]] std::chrono::milliseconds next_delay();
+
+    std::string key_;
+    environment environment_;
+    std::optional<std::uint64_t> revision_;
+    std::chrono::milliseconds delay_;
+    std::mutex mutex_;
+    std::condition_variable wake_;
+    bool stopping_{};
+    std::thread thread_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/encoding/config_archive.hpp
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ENCODING_CONFIG_ARCHIVE_HPP
 
 #include <savorywheel/config/commit.hpp>
+#include <savorywheel/config/operator_configuration.hpp>
 #include <savorywheel/encoding/core_archive.hpp>
 
 namespace savorywheel {
@@ -88,6 +89,41 @@
             cereal::make_nvp("removals", item.removals), cereal::make_nvp("domains", item.domains));
 }
 
+/** @brief Lists the members of a service's share of a route. */
+template<typename Archive>
+void serialize(Archive& archive, service_share& item)
+{
+    archive(cereal::make_nvp("service", item.service), cereal::make_nvp("weight", item.weight));
+}
+
+/** @brief Lists the members of a host's route. */
+template<typename Archive>
+void serialize(Archive& archive, host_route& route)
+{
+    archive(cereal::make_nvp("path", route.path));
+    archive_enum(archive, "kind", route.kind, route_kind::last_kind);
+    archive(cereal::make_nvp("timeout_ms", route.timeout),
+            cereal::make_nvp("target_latency_ms", route.target_latency),
+            cereal::make_nvp("priority", route.priority),
+            cereal::make_nvp("max_attempts", route.max_attempts),
+            cereal::make_nvp("shares", route.shares));
+}
+
+/** @brief Lists the members of a host. */
+template<typename Archive>
+void serialize(Archive& archive, virtual_host& item)
+{
+    archive(cereal::make_nvp("host", item.host), cereal::make_nvp("routes", item.routes));
+}
+
+/** @brief Lists the members of operators' whole configuration. */
+template<typename Archive>
+void serialize(Archive& archive, operator_configuration& item)
+{
+    archive(cereal::make_nvp("version", item.version), cereal::make_nvp("services", item.services),
+            cereal::make_nvp("hosts", item.hosts));
+}
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/encoding/distribution_codec.cpp
+++ b/src/savorywheel/encoding/distribution_codec.cpp
@@ -15,6 +15,8 @@
 template outcome<commit_fetch_message> decode(std::span<const std::byte>);
 template outcome<floor_message> decode(std::span<const std::byte>);
 template outcome<head_message> decode(std::span<const std::byte>);
+template std::vector<std::byte> encode(const operator_configuration&);
+template outcome<operator_configuration> decode(std::span<const std::byte>);
 template std::string encode_json(const commit&);
 template std::string encode_json(const checkpoint&);
 template std::string encode_json(const checkpoint_manifest&);
--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -48,7 +48,9 @@
 {
     archive_enum(archive, "result", call.result, call_result::last_result);
     archive_enum(archive, "refusal", call.refusal, call_refusal::last_refusal);
-    archive(cereal::make_nvp("reason", call.reason), cereal::make_nvp("response", call.response));
+    archive(cereal::make_nvp("reason", call.reason), cereal::make_nvp("response", call.response),
+            cereal::make_nvp("reached_server", call.reached_server),
+            cereal::make_nvp("retry_after_ms", call.retry_after));
 }
 
 /** @brief Lists the members of a crash report. */
--- a/src/savorywheel/encoding/vector_output_archive.hpp
+++ b/src/savorywheel/encoding/vector_output_archive.hpp
@@ -5,6 +5,7 @@
 
 #include <bit>
 #include <cstddef>
+#include <cstring>
 #include <span>
 #include <type_traits>
 #include <vector>
@@ -27,8 +28,12 @@
     /** @brief Appends raw bytes. */
     void write(const void* data, std::size_t size)
     {
-        const auto bytes = std::as_bytes(std::span{static_cast<const char*>(data), size});
-        target_.insert(target_.end(), bytes.begin(), bytes.end());
+        if (size == 0) {
+            return;
+        }
+        const auto known = target_.size();
+        target_.resize(known + size);
+        std::memcpy(target_.data() + known, data, size);
     }
 
 private:
--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -243,7 +243,8 @@
         give_back(server, std::move(handle));
     }
     else if (!stop.cancelled()) {
-        drop_idle(server);
+        // A failure may mean that the kept connections no longer carry data.
+        close_idle(server);
     }
     return result;
 }
@@ -279,7 +280,7 @@
     return handle;
 }
 
-void curl_http_client::drop_idle(const network_endpoint& server)
+void curl_http_client::close_idle(const network_endpoint& server)
 {
     std::vector<std::unique_ptr<transfer>> dropped;
     const std::scoped_lock lock{mutex_};
--- a/src/savorywheel/http/curl_http_client.hpp
+++ b/src/savorywheel/http/curl_http_client.hpp
@@ -27,14 +27,13 @@
                                                               const http_request& request,
                                                               std::chrono::milliseconds timeout,
                                                               cancellation& stop) override;
+    void close_idle(const network_endpoint& server) override;
     [[nodiscard]] bool accepts_connections(const network_endpoint& server) override;
 
 private:
     class transfer;
 
     [[nodiscard]] std::unique_ptr<transfer> borrow(const network_endpoint& server);
-    /** A failure may mean that the kept connections no longer carry data. */
-    void drop_idle(const network_endpoint& server);
     void give_back(const network_endpoint& server, std::unique_ptr<transfer> handle);
 
     std::mutex mutex_;
--- a/src/savorywheel/http/http_client.hpp
+++ b/src/savorywheel/http/http_client.hpp
@@ -46,6 +46,9 @@
         return send(server, request, timeout);
     }
 
+    /** @brief Closes the kept connections that no request uses. */
+    virtual void close_idle(const network_endpoint& server) { static_cast<void>(server); }
+
     /** @return False if the server refuses connections, or closes a new one at once. */
     [[nodiscard]] virtual bool accepts_connections(const network_endpoint& server)
     {
--- a/src/savorywheel/membership/swim_agent.cpp
+++ b/src/savorywheel/membership/swim_agent.cpp
@@ -42,6 +42,18 @@
     join();
 }
 
+void swim_agent::introduce(std::span<const network_endpoint> peers)
+{
+    for (const auto& peer : peers) {
+        if (peer != self_.peer && std::ranges::find(seeds_, peer) == seeds_.end()) {
+            seeds_.push_back(peer);
+        }
+    }
+    if (!joined_ && !seeds_.empty()) {
+        join();
+    }
+}
+
 void swim_agent::leave()
 {
     leaving_ = true;
--- a/src/savorywheel/membership/swim_agent.hpp
+++ b/src/savorywheel/membership/swim_agent.hpp
@@ -63,6 +63,9 @@
     /** @brief Starts to probe. */
     void start();
 
+    /** @brief Adds peers through which the node may join, and joins if it has not. */
+    void introduce(std::span<const network_endpoint> peers);
+
     /** @brief Tells the members that this node leaves, and stops probing. */
     void leave();
 
--- a/src/savorywheel/node/backend_monitor.cpp
+++ b/src/savorywheel/node/backend_monitor.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds backend_lifetime{3000};
 constexpr std::chrono::milliseconds check_period{500};
 
 } // namespace
@@ -42,9 +41,47 @@
     changed_(backend_);
 }
 
+bool backend_monitor::take(const backend_announcement& announcement)
+{
+    if (is_late(announcement)) {
+        return false;
+    }
+    latest_ = announcement;
+    latest_left_ = false;
+    announce(announcement.backend);
+    return true;
+}
+
+bool backend_monitor::is_late(const backend_announcement& announcement) const
+{
+    if (!latest_) {
+        return false;
+    }
+    const auto& known = *latest_;
+    const bool same_start = announcement.started_at == known.started_at &&
+                            announcement.backend.identity == known.backend.identity;
+    if (same_start) {
+        return latest_left_ || announcement.sequence <= known.sequence;
+    }
+    return announcement.started_at < known.started_at;
+}
+
+void backend_monitor::withdraw(std::string_view identity)
+{
+    if (!latest_ || latest_->backend.identity != identity) {
+        return;
+    }
+    latest_left_ = true;
+    if (backend_) {
+        environment_.log.write(event_id::backend_left, identity);
+        backend_.reset();
+        changed_(backend_);
+    }
+}
+
 void backend_monitor::check()
 {
-    if (backend_ && environment_.loop.time().now() - seen_at_ > backend_lifetime) {
+    if (backend_ && environment_.loop.time().now() - seen_at_ > environment_.lifetime) {
         environment_.log.write(event_id::backend_lost, backend_->service.str());
         backend_.reset();
         changed_(backend_);
--- a/src/savorywheel/node/backend_monitor.hpp
+++ b/src/savorywheel/node/backend_monitor.hpp
@@ -3,10 +3,11 @@
 
 #include <savorywheel/core/control_loop.hpp>
 #include <savorywheel/log/event_log.hpp>
-#include <savorywheel/traffic/backend_server.hpp>
+#include <savorywheel/traffic/backend_announcement.hpp>
 
 #include <functional>
 #include <optional>
+#include <string_view>
 
 namespace savorywheel {
 
@@ -27,6 +28,8 @@
         control_loop& loop;
         /** @brief Log. */
         event_log& log;
+        /** @brief Time without an announcement after which the backend server counts as gone. */
+        std::chrono::milliseconds lifetime;
     };
 
     /**
@@ -44,12 +47,24 @@
     /** @brief Takes an announcement. */
     void announce(const backend_server& backend);
 
+    /**
+     * @brief Takes a numbered announcement, unless a later one was taken already.
+     * @return False if it came too late to count.
+     */
+    bool take(const backend_announcement& announcement);
+
+    /** @brief Hears that a backend server leaves; its announcements no longer count. */
+    void withdraw(std::string_view identity);
+
 private:
+    [[nodiscard]] bool is_late(const backend_announcement& announcement) const;
     void check();
 
     environment environment_;
     change_callback changed_;
     std::optional<backend_server> backend_;
+    std::optional<backend_announcement> latest_;
+    bool latest_left_{};
     monotonic_time seen_at_;
     bool stopped_{};
     subscription timer_;
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -50,7 +50,8 @@
                   membership_environment()},
       distributor_{settings.name, settings.domain, distribution_environment()},
       floors_{is_alone(settings), floor_environment()}, relay_{settings_, relay_environment()},
-      backend_{backend_monitor::environment{surroundings.loop, surroundings.log},
+      backend_{backend_monitor::environment{surroundings.loop, surroundings.log,
+                                            settings.backend_timeout},
                [this](const auto& backend) { on_backend(backend); }},
       rollouts_{make_node_lease(settings),
                 rollout_service::environment{
@@ -58,7 +59,8 @@
                     surroundings.network, surroundings.log, surroundings.evidence,
                     surroundings.ejections,
                     [this]() -> const member_table& { return membership_.agent().table(); }}},
-      heads_{surroundings.tables, surroundings.network, surroundings.requests}
+      heads_{surroundings.tables, surroundings.network, surroundings.requests},
+      documents_{make_documents()}, directory_{make_directory()}
 {
 }
 
@@ -116,25 +118,72 @@
             [this](const log_tail& tail) { take_tail(tail); }};
 }
 
+std::unique_ptr<document_service> control_plane::make_documents()
+{
+    if (environment_.decoder == nullptr) {
+        return nullptr;
+    }
+    return std::make_unique<document_service>(
+        *environment_.decoder,
+        document_service::environment{
+            environment_.loop, quota_, environment_.random, environment_.store,
+            environment_.network, environment_.requests, environment_.log,
+            [this](const operator_configuration& item) { on_operator_configuration(item); }});
+}
+
+std::unique_ptr<member_directory> control_plane::make_directory()
+{
+    if (environment_.decoder == nullptr) {
+        return nullptr;
+    }
+    return std::make_unique<member_directory>(
+        membership_.agent().self(),
+        member_directory::environment{
+            environment_.loop, environment_.worker, environment_.random, environment_.log,
+            [this] { return membership_.agent().table().live().size() > 1; },
+            [this](std::span<const network_endpoint> peers) {
+                membership_.agent().introduce(peers);
+            }});
+}
+
 void control_plane::start()
 {
     started_ = true;
     membership_.agent().start();
+    backend_.start();
+    if (documents_) {
+        documents_->start();
+        directory_->start();
+        return;
+    }
     floors_.keeper().start();
     relay_.start();
     rollouts_.start();
-    backend_.start();
 }
 
 void control_plane::leave()
 {
-    floors_.keeper().stop();
-    relay_.stop();
-    rollouts_.stop();
+    if (documents_) {
+        documents_->stop();
+        directory_->stop();
+    }
+    else {
+        floors_.keeper().stop();
+        relay_.stop();
+        rollouts_.stop();
+    }
     membership_.agent().leave();
     backend_.stop();
 }
 
+void control_plane::on_operator_configuration(const operator_configuration& configuration)
+{
+    publisher_.on_configuration(mesh_state{configuration});
+    membership_.agent().set_head(configuration.version);
+    environment_.log.write(event_id::configuration_in_force,
+                           fmt::format("version {}", configuration.version.number));
+}
+
 outcome<node_state_dump> control_plane::dump()
 {
     return query_control<node_state_dump>(environment_.loop, [this] {
@@ -186,6 +235,20 @@
     environment_.loop.post([this, backend] { backend_.announce(backend); });
 }
 
+outcome<bool> control_plane::take(const backend_announcement& announcement)
+{
+    return query_control<bool>(environment_.loop,
+                               [this, announcement] { return backend_.take(announcement); });
+}
+
+outcome<bool> control_plane::withdraw(std::string_view identity)
+{
+    return query_control<bool>(environment_.loop, [this, gone = std::string{identity}] {
+        backend_.withdraw(gone);
+        return true;
+    });
+}
+
 void control_plane::on_member_changed(const member_update& update)
 {
     environment_.meter.set_region(update.record.peer.address, update.record.region);
@@ -195,12 +258,17 @@
     if (update.record.id != settings_.name) {
         environment_.log.write(event_of(update.status), update.record.id.str());
     }
+    environment_.retries.set_nodes(membership_.agent().table().live().size());
     rollouts_.on_members_changed();
     publisher_.on_members_changed();
 }
 
 void control_plane::on_head_seen(const network_endpoint& peer, config_version head)
 {
+    if (documents_) {
+        documents_->on_head_seen(peer, head);
+        return;
+    }
     distributor_.peer_has(peer, head);
 }
 
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -9,15 +9,19 @@
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/backend_monitor.hpp>
+#include <savorywheel/node/document_service.hpp>
 #include <savorywheel/node/head_service.hpp>
+#include <savorywheel/node/member_directory.hpp>
 #include <savorywheel/node/membership_service.hpp>
 #include <savorywheel/node/relay_role.hpp>
 #include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/node/table_publisher.hpp>
 #include <savorywheel/settings/node_settings.hpp>
 #include <savorywheel/traffic/gate.hpp>
+#include <savorywheel/traffic/retry_budget.hpp>
 
 #include <map>
+#include <memory>
 #include <optional>
 
 namespace savorywheel {
@@ -56,6 +60,13 @@
         region_byte_meter& meter;
         /** @brief Log. */
         event_log& log;
+        /** @brief Retries, which all nodes share. */
+        retry_budget& retries;
+        /**
+         * @brief Reads the operators' object in the platform's service; nullptr if the
+         * configuration is the mesh's own ordered log.
+         */
+        const configuration_decoder* decoder;
     };
 
     /**
@@ -85,11 +96,16 @@
     /** @return Moves of traffic, for the network's threads. */
     [[nodiscard]] rollout_service& rollouts() noexcept { return rollouts_; }
 
+    /** @return The operators' configuration, for the network's threads; nullptr if it is the log. */
+    [[nodiscard]] document_service* documents() noexcept { return documents_.get(); }
+
     [[nodiscard]] outcome<node_state_dump> dump() override;
     [[nodiscard]] outcome<mesh_state> configuration() override;
     [[nodiscard]] outcome<std::deque<commit>> history() override;
     [[nodiscard]] outcome<std::vector<domain_status>> domains() override;
     void announce(const backend_server& backend) override;
+    [[nodiscard]] outcome<bool> take(const backend_announcement& announcement) override;
+    [[nodiscard]] outcome<bool> withdraw(std::string_view identity) override;
     void on_member_changed(const member_update& update) override;
     void on_head_seen(const network_endpoint& peer, config_version head) override;
     void committed(const commit& change) override;
@@ -105,6 +121,9 @@
     [[nodiscard]] distributor::environment distribution_environment();
     [[nodiscard]] floor_service::environment floor_environment();
     [[nodiscard]] relay_role::environment relay_environment();
+    [[nodiscard]] std::unique_ptr<document_service> make_documents();
+    [[nodiscard]] std::unique_ptr<member_directory> make_directory();
+    void on_operator_configuration(const operator_configuration& configuration);
     /** Reads the log in the store, so that this node learns its floor without buddies. */
     void read_store();
     void take_tail(const log_tail& tail);
@@ -123,6 +142,8 @@
     backend_monitor backend_;
     rollout_service rollouts_;
     head_service heads_;
+    std::unique_ptr<document_service> documents_;
+    std::unique_ptr<member_directory> directory_;
     std::map<config_version, mesh_state> accepted_;
 };
 
--- /dev/null
+++ b/src/savorywheel/node/member_directory.cpp
@@ -0,0 +1,119 @@
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/node/member_directory.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr std::string_view directory_prefix = "nodes/";
+/** Search by a node without others; each costs a call to the platform's service. */
+constexpr std::chrono::milliseconds first_delay{500};
+constexpr std::chrono::milliseconds longest_delay{4000};
+
+std::string key_of(const node_id& node)
+{
+    return fmt::format("{}{}", directory_prefix, node.str());
+}
+
+/** An entry that an earlier start of the node left is replaced, since its endpoint may differ. */
+outcome<bool> register_node(object_store& store, const member_record& self)
+{
+    const auto key = key_of(self.id);
+    const auto value = encode_json(self);
+    const auto created = store.create(key, value);
+    if (created) {
+        return true;
+    }
+    if (created.reason().code != failure_code::conflict) {
+        return created.reason();
+    }
+    const auto known = store.get(key);
+    if (!known) {
+        return known.reason();
+    }
+    if (const auto replaced = store.update(key, value, known->revision); !replaced) {
+        return replaced.reason();
+    }
+    return true;
+}
+
+std::vector<network_endpoint> peers_in(std::span<const stored_object> objects, const node_id& self)
+{
+    std::vector<network_endpoint> peers;
+    for (const auto& object : objects) {
+        const auto record = decode_json<member_record>(object.value);
+        if (record && record->id != self) {
+            peers.push_back(record->peer);
+        }
+    }
+    return peers;
+}
+
+} // namespace
+
+member_directory::member_directory(member_record self, environment surroundings)
+    : self_{std::move(self)}, environment_{std::move(surroundings)}, delay_{first_delay}
+{
+}
+
+void member_directory::start()
+{
+    search();
+}
+
+void member_directory::stop()
+{
+    timer_.reset();
+    environment_.worker.submit([key = key_of(self_.id)](object_store& store) {
+        if (const auto known = store.get(key)) {
+            static_cast<void>(store.remove(key, known->revision));
+        }
+    });
+}
+
+void member_directory::search()
+{
+    environment_.worker.submit([this, self = self_, known = registered_](object_store& store) {
+        result outcome;
+        const auto registered = known ? savorywheel::outcome<bool>{true} : register_node(store, self);
+        outcome.registered = static_cast<bool>(registered);
+        outcome.reason = registered.reason();
+        if (const auto list = store.list(directory_prefix, {})) {
+            outcome.peers = peers_in(list->objects, self.id);
+        }
+        else {
+            outcome.reason = list.reason();
+        }
+        environment_.loop.post([this, item = std::move(outcome)] { take(item); });
+    });
+}
+
+void member_directory::take(const result& outcome)
+{
+    registered_ = outcome.registered;
+    if (outcome.reason.code != failure_code::none) {
+        environment_.log.write(event_id::directory_unreachable, outcome.reason.message);
+    }
+    environment_.found(outcome.peers);
+    search_later();
+}
+
+void member_directory::search_later()
+{
+    delay_ = std::min(delay_ * 2, longest_delay);
+    const auto jitter = environment_.random.below(static_cast<std::uint64_t>(delay_.count()) / 2);
+    timer_ = environment_.loop.timers().after(
+        delay_ / 2 + std::chrono::milliseconds{jitter}, [this] {
+            if (registered_ && environment_.connected()) {
+                return;
+            }
+            search();
+        });
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -9,10 +9,10 @@
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/node.hpp>
+#include <savorywheel/node/readiness_handler.hpp>
 #include <savorywheel/routing/ejecting_version_chooser.hpp>
 #include <savorywheel/routing/nearest_endpoint_chooser.hpp>
 #include <savorywheel/routing/weighted_version_chooser.hpp>
-#include <savorywheel/store/http_object_store.hpp>
 #include <savorywheel/store/metered_object_store.hpp>
 #include <savorywheel/traffic/peer_call_transport.hpp>
 #include <savorywheel/traffic/peer_crash_reporter.hpp>
@@ -31,8 +31,12 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds store_timeout{2000};
-constexpr std::chrono::milliseconds notice_period{300};
+http_server_limits traffic_limits(const node_settings& settings)
+{
+    http_server_limits limits;
+    limits.drain_limit = settings.stop_limit;
+    return limits;
+}
 
 std::uint64_t random_seed()
 {
@@ -45,18 +49,21 @@
 /** All parts of a node, in the order of their construction. */
 class node::parts {
 public:
-    parts(node_settings settings, event_log& log, link_decorator& links)
-        : settings_{std::move(settings)}, log_{log}, links_{links}
+    parts(node_settings settings, event_log& log, link_decorator& links, const front_end& front)
+        : settings_{std::move(settings)}, log_{log}, links_{links}, front_{front}
     {
         metrics_.add_source(cost_);
         router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_report},
                     gate_);
         router_.add({frame_kind::call_response, frame_kind::crash_noted, frame_kind::commit_batch,
                      frame_kind::membership_full, frame_kind::floor_stored, frame_kind::floor_value,
-                     frame_kind::head_value},
+                     frame_kind::head_value, frame_kind::configuration_value},
                     requests_);
         router_.add({frame_kind::head_get}, control_.heads());
         router_.add({frame_kind::membership_sync}, control_.membership());
+        if (auto* documents = control_.documents()) {
+            router_.add({frame_kind::configuration_get}, *documents);
+        }
         router_.add({frame_kind::evidence_report, frame_kind::withdrawal_push},
                     control_.rollouts());
         router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
@@ -83,6 +90,12 @@
         if (started) {
             started = proxy_server_.start(settings_.traffic);
         }
+        if (started && announcement_server_ && settings_.announcements) {
+            started = announcement_server_->start(*settings_.announcements);
+        }
+        if (started && settings_.readiness) {
+            started = readiness_server_.start(*settings_.readiness);
+        }
         if (started) {
             loop_.post([this] { control_.start(); });
             control_thread_ = std::thread{[this] {
@@ -100,10 +113,15 @@
             return;
         }
         log_.write(event_id::process_stopping, settings_.name.str());
+        readiness_.set_stopping();
         leave();
         proxy_server_.stop();
         gate_.stop();
         admin_server_.stop();
+        readiness_server_.stop();
+        if (announcement_server_) {
+            announcement_server_->stop();
+        }
         worker_.stop();
         loop_.stop();
         control_thread_.join();
@@ -114,7 +132,7 @@
     }
 
 private:
-    /** Leaves the mesh and gives callers' nodes time to hear of it. */
+    /** Leaves the mesh, and gives callers and their nodes time to hear of it. */
     void leave()
     {
         std::promise<void> left;
@@ -123,12 +141,13 @@
             left.set_value();
         });
         left.get_future().wait();
-        std::this_thread::sleep_for(notice_period);
+        std::this_thread::sleep_for(settings_.stop_notice);
     }
 
     node_settings settings_;
     event_log& log_;
     link_decorator& links_;
+    const front_end& front_;
     system_clock_source time_;
     seeded_random random_{random_seed()};
     control_loop loop_{time_};
@@ -136,8 +155,8 @@
     metric_registry metrics_;
     process_cost_source cost_;
     region_byte_meter meter_{settings_.region, metrics_};
-    http_object_store platform_{http_, settings_.store, store_timeout};
-    metered_object_store store_{links_.store(platform_), metrics_};
+    std::unique_ptr<object_store> platform_{front_.make_store(http_, settings_.store)};
+    metered_object_store store_{links_.store(*platform_), metrics_};
     store_worker worker_{store_};
     input_reporter reporter_{time_, log_};
     frame_router router_;
@@ -146,16 +165,18 @@
     asio_datagram_channel datagrams_{meter_};
     routing_table_holder tables_;
     peer_crash_reporter crashes_{tables_, network_, requests_};
-    gate gate_{gate::environment{http_, time_, crashes_, log_, settings_.name}};
+    gate gate_{
+        gate::environment{http_, time_, crashes_, log_, settings_.name, front_.servers()}};
     evidence_recorder evidence_{settings_.region};
     version_ejections ejections_;
+    retry_budget retries_{settings_.retries};
     control_plane control_{settings_,
                            control_plane::environment{loop_, random_, store_, worker_, datagrams_,
                                                       network_, requests_, tables_, gate_,
-                                                      evidence_, ejections_, meter_, log_}};
+                                                      evidence_, ejections_, meter_, log_,
+                                                      retries_, front_.configuration()}};
     load_table loads_;
     endpoint_health health_{time_};
-    retry_budget retries_;
     weighted_version_chooser weighted_versions_{random_};
     ejecting_version_chooser versions_{weighted_versions_, ejections_, random_};
     nearest_endpoint_chooser endpoints_{
@@ -164,18 +185,23 @@
     peer_call_transport transport_{network_, requests_};
     proxy_handler proxy_{proxy_handler::environment{time_, tables_, versions_, endpoints_, loads_,
                                                     health_, retries_, transport_, evidence_,
-                                                    metrics_, log_}};
+                                                    metrics_, log_, random_, front_.callers()}};
     operator_directory operators_{settings_.operators};
     change_service changes_{change_service::environment{time_, random_, store_, control_}};
     admin_handler admin_{
         admin_handler::environment{control_, changes_, operators_, metrics_, log_}};
-    http_server proxy_server_{proxy_};
+    readiness_handler readiness_{tables_};
+    std::unique_ptr<http_handler> announcements_{front_.make_announcements(control_)};
+    http_server proxy_server_{proxy_, traffic_limits(settings_)};
     http_server admin_server_{admin_, http_server_limits{.max_body_bytes = max_admin_body_bytes}};
+    http_server readiness_server_{readiness_};
+    std::unique_ptr<http_server> announcement_server_{
+        announcements_ ? std::make_unique<http_server>(*announcements_) : nullptr};
     std::thread control_thread_;
 };
 
-node::node(node_settings settings, event_log& log, link_decorator& links)
-    : parts_{std::make_unique<parts>(std::move(settings), log, links)}
+node::node(node_settings settings, event_log& log, link_decorator& links, const front_end& front)
+    : parts_{std::make_unique<parts>(std::move(settings), log, links, front)}
 {
 }
 
--- a/src/savorywheel/node/node.hpp
+++ b/src/savorywheel/node/node.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/core/outcome.hpp>
 #include <savorywheel/log/event_log.hpp>
+#include <savorywheel/node/own_front_end.hpp>
 #include <savorywheel/node/plain_links.hpp>
 #include <savorywheel/settings/node_settings.hpp>
 
@@ -17,8 +18,10 @@
      * @param settings Settings.
      * @param log Log; must outlive the node.
      * @param links Layers around the links; must outlive the node.
+     * @param front What the node speaks with its surroundings; must outlive the node.
      */
-    node(node_settings settings, event_log& log, link_decorator& links = plain_links::instance());
+    node(node_settings settings, event_log& log, link_decorator& links = plain_links::instance(),
+         const front_end& front = own_front_end::instance());
     node(const node&) = delete;
     node& operator=(const node&) = delete;
     node(node&&) = delete;
--- a/src/savorywheel/routing/fwd.hpp
+++ b/src/savorywheel/routing/fwd.hpp
@@ -5,6 +5,7 @@
 
 class ejecting_version_chooser;
 class endpoint_chooser;
+class host_table;
 class load_table;
 class nearest_endpoint_chooser;
 class routing_table;
--- /dev/null
+++ b/src/savorywheel/routing/host_table.cpp
@@ -0,0 +1,69 @@
+#include <savorywheel/routing/host_table.hpp>
+
+#include <algorithm>
+#include <functional>
+
+namespace savorywheel {
+
+namespace {
+
+bool matches(std::string_view prefix, std::string_view path) noexcept
+{
+    if (!path.starts_with(prefix)) {
+        return false;
+    }
+    return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/' ||
+           path[prefix.size()] == '?';
+}
+
+host_route route_of(const service_name& service, const route_spec& spec)
+{
+    host_route route;
+    route.path = spec.path;
+    route.kind = spec.idempotent ? route_kind::idempotent : route_kind::non_idempotent;
+    route.timeout = spec.deadline;
+    route.shares = {{service, 1}};
+    return route;
+}
+
+/** Puts longer paths first, so that the first match is the longest one. */
+void sort_by_path(std::vector<host_route>& routes)
+{
+    std::ranges::stable_sort(routes, std::greater{},
+                             [](const host_route& route) { return route.path.size(); });
+}
+
+} // namespace
+
+host_table::host_table(std::span<const virtual_host> hosts)
+{
+    for (const auto& item : hosts) {
+        auto& routes = routes_[item.host];
+        routes.insert(routes.end(), item.routes.begin(), item.routes.end());
+        sort_by_path(routes);
+    }
+}
+
+host_table::host_table(const mesh_state::service_map& services)
+{
+    for (const auto& [name, service] : services) {
+        auto& routes = routes_[name.str()];
+        for (const auto& spec : service->spec.routes) {
+            routes.push_back(route_of(name, spec));
+        }
+        sort_by_path(routes);
+    }
+}
+
+const host_route* host_table::match(std::string_view host, std::string_view target) const
+{
+    const auto found = routes_.find(host.substr(0, host.find(':')));
+    if (found == routes_.end()) {
+        return nullptr;
+    }
+    const auto route = std::ranges::find_if(
+        found->second, [target](const host_route& item) { return matches(item.path, target); });
+    return route == found->second.end() ? nullptr : &*route;
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/routing/host_table.hpp
@@ -0,0 +1,39 @@
+#ifndef SAVORYWHEEL_ROUTING_HOST_TABLE_HPP
+#define SAVORYWHEEL_ROUTING_HOST_TABLE_HPP
+
+#include <savorywheel/config/mesh_state.hpp>
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace savorywheel {
+
+/** @brief Finds routes by host and path; immutable. */
+class host_table {
+public:
+    /** @brief Creates a table without routes. */
+    host_table() = default;
+
+    /** @param hosts Hosts with their routes. */
+    explicit host_table(std::span<const virtual_host> hosts);
+
+    /** @brief Creates the table in which each service is a host, by its own routes. */
+    explicit host_table(const mesh_state::service_map& services);
+
+    /**
+     * @param host Host as the caller gave it, with or without a port.
+     * @param target Path, with or without a query.
+     * @return The route with the longest matching path; nullptr if none matches.
+     */
+    [[nodiscard]] const host_route* match(std::string_view host, std::string_view target) const;
+
+private:
+    std::map<std::string, std::vector<host_route>, std::less<>> routes_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/routing/routing_table.hpp
+++ b/src/savorywheel/routing/routing_table.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ROUTING_ROUTING_TABLE_HPP
 
 #include <savorywheel/core/config_version.hpp>
+#include <savorywheel/routing/host_table.hpp>
 #include <savorywheel/routing/service_routes.hpp>
 
 #include <map>
@@ -20,11 +21,13 @@
     routing_table() = default;
 
     /**
-     * @param version Configuration version that the table holds.
+     * @param version Configuration version.
      * @param routes Routes by service.
+     * @param hosts Routes by host.
      */
-    routing_table(config_version version, route_map routes) noexcept
-        : version_{version}, routes_{std::move(routes)}
+    routing_table(config_version version, route_map routes,
+                  std::shared_ptr<const host_table> hosts) noexcept
+        : version_{version}, routes_{std::move(routes)}, hosts_{std::move(hosts)}
     {
     }
 
@@ -41,9 +44,16 @@
         return found == routes_.end() ? nullptr : found->second;
     }
 
+    /** @copydoc host_table::match */
+    [[nodiscard]] const host_route* match(std::string_view host, std::string_view target) const
+    {
+        return hosts_->match(host, target);
+    }
+
 private:
     config_version version_;
     route_map routes_;
+    std::shared_ptr<const host_table> hosts_{std::make_shared<const host_table>()};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/routing_table_builder.cpp
+++ b/src/savorywheel/routing/routing_table_builder.cpp
@@ -19,6 +19,13 @@
 
 } // namespace
 
+void routing_table_builder::set_state(const mesh_state& state)
+{
+    state_ = state;
+    hosts_ = state.hosts() ? std::make_shared<const host_table>(*state.hosts())
+                           : std::make_shared<const host_table>(state.services());
+}
+
 std::shared_ptr<const routing_table> routing_table_builder::build(const member_table& members)
 {
     std::erase_if(compiled_,
@@ -27,7 +34,7 @@
     for (const auto& [name, service] : state_.services()) {
         routes.emplace_hint(routes.end(), name, routes_of(name, service, members));
     }
-    return std::make_shared<const routing_table>(state_.version(), std::move(routes));
+    return std::make_shared<const routing_table>(state_.version(), std::move(routes), hosts_);
 }
 
 std::shared_ptr<const service_routes>
--- a/src/savorywheel/routing/routing_table_builder.hpp
+++ b/src/savorywheel/routing/routing_table_builder.hpp
@@ -15,7 +15,7 @@
 class routing_table_builder {
 public:
     /** @brief Sets the configuration; services that did not change keep their routes. */
-    void set_state(const mesh_state& state) { state_ = state; }
+    void set_state(const mesh_state& state);
 
     /**
      * @brief Compiles a table; services whose state and members did not change keep their routes.
@@ -35,6 +35,7 @@
               const member_table& members);
 
     mesh_state state_;
+    std::shared_ptr<const host_table> hosts_{std::make_shared<const host_table>()};
     std::map<service_name, compiled_service> compiled_;
 };
 
--- a/src/savorywheel/routing/service_routes.hpp
+++ b/src/savorywheel/routing/service_routes.hpp
@@ -5,7 +5,6 @@
 #include <savorywheel/routing/route_endpoint.hpp>
 
 #include <memory>
-#include <string_view>
 #include <vector>
 
 namespace savorywheel {
@@ -17,9 +16,6 @@
     /** @brief Backend servers of all versions. */
     std::vector<route_endpoint> endpoints;
 
-    /** @return The route with the longest matching path; nullptr if none matches. */
-    [[nodiscard]] const route_spec* match(std::string_view path) const noexcept;
-
     /** @return True if a backend server of the version is known. */
     [[nodiscard]] bool has_endpoint(const version_name& version) const noexcept;
 };
--- /dev/null
+++ b/src/savorywheel/routing/share_choice.hpp
@@ -0,0 +1,22 @@
+#ifndef SAVORYWHEEL_ROUTING_SHARE_CHOICE_HPP
+#define SAVORYWHEEL_ROUTING_SHARE_CHOICE_HPP
+
+#include <savorywheel/config/service_share.hpp>
+#include <savorywheel/core/random_source.hpp>
+
+#include <span>
+
+namespace savorywheel {
+
+/**
+ * @brief Chooses one of the services that a route is split between, at random by weight.
+ * @param shares The services.
+ * @param random Random numbers.
+ * @return The service; nullptr if no share has a weight.
+ */
+[[nodiscard]] const service_name* choose_by_share(std::span<const service_share> shares,
+                                                  random_source& random);
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/routing/weighted_choice.cpp
+++ b/src/savorywheel/routing/weighted_choice.cpp
@@ -4,9 +4,25 @@
 
 namespace savorywheel {
 
+namespace {
+
+/** Without shares every version serves, each as often as it has backend servers. */
+std::optional<version_name> choose_any(const service_routes& routes, random_source& random)
+{
+    if (routes.endpoints.empty()) {
+        return std::nullopt;
+    }
+    return routes.endpoints[random.below(routes.endpoints.size())].version;
+}
+
+} // namespace
+
 std::optional<version_name> choose_by_weight(std::span<const version_weight> weights,
                                              const service_routes& routes, random_source& random)
 {
+    if (weights.empty()) {
+        return choose_any(routes, random);
+    }
     std::vector<const version_weight*> candidates;
     std::uint64_t sum = 0;
     for (const auto& weight : weights) {
--- a/src/savorywheel/settings/node_settings.hpp
+++ b/src/savorywheel/settings/node_settings.hpp
@@ -5,7 +5,10 @@
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/log/event_severity.hpp>
 #include <savorywheel/settings/operator_key.hpp>
+#include <savorywheel/traffic/retry_limits.hpp>
 
+#include <chrono>
+#include <optional>
 #include <vector>
 
 namespace savorywheel {
@@ -24,6 +27,12 @@
     network_endpoint admin;
     /** @brief Where other nodes reach it, over TCP and UDP. */
     network_endpoint peer;
+    /** @brief Where the backend server announces itself, if not at the admin endpoint. */
+    std::optional<network_endpoint> announcements;
+    /** @brief Where readiness is asked for, if it is. */
+    std::optional<network_endpoint> readiness;
+    /** @brief Service that the callers on this VM belong to; empty if they belong to none. */
+    service_name caller_service;
     /** @brief The platform's service. */
     network_endpoint store;
     /** @brief Peers through which it joins. */
@@ -32,6 +41,14 @@
     event_severity log_level{event_severity::info};
     /** @brief Operators who may change the configuration. */
     std::vector<operator_key> operators;
+    /** @brief Time without an announcement after which the backend server counts as gone. */
+    std::chrono::milliseconds backend_timeout{3000};
+    /** @brief Time for which a node that stops still takes new requests. */
+    std::chrono::milliseconds stop_notice{300};
+    /** @brief Longest wait of a stop for requests in progress. */
+    std::chrono::milliseconds stop_limit{10'000};
+    /** @brief Bounds on retries in the whole mesh. */
+    retry_limits retries;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/settings/node_settings_reader.cpp
+++ b/src/savorywheel/settings/node_settings_reader.cpp
@@ -104,8 +104,56 @@
     }
 }
 
+std::optional<network_endpoint> read_optional_endpoint(const yaml_cursor& cursor,
+                                                       std::string_view key)
+{
+    if (!cursor.has(key)) {
+        return std::nullopt;
+    }
+    return read_endpoint(cursor, key, cursor.text(key));
+}
+
+/** Reads endpoints that do not share one address. */
+void read_listen(const yaml_cursor& listen, node_settings& settings)
+{
+    listen.expect_keys({"traffic", "admin", "peer", "announcements", "readiness"});
+    settings.traffic = read_endpoint(listen, "traffic", listen.text("traffic"));
+    settings.admin = read_endpoint(listen, "admin", listen.text("admin"));
+    settings.peer = read_endpoint(listen, "peer", listen.text("peer"));
+    settings.announcements = read_optional_endpoint(listen, "announcements");
+    settings.readiness = read_optional_endpoint(listen, "readiness");
+}
+
+std::chrono::milliseconds read_milliseconds(const yaml_cursor& cursor, std::string_view key,
+                                            std::chrono::milliseconds fallback)
+{
+    const auto number = cursor.number_or(key, fallback.count());
+    if (number < 0 || number > max_settings_milliseconds) {
+        cursor.fault(key, fmt::format("{}", number),
+                     fmt::format("milliseconds from 0 to {}", max_settings_milliseconds));
+        return fallback;
+    }
+    return std::chrono::milliseconds{number};
+}
+
+void read_retries(const yaml_cursor& root, node_settings& settings)
+{
+    if (const auto retries = root.map("retries")) {
+        retries->expect_keys({"per_call", "saved_by_mesh"});
+        settings.retries.per_call = retries->decimal("per_call");
+        settings.retries.saved_by_mesh = retries->decimal("saved_by_mesh");
+        if (settings.retries.per_call < 0 || settings.retries.saved_by_mesh < 0) {
+            root.fault("retries", "a number below zero", "numbers of at least zero");
+        }
+    }
+}
+
 void read_addresses(const yaml_cursor& root, node_settings& settings)
 {
+    if (const auto listen = root.map("listen")) {
+        read_listen(*listen, settings);
+        return;
+    }
     const auto address = root.text("address");
     if (!address.empty() && !parse_endpoint(address + ":1")) {
         root.fault("address", fmt::format("\"{}\"", address), "an IP number such as 10.0.0.1");
@@ -138,7 +186,8 @@
         return settings;
     }
     root->expect_keys({"name", "failure_domain", "region", "address", "ports", "store", "seeds",
-                       "operators", "log_level"});
+                       "operators", "log_level", "listen", "caller_service",
+                       "backend_timeout_ms", "stop_notice_ms", "stop_limit_ms", "retries"});
     settings.name = node_id{read_name(*root, "name")};
     settings.domain = failure_domain{read_name(*root, "failure_domain")};
     settings.region = region_name{read_name(*root, "region")};
@@ -147,6 +196,12 @@
     settings.store = read_endpoint(*root, "store", root->text("store"));
     settings.seeds = read_seeds(*root);
     settings.operators = read_operators(*root);
+    settings.caller_service = service_name{root->text_or("caller_service", "")};
+    settings.backend_timeout =
+        read_milliseconds(*root, "backend_timeout_ms", settings.backend_timeout);
+    settings.stop_notice = read_milliseconds(*root, "stop_notice_ms", settings.stop_notice);
+    settings.stop_limit = read_milliseconds(*root, "stop_limit_ms", settings.stop_limit);
+    read_retries(*root, settings);
     return settings;
 }
 
--- a/src/savorywheel/settings/node_settings_reader.hpp
+++ b/src/savorywheel/settings/node_settings_reader.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/settings/node_settings.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace savorywheel {
@@ -12,6 +13,9 @@
 /** @brief Largest settings, in bytes. */
 inline constexpr std::size_t max_settings_bytes = 100'000;
 
+/** @brief Longest time that a setting may give, in milliseconds. */
+inline constexpr std::int64_t max_settings_milliseconds = 600'000;
+
 /** @brief Shortest key of an operator, in bytes. */
 inline constexpr std::size_t min_operator_key_bytes = 16;
 
--- a/src/savorywheel/store/object_list.hpp
+++ b/src/savorywheel/store/object_list.hpp
@@ -14,6 +14,8 @@
     std::uint64_t revision{};
     /** @brief Objects, in the order of their keys; of their revisions when watched. */
     std::vector<stored_object> objects;
+    /** @brief True if the store says that nothing follows; false if it does not say. */
+    bool complete{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/backend_server.hpp
+++ b/src/savorywheel/traffic/backend_server.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/membership/server_state.hpp>
 
 #include <cstdint>
+#include <string>
 
 namespace savorywheel {
 
@@ -21,6 +22,8 @@
     server_state state{server_state::absent};
     /** @brief Requests that it runs at one time. */
     std::uint32_t slots{};
+    /** @brief Identifies this start of the backend server, if it names itself. */
+    std::string identity{};
 
     /** @brief Compares all members. */
     [[nodiscard]] friend bool operator==(const backend_server&, const backend_server&) = default;
--- a/src/savorywheel/traffic/call_response.hpp
+++ b/src/savorywheel/traffic/call_response.hpp
@@ -5,6 +5,8 @@
 #include <savorywheel/traffic/call_refusal.hpp>
 #include <savorywheel/traffic/call_result.hpp>
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -20,17 +22,21 @@
     std::string reason;
     /** @brief The backend server's answer. */
     http_response response;
+    /** @brief True if the request was sent to a backend server. */
+    bool reached_server{};
+    /** @brief When a refused call would probably be taken, if the gate can tell. */
+    std::optional<std::chrono::milliseconds> retry_after{};
 
     /** @return A call that was not run. */
     [[nodiscard]] static call_response not_run(call_refusal refusal, std::string reason)
     {
-        return {call_result::not_run, refusal, std::move(reason), {}};
+        return {call_result::not_run, refusal, std::move(reason), {}, false, std::nullopt};
     }
 
     /** @return A call that may have been run. */
     [[nodiscard]] static call_response unknown(std::string reason)
     {
-        return {call_result::unknown, call_refusal::none, std::move(reason), {}};
+        return {call_result::unknown, call_refusal::none, std::move(reason), {}, true, std::nullopt};
     }
 };
 
--- /dev/null
+++ b/src/savorywheel/traffic/caller_terms.hpp
@@ -0,0 +1,20 @@
+#ifndef SAVORYWHEEL_TRAFFIC_CALLER_TERMS_HPP
+#define SAVORYWHEEL_TRAFFIC_CALLER_TERMS_HPP
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace savorywheel {
+
+/** @brief What a caller says about its request. */
+struct caller_terms {
+    /** @brief Names the request in logs; empty if the caller gave no id. */
+    std::string request_id;
+    /** @brief How long the caller waits for the answer, if it says so. */
+    std::optional<std::chrono::milliseconds> patience;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::uint32_t max_slots = 256;
-constexpr std::string_view deadline_header = "x-savorywheel-deadline-ms";
 
 void respond(frame_sink& target, std::uint64_t correlation, const call_response& response)
 {
@@ -239,15 +238,35 @@
         return refused(call_refusal::expired);
     }
     auto& request = item.call.request;
-    request.headers.push_back({std::string{deadline_header}, std::to_string(remaining.count())});
+    environment_.dialect.address(request, backend, remaining);
     auto answer =
         environment_.client.send_until_cancelled(backend.endpoint, request, remaining, item.stop);
     if (answer) {
-        return {call_result::answered, call_refusal::none, {}, std::move(*answer)};
+        return take_answer(request, backend, std::move(*answer));
     }
     return fail(item, backend, answer.reason());
 }
 
+call_response gate::take_answer(const http_request& request, const backend_server& backend,
+                                http_response answer)
+{
+    switch (environment_.dialect.judge(request, answer)) {
+    case answer_verdict::whole:
+        return {call_result::answered, call_refusal::none, {}, std::move(answer), true, {}};
+    case answer_verdict::not_run: {
+        auto refusal = call_response::not_run(call_refusal::overload,
+                                              "the backend server has not run the request");
+        refusal.reached_server = true;
+        return refusal;
+    }
+    case answer_verdict::untrusted:
+        break;
+    }
+    // What the connection carries next may belong to another request as well.
+    environment_.client.close_idle(backend.endpoint);
+    return call_response::unknown("the backend server's answer cannot be passed on");
+}
+
 call_response gate::fail(const gate_call& item, const backend_server& backend,
                          const failure& reason)
 {
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -9,6 +9,7 @@
 #include <savorywheel/traffic/crash_reporter.hpp>
 #include <savorywheel/traffic/crash_suspects.hpp>
 #include <savorywheel/traffic/gate_call.hpp>
+#include <savorywheel/traffic/server_dialect.hpp>
 #include <savorywheel/traffic/service_time_estimate.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 
@@ -41,6 +42,8 @@
         event_log& log;
         /** @brief This node. */
         node_id self;
+        /** @brief How the backend server speaks about requests. */
+        const server_dialect& dialect;
     };
 
     /** @param surroundings What the gate works with. */
@@ -82,6 +85,8 @@
     void cancel_if(Condition condition);
     void run();
     [[nodiscard]] call_response execute(gate_call& item, const backend_server& backend);
+    [[nodiscard]] call_response take_answer(const http_request& request,
+                                            const backend_server& backend, http_response answer);
     [[nodiscard]] call_response fail(const gate_call& item, const backend_server& backend,
                                      const failure& reason);
     void record_crash(const gate_call& item, const backend_server& backend);
--- /dev/null
+++ b/src/savorywheel/traffic/plain_caller_dialect.cpp
@@ -0,0 +1,37 @@
+#include <savorywheel/traffic/plain_caller_dialect.hpp>
+#include <savorywheel/traffic/plain_headers.hpp>
+
+#include <charconv>
+
+namespace savorywheel {
+
+caller_terms plain_caller_dialect::read(const http_request& request) const
+{
+    const auto text = find_header(request.headers, plain_deadline_header);
+    std::int64_t asked{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), asked);
+    caller_terms terms;
+    if (error == std::errc{} && end == text.data() + text.size() && asked > 0) {
+        terms.patience = std::chrono::milliseconds{asked};
+    }
+    return terms;
+}
+
+void plain_caller_dialect::forward(http_request& request) const
+{
+    std::erase_if(request.headers, [](const http_header& header) {
+        return equal_ignoring_case(plain_deadline_header, header.name);
+    });
+}
+
+http_response plain_caller_dialect::reject(const rejection& why) const
+{
+    const auto* outcome = why.kind == rejection_kind::not_run || why.kind == rejection_kind::no_route
+                              ? "not-run"
+                              : "unknown";
+    return {why.status(),
+            {{std::string{plain_outcome_header}, outcome}, {"Content-Type", "text/plain"}},
+            why.reason + "\n"};
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -1,58 +1,44 @@
+#include <savorywheel/routing/share_choice.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
 
 #include <fmt/format.h>
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <utility>
 
 namespace savorywheel {
 
 namespace {
 
-constexpr int status_not_found = 404;
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
 /** A call that had less time says nothing about the endpoint that did not answer it. */
 constexpr std::chrono::milliseconds least_telling_time{100};
-constexpr std::string_view deadline_header = "x-savorywheel-deadline-ms";
-constexpr std::string_view outcome_header = "x-savorywheel-outcome";
-constexpr std::array<std::string_view, 9> hop_by_hop_headers{
-    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "TE",
-    "Trailer",    "Upgrade",    "Proxy-Connection",  deadline_header};
+/** Time after which a node that has just started is likely to have a configuration. */
+constexpr std::chrono::milliseconds configuration_wait{300};
+constexpr std::array<std::string_view, 8> hop_by_hop_headers{
+    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+    "TE",         "Trailer",    "Upgrade",           "Proxy-Connection"};
 
-void drop_hop_by_hop(std::vector<http_header>& headers)
+bool is_hop_by_hop(const http_header& header)
 {
-    std::erase_if(headers, [](const http_header& header) {
-        return std::ranges::any_of(hop_by_hop_headers, [&header](std::string_view name) {
-            return equal_ignoring_case(name, header.name);
-        });
+    return std::ranges::any_of(hop_by_hop_headers, [&header](std::string_view name) {
+        return equal_ignoring_case(name, header.name);
     });
 }
 
-service_name service_of(const http_request& request)
+void drop_hop_by_hop(std::vector<http_header>& headers)
 {
-    const auto host = find_header(request.headers, "Host");
-    return service_name{host.substr(0, host.find(':'))};
+    std::erase_if(headers, is_hop_by_hop);
 }
 
-std::chrono::milliseconds deadline_of(const http_request& request, const route_spec& route)
+std::chrono::milliseconds deadline_of(const caller_terms& terms, const host_route& route)
 {
-    const auto text = find_header(request.headers, deadline_header);
-    std::int64_t asked{};
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), asked);
-    if (error != std::errc{} || end != text.data() + text.size() || asked <= 0) {
-        return route.deadline;
-    }
-    return std::min(route.deadline, std::chrono::milliseconds{asked});
+    return terms.patience ? std::min(route.timeout, *terms.patience) : route.timeout;
 }
 
-http_response refuse(int status, std::string_view reason)
+rejection not_run(std::string reason)
 {
-    return {status,
-            {{std::string{outcome_header}, "not-run"}, {"Content-Type", "text/plain"}},
-            fmt::format("{}\n", reason)};
+    return {rejection_kind::not_run, std::move(reason), std::nullopt};
 }
 
 } // namespace
@@ -66,42 +52,55 @@
 http_response proxy_handler::handle_until_cancelled(const http_request& request, cancellation& stop)
 {
     const auto started = environment_.time.now();
-    const auto service = service_of(request);
+    const auto terms = environment_.dialect.read(request);
     plan item;
-    item.routes = environment_.tables.current()->find(service);
-    if (!item.routes) {
-        return refuse(status_not_found, fmt::format("no service \"{}\"", service.str()));
-    }
-    item.route = item.routes->match(request.target);
-    if (item.route == nullptr) {
-        return refuse(status_not_found, fmt::format("no route for {}", request.target));
-    }
-    item.call.service = service;
-    item.call.idempotent = item.route->idempotent;
+    item.request_id = terms.request_id;
+    item.stop = &stop;
     item.call.request = request;
+    if (const auto why = find_route(request, item)) {
+        return reject(item, *why);
+    }
+    item.call.idempotent = item.route->kind == route_kind::idempotent;
     drop_hop_by_hop(item.call.request.headers);
-    item.stop = &stop;
-    item.deadline = started + deadline_of(request, *item.route);
+    environment_.dialect.forward(item.call.request);
+    item.deadline = started + deadline_of(terms, *item.route);
     environment_.metrics.count("calls") += 1;
     auto response = execute(item);
     environment_.metrics.latency("call").record(environment_.time.now() - started);
     return response;
 }
 
+std::optional<rejection> proxy_handler::find_route(const http_request& request, plan& item)
+{
+    item.table = environment_.tables.current();
+    if (item.table->version() == config_version{}) {
+        auto why = not_run("this node has no configuration yet");
+        why.retry_after = configuration_wait;
+        return why;
+    }
+    const auto host = find_header(request.headers, "Host");
+    item.route = item.table->match(host, request.target);
+    if (item.route == nullptr) {
+        return rejection{rejection_kind::no_route,
+                         fmt::format("no route for {}{}", host, request.target), std::nullopt};
+    }
+    const auto* service = choose_by_share(item.route->shares, environment_.random);
+    item.routes = service == nullptr ? nullptr : item.table->find(*service);
+    if (!item.routes) {
+        return not_run("the route leads to no known service");
+    }
+    item.call.service = *service;
+    return std::nullopt;
+}
+
 http_response proxy_handler::execute(plan& item)
 {
     environment_.retries.earn(item.call.service);
-    std::vector<node_id> tried;
     bool may_have_run = false;
     while (true) {
-        auto outcome = attempt(item, tried);
+        auto outcome = attempt(item);
         may_have_run = may_have_run || outcome.result == call_result::unknown;
-        const bool may_repeat =
-            (outcome.result == call_result::not_run && outcome.refusal != call_refusal::crashing) ||
-            (outcome.result == call_result::unknown && item.call.idempotent);
-        if (!may_repeat || item.stop->cancelled() || environment_.time.now() >= item.deadline ||
-            tried.size() >= item.routes->endpoints.size() ||
-            !environment_.retries.spend(item.call.service)) {
+        if (!may_repeat(item, outcome)) {
             if (may_have_run && outcome.result == call_result::not_run) {
                 outcome.result = call_result::unknown;
             }
@@ -111,7 +110,24 @@
     }
 }
 
-call_response proxy_handler::attempt(plan& item, std::vector<node_id>& tried)
+bool proxy_handler::may_repeat(const plan& item, const call_response& outcome)
+{
+    const bool allowed =
+        (outcome.result == call_result::not_run && outcome.refusal != call_refusal::crashing) ||
+        (outcome.result == call_result::unknown && item.call.idempotent);
+    if (!allowed || item.stop->cancelled() || environment_.time.now() >= item.deadline ||
+        item.tried.size() >= item.routes->endpoints.size()) {
+        return false;
+    }
+    const auto limit = item.route->max_attempts;
+    if (limit != 0 && item.servers_reached >= limit) {
+        return false;
+    }
+    // Only what reaches a second backend server costs backend servers anything.
+    return item.servers_reached == 0 || environment_.retries.spend(item.call.service);
+}
+
+call_response proxy_handler::attempt(plan& item)
 {
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
         item.deadline - environment_.time.now());
@@ -122,18 +138,20 @@
     if (!version) {
         return call_response::not_run(call_refusal::absent, "no backend server is known");
     }
-    const auto* endpoint = environment_.endpoints.choose(item.routes->endpoints, *version, tried);
+    const auto* endpoint =
+        environment_.endpoints.choose(item.routes->endpoints, *version, item.tried);
     if (endpoint == nullptr) {
         return call_response::not_run(call_refusal::absent, "every backend server refused");
     }
     item.call.version = *version;
     item.call.remaining = remaining;
-    tried.push_back(endpoint->node);
+    item.tried.push_back(endpoint->node);
     environment_.loads.begin(endpoint->node);
     const auto sent_at = environment_.time.now();
     auto outcome = environment_.transport.call_until_cancelled(endpoint->peer, item.call,
                                                                item.deadline, *item.stop);
     environment_.loads.end(endpoint->node);
+    item.servers_reached += outcome.reached_server ? 1 : 0;
     if (!item.stop->cancelled()) {
         note(endpoint->node, item.call, outcome);
         environment_.observer.on_attempt(
@@ -177,15 +195,25 @@
         drop_hop_by_hop(outcome.response.headers);
         return std::move(outcome.response);
     }
-    const bool not_run = outcome.result == call_result::not_run;
-    environment_.metrics.count(not_run ? "calls_not_run" : "calls_unknown") += 1;
-    environment_.log.write(
-        not_run ? event_id::call_not_run : event_id::call_outcome_unknown,
-        fmt::format("{}{}: {}", item.call.service.str(), item.call.request.target, outcome.reason));
-    return {not_run ? status_unavailable : status_bad_gateway,
-            {{std::string{outcome_header}, std::string{to_string(outcome.result)}},
-             {"Content-Type", "text/plain"}},
-            outcome.reason + "\n"};
+    rejection why{rejection_kind::unknown, std::move(outcome.reason), outcome.retry_after};
+    if (outcome.result == call_result::not_run) {
+        why.kind = rejection_kind::not_run;
+    }
+    else if (environment_.time.now() >= item.deadline) {
+        why.kind = rejection_kind::expired;
+    }
+    return reject(item, why);
+}
+
+http_response proxy_handler::reject(const plan& item, const rejection& why)
+{
+    const bool unknown =
+        why.kind == rejection_kind::unknown || why.kind == rejection_kind::expired;
+    environment_.metrics.count(unknown ? "calls_unknown" : "calls_not_run") += 1;
+    environment_.log.write(unknown ? event_id::call_outcome_unknown : event_id::call_not_run,
+                           fmt::format("{} {}{}: {}", item.request_id, item.call.service.str(),
+                                       item.call.request.target, why.reason));
+    return environment_.dialect.reject(why);
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_TRAFFIC_PROXY_HANDLER_HPP
 
 #include <savorywheel/core/clock.hpp>
+#include <savorywheel/core/random_source.hpp>
 #include <savorywheel/http/http_handler.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/metric_registry.hpp>
@@ -12,9 +13,12 @@
 #include <savorywheel/routing/version_chooser.hpp>
 #include <savorywheel/traffic/call_observer.hpp>
 #include <savorywheel/traffic/call_transport.hpp>
+#include <savorywheel/traffic/caller_dialect.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace savorywheel {
@@ -46,6 +50,10 @@
         metric_registry& metrics;
         /** @brief Log. */
         event_log& log;
+        /** @brief Random numbers. */
+        random_source& random;
+        /** @brief How callers speak about their requests. */
+        const caller_dialect& dialect;
     };
 
     /** @param surroundings What the proxy works with. */
@@ -57,17 +65,24 @@
 
 private:
     struct plan {
+        std::shared_ptr<const routing_table> table;
         std::shared_ptr<const service_routes> routes;
-        const route_spec* route{};
+        const host_route* route{};
         call_request call;
+        std::string request_id;
         monotonic_time deadline;
         cancellation* stop{};
+        std::vector<node_id> tried;
+        std::size_t servers_reached{};
     };
 
+    [[nodiscard]] std::optional<rejection> find_route(const http_request& request, plan& item);
     [[nodiscard]] http_response execute(plan& item);
-    [[nodiscard]] call_response attempt(plan& item, std::vector<node_id>& tried);
+    [[nodiscard]] call_response attempt(plan& item);
+    [[nodiscard]] bool may_repeat(const plan& item, const call_response& outcome);
     void note(const node_id& endpoint, const call_request& call, const call_response& outcome);
     [[nodiscard]] http_response conclude(const plan& item, call_response outcome);
+    [[nodiscard]] http_response reject(const plan& item, const rejection& why);
 
     environment environment_;
 };
--- a/src/savorywheel/traffic/retry_budget.cpp
+++ b/src/savorywheel/traffic/retry_budget.cpp
@@ -4,24 +4,17 @@
 
 namespace savorywheel {
 
-namespace {
-
-constexpr double retries_per_call = 0.1;
-constexpr double most_saved_retries = 10.0;
-
-} // namespace
-
 void retry_budget::earn(const service_name& service)
 {
     const std::scoped_lock lock{mutex_};
-    auto& tokens = tokens_.try_emplace(service, most_saved_retries).first->second;
-    tokens = std::min(tokens + retries_per_call, most_saved_retries);
+    auto& tokens = tokens_of(service);
+    tokens = std::min(tokens + limits_.per_call, most_saved());
 }
 
 bool retry_budget::spend(const service_name& service)
 {
     const std::scoped_lock lock{mutex_};
-    auto& tokens = tokens_.try_emplace(service, most_saved_retries).first->second;
+    auto& tokens = tokens_of(service);
     if (tokens < 1.0) {
         return false;
     }
@@ -29,4 +22,24 @@
     return true;
 }
 
+void retry_budget::set_nodes(std::size_t nodes)
+{
+    const std::scoped_lock lock{mutex_};
+    nodes_ = std::max<std::size_t>(nodes, 1);
+    for (auto& [service, tokens] : tokens_) {
+        tokens = std::min(tokens, most_saved());
+    }
+}
+
+double& retry_budget::tokens_of(const service_name& service)
+{
+    return tokens_.try_emplace(service, most_saved()).first->second;
+}
+
+double retry_budget::most_saved() const noexcept
+{
+    // A part below one could never be spent.
+    return std::max(limits_.saved_by_mesh / static_cast<double>(nodes_), 1.0);
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/transport/exchange_tracker.cpp
+++ b/src/savorywheel/transport/exchange_tracker.cpp
@@ -8,14 +8,16 @@
 {
     return kind == frame_kind::call_request || kind == frame_kind::commit_fetch ||
            kind == frame_kind::membership_sync || kind == frame_kind::crash_report ||
-           kind == frame_kind::floor_put || kind == frame_kind::floor_get;
+           kind == frame_kind::floor_put || kind == frame_kind::floor_get ||
+           kind == frame_kind::configuration_get;
 }
 
 bool closes(frame_kind kind) noexcept
 {
     return kind == frame_kind::call_response || kind == frame_kind::commit_batch ||
            kind == frame_kind::membership_full || kind == frame_kind::crash_noted ||
-           kind == frame_kind::floor_stored || kind == frame_kind::floor_value;
+           kind == frame_kind::floor_stored || kind == frame_kind::floor_value ||
+           kind == frame_kind::configuration_value;
 }
 
 } // namespace
--- a/src/savorywheel/transport/frame_kind.hpp
+++ b/src/savorywheel/transport/frame_kind.hpp
@@ -26,7 +26,9 @@
     crash_noted,     /**< The answer to a crash_report. */
     head_get,        /**< Empty; asks for the version in force at the receiver. */
     head_value,      /**< The answer to a head_get. */
-    last_kind = head_value
+    configuration_get,   /**< Empty; asks for the newest configuration of operators. */
+    configuration_value, /**< The answer to a configuration_get. */
+    last_kind = configuration_value
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/traffic_class.cpp
+++ b/src/savorywheel/transport/traffic_class.cpp
@@ -18,6 +18,8 @@
     case frame_kind::commit_push:
     case frame_kind::commit_fetch:
     case frame_kind::commit_batch:
+    case frame_kind::configuration_get:
+    case frame_kind::configuration_value:
         return traffic_class::commit;
     case frame_kind::membership_sync:
     case frame_kind::membership_full:
--- a/test/savorywheel/admin/fixed_node_view.hpp
+++ b/test/savorywheel/admin/fixed_node_view.hpp
@@ -28,6 +28,20 @@
 
     void announce(const backend_server& backend) override { announced_ = backend; }
 
+    outcome<bool> take(const backend_announcement& announcement) override
+    {
+        announced_ = announcement.backend;
+        return true;
+    }
+
+    outcome<bool> withdraw(std::string_view identity) override
+    {
+        if (announced_ && announced_->identity == identity) {
+            announced_.reset();
+        }
+        return true;
+    }
+
     /** @return The announcement that was taken last. */
     [[nodiscard]] const std::optional<backend_server>& announced() const noexcept
     {
--- a/test/savorywheel/traffic/gate_test.cpp
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/traffic/gate.hpp>
+#include <savorywheel/traffic/plain_server_dialect.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -61,7 +62,8 @@
     std::shared_ptr<recording_sink> sink = std::make_shared<recording_sink>();
     recording_event_log log;
     recording_crash_reporter crashes;
-    gate subject{{client, time, crashes, log, node_id{"gate"}}};
+    plain_server_dialect dialect;
+    gate subject{{client, time, crashes, log, node_id{"gate"}, dialect}};
 };
 
 } // namespace
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -2,6 +2,7 @@
 #include <savorywheel/rollout/evidence_recorder.hpp>
 #include <savorywheel/routing/nearest_endpoint_chooser.hpp>
 #include <savorywheel/routing/weighted_version_chooser.hpp>
+#include <savorywheel/traffic/plain_caller_dialect.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
 
 #include <gtest/gtest.h>
@@ -45,7 +46,7 @@
     state->spec.routes = {{"/", idempotent, std::chrono::milliseconds{1000}, {}}};
     state->weights = {{version_name{"v1"}, weight_sum_permille}};
     auto routes = std::make_shared<service_routes>();
-    routes->state = std::move(state);
+    routes->state = state;
     for (std::size_t i = 0; i < endpoints; ++i) {
         route_endpoint endpoint;
         endpoint.node = node_id{"n" + std::to_string(i)};
@@ -53,8 +54,10 @@
         endpoint.slots = 12;
         routes->endpoints.push_back(std::move(endpoint));
     }
+    const auto hosts = std::make_shared<const host_table>(
+        mesh_state::service_map{{service_name{"bookdesk"}, state}});
     return std::make_shared<const routing_table>(
-        config_version{1}, routing_table::route_map{{service_name{"bookdesk"}, routes}});
+        config_version{1}, routing_table::route_map{{service_name{"bookdesk"}, routes}}, hosts);
 }
 
 /** A proxy of one node, with all that it works with. */
@@ -78,8 +81,9 @@
     evidence_recorder observer{region_name{"r"}};
     metric_registry metrics;
     recording_event_log log;
+    plain_caller_dialect dialect;
     proxy_handler proxy{{time, tables, versions, endpoints, loads, health, retries, carrier,
-                         observer, metrics, log}};
+                         observer, metrics, log, random, dialect}};
 };
 
 /** A proxy over a generated transport. */
