--- a/apps/common/node_program.cpp
+++ b/apps/common/node_program.cpp
@@ -1,6 +1,6 @@
 #include <savorywheel/log/log4cxx_event_log.hpp>
 #include <savorywheel/node/node.hpp>
-#include <savorywheel/node/stop_signal.hpp>
+#include <savorywheel/node/process_signals.hpp>
 #include <savorywheel/settings/node_settings_reader.hpp>
 
 #include <CLI/CLI.hpp>
@@ -8,6 +8,7 @@
 #include <common/read_file.hpp>
 
 #include <iostream>
+#include <optional>
 
 namespace savorywheel {
 
@@ -16,16 +17,39 @@
 constexpr int exit_failed = 1;
 constexpr int exit_bad_settings = 2;
 
-int run(const node_settings& settings, const front_end& front)
+/** Reads and checks the settings; reports their faults. */
+std::optional<node_settings> load_settings(const std::string& program, const std::string& path)
 {
-    const stop_signal signal;
+    const auto text = read_file(path);
+    if (!text) {
+        std::cerr << path << ": cannot be read\n";
+        return std::nullopt;
+    }
+    findings report;
+    auto settings = read_node_settings(*text, report);
+    if (!report.empty()) {
+        std::cerr << report.render(path);
+        log4cxx_event_log{program}.write(event_id::settings_refused, path);
+        return std::nullopt;
+    }
+    return settings;
+}
+
+int run(const std::string& program, const std::string& path, const node_settings& settings,
+        const front_end& front)
+{
+    const process_signals signals;
     log4cxx_event_log log{settings.name.str(), settings.log_level};
     node process{settings, log, plain_links::instance(), front};
     if (const auto started = process.start(); !started) {
         std::cerr << started.reason().message << '\n';
         return exit_failed;
     }
-    signal.wait();
+    signals.wait_for_stop([&] {
+        if (const auto changed = load_settings(program, path)) {
+            process.reload(*changed);
+        }
+    });
     process.stop();
     return 0;
 }
@@ -43,23 +67,15 @@
         ->required();
     app.add_flag("--check-settings", check_only, "Check the settings and exit");
     CLI11_PARSE(app, argc, argv);
-    const auto text = read_file(path);
-    if (!text) {
-        std::cerr << path << ": cannot be read\n";
-        return exit_bad_settings;
-    }
-    findings report;
-    const auto settings = read_node_settings(*text, report);
-    if (!report.empty()) {
-        std::cerr << report.render(path);
-        log4cxx_event_log{name}.write(event_id::settings_refused, path);
+    const auto settings = load_settings(name, path);
+    if (!settings) {
         return exit_bad_settings;
     }
     if (check_only) {
         std::cout << path << ": no faults\n";
         return 0;
     }
-    return run(settings, *make_front(settings));
+    return run(name, path, *settings, *make_front(*settings));
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/config/mesh_state.cpp
+++ b/src/savorywheel/config/mesh_state.cpp
@@ -15,16 +15,34 @@
     }
 }
 
-mesh_state::mesh_state(const operator_configuration& source)
-    : version_{source.version},
+mesh_state::mesh_state(const operator_configuration& source, config_version version)
+    : version_{version},
       hosts_{std::make_shared<const std::vector<virtual_host>>(source.hosts)}
 {
+    std::map<service_name, service_state> services;
     for (const auto& name : source.services) {
-        auto service = std::make_shared<service_state>();
-        service->changed_at = source.version;
-        service->spec.name = name;
-        services_.emplace(name, std::move(service));
+        services[name].spec.name = name;
     }
+    for (const auto& host : source.hosts) {
+        for (const auto& route : host.routes) {
+            for (const auto& share : route.shares) {
+                auto& spec = services[share.service].spec;
+                spec.name = share.service;
+                spec.routes.push_back({route.path, route.kind == route_kind::idempotent,
+                                       route.timeout, {}});
+            }
+        }
+    }
+    for (auto& [name, service] : services) {
+        service.changed_at = version;
+        services_.emplace(name, std::make_shared<const service_state>(std::move(service)));
+    }
+}
+
+void mesh_state::replace(service_state service)
+{
+    const auto name = service.spec.name;
+    services_.insert_or_assign(name, std::make_shared<const service_state>(std::move(service)));
 }
 
 outcome<mesh_state> mesh_state::apply(const commit& change) const
--- a/src/savorywheel/config/mesh_state.hpp
+++ b/src/savorywheel/config/mesh_state.hpp
@@ -44,8 +44,12 @@
      * @brief Creates the state of a configuration that lies in one object.
      * @param source The configuration; its services have no shares of versions, so that every
      * version that runs serves.
+     * @param version Version of the state.
      */
-    explicit mesh_state(const operator_configuration& source);
+    mesh_state(const operator_configuration& source, config_version version);
+
+    /** @brief Replaces a service, which keeps its name. */
+    void replace(service_state service);
 
     /** @return Version of the last commit. */
     [[nodiscard]] config_version version() const noexcept { return version_; }
--- a/src/savorywheel/config/rollout_order.hpp
+++ b/src/savorywheel/config/rollout_order.hpp
@@ -1,15 +1,16 @@
 #ifndef SAVORYWHEEL_CONFIG_ROLLOUT_ORDER_HPP
 #define SAVORYWHEEL_CONFIG_ROLLOUT_ORDER_HPP
 
-#include <savorywheel/config/move_status.hpp>
+#include <savorywheel/config/order_record.hpp>
 #include <savorywheel/core/names.hpp>
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace savorywheel {
 
-/** @brief Operators' order to move a service's traffic to another version. */
+/** @brief Operators' order to move a service's traffic to another version, by a time. */
 struct rollout_order {
     /** @brief Service. */
     service_name service;
@@ -17,10 +18,10 @@
     version_name target;
     /** @brief Time in which the move should be done. */
     std::chrono::milliseconds duration{};
-    /** @brief Status that was last recorded for this target. */
-    move_status status{move_status::in_progress};
-    /** @brief Revision of the order's object, for conditional updates. */
+    /** @brief Revision of the order's object; grows with each change of it. */
     std::uint64_t revision{};
+    /** @brief What the mesh has recorded of the move to this target. */
+    std::optional<order_record> record;
 
     /** @brief Compares all members. */
     [[nodiscard]] friend bool operator==(const rollout_order&, const rollout_order&) = default;
--- a/src/savorywheel/distribution/document_watcher.cpp
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -2,6 +2,7 @@
 #include <savorywheel/distribution/document_watcher.hpp>
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace savorywheel {
@@ -17,8 +18,8 @@
 
 } // namespace
 
-document_watcher::document_watcher(std::string key, environment surroundings)
-    : key_{std::move(key)}, environment_{std::move(surroundings)}, delay_{first_delay}
+document_watcher::document_watcher(std::string prefix, environment surroundings)
+    : prefix_{std::move(prefix)}, environment_{std::move(surroundings)}, delay_{first_delay}
 {
 }
 
@@ -58,19 +59,19 @@
 
 bool document_watcher::read()
 {
-    const auto seen = environment_.store.list(key_, {});
+    auto seen = environment_.store.list(prefix_, {});
     if (!seen) {
         return false;
     }
     revision_ = seen->revision;
     delay_ = first_delay;
-    take(*seen);
+    take(std::move(*seen));
     return true;
 }
 
 bool document_watcher::follow()
 {
-    const auto seen = environment_.store.watch(key_, *revision_, watch_patience);
+    auto seen = environment_.store.watch(prefix_, *revision_, watch_patience);
     if (!seen) {
         // After a gap in the store's history only a fresh read shows the newest value.
         revision_.reset();
@@ -78,16 +79,25 @@
     }
     revision_ = std::max(*revision_, seen->revision);
     delay_ = first_delay;
-    take(*seen);
+    take(std::move(*seen));
     return true;
 }
 
-void document_watcher::take(const object_list& seen)
+void document_watcher::take(object_list seen)
 {
-    const auto newest = std::ranges::max_element(
-        seen.objects, {}, [](const stored_object& item) { return item.revision; });
-    if (newest != seen.objects.end()) {
-        environment_.document(*newest);
+    std::map<std::string, stored_object> newest;
+    for (auto& object : seen.objects) {
+        auto& known = newest[object.key];
+        if (known.revision <= object.revision) {
+            known = std::move(object);
+        }
+    }
+    std::vector<stored_object> changed;
+    for (auto& [key, object] : newest) {
+        changed.push_back(std::move(object));
+    }
+    if (!changed.empty()) {
+        environment_.documents(std::move(changed));
     }
 }
 
--- a/src/savorywheel/distribution/document_watcher.hpp
+++ b/src/savorywheel/distribution/document_watcher.hpp
@@ -10,19 +10,20 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace savorywheel {
 
 /**
- * @brief Thread that watches one object of the platform's service.
+ * @brief Thread that watches objects of the platform's service.
  *
  * It owns no state but its position; what it reads goes to the control thread by a callback.
  * Changes that follow closely on each other cost one call together.
  */
 class document_watcher {
 public:
-    /** @brief Takes the newest value; called on the watching thread. */
-    using document_callback = std::function<void(stored_object)>;
+    /** @brief Takes the newest value of each changed object; called on the watching thread. */
+    using documents_callback = std::function<void(std::vector<stored_object>)>;
 
     /** @brief Hears whether the platform's service answers; called on the watching thread. */
     using health_callback = std::function<void(bool reachable)>;
@@ -33,17 +34,17 @@
         object_store& store;
         /** @brief Spreads the retries. */
         random_source& random;
-        /** @brief Takes the newest value. */
-        document_callback document;
+        /** @brief Takes the newest values. */
+        documents_callback documents;
         /** @brief Hears whether the service answers. */
         health_callback health;
     };
 
     /**
-     * @param key Key of the object.
+     * @param prefix Start of the objects' keys.
      * @param surroundings What the watcher works with.
      */
-    document_watcher(std::string key, environment surroundings);
+    document_watcher(std::string prefix, environment surroundings);
     document_watcher(const document_watcher&) = delete;
     document_watcher& operator=(const document_watcher&) = delete;
     document_watcher(document_watcher&&) = delete;
@@ -60,12 +61,12 @@
     void run();
     [[nodiscard]] bool read();
     [[nodiscard]] bool follow();
-    void take(const object_list& seen);
+    void take(object_list seen);
     /** Waits; false at the end. */
     [[nodiscard]] bool pause(std::chrono::milliseconds length);
     [[nodiscard]] std::chrono::milliseconds next_delay();
 
-    std::string key_;
+    std::string prefix_;
     environment environment_;
     std::optional<std::uint64_t> revision_;
     std::chrono::milliseconds delay_;
--- /dev/null
+++ b/src/savorywheel/distribution/order_codec.hpp
@@ -0,0 +1,44 @@
+#ifndef SAVORYWHEEL_DISTRIBUTION_ORDER_CODEC_HPP
+#define SAVORYWHEEL_DISTRIBUTION_ORDER_CODEC_HPP
+
+#include <savorywheel/config/move_status.hpp>
+#include <savorywheel/config/rollout_order.hpp>
+#include <savorywheel/core/outcome.hpp>
+#include <savorywheel/store/stored_object.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace savorywheel {
+
+/** @brief Reads rollout orders from objects of the platform's service, and writes their status. */
+class order_codec {
+public:
+    order_codec() = default;
+    order_codec(const order_codec&) = delete;
+    order_codec& operator=(const order_codec&) = delete;
+    order_codec(order_codec&&) = delete;
+    order_codec& operator=(order_codec&&) = delete;
+    virtual ~order_codec() = default;
+
+    /** @return Start of the orders' keys. */
+    [[nodiscard]] virtual std::string_view prefix() const noexcept = 0;
+
+    /** @return malformed if the object is not an order. */
+    [[nodiscard]] virtual outcome<rollout_order> decode(const stored_object& object) const = 0;
+
+    /** @return Key under which the status of a service's order is replaced. */
+    [[nodiscard]] virtual std::string status_key(const service_name& service) const = 0;
+
+    /**
+     * @param order The order, with the record to write.
+     * @param status Status of the move.
+     * @return The status as operators read it.
+     */
+    [[nodiscard]] virtual std::string encode_status(const rollout_order& order,
+                                                    move_status status) const = 0;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/encoding/config_archive.hpp
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -3,6 +3,8 @@
 
 #include <savorywheel/config/commit.hpp>
 #include <savorywheel/config/operator_configuration.hpp>
+#include <savorywheel/config/order_record.hpp>
+#include <savorywheel/config/rollout_order.hpp>
 #include <savorywheel/encoding/core_archive.hpp>
 
 namespace savorywheel {
@@ -124,6 +126,22 @@
             cereal::make_nvp("hosts", item.hosts));
 }
 
+/** @brief Lists the members of what is recorded beside an order. */
+template<typename Archive>
+void serialize(Archive& archive, order_record& item)
+{
+    archive(cereal::make_nvp("move", item.move), cereal::make_nvp("weights", item.weights));
+}
+
+/** @brief Lists the members of a rollout order. */
+template<typename Archive>
+void serialize(Archive& archive, rollout_order& item)
+{
+    archive(cereal::make_nvp("service", item.service), cereal::make_nvp("target", item.target),
+            cereal::make_nvp("duration_ms", item.duration),
+            cereal::make_nvp("revision", item.revision), cereal::make_nvp("record", item.record));
+}
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_ENCODING_DISTRIBUTION_ARCHIVE_HPP
 #define SAVORYWHEEL_ENCODING_DISTRIBUTION_ARCHIVE_HPP
 
+#include <savorywheel/distribution/directed_documents.hpp>
 #include <savorywheel/distribution/checkpoint_manifest.hpp>
 #include <savorywheel/distribution/commit_batch_message.hpp>
 #include <savorywheel/distribution/commit_fetch_message.hpp>
@@ -74,6 +75,14 @@
             cereal::make_nvp("term", lease.term), cereal::make_nvp("lifetime_ms", lease.lifetime));
 }
 
+/** @brief Lists the members of what operators keep in the platform's service. */
+template<typename Archive>
+void serialize(Archive& archive, directed_documents& item)
+{
+    archive(cereal::make_nvp("configuration", item.configuration),
+            cereal::make_nvp("revision", item.revision), cereal::make_nvp("orders", item.orders));
+}
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -228,8 +228,27 @@
                                               const http_request& request,
                                               std::chrono::milliseconds timeout)
 {
-    cancellation never;
-    return send_until_cancelled(server, request, timeout, never);
+    cancellation stop;
+    {
+        const std::scoped_lock lock{mutex_};
+        if (aborted_) {
+            return failure{failure_code::unavailable, "the client was stopped"};
+        }
+        waiting_.insert(&stop);
+    }
+    auto result = send_until_cancelled(server, request, timeout, stop);
+    const std::scoped_lock lock{mutex_};
+    waiting_.erase(&stop);
+    return result;
+}
+
+void curl_http_client::abort()
+{
+    const std::scoped_lock lock{mutex_};
+    aborted_ = true;
+    for (auto* stop : waiting_) {
+        stop->cancel();
+    }
 }
 
 outcome<http_response> curl_http_client::send_until_cancelled(const network_endpoint& server,
--- a/src/savorywheel/http/curl_http_client.hpp
+++ b/src/savorywheel/http/curl_http_client.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace savorywheel {
@@ -28,6 +29,10 @@
                                                               std::chrono::milliseconds timeout,
                                                               cancellation& stop) override;
     void close_idle(const network_endpoint& server) override;
+
+    /** @brief Ends what send() waits for, now and later, so that threads which wait can end. */
+    void abort();
+
     [[nodiscard]] bool accepts_connections(const network_endpoint& server) override;
 
 private:
@@ -38,6 +43,8 @@
 
     std::mutex mutex_;
     std::map<network_endpoint, std::vector<std::unique_ptr<transfer>>> idle_;
+    std::set<cancellation*> waiting_;
+    bool aborted_{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -86,8 +86,12 @@
 
 void answer(_u_response& target, const http_response& source, bool closing)
 {
-    ulfius_set_binary_body_response(&target, static_cast<unsigned>(source.status),
-                                    source.body.data(), source.body.size());
+    // Ulfius refuses an empty body together with its status.
+    target.status = source.status;
+    if (!source.body.empty()) {
+        ulfius_set_binary_body_response(&target, static_cast<unsigned>(source.status),
+                                        source.body.data(), source.body.size());
+    }
     for (const auto& header : source.headers) {
         u_map_put(target.map_header, header.name.c_str(), header.value.c_str());
     }
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -17,6 +17,7 @@
                       "The process takes no new work and finishes what it has."},
     event_description{event_id::process_stopped, info, "The process has finished its work."},
     event_description{event_id::settings_refused, error, "The settings have faults."},
+    event_description{event_id::settings_reloaded, info, "The settings were read again."},
     event_description{event_id::configuration_in_force, info,
                       "A newer configuration version is in force at this node."},
     event_description{event_id::relay_lease_gained, info,
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -11,6 +11,7 @@
     process_stopping = 1002,
     process_stopped = 1003,
     settings_refused = 1004,
+    settings_reloaded = 1005,
     configuration_in_force = 2001,
     relay_lease_gained = 2002,
     relay_lease_lost = 2003,
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -4,6 +4,8 @@
 #include <savorywheel/node/domain_survey.hpp>
 #include <savorywheel/node/node_lease.hpp>
 #include <savorywheel/node/node_record.hpp>
+#include <savorywheel/node/order_appender.hpp>
+#include <savorywheel/node/store_commit_appender.hpp>
 
 #include <fmt/format.h>
 
@@ -53,12 +55,7 @@
       backend_{backend_monitor::environment{surroundings.loop, surroundings.log,
                                             settings.backend_timeout},
                [this](const auto& backend) { on_backend(backend); }},
-      rollouts_{make_node_lease(settings),
-                rollout_service::environment{
-                    surroundings.loop, surroundings.random, surroundings.worker,
-                    surroundings.network, surroundings.log, surroundings.evidence,
-                    surroundings.ejections,
-                    [this]() -> const member_table& { return membership_.agent().table(); }}},
+      appender_{make_appender()}, rollouts_{make_node_lease(settings), rollout_environment()},
       heads_{surroundings.tables, surroundings.network, surroundings.requests},
       documents_{make_documents()}, directory_{make_directory()}
 {
@@ -118,17 +115,40 @@
             [this](const log_tail& tail) { take_tail(tail); }};
 }
 
+rollout_service::environment control_plane::rollout_environment()
+{
+    return {environment_.loop,
+            environment_.random,
+            environment_.worker,
+            environment_.network,
+            environment_.log,
+            environment_.evidence,
+            environment_.ejections,
+            *appender_,
+            [this]() -> const member_table& { return membership_.agent().table(); }};
+}
+
+std::unique_ptr<commit_appender> control_plane::make_appender()
+{
+    if (environment_.orders == nullptr) {
+        return std::make_unique<store_commit_appender>(environment_.worker, environment_.loop);
+    }
+    return std::make_unique<order_appender>(order_appender::environment{
+        environment_.worker, environment_.loop, *environment_.orders,
+        [this]() -> const directed_documents& { return documents_->documents(); }});
+}
+
 std::unique_ptr<document_service> control_plane::make_documents()
 {
     if (environment_.decoder == nullptr) {
         return nullptr;
     }
     return std::make_unique<document_service>(
-        *environment_.decoder,
-        document_service::environment{
-            environment_.loop, quota_, environment_.random, environment_.store,
-            environment_.network, environment_.requests, environment_.log,
-            [this](const operator_configuration& item) { on_operator_configuration(item); }});
+        *environment_.decoder, *environment_.orders,
+        document_service::environment{environment_.loop, quota_, environment_.random,
+                                      environment_.store, environment_.network,
+                                      environment_.requests, environment_.log,
+                                      [this] { apply_documents(); }});
 }
 
 std::unique_ptr<member_directory> control_plane::make_directory()
@@ -154,10 +174,11 @@
     if (documents_) {
         documents_->start();
         directory_->start();
-        return;
     }
-    floors_.keeper().start();
-    relay_.start();
+    else {
+        floors_.keeper().start();
+        relay_.start();
+    }
     rollouts_.start();
 }
 
@@ -170,18 +191,27 @@
     else {
         floors_.keeper().stop();
         relay_.stop();
-        rollouts_.stop();
     }
+    rollouts_.stop();
     membership_.agent().leave();
     backend_.stop();
 }
 
-void control_plane::on_operator_configuration(const operator_configuration& configuration)
+void control_plane::apply_documents()
 {
-    publisher_.on_configuration(mesh_state{configuration});
-    membership_.agent().set_head(configuration.version);
+    const auto& documents = documents_->documents();
+    if (documents.revision == 0) {
+        return;
+    }
+    const auto state = orders_.join(documents, membership_.agent().table(),
+                                    environment_.loop.time().calendar_now());
+    rollouts_.on_configuration(state);
+    publisher_.on_configuration(state);
+    membership_.agent().set_head(state.version());
     environment_.log.write(event_id::configuration_in_force,
-                           fmt::format("version {}", configuration.version.number));
+                           fmt::format("version {}, state {}",
+                                       documents.configuration.version.number,
+                                       state.version().number));
 }
 
 outcome<node_state_dump> control_plane::dump()
@@ -260,6 +290,9 @@
     }
     environment_.retries.set_nodes(membership_.agent().table().live().size());
     rollouts_.on_members_changed();
+    if (documents_ && orders_.depends_on_members()) {
+        apply_documents();
+    }
     publisher_.on_members_changed();
 }
 
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -16,6 +16,8 @@
 #include <savorywheel/node/relay_role.hpp>
 #include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/node/table_publisher.hpp>
+#include <savorywheel/rollout/commit_appender.hpp>
+#include <savorywheel/rollout/order_state.hpp>
 #include <savorywheel/settings/node_settings.hpp>
 #include <savorywheel/traffic/gate.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
@@ -67,6 +69,8 @@
          * configuration is the mesh's own ordered log.
          */
         const configuration_decoder* decoder;
+        /** @brief Reads operators' rollout orders; nullptr with the decoder. */
+        const order_codec* orders;
     };
 
     /**
@@ -123,7 +127,10 @@
     [[nodiscard]] relay_role::environment relay_environment();
     [[nodiscard]] std::unique_ptr<document_service> make_documents();
     [[nodiscard]] std::unique_ptr<member_directory> make_directory();
-    void on_operator_configuration(const operator_configuration& configuration);
+    [[nodiscard]] std::unique_ptr<commit_appender> make_appender();
+    [[nodiscard]] rollout_service::environment rollout_environment();
+    /** Joins what operators keep in the platform's service, and routes by it. */
+    void apply_documents();
     /** Reads the log in the store, so that this node learns its floor without buddies. */
     void read_store();
     void take_tail(const log_tail& tail);
@@ -140,9 +147,11 @@
     floor_service floors_;
     relay_role relay_;
     backend_monitor backend_;
+    std::unique_ptr<commit_appender> appender_;
     rollout_service rollouts_;
     head_service heads_;
     std::unique_ptr<document_service> documents_;
+    order_state orders_;
     std::unique_ptr<member_directory> directory_;
     std::map<config_version, mesh_state> accepted_;
 };
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -9,23 +9,34 @@
 
 namespace {
 
-/** A node that the platform's service answers has a newer version this soon by itself. */
+/** A node that the platform's service answers learns what is newer this soon by itself. */
 constexpr std::chrono::milliseconds own_watch_time{400};
 
 } // namespace
 
-document_service::document_service(const configuration_decoder& decoder, environment surroundings)
-    : decoder_{decoder}, environment_{std::move(surroundings)},
-      watcher_{std::string{decoder.key()}, watcher_environment()}
+document_service::document_service(const configuration_decoder& decoder, const order_codec& orders,
+                                   environment surroundings)
+    : decoder_{decoder}, orders_{orders}, environment_{std::move(surroundings)},
+      configuration_watcher_{std::string{decoder.key()},
+                             watcher_environment(&document_service::take_configuration)},
+      order_watcher_{std::string{orders.prefix()},
+                     watcher_environment(&document_service::take_order)}
 {
 }
 
-document_watcher::environment document_service::watcher_environment()
+document_watcher::environment document_service::watcher_environment(take_function take)
 {
     return {environment_.store, environment_.random,
-            [this](stored_object document) {
-                environment_.loop.post(
-                    [this, item = std::move(document)] { take_document(item); });
+            [this, take](std::vector<stored_object> objects) {
+                environment_.loop.post([this, take, items = std::move(objects)] {
+                    bool changed = false;
+                    for (const auto& item : items) {
+                        changed = (this->*take)(item) || changed;
+                    }
+                    if (changed) {
+                        environment_.changed();
+                    }
+                });
             },
             [this](bool reachable) {
                 environment_.loop.post([this, reachable] { on_store_health(reachable); });
@@ -34,34 +45,42 @@
 
 void document_service::start()
 {
-    watcher_.start();
+    configuration_watcher_.start();
+    order_watcher_.start();
 }
 
 void document_service::stop()
 {
     fetch_timer_.reset();
-    watcher_.stop();
+    configuration_watcher_.stop();
+    order_watcher_.stop();
 }
 
-void document_service::take_document(const stored_object& document)
+bool document_service::take_configuration(const stored_object& object)
 {
-    const auto candidate = decoder_.decode(document.value);
+    const auto candidate = decoder_.decode(object.value);
     if (!candidate) {
-        environment_.log.write(event_id::configuration_faulty,
-                               fmt::format("{} at revision {}: {}", document.key, document.revision,
-                                           candidate.reason().message));
-        return;
+        report_fault(object, candidate.reason());
+        return false;
     }
-    take(*candidate);
+    return documents_.merge(*candidate, object.revision);
 }
 
-void document_service::take(const operator_configuration& candidate)
+bool document_service::take_order(const stored_object& object)
 {
-    if (candidate.version <= newest_.version) {
-        return;
+    const auto candidate = orders_.decode(object);
+    if (!candidate) {
+        report_fault(object, candidate.reason());
+        return false;
     }
-    newest_ = candidate;
-    environment_.accepted(newest_);
+    return documents_.merge(*candidate);
+}
+
+void document_service::report_fault(const stored_object& object, const failure& reason)
+{
+    environment_.log.write(
+        event_id::configuration_faulty,
+        fmt::format("{} at revision {}: {}", object.key, object.revision, reason.message));
 }
 
 void document_service::on_store_health(bool reachable)
@@ -76,13 +95,13 @@
 
 void document_service::on_head_seen(const network_endpoint& peer, config_version head)
 {
-    if (head <= newest_.version || fetching_) {
+    if (head <= documents_.head() || fetching_) {
         return;
     }
     fetching_ = true;
     const auto delay = store_reachable_.value_or(false) ? own_watch_time : duration::zero();
     fetch_timer_ = environment_.loop.timers().after(delay, [this, peer, head] {
-        if (head <= newest_.version) {
+        if (head <= documents_.head()) {
             fetching_ = false;
             return;
         }
@@ -104,23 +123,26 @@
 void document_service::on_fetched(const request_client::answer& answer)
 {
     fetching_ = false;
-    if (!answer) {
-        environment_.log.write(event_id::configuration_not_fetched, answer.reason().message);
+    const auto theirs = answer ? decode<directed_documents>(*answer)
+                               : outcome<directed_documents>{answer.reason()};
+    if (!theirs) {
+        environment_.log.write(event_id::configuration_not_fetched, theirs.reason().message);
         return;
     }
-    const auto candidate = decode<operator_configuration>(*answer);
-    if (!candidate) {
-        environment_.log.write(event_id::configuration_not_fetched, candidate.reason().message);
-        return;
+    bool changed = documents_.merge(theirs->configuration, theirs->revision);
+    for (const auto& order : theirs->orders) {
+        changed = documents_.merge(order) || changed;
+    }
+    if (changed) {
+        environment_.changed();
     }
-    take(*candidate);
 }
 
 void document_service::on_frame(const std::shared_ptr<frame_sink>& source, frame_kind /*kind*/,
                                 std::uint64_t correlation, std::span<const std::byte> payload)
 {
     environment_.quota.post(payload.size(), [this, source, correlation] {
-        source->send(frame_kind::configuration_value, correlation, encode(newest_));
+        source->send(frame_kind::configuration_value, correlation, encode(documents_));
     });
 }
 
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -4,7 +4,9 @@
 #include <savorywheel/core/control_loop.hpp>
 #include <savorywheel/core/event_quota.hpp>
 #include <savorywheel/distribution/configuration_decoder.hpp>
+#include <savorywheel/distribution/directed_documents.hpp>
 #include <savorywheel/distribution/document_watcher.hpp>
+#include <savorywheel/distribution/order_codec.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 #include <savorywheel/transport/peer_network.hpp>
@@ -16,16 +18,16 @@
 namespace savorywheel {
 
 /**
- * @brief Follows the configuration that operators keep in one object of the platform's service.
+ * @brief Follows the configuration and the orders that operators keep in the platform's service.
  *
- * Each node watches the object. A node that the service does not answer hears from membership
- * messages that others have a newer version, and fetches it from one of them.
+ * Each node watches the objects. A node that the service does not answer hears from membership
+ * messages that others know something newer, and fetches it from one of them.
  * @warning All members are for the control thread, but for on_frame() and on_closed().
  */
 class document_service final : public frame_handler {
 public:
-    /** @brief Takes a newer configuration, on the control thread. */
-    using accepted_callback = std::function<void(const operator_configuration&)>;
+    /** @brief Hears that something newer is known, on the control thread. */
+    using changed_callback = std::function<void()>;
 
     /** @brief What the service works with; all must outlive it. */
     struct environment {
@@ -35,7 +37,7 @@
         event_quota& quota;
         /** @brief Random numbers. */
         random_source& random;
-        /** @brief The platform's service, for the watching thread. */
+        /** @brief The platform's service, for the watching threads. */
         object_store& store;
         /** @brief Streams to peers. */
         peer_network& network;
@@ -43,15 +45,17 @@
         request_client& requests;
         /** @brief Log. */
         event_log& log;
-        /** @brief Takes newer configurations. */
-        accepted_callback accepted;
+        /** @brief Hears of newer configurations and orders. */
+        changed_callback changed;
     };
 
     /**
-     * @param decoder Reads the object; must outlive the service.
+     * @param decoder Reads the configuration; must outlive the service.
+     * @param orders Reads the orders; must outlive the service.
      * @param surroundings What the service works with.
      */
-    document_service(const configuration_decoder& decoder, environment surroundings);
+    document_service(const configuration_decoder& decoder, const order_codec& orders,
+                     environment surroundings);
 
     /** @brief Starts to watch. */
     void start();
@@ -59,31 +63,36 @@
     /** @brief Ends the watch. */
     void stop();
 
-    /** @brief Hears which version a peer has. */
+    /** @brief Hears what a peer has. */
     void on_head_seen(const network_endpoint& peer, config_version head);
 
-    /** @return The newest configuration; its version is zero if none is known. */
-    [[nodiscard]] const operator_configuration& newest() const noexcept { return newest_; }
+    /** @return What is known. */
+    [[nodiscard]] const directed_documents& documents() const noexcept { return documents_; }
 
     void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
                   std::uint64_t correlation, std::span<const std::byte> payload) override;
     void on_closed(const frame_sink& source, bool established) override;
 
 private:
-    [[nodiscard]] document_watcher::environment watcher_environment();
-    void take_document(const stored_object& document);
-    void take(const operator_configuration& candidate);
+    using take_function = bool (document_service::*)(const stored_object&);
+
+    [[nodiscard]] document_watcher::environment watcher_environment(take_function take);
+    [[nodiscard]] bool take_configuration(const stored_object& object);
+    [[nodiscard]] bool take_order(const stored_object& object);
+    void report_fault(const stored_object& object, const failure& reason);
     void on_store_health(bool reachable);
     void fetch(const network_endpoint& peer);
     void on_fetched(const request_client::answer& answer);
 
     const configuration_decoder& decoder_;
+    const order_codec& orders_;
     environment environment_;
-    operator_configuration newest_;
+    directed_documents documents_;
     std::optional<bool> store_reachable_;
     subscription fetch_timer_;
     bool fetching_{};
-    document_watcher watcher_;
+    document_watcher configuration_watcher_;
+    document_watcher order_watcher_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/front_end.hpp
+++ b/src/savorywheel/node/front_end.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/admin/node_view.hpp>
 #include <savorywheel/distribution/configuration_decoder.hpp>
+#include <savorywheel/distribution/order_codec.hpp>
 #include <savorywheel/http/http_client.hpp>
 #include <savorywheel/http/http_handler.hpp>
 #include <savorywheel/settings/node_settings.hpp>
@@ -44,6 +45,9 @@
      */
     [[nodiscard]] virtual const configuration_decoder* configuration() const noexcept = 0;
 
+    /** @return Reads operators' rollout orders; nullptr if the configuration is the log. */
+    [[nodiscard]] virtual const order_codec* orders() const noexcept = 0;
+
     /**
      * @brief Makes what takes announcements at an endpoint of their own.
      * @param view The node; outlives it.
--- a/src/savorywheel/node/fwd.hpp
+++ b/src/savorywheel/node/fwd.hpp
@@ -10,7 +10,7 @@
 class node;
 class plain_links;
 class relay_role;
-class stop_signal;
+class process_signals;
 class table_publisher;
 
 } // namespace savorywheel
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -31,6 +31,9 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds question_drain_limit{200};
+constexpr std::chrono::milliseconds question_drain_idle{50};
+
 http_server_limits traffic_limits(const node_settings& settings)
 {
     http_server_limits limits;
@@ -38,6 +41,15 @@
     return limits;
 }
 
+/** Servers for small questions, which are asked again elsewhere or later. */
+http_server_limits question_limits()
+{
+    http_server_limits limits;
+    limits.drain_limit = question_drain_limit;
+    limits.drain_idle = question_drain_idle;
+    return limits;
+}
+
 std::uint64_t random_seed()
 {
     std::random_device device;
@@ -107,6 +119,12 @@
         return started;
     }
 
+    void reload(const node_settings& settings)
+    {
+        log_.write(event_id::settings_reloaded, settings.name.str());
+        retries_.set_limits(settings.retries);
+    }
+
     void stop()
     {
         if (!control_thread_.joinable()) {
@@ -115,6 +133,7 @@
         log_.write(event_id::process_stopping, settings_.name.str());
         readiness_.set_stopping();
         leave();
+        proxy_.refuse_new();
         proxy_server_.stop();
         gate_.stop();
         admin_server_.stop();
@@ -122,6 +141,7 @@
         if (announcement_server_) {
             announcement_server_->stop();
         }
+        store_http_.abort();
         worker_.stop();
         loop_.stop();
         control_thread_.join();
@@ -152,10 +172,11 @@
     seeded_random random_{random_seed()};
     control_loop loop_{time_};
     curl_http_client http_;
+    curl_http_client store_http_;
     metric_registry metrics_;
     process_cost_source cost_;
     region_byte_meter meter_{settings_.region, metrics_};
-    std::unique_ptr<object_store> platform_{front_.make_store(http_, settings_.store)};
+    std::unique_ptr<object_store> platform_{front_.make_store(store_http_, settings_.store)};
     metered_object_store store_{links_.store(*platform_), metrics_};
     store_worker worker_{store_};
     input_reporter reporter_{time_, log_};
@@ -174,7 +195,7 @@
                            control_plane::environment{loop_, random_, store_, worker_, datagrams_,
                                                       network_, requests_, tables_, gate_,
                                                       evidence_, ejections_, meter_, log_,
-                                                      retries_, front_.configuration()}};
+                                                      retries_, front_.configuration(), front_.orders()}};
     load_table loads_;
     endpoint_health health_{time_};
     weighted_version_chooser weighted_versions_{random_};
@@ -194,9 +215,10 @@
     std::unique_ptr<http_handler> announcements_{front_.make_announcements(control_)};
     http_server proxy_server_{proxy_, traffic_limits(settings_)};
     http_server admin_server_{admin_, http_server_limits{.max_body_bytes = max_admin_body_bytes}};
-    http_server readiness_server_{readiness_};
+    http_server readiness_server_{readiness_, question_limits()};
     std::unique_ptr<http_server> announcement_server_{
-        announcements_ ? std::make_unique<http_server>(*announcements_) : nullptr};
+        announcements_ ? std::make_unique<http_server>(*announcements_, question_limits())
+                       : nullptr};
     std::thread control_thread_;
 };
 
@@ -215,6 +237,11 @@
     return parts_->start();
 }
 
+void node::reload(const node_settings& settings)
+{
+    parts_->reload(settings);
+}
+
 void node::stop()
 {
     parts_->stop();
--- a/src/savorywheel/node/node.hpp
+++ b/src/savorywheel/node/node.hpp
@@ -34,6 +34,12 @@
      */
     [[nodiscard]] outcome<bool> start();
 
+    /**
+     * @brief Takes the bounds on retries from new settings; the rest needs a new start.
+     * @param settings Settings.
+     */
+    void reload(const node_settings& settings);
+
     /** @brief Leaves the mesh, finishes requests in progress, and ends all threads. */
     void stop();
 
--- a/src/savorywheel/node/own_front_end.hpp
+++ b/src/savorywheel/node/own_front_end.hpp
@@ -21,6 +21,7 @@
     {
         return nullptr;
     }
+    [[nodiscard]] const order_codec* orders() const noexcept override { return nullptr; }
     [[nodiscard]] std::unique_ptr<http_handler> make_announcements(node_view& view) const override;
 
 private:
--- a/src/savorywheel/node/rollout_service.hpp
+++ b/src/savorywheel/node/rollout_service.hpp
@@ -3,8 +3,8 @@
 
 #include <savorywheel/node/controller_set.hpp>
 #include <savorywheel/node/evidence_exchange.hpp>
-#include <savorywheel/node/store_commit_appender.hpp>
 #include <savorywheel/node/withdrawal_spreader.hpp>
+#include <savorywheel/rollout/commit_appender.hpp>
 #include <savorywheel/rollout/evidence_recorder.hpp>
 #include <savorywheel/rollout/local_ejector.hpp>
 #include <savorywheel/rollout/rewrite_guard.hpp>
@@ -36,6 +36,8 @@
         evidence_recorder& recorder;
         /** @brief What the traffic threads heed. */
         version_ejections& ejections;
+        /** @brief Writes the steps of moves. */
+        commit_appender& commits;
         /** @brief Gives the member records. */
         std::function<const member_table&()> members;
     };
@@ -83,7 +85,6 @@
     node_id self_;
     environment environment_;
     mesh_state state_;
-    store_commit_appender commits_;
     evidence_exchange exchange_;
     withdrawal_spreader notices_;
     controller_set controllers_;
--- a/src/savorywheel/rollout/evidence_policy.cpp
+++ b/src/savorywheel/rollout/evidence_policy.cpp
@@ -15,8 +15,8 @@
 /** The next step, or the one after it if the schedule already asks for that one. */
 std::uint32_t target_step(const rollout_move& move, std::uint32_t progress, calendar_time now)
 {
-    const auto next = next_progress(progress);
-    const auto second = next_progress(next);
+    const auto next = next_progress(move, progress);
+    const auto second = next_progress(move, next);
     return progress > 0 && now >= scheduled_time(move, second) ? second : next;
 }
 
@@ -53,21 +53,32 @@
     if (suspicion >= suspicion_that_holds) {
         return {rollout_action::hold, {}, "suspected: " + monitor_.strongest().description};
     }
+    if (progress >= weight_sum_permille) {
+        return finish(view);
+    }
     if (!step_due(view, progress) && !step_earned(view, suspicion)) {
         return {rollout_action::hold, {}, "waits for evidence or the schedule"};
     }
     const auto next = target_step(move, progress, view.now);
     auto reason = fmt::format("{}.{} % of the move after {} calls of the new version", next / 10,
                               next % 10, monitor_.new_calls());
-    const bool last = next >= weight_sum_permille;
-    return {last ? rollout_action::finish : rollout_action::advance, shares_at(move, next),
-            std::move(reason)};
+    return {rollout_action::advance, shares_at(move, next), std::move(reason)};
+}
+
+/** The old versions may stop at once when a move is done, so they finish their calls before. */
+rollout_decision evidence_policy::finish(const rollout_view& view) const
+{
+    if (view.now - step_at_ < settling_time) {
+        return {rollout_action::hold, {}, "the old versions finish their calls"};
+    }
+    return {rollout_action::finish, view.service.move->to,
+            fmt::format("in force after {} calls of the new version", monitor_.new_calls())};
 }
 
 bool evidence_policy::step_due(const rollout_view& view, std::uint32_t progress) const
 {
     const auto& move = *view.service.move;
-    return progress == 0 || (view.now >= scheduled_time(move, next_progress(progress)) &&
+    return progress == 0 || (view.now >= scheduled_time(move, next_progress(move, progress)) &&
                              view.now - step_at_ >= shortest_step);
 }
 
--- a/src/savorywheel/rollout/evidence_policy.hpp
+++ b/src/savorywheel/rollout/evidence_policy.hpp
@@ -22,6 +22,7 @@
 
 private:
     [[nodiscard]] rollout_decision grow(const rollout_view& view, double suspicion);
+    [[nodiscard]] rollout_decision finish(const rollout_view& view) const;
     [[nodiscard]] bool step_due(const rollout_view& view, std::uint32_t progress) const;
     [[nodiscard]] bool step_earned(const rollout_view& view, double suspicion) const;
     void notice_step(const rollout_view& view);
--- a/src/savorywheel/rollout/fault_monitor.cpp
+++ b/src/savorywheel/rollout/fault_monitor.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-constexpr std::chrono::seconds warm_up{10};
+constexpr std::chrono::milliseconds longest_warm_up{10'000};
+/** A short move leaves little time to judge, so that the warm-up takes a part of it only. */
+constexpr int warm_up_divisor = 4;
 constexpr double false_alarms_per_move = 0.01;
 constexpr std::chrono::seconds shortest_watch{600};
 constexpr std::chrono::seconds longest_watch{86'400};
@@ -51,6 +53,15 @@
     return routes;
 }
 
+std::chrono::milliseconds warm_up_of(const rollout_move& move)
+{
+    if (!move.due) {
+        return longest_warm_up;
+    }
+    return std::min<std::chrono::milliseconds>((*move.due - move.started_at) / warm_up_divisor,
+                                               longest_warm_up);
+}
+
 bool old_versions_have_share(const service_state& service)
 {
     return std::ranges::any_of(service.effective_weights(), [&](const version_weight& weight) {
@@ -78,7 +89,7 @@
             monitor.observe_alone(pair.new_sample);
         }
         else {
-            monitor.observe(pair.old_sample, pair.new_sample, warm(view.now));
+            monitor.observe(pair.old_sample, pair.new_sample, warm(view));
         }
     }
     strongest_ = {};
@@ -90,9 +101,9 @@
     }
 }
 
-bool fault_monitor::warm(calendar_time now)
+bool fault_monitor::warm(const rollout_view& view) const
 {
-    return first_new_call_ && now - *first_new_call_ >= warm_up;
+    return first_new_call_ && view.now - *first_new_call_ >= warm_up_of(*view.service.move);
 }
 
 double fault_threshold(const service_state& service, std::size_t watchers)
--- a/src/savorywheel/rollout/fault_monitor.hpp
+++ b/src/savorywheel/rollout/fault_monitor.hpp
@@ -27,7 +27,7 @@
     [[nodiscard]] std::uint64_t new_calls() const noexcept { return new_calls_; }
 
 private:
-    [[nodiscard]] bool warm(calendar_time now);
+    [[nodiscard]] bool warm(const rollout_view& view) const;
 
     std::map<route_stratum, route_monitor> routes_;
     std::optional<calendar_time> first_new_call_;
--- a/src/savorywheel/rollout/fixed_step_policy.cpp
+++ b/src/savorywheel/rollout/fixed_step_policy.cpp
@@ -7,7 +7,7 @@
 rollout_decision fixed_step_policy::decide(const rollout_view& view)
 {
     const auto& move = *view.service.move;
-    const auto next = next_progress(progress_of(move, view.service.weights));
+    const auto next = next_progress(move, progress_of(move, view.service.weights));
     if (move.status != move_status::in_progress || view.now < scheduled_time(move, next)) {
         return {rollout_action::hold, {}, "waits for the schedule"};
     }
--- a/src/savorywheel/rollout/step_schedule.cpp
+++ b/src/savorywheel/rollout/step_schedule.cpp
@@ -2,14 +2,34 @@
 
 #include <algorithm>
 #include <array>
+#include <span>
 
 namespace savorywheel {
 
 namespace {
 
-constexpr std::array<std::uint32_t, 9> steps{10, 20, 50, 100, 200, 350, 500, 700, 1000};
+/** A step of a move, and when it is due. */
+struct scheduled_step {
+    std::uint32_t progress;
+    /** Part of the time until the finish, in parts per thousand. */
+    int due;
+};
+
+constexpr std::array<scheduled_step, 9> long_steps{{{10, 0},
+                                                    {20, 125},
+                                                    {50, 250},
+                                                    {100, 375},
+                                                    {200, 500},
+                                                    {350, 625},
+                                                    {500, 750},
+                                                    {700, 875},
+                                                    {1000, 1000}}};
+/** A step takes seconds to be judged, so a short move has few, and most of its time at the first. */
+constexpr std::array<scheduled_step, 4> short_steps{{{50, 0}, {200, 560}, {500, 740}, {1000, 900}}};
+constexpr int due_unit = 1000;
+constexpr std::chrono::milliseconds short_move{60'000};
 constexpr std::chrono::milliseconds usual_length{600'000};
-constexpr std::chrono::milliseconds shortest_length{20'000};
+constexpr std::chrono::milliseconds shortest_length{5000};
 constexpr std::chrono::milliseconds longest_reserve{300'000};
 constexpr int reserve_divisor = 10;
 constexpr int early_step_divisor = 40;
@@ -24,12 +44,21 @@
     return std::max(*move.due - move.started_at, shortest_length);
 }
 
+std::span<const scheduled_step> steps_of(const rollout_move& move) noexcept
+{
+    if (length_of(move) < short_move) {
+        return short_steps;
+    }
+    return long_steps;
+}
+
 } // namespace
 
-std::uint32_t next_progress(std::uint32_t progress) noexcept
+std::uint32_t next_progress(const rollout_move& move, std::uint32_t progress) noexcept
 {
-    const auto* next = std::ranges::upper_bound(steps, progress);
-    return next == steps.end() ? steps.back() : *next;
+    const auto steps = steps_of(move);
+    const auto next = std::ranges::upper_bound(steps, progress, {}, &scheduled_step::progress);
+    return next == steps.end() ? steps.back().progress : next->progress;
 }
 
 calendar_time finish_time(const rollout_move& move) noexcept
@@ -40,9 +69,11 @@
 
 calendar_time scheduled_time(const rollout_move& move, std::uint32_t progress) noexcept
 {
-    const auto position = std::ranges::lower_bound(steps, progress) - steps.begin();
-    const auto whole = finish_time(move) - move.started_at;
-    return move.started_at + whole * position / (std::ssize(steps) - 1);
+    const auto steps = steps_of(move);
+    const auto step = std::ranges::lower_bound(steps, progress, {}, &scheduled_step::progress);
+    const auto due = step == steps.end() ? steps.back().due : step->due;
+    const auto whole = finish_time(move) - settling_time - move.started_at;
+    return move.started_at + whole * due / due_unit;
 }
 
 std::chrono::milliseconds early_step(const rollout_move& move) noexcept
--- a/src/savorywheel/rollout/step_schedule.hpp
+++ b/src/savorywheel/rollout/step_schedule.hpp
@@ -11,13 +11,17 @@
 /** @brief Least time between two steps, so that a step is in force before it is judged. */
 inline constexpr std::chrono::milliseconds shortest_step{2000};
 
+/** @brief Time for which the old versions finish what they run, before a move is done. */
+inline constexpr std::chrono::milliseconds settling_time{2000};
+
 /** @return The next step after a progress, in parts per thousand of the move. */
-[[nodiscard]] std::uint32_t next_progress(std::uint32_t progress) noexcept;
+[[nodiscard]] std::uint32_t next_progress(const rollout_move& move,
+                                          std::uint32_t progress) noexcept;
 
 /** @return When a move is scheduled to reach its target: some time before its deadline. */
 [[nodiscard]] calendar_time finish_time(const rollout_move& move) noexcept;
 
-/** @return When a step is scheduled; steps are spread evenly until the finish. */
+/** @return When a step is scheduled, so that the last one has settled at the finish. */
 [[nodiscard]] calendar_time scheduled_time(const rollout_move& move,
                                            std::uint32_t progress) noexcept;
 
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::milliseconds least_telling_time{100};
 /** Time after which a node that has just started is likely to have a configuration. */
 constexpr std::chrono::milliseconds configuration_wait{300};
+/** Time in which a node that stops has usually been replaced or started again. */
+constexpr std::chrono::milliseconds restart_wait{500};
 constexpr std::array<std::string_view, 8> hop_by_hop_headers{
     "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
     "TE",         "Trailer",    "Upgrade",           "Proxy-Connection"};
@@ -72,6 +74,11 @@
 
 std::optional<rejection> proxy_handler::find_route(const http_request& request, plan& item)
 {
+    if (refusing_) {
+        auto why = not_run("this node stops");
+        why.retry_after = restart_wait;
+        return why;
+    }
     item.table = environment_.tables.current();
     if (item.table->version() == config_version{}) {
         auto why = not_run("this node has no configuration yet");
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -16,6 +16,7 @@
 #include <savorywheel/traffic/caller_dialect.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
+#include <atomic>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +60,9 @@
     /** @param surroundings What the proxy works with. */
     explicit proxy_handler(environment surroundings) noexcept : environment_{surroundings} {}
 
+    /** @brief Refuses new requests from now on; those in progress go on. */
+    void refuse_new() noexcept { refusing_ = true; }
+
     [[nodiscard]] http_response handle(const http_request& request) override;
     [[nodiscard]] http_response handle_until_cancelled(const http_request& request,
                                                        cancellation& stop) override;
@@ -85,6 +89,7 @@
     [[nodiscard]] http_response reject(const plan& item, const rejection& why);
 
     environment environment_;
+    std::atomic<bool> refusing_{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/retry_budget.cpp
+++ b/src/savorywheel/traffic/retry_budget.cpp
@@ -22,10 +22,22 @@
     return true;
 }
 
+void retry_budget::set_limits(retry_limits limits)
+{
+    const std::scoped_lock lock{mutex_};
+    limits_ = limits;
+    cut_to_most_saved();
+}
+
 void retry_budget::set_nodes(std::size_t nodes)
 {
     const std::scoped_lock lock{mutex_};
     nodes_ = std::max<std::size_t>(nodes, 1);
+    cut_to_most_saved();
+}
+
+void retry_budget::cut_to_most_saved()
+{
     for (auto& [service, tokens] : tokens_) {
         tokens = std::min(tokens, most_saved());
     }
--- a/src/savorywheel/traffic/retry_budget.hpp
+++ b/src/savorywheel/traffic/retry_budget.hpp
@@ -27,10 +27,14 @@
     /** @return True if a retry is allowed; it is then counted. */
     [[nodiscard]] bool spend(const service_name& service);
 
+    /** @brief Replaces the bounds. */
+    void set_limits(retry_limits limits);
+
     /** @brief Sets how many nodes share the budget. */
     void set_nodes(std::size_t nodes);
 
 private:
+    void cut_to_most_saved();
     [[nodiscard]] double& tokens_of(const service_name& service);
     [[nodiscard]] double most_saved() const noexcept;
 
--- a/standin/backend/main.cpp
+++ b/standin/backend/main.cpp
@@ -1,7 +1,7 @@
 #include <savorywheel/core/seeded_random.hpp>
 #include <savorywheel/http/curl_http_client.hpp>
 #include <savorywheel/http/http_server.hpp>
-#include <savorywheel/node/stop_signal.hpp>
+#include <savorywheel/node/process_signals.hpp>
 
 #include <CLI/CLI.hpp>
 #include <standin/backend/announcer.hpp>
@@ -35,7 +35,7 @@
         std::cerr << "not an address and port: " << listen << " or " << node << '\n';
         return 2;
     }
-    const stop_signal signal;
+    const process_signals signals;
     seeded_random random{seed};
     const standin::execution_log executions{executions_path};
     standin::backend_handler handler{
@@ -49,7 +49,7 @@
     }
     curl_http_client client;
     standin::announcer announcements{handler, client, *node_endpoint};
-    signal.wait();
+    signals.wait_for_stop([] {});
     handler.set_state(server_state::draining);
     announcements.announce();
     server.stop();
--- a/standin/node/main.cpp
+++ b/standin/node/main.cpp
@@ -1,6 +1,6 @@
 #include <savorywheel/log/log4cxx_event_log.hpp>
 #include <savorywheel/node/node.hpp>
-#include <savorywheel/node/stop_signal.hpp>
+#include <savorywheel/node/process_signals.hpp>
 #include <savorywheel/settings/node_settings_reader.hpp>
 
 #include <CLI/CLI.hpp>
@@ -29,7 +29,7 @@
         std::cerr << report.render(path);
         return 2;
     }
-    const stop_signal signal;
+    const process_signals signals;
     log4cxx_event_log log{settings.name.str()};
     standin::region_delay_links links{settings, std::chrono::milliseconds{delay_ms}};
     node process{settings, log, links};
@@ -37,7 +37,7 @@
         std::cerr << started.reason().message << '\n';
         return 1;
     }
-    signal.wait();
+    signals.wait_for_stop([] {});
     process.stop();
     return 0;
 }
--- a/standin/platform/main.cpp
+++ b/standin/platform/main.cpp
@@ -1,6 +1,6 @@
 #include <savorywheel/core/system_clock_source.hpp>
 #include <savorywheel/http/http_server.hpp>
-#include <savorywheel/node/stop_signal.hpp>
+#include <savorywheel/node/process_signals.hpp>
 
 #include <CLI/CLI.hpp>
 #include <standin/platform/object_table.hpp>
@@ -27,7 +27,7 @@
         std::cerr << "not an address and port: " << listen << '\n';
         return 2;
     }
-    const stop_signal signal;
+    const process_signals signals;
     standin::object_table table;
     const system_clock_source time;
     standin::platform_handler handler{table, time, limits};
@@ -36,7 +36,7 @@
         std::cerr << started.reason().message << '\n';
         return 1;
     }
-    signal.wait();
+    signals.wait_for_stop([] {});
     table.stop();
     server.stop();
     return 0;
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -91,6 +91,22 @@
     EXPECT_TRUE(!second || second->body == "hello");
 }
 
+TEST(curl_http_client, abort_ends_a_request_in_progress_and_refuses_later_ones)
+{
+    scripted_server server{{{"", false}}};
+    curl_http_client client;
+    std::thread stopper{[&server, &client] {
+        static_cast<void>(wait_until([&server] { return server.requests() == 1; }));
+        client.abort();
+    }};
+    const auto waiting = client.send(server.endpoint(), booking, std::chrono::seconds{60});
+    stopper.join();
+    EXPECT_FALSE(waiting);
+    const auto later = client.send(server.endpoint(), booking, timeout);
+    ASSERT_FALSE(later);
+    EXPECT_EQ(later.reason().code, failure_code::unavailable);
+}
+
 TEST(proof_cancellation, a_cancelled_request_ends_at_once_and_closes_its_connection)
 {
     scripted_server server{{{"", false}}};
--- a/test/savorywheel/http/http_server_test.cpp
+++ b/test/savorywheel/http/http_server_test.cpp
@@ -70,8 +70,27 @@
     }
 }
 
+/** Answers with an error and no body. */
+class failing_handler final : public http_handler {
+public:
+    http_response handle(const http_request& /*request*/) override { return {500, {}, {}}; }
+};
+
 } // namespace
 
+TEST(http_server_test, keeps_the_status_of_an_answer_without_a_body)
+{
+    failing_handler handler;
+    http_server server{handler};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(server.start(endpoint));
+    curl_http_client client;
+    const auto answer = client.send(endpoint, {"GET", "/", {}, {}}, timeout);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->status, 500);
+    EXPECT_EQ(answer->body, "");
+}
+
 TEST(proof_graceful_stop, cuts_no_request_of_kept_connections)
 {
     slow_handler handler{std::chrono::milliseconds{20}};
