Place calls by expected time, refuse what would only be late, rank the queue

Calls to a dead node waited for its connection until the deadline.

Change: gates refuse at once what cannot be finished in the target latency, rank 0 only for its deadline, and say when to come back; answers carry the gate's load; endpoints cost time, distance and bytes; a connection is waited for 250 ms; nodes say in their member record whether the store answers them, and only such nodes control moves; a done order is not watched; TCP keep-alive finds silent watches.

--- a/src/savorywheel/encoding/membership_archive.hpp
+++ b/src/savorywheel/encoding/membership_archive.hpp
@@ -17,7 +17,8 @@
             cereal::make_nvp("version", record.version));
     archive_enum(archive, "state", record.state, server_state::last_state);
     archive(cereal::make_nvp("slots", record.slots),
-            cereal::make_nvp("incarnation", record.incarnation));
+            cereal::make_nvp("incarnation", record.incarnation),
+            cereal::make_nvp("store_reachable", record.store_reachable));
 }
 
 /** @brief Lists the members of an update. */
--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -38,10 +38,20 @@
     archive(cereal::make_nvp("service", call.service), cereal::make_nvp("version", call.version),
             cereal::make_nvp("remaining_ms", call.remaining),
             cereal::make_nvp("expires_us", call.expires),
+            cereal::make_nvp("preferred_ms", call.preferred),
+            cereal::make_nvp("priority", call.priority),
             cereal::make_nvp("idempotent", call.idempotent),
             cereal::make_nvp("request", call.request));
 }
 
+/** @brief Lists the members of a gate's load. */
+template<typename Archive>
+void serialize(Archive& archive, gate_load& load)
+{
+    archive(cereal::make_nvp("running", load.running), cereal::make_nvp("waiting", load.waiting),
+            cereal::make_nvp("service_time_us", load.service_time));
+}
+
 /** @brief Lists the members of a call's response. */
 template<typename Archive>
 void serialize(Archive& archive, call_response& call)
@@ -50,7 +60,8 @@
     archive_enum(archive, "refusal", call.refusal, call_refusal::last_refusal);
     archive(cereal::make_nvp("reason", call.reason), cereal::make_nvp("response", call.response),
             cereal::make_nvp("reached_server", call.reached_server),
-            cereal::make_nvp("retry_after_ms", call.retry_after));
+            cereal::make_nvp("retry_after_ms", call.retry_after),
+            cereal::make_nvp("load", call.load));
 }
 
 /** @brief Lists the members of a crash report. */
--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t max_idle_handles = 64;
 constexpr long max_connect_milliseconds = 1000;
 constexpr long max_idle_seconds = 20;
+/** Finds a connection that went silent while a long watch waits on it. */
+constexpr long keepalive_seconds = 1;
 constexpr unsigned unacknowledged_milliseconds = 1500;
 /** A process that ends resets the connections that its listener has not accepted. */
 constexpr int probe_milliseconds = 50;
@@ -100,6 +102,9 @@
         curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
         curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
+        curl_easy_setopt(handle_, CURLOPT_TCP_KEEPALIVE, 1L);
+        curl_easy_setopt(handle_, CURLOPT_TCP_KEEPIDLE, keepalive_seconds);
+        curl_easy_setopt(handle_, CURLOPT_TCP_KEEPINTVL, keepalive_seconds);
         curl_easy_setopt(handle_, CURLOPT_PATH_AS_IS, 1L);
         curl_easy_setopt(handle_, CURLOPT_PROXY, "");
         curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
--- a/src/savorywheel/membership/member_record.hpp
+++ b/src/savorywheel/membership/member_record.hpp
@@ -29,6 +29,8 @@
     std::uint32_t slots{};
     /** @brief Grows each time the node says something new; greater ones prevail. */
     std::uint64_t incarnation{};
+    /** @brief False while the platform's service does not answer this node. */
+    bool store_reachable{true};
 
     /** @brief Compares all members. */
     [[nodiscard]] friend bool operator==(const member_record&, const member_record&) = default;
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -148,7 +148,8 @@
         document_service::environment{environment_.loop, quota_, environment_.random,
                                       environment_.store, environment_.network,
                                       environment_.requests, environment_.log,
-                                      [this] { apply_documents(); }});
+                                      [this] { apply_documents(); },
+                                      [this](bool reachable) { on_store_health(reachable); }});
 }
 
 std::unique_ptr<member_directory> control_plane::make_directory()
@@ -214,6 +215,15 @@
                                        state.version().number));
 }
 
+void control_plane::on_store_health(bool reachable)
+{
+    auto record = membership_.agent().self();
+    if (record.store_reachable != reachable) {
+        record.store_reachable = reachable;
+        membership_.agent().update_self(std::move(record));
+    }
+}
+
 outcome<node_state_dump> control_plane::dump()
 {
     return query_control<node_state_dump>(environment_.loop, [this] {
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -131,6 +131,7 @@
     [[nodiscard]] rollout_service::environment rollout_environment();
     /** Joins what operators keep in the platform's service, and routes by it. */
     void apply_documents();
+    void on_store_health(bool reachable);
     /** Reads the log in the store, so that this node learns its floor without buddies. */
     void read_store();
     void take_tail(const log_tail& tail);
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -91,6 +91,7 @@
     store_reachable_ = reachable;
     environment_.log.write(reachable ? event_id::store_reachable : event_id::store_unreachable,
                            decoder_.key());
+    environment_.store_health(reachable);
 }
 
 void document_service::on_head_seen(const network_endpoint& peer, config_version head)
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -47,6 +47,8 @@
         event_log& log;
         /** @brief Hears of newer configurations and orders. */
         changed_callback changed;
+        /** @brief Hears whether the platform's service answers, on the control thread. */
+        std::function<void(bool)> store_health;
     };
 
     /**
--- a/src/savorywheel/node/evidence_exchange.cpp
+++ b/src/savorywheel/node/evidence_exchange.cpp
@@ -62,7 +62,7 @@
         return found->second;
     }
     if (live_.empty()) {
-        live_ = live_members(environment_.members());
+        live_ = members_with_store(environment_.members());
     }
     return trees_.emplace(service, evidence_tree{service, live_}).first->second;
 }
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -31,6 +31,8 @@
 
 namespace {
 
+/** A connection costs about 40 kB; callers that come back in an overload open new ones. */
+constexpr unsigned max_caller_connections = 1000;
 constexpr std::chrono::milliseconds question_drain_limit{200};
 constexpr std::chrono::milliseconds question_drain_idle{50};
 
@@ -38,6 +40,8 @@
 {
     http_server_limits limits;
     limits.drain_limit = settings.stop_limit;
+    limits.idle_timeout = settings.idle_timeout;
+    limits.max_connections = max_caller_connections;
     return limits;
 }
 
@@ -202,8 +206,8 @@
     ejecting_version_chooser versions_{weighted_versions_, ejections_, random_};
     nearest_endpoint_chooser endpoints_{
         settings_.domain, settings_.region,
-        nearest_endpoint_chooser::environment{loads_, health_, random_}};
-    peer_call_transport transport_{network_, requests_};
+        nearest_endpoint_chooser::environment{loads_, health_, random_, time_}};
+    peer_call_transport transport_{network_, requests_, time_};
     proxy_handler proxy_{proxy_handler::environment{time_, tables_, versions_, endpoints_, loads_,
                                                     health_, retries_, transport_, evidence_,
                                                     metrics_, log_, random_, front_.callers()}};
--- a/src/savorywheel/rollout/live_members.hpp
+++ b/src/savorywheel/rollout/live_members.hpp
@@ -10,6 +10,12 @@
 /** @return Members that are not known to be dead. */
 [[nodiscard]] std::vector<node_id> live_members(const member_table& members);
 
+/**
+ * @return Nodes that are not dead and that the platform's service answers; all that are not dead
+ * if it answers none.
+ */
+[[nodiscard]] std::vector<node_id> members_with_store(const member_table& members);
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/rollout/order_state.cpp
+++ b/src/savorywheel/rollout/order_state.cpp
@@ -47,8 +47,11 @@
         }
         auto service = *known;
         if (order.record) {
-            service.move = order.record->move;
             service.weights = order.record->weights;
+            // The old backend servers stop when a move is done, so it can't be withdrawn any more.
+            if (order.record->move.status != move_status::done) {
+                service.move = order.record->move;
+            }
         }
         else {
             unrecorded_ = true;
--- a/src/savorywheel/routing/endpoint_chooser.hpp
+++ b/src/savorywheel/routing/endpoint_chooser.hpp
@@ -3,7 +3,7 @@
 
 #include <savorywheel/routing/route_endpoint.hpp>
 
-#include <optional>
+#include <cstddef>
 #include <span>
 
 namespace savorywheel {
@@ -23,11 +23,13 @@
      * @param endpoints Endpoints of the service.
      * @param version Version to choose from.
      * @param tried Nodes that have refused this call.
+     * @param bytes Bytes that the call carries.
      * @return The endpoint; nullptr if none is left.
      */
     [[nodiscard]] virtual const route_endpoint* choose(std::span<const route_endpoint> endpoints,
                                                        const version_name& version,
-                                                       std::span<const node_id> tried) = 0;
+                                                       std::span<const node_id> tried,
+                                                       std::size_t bytes) = 0;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/endpoint_health.cpp
+++ b/src/savorywheel/routing/endpoint_health.cpp
@@ -10,6 +10,8 @@
 constexpr unsigned max_doublings = 5;
 constexpr std::chrono::seconds first_ejection{1};
 constexpr std::chrono::milliseconds full_time{100};
+/** A node or backend server that starts again takes about as long. */
+constexpr std::chrono::milliseconds unreachable_time{500};
 constexpr std::chrono::seconds leaving_time{5};
 constexpr std::chrono::seconds slow_start_time{20};
 constexpr double least_weight = 0.1;
@@ -41,6 +43,14 @@
     ++item.ejections;
 }
 
+void endpoint_health::unreachable(const node_id& endpoint)
+{
+    const std::scoped_lock lock{mutex_};
+    const auto now = clock_.now();
+    auto& item = entry(endpoint, now);
+    item.avoided_until = std::max(item.avoided_until, now + unreachable_time);
+}
+
 void endpoint_health::overloaded(const node_id& endpoint)
 {
     const std::scoped_lock lock{mutex_};
--- a/src/savorywheel/routing/endpoint_health.hpp
+++ b/src/savorywheel/routing/endpoint_health.hpp
@@ -26,6 +26,8 @@
      */
     void failed(const node_id& endpoint);
 
+    /** @brief Notes that no call can reach the endpoint, which is avoided for a short while. */
+    void unreachable(const node_id& endpoint);
     /** @brief Notes a refusal for want of capacity, which holds for a short while. */
     void overloaded(const node_id& endpoint);
 
--- a/src/savorywheel/routing/fwd.hpp
+++ b/src/savorywheel/routing/fwd.hpp
@@ -14,6 +14,7 @@
 class weighted_version_chooser;
 class version_chooser;
 class version_ejections;
+struct endpoint_cost;
 struct route_endpoint;
 struct service_routes;
 
--- a/src/savorywheel/routing/nearest_endpoint_chooser.cpp
+++ b/src/savorywheel/routing/nearest_endpoint_chooser.cpp
@@ -15,7 +15,8 @@
 
 const route_endpoint* nearest_endpoint_chooser::choose(std::span<const route_endpoint> endpoints,
                                                        const version_name& version,
-                                                       std::span<const node_id> tried)
+                                                       std::span<const node_id> tried,
+                                                       std::size_t bytes)
 {
     constexpr std::size_t groups = 3;
     std::array<std::vector<const route_endpoint*>, groups> free;
@@ -34,6 +35,9 @@
             free[static_cast<std::size_t>(distance_to(endpoint))].push_back(&endpoint);
         }
     }
+    if (const auto* best = cheapest(trusted, bytes)) {
+        return best;
+    }
     for (const auto& candidates : free) {
         if (!candidates.empty()) {
             return less_loaded(candidates);
@@ -42,13 +46,56 @@
     return less_loaded(trusted.empty() ? all : trusted);
 }
 
-nearest_endpoint_chooser::distance
+const route_endpoint* nearest_endpoint_chooser::cheapest(group candidates, std::size_t bytes)
+{
+    const auto typical = typical_service_time(candidates);
+    if (typical == duration::zero()) {
+        return nullptr;
+    }
+    const auto now = environment_.time.now();
+    const route_endpoint* best = nullptr;
+    duration least{};
+    for (const auto* endpoint : candidates) {
+        const auto known = environment_.loads.service_time(endpoint->node);
+        const endpoint_cost cost{distance_to(*endpoint),
+                                 endpoint->slots,
+                                 environment_.loads.expected_calls(endpoint->node, now),
+                                 known == duration::zero() ? typical : known,
+                                 bytes,
+                                 endpoint->state == server_state::warming};
+        auto total = cost.total();
+        if (environment_.health.full(endpoint->node)) {
+            total += cost.service_time;
+        }
+        if (best == nullptr || total < least) {
+            best = endpoint;
+            least = total;
+        }
+    }
+    return best;
+}
+
+/** The least time that a gate has told, so that endpoints that have told none are tried. */
+duration nearest_endpoint_chooser::typical_service_time(group candidates) const
+{
+    duration least{};
+    for (const auto* endpoint : candidates) {
+        const auto known = environment_.loads.service_time(endpoint->node);
+        if (known > duration::zero() && (least == duration::zero() || known < least)) {
+            least = known;
+        }
+    }
+    return least;
+}
+
+endpoint_distance
 nearest_endpoint_chooser::distance_to(const route_endpoint& endpoint) const noexcept
 {
     if (endpoint.domain == domain_) {
-        return distance::same_domain;
+        return endpoint_distance::same_domain;
     }
-    return endpoint.region == region_ ? distance::same_region : distance::other_region;
+    return endpoint.region == region_ ? endpoint_distance::same_region
+                                      : endpoint_distance::other_region;
 }
 
 bool nearest_endpoint_chooser::has_capacity(const route_endpoint& endpoint) const
--- a/src/savorywheel/routing/nearest_endpoint_chooser.hpp
+++ b/src/savorywheel/routing/nearest_endpoint_chooser.hpp
@@ -1,8 +1,10 @@
 #ifndef SAVORYWHEEL_ROUTING_NEAREST_ENDPOINT_CHOOSER_HPP
 #define SAVORYWHEEL_ROUTING_NEAREST_ENDPOINT_CHOOSER_HPP
 
+#include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/random_source.hpp>
 #include <savorywheel/routing/endpoint_chooser.hpp>
+#include <savorywheel/routing/endpoint_cost.hpp>
 #include <savorywheel/routing/endpoint_health.hpp>
 #include <savorywheel/routing/load_table.hpp>
 
@@ -11,10 +13,11 @@
 namespace savorywheel {
 
 /**
- * @brief Prefers the own failure domain, then the own region; takes the less loaded of two.
+ * @brief Chooses the endpoint of least cost, so a near one unless a farther one is quicker by more.
  *
- * A nearer group is left when each of its endpoints is taken out, has refused a call for want of
- * capacity, or has as many calls of this node outstanding as it has slots.
+ * Before any gate has told its load, it prefers the own failure domain, then the own region, and
+ * takes the less loaded of two. A nearer group is left when each of its endpoints is taken out, has
+ * refused a call for want of capacity, or has as many calls of this node as it has slots.
  */
 class nearest_endpoint_chooser final : public endpoint_chooser {
 public:
@@ -26,6 +29,8 @@
         endpoint_health& health;
         /** @brief Random numbers. */
         random_source& random;
+        /** @brief Clock. */
+        const clock& time;
     };
 
     /**
@@ -40,16 +45,19 @@
 
     [[nodiscard]] const route_endpoint* choose(std::span<const route_endpoint> endpoints,
                                                const version_name& version,
-                                               std::span<const node_id> tried) override;
+                                               std::span<const node_id> tried,
+                                               std::size_t bytes) override;
 
 private:
     using group = std::span<const route_endpoint* const>;
-    enum class distance { same_domain, same_region, other_region };
 
-    [[nodiscard]] distance distance_to(const route_endpoint& endpoint) const noexcept;
+    [[nodiscard]] endpoint_distance distance_to(const route_endpoint& endpoint) const noexcept;
     [[nodiscard]] bool has_capacity(const route_endpoint& endpoint) const;
     [[nodiscard]] double load_of(const route_endpoint& endpoint);
     [[nodiscard]] const route_endpoint* less_loaded(group candidates);
+    /** The endpoint of least cost; nullptr if no gate of them has told its load. */
+    [[nodiscard]] const route_endpoint* cheapest(group candidates, std::size_t bytes);
+    [[nodiscard]] duration typical_service_time(group candidates) const;
 
     failure_domain domain_;
     region_name region_;
--- a/src/savorywheel/settings/node_settings.hpp
+++ b/src/savorywheel/settings/node_settings.hpp
@@ -47,6 +47,8 @@
     std::chrono::milliseconds stop_notice{300};
     /** @brief Longest wait of a stop for requests in progress. */
     std::chrono::milliseconds stop_limit{10'000};
+    /** @brief Idle time after which a caller's connection is closed. */
+    std::chrono::seconds idle_timeout{60};
     /** @brief Bounds on retries in the whole mesh. */
     retry_limits retries;
 };
--- a/src/savorywheel/traffic/admission.cpp
+++ b/src/savorywheel/traffic/admission.cpp
@@ -1,10 +1,17 @@
 #include <savorywheel/traffic/admission.hpp>
 
+#include <algorithm>
+
 namespace savorywheel {
 
 namespace {
 
 constexpr std::size_t max_waiting_per_slot = 4;
+/** Many calls take twice the mean; a queue that leaves time for the mean makes half of them late. */
+constexpr int usual_spread = 2;
+/** A caller that comes back sooner finds the same queue. */
+constexpr std::chrono::milliseconds shortest_retry{50};
+constexpr std::chrono::milliseconds longest_retry{1000};
 
 } // namespace
 
@@ -17,10 +24,24 @@
         return call_refusal::overload;
     }
     const auto wait = expected_wait();
-    const bool late = wait > duration::zero() && wait + service_time > remaining;
+    const bool late = wait > duration::zero() && wait + service_time * usual_spread > limit();
     return late ? call_refusal::overload : call_refusal::none;
 }
 
+duration admission::limit() const noexcept
+{
+    if (highest_rank || preferred <= duration::zero()) {
+        return remaining;
+    }
+    return std::min(preferred, remaining);
+}
+
+duration admission::retry_after() const noexcept
+{
+    const duration excess = expected_wait() + service_time * usual_spread - limit();
+    return std::clamp<duration>(excess, shortest_retry, longest_retry);
+}
+
 duration admission::expected_wait() const noexcept
 {
     const auto ahead = running + waiting;
--- a/src/savorywheel/traffic/call_request.hpp
+++ b/src/savorywheel/traffic/call_request.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/transport/peer_clock.hpp>
 
 #include <chrono>
+#include <cstdint>
 
 namespace savorywheel {
 
@@ -19,6 +20,10 @@
     std::chrono::milliseconds remaining{};
     /** @brief Deadline on the receiving node's clock; the call must not start after it. */
     peer_time expires{};
+    /** @brief Time left in which the answer is worth most to the caller; zero if not known. */
+    std::chrono::milliseconds preferred{};
+    /** @brief Rank when capacity is short; 0 is the highest. */
+    std::uint32_t priority{};
     /** @brief True if it may be run more than once. */
     bool idempotent{};
     /** @brief The request. */
--- a/src/savorywheel/traffic/call_response.hpp
+++ b/src/savorywheel/traffic/call_response.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/http/http_response.hpp>
 #include <savorywheel/traffic/call_refusal.hpp>
 #include <savorywheel/traffic/call_result.hpp>
+#include <savorywheel/traffic/gate_load.hpp>
 
 #include <chrono>
 #include <optional>
@@ -26,17 +27,19 @@
     bool reached_server{};
     /** @brief When a refused call would probably be taken, if the gate can tell. */
     std::optional<std::chrono::milliseconds> retry_after{};
+    /** @brief Load of the backend server, if its gate answered. */
+    std::optional<gate_load> load{};
 
     /** @return A call that was not run. */
     [[nodiscard]] static call_response not_run(call_refusal refusal, std::string reason)
     {
-        return {call_result::not_run, refusal, std::move(reason), {}, false, std::nullopt};
+        return {call_result::not_run, refusal, std::move(reason), {}, false, std::nullopt, std::nullopt};
     }
 
     /** @return A call that may have been run. */
     [[nodiscard]] static call_response unknown(std::string reason)
     {
-        return {call_result::unknown, call_refusal::none, std::move(reason), {}, true, std::nullopt};
+        return {call_result::unknown, call_refusal::none, std::move(reason), {}, true, std::nullopt, std::nullopt};
     }
 };
 
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -1,6 +1,5 @@
 #include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/encoding/codec.hpp>
-#include <savorywheel/traffic/admission.hpp>
 #include <savorywheel/traffic/gate.hpp>
 
 #include <fmt/format.h>
@@ -13,6 +12,8 @@
 namespace {
 
 constexpr std::uint32_t max_slots = 256;
+/** A call with less than this part of the mean time left cannot be expected to finish. */
+constexpr int hopeless_divisor = 2;
 
 void respond(frame_sink& target, std::uint64_t correlation, const call_response& response)
 {
@@ -81,8 +82,8 @@
         on_call(source, correlation, payload);
         break;
     case frame_kind::call_cancel:
-        cancel_if([&source, correlation](const call_pointer& item) {
-            return item->source == source && item->correlation == correlation;
+        cancel_if([&source, correlation](const gate_call& item) {
+            return item.source == source && item.correlation == correlation;
         });
         break;
     case frame_kind::crash_report:
@@ -95,7 +96,7 @@
 
 void gate::on_closed(const frame_sink& source, bool /*established*/)
 {
-    cancel_if([&source](const call_pointer& item) { return item->source.get() == &source; });
+    cancel_if([&source](const gate_call& item) { return item.source.get() == &source; });
 }
 
 void gate::on_call(const std::shared_ptr<frame_sink>& source, std::uint64_t correlation,
@@ -109,8 +110,8 @@
     const auto item = std::make_shared<gate_call>();
     item->source = source;
     item->correlation = correlation;
-    item->deadline =
-        std::min(environment_.time.now() + call->remaining, monotonic_time{call->expires});
+    item->arrived = environment_.time.now();
+    item->deadline = std::min(item->arrived + call->remaining, monotonic_time{call->expires});
     item->digest = digest_of(call->request);
     item->call = std::move(*call);
     admit(item);
@@ -145,10 +146,46 @@
     if (const auto reason = start_refusal(item); reason != call_refusal::none) {
         return reason;
     }
-    const admission view{backend_->slots, static_cast<std::uint32_t>(running_.size()),
-                         queue_.size(), service_time_.mean(),
-                         item.deadline - environment_.time.now()};
-    return view.decide();
+    return view_of(item).decide();
+}
+
+admission gate::view_of(const gate_call& item) const
+{
+    admission view;
+    view.slots = backend_ ? backend_->slots : 0;
+    view.running = static_cast<std::uint32_t>(running_.size());
+    view.waiting = queue_.ahead_of(item.call.priority);
+    view.service_time = service_time_.mean();
+    view.remaining = item.deadline - environment_.time.now();
+    view.preferred = item.call.preferred;
+    view.highest_rank = item.call.priority == 0;
+    return view;
+}
+
+gate_load gate::load() const
+{
+    return {static_cast<std::uint32_t>(running_.size()),
+            static_cast<std::uint32_t>(queue_.size()),
+            std::chrono::duration_cast<std::chrono::microseconds>(service_time_.mean())};
+}
+
+std::vector<gate::call_pointer> gate::take_hopeless()
+{
+    const auto latest = environment_.time.now() + service_time_.mean() / hopeless_divisor;
+    return queue_.remove_if([latest](const gate_call& item) { return latest > item.deadline; });
+}
+
+void gate::refuse(const gate_call& item, call_refusal reason, std::optional<duration> retry_after)
+{
+    auto response = refused(reason);
+    if (retry_after) {
+        response.retry_after = std::chrono::duration_cast<std::chrono::milliseconds>(*retry_after);
+    }
+    {
+        const std::scoped_lock lock{mutex_};
+        response.load = load();
+    }
+    respond(*item.source, item.correlation, response);
 }
 
 call_refusal gate::start_refusal(const gate_call& item) const
@@ -172,15 +209,18 @@
 {
     std::unique_lock lock{mutex_};
     if (const auto reason = refusal(*item); reason != call_refusal::none) {
+        const auto retry_after = reason == call_refusal::overload
+                                     ? std::optional{view_of(*item).retry_after()}
+                                     : std::nullopt;
         lock.unlock();
         if (reason == call_refusal::crashing) {
             environment_.log.write(event_id::crashing_request_refused,
                                    item->call.service.str() + item->call.request.target);
         }
-        respond(*item->source, item->correlation, refused(reason));
+        refuse(*item, reason, retry_after);
         return;
     }
-    queue_.push_back(std::move(item));
+    queue_.push(std::move(item));
     lock.unlock();
     wake_.notify_one();
 }
@@ -189,9 +229,9 @@
 void gate::cancel_if(Condition condition)
 {
     const std::scoped_lock lock{mutex_};
-    std::erase_if(queue_, condition);
+    queue_.remove_if([&condition](const gate_call& item) { return condition(item); });
     for (const auto& item : running_) {
-        if (condition(item)) {
+        if (condition(*item)) {
             item->stop.cancel();
         }
     }
@@ -209,25 +249,39 @@
         if (queue_.empty()) {
             return;
         }
-        const auto item = std::move(queue_.front());
-        queue_.pop_front();
+        const auto hopeless = take_hopeless();
+        const auto item = queue_.pop();
         const auto backend = backend_;
-        const auto reason = start_refusal(*item);
-        running_.push_back(item);
+        const auto reason = item ? start_refusal(*item) : call_refusal::none;
+        if (item) {
+            running_.push_back(item);
+        }
         lock.unlock();
-        const auto response =
-            reason == call_refusal::none ? execute(*item, *backend) : refused(reason);
+        for (const auto& late : hopeless) {
+            refuse(*late, call_refusal::overload, std::nullopt);
+        }
+        if (item) {
+            run_call(item, backend, reason);
+        }
         lock.lock();
+    }
+}
+
+void gate::run_call(const call_pointer& item, const std::optional<backend_server>& backend,
+                    call_refusal reason)
+{
+    auto response = reason == call_refusal::none ? execute(*item, *backend) : refused(reason);
+    {
+        const std::scoped_lock lock{mutex_};
         std::erase(running_, item);
         if (response.result == call_result::answered) {
             service_time_.record(environment_.time.now() - item->started);
             suspects_.clear(item->digest);
         }
-        lock.unlock();
-        wake_.notify_one();
-        respond(*item->source, item->correlation, response);
-        lock.lock();
+        response.load = load();
     }
+    wake_.notify_one();
+    respond(*item->source, item->correlation, response);
 }
 
 call_response gate::execute(gate_call& item, const backend_server& backend)
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -5,6 +5,8 @@
 #include <savorywheel/http/http_client.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/traffic/backend_server.hpp>
+#include <savorywheel/traffic/admission.hpp>
+#include <savorywheel/traffic/call_queue.hpp>
 #include <savorywheel/traffic/call_response.hpp>
 #include <savorywheel/traffic/crash_reporter.hpp>
 #include <savorywheel/traffic/crash_suspects.hpp>
@@ -14,7 +16,6 @@
 #include <savorywheel/transport/frame_handler.hpp>
 
 #include <condition_variable>
-#include <deque>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -79,11 +80,18 @@
                          std::span<const std::byte> payload);
     void refuse_malformed(frame_sink& source, std::string_view reason);
     [[nodiscard]] call_refusal refusal(const gate_call& item) const;
+    [[nodiscard]] admission view_of(const gate_call& item) const;
+    [[nodiscard]] gate_load load() const;
+    /** Takes out of the queue what can no longer be finished in time. */
+    [[nodiscard]] std::vector<call_pointer> take_hopeless();
+    void refuse(const gate_call& item, call_refusal reason, std::optional<duration> retry_after);
     [[nodiscard]] call_refusal start_refusal(const gate_call& item) const;
     void admit(call_pointer item);
     template<typename Condition>
     void cancel_if(Condition condition);
     void run();
+    void run_call(const call_pointer& item, const std::optional<backend_server>& backend,
+                  call_refusal reason);
     [[nodiscard]] call_response execute(gate_call& item, const backend_server& backend);
     [[nodiscard]] call_response take_answer(const http_request& request,
                                             const backend_server& backend, http_response answer);
@@ -95,7 +103,7 @@
     mutable std::mutex mutex_;
     std::condition_variable wake_;
     std::optional<backend_server> backend_;
-    std::deque<call_pointer> queue_;
+    call_queue queue_;
     std::vector<call_pointer> running_;
     service_time_estimate service_time_;
     crash_suspects suspects_;
--- a/src/savorywheel/traffic/gate_call.hpp
+++ b/src/savorywheel/traffic/gate_call.hpp
@@ -21,6 +21,8 @@
     call_request call;
     /** @brief When it must be finished. */
     monotonic_time deadline;
+    /** @brief When it arrived. */
+    monotonic_time arrived;
     /** @brief Digest of the request. */
     request_digest digest{};
     /** @brief When it started; nothing is known before. */
--- a/src/savorywheel/traffic/peer_call_transport.cpp
+++ b/src/savorywheel/traffic/peer_call_transport.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/** A round trip between regions takes 40 ms, and opening a connection takes two of them. */
+constexpr std::chrono::milliseconds open_wait{250};
+
 /** Where a waiting thread gets its answer from the stream thread. */
 struct answer_slot {
     std::mutex mutex;
@@ -65,7 +68,7 @@
                                                         monotonic_time deadline, cancellation& stop)
 {
     const auto connection = network_.connection_to(peer);
-    const auto expires = connection->await_open(deadline);
+    const auto expires = connection->await_open(deadline, std::min(deadline, time_.now() + open_wait));
     if (!expires) {
         return call_response::not_run(call_refusal::absent,
                                       "no connection to the node " + to_string(peer));
--- a/src/savorywheel/traffic/peer_call_transport.hpp
+++ b/src/savorywheel/traffic/peer_call_transport.hpp
@@ -13,9 +13,10 @@
     /**
      * @param network Streams; must outlive the transport.
      * @param requests Pairs answers with calls; must outlive the transport.
+     * @param time Clock; must outlive the transport.
      */
-    peer_call_transport(peer_network& network, request_client& requests) noexcept
-        : network_{network}, requests_{requests}
+    peer_call_transport(peer_network& network, request_client& requests, const clock& time) noexcept
+        : network_{network}, requests_{requests}, time_{time}
     {
     }
 
@@ -29,6 +30,7 @@
 private:
     peer_network& network_;
     request_client& requests_;
+    const clock& time_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -65,6 +65,8 @@
     item.call.idempotent = item.route->kind == route_kind::idempotent;
     drop_hop_by_hop(item.call.request.headers);
     environment_.dialect.forward(item.call.request);
+    item.call.priority = item.route->priority;
+    item.started = started;
     item.deadline = started + deadline_of(terms, *item.route);
     environment_.metrics.count("calls") += 1;
     auto response = execute(item);
@@ -146,18 +148,24 @@
         return call_response::not_run(call_refusal::absent, "no backend server is known");
     }
     const auto* endpoint =
-        environment_.endpoints.choose(item.routes->endpoints, *version, item.tried);
+        environment_.endpoints.choose(item.routes->endpoints, *version, item.tried,
+                                      item.call.request.body.size());
     if (endpoint == nullptr) {
         return call_response::not_run(call_refusal::absent, "every backend server refused");
     }
     item.call.version = *version;
     item.call.remaining = remaining;
+    item.call.preferred = std::chrono::duration_cast<std::chrono::milliseconds>(
+        item.started + item.route->target_latency - environment_.time.now());
     item.tried.push_back(endpoint->node);
     environment_.loads.begin(endpoint->node);
     const auto sent_at = environment_.time.now();
     auto outcome = environment_.transport.call_until_cancelled(endpoint->peer, item.call,
                                                                item.deadline, *item.stop);
     environment_.loads.end(endpoint->node);
+    if (outcome.load) {
+        environment_.loads.report(endpoint->node, *outcome.load, environment_.time.now());
+    }
     item.servers_reached += outcome.reached_server ? 1 : 0;
     if (!item.stop->cancelled()) {
         note(endpoint->node, item.call, outcome);
@@ -188,7 +196,7 @@
         environment_.health.leaving(endpoint);
         break;
     case call_refusal::absent:
-        environment_.health.failed(endpoint);
+        environment_.health.unreachable(endpoint);
         break;
     case call_refusal::expired:
     case call_refusal::crashing:
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -74,6 +74,7 @@
         const host_route* route{};
         call_request call;
         std::string request_id;
+        monotonic_time started;
         monotonic_time deadline;
         cancellation* stop{};
         std::vector<node_id> tried;
--- a/src/savorywheel/transport/frame_sink.hpp
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -44,12 +44,15 @@
 
     /**
      * @brief Waits until the peer has answered on the connection, so that frames reach it.
-     * @param deadline Longest wait.
+     * @param deadline Time to convert.
+     * @param patience Longest wait.
      * @return The deadline on the peer's clock, or earlier; nothing if the connection did not open.
      * @warning Not for the stream thread.
      */
-    [[nodiscard]] virtual std::optional<peer_time> await_open(monotonic_time deadline)
+    [[nodiscard]] virtual std::optional<peer_time> await_open(monotonic_time deadline,
+                                                              monotonic_time patience)
     {
+        static_cast<void>(patience);
         return to_peer_time(deadline);
     }
 
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -70,7 +70,8 @@
     [[nodiscard]] std::string_view peer_address() const noexcept override { return peer_address_; }
     void close() override;
     void close_after_writing() override;
-    [[nodiscard]] std::optional<peer_time> await_open(monotonic_time deadline) override;
+    [[nodiscard]] std::optional<peer_time> await_open(monotonic_time deadline,
+                                                      monotonic_time patience) override;
     void refuse(const failure& reason) override;
 
 private:
--- a/src/savorywheel/transport/peer_connection_liveness.cpp
+++ b/src/savorywheel/transport/peer_connection_liveness.cpp
@@ -17,10 +17,11 @@
 
 } // namespace
 
-std::optional<peer_time> peer_connection::await_open(monotonic_time deadline)
+std::optional<peer_time> peer_connection::await_open(monotonic_time deadline,
+                                                     monotonic_time patience)
 {
     std::unique_lock lock{mutex_};
-    opened_.wait_until(lock, deadline, [this] { return open_ || closed_; });
+    opened_.wait_until(lock, patience, [this] { return open_ || closed_; });
     if (!open_ || closed_) {
         return std::nullopt;
     }
--- a/test/savorywheel/routing/nearest_endpoint_chooser_test.cpp
+++ b/test/savorywheel/routing/nearest_endpoint_chooser_test.cpp
@@ -32,7 +32,7 @@
     load_table loads;
     endpoint_health health{time};
     nearest_endpoint_chooser subject{
-        failure_domain{"near"}, region_name{"own"}, {loads, health, random}};
+        failure_domain{"near"}, region_name{"own"}, {loads, health, random, time}};
 };
 
 int distance_of(const route_endpoint& endpoint)
@@ -64,7 +64,7 @@
             }
             capacity[node] = load < 2 && !refused;
         }
-        const auto* chosen = mesh.subject.choose(endpoints, version, {});
+        const auto* chosen = mesh.subject.choose(endpoints, version, {}, 0);
         RC_ASSERT(chosen != nullptr);
         for (const auto& other : endpoints) {
             if (capacity[other.node]) {
@@ -82,9 +82,9 @@
     for (int i = 0; i < 3; ++i) {
         mesh.health.failed(endpoints[0].node);
     }
-    EXPECT_EQ(mesh.subject.choose(endpoints, version, {})->node, endpoints[1].node);
+    EXPECT_EQ(mesh.subject.choose(endpoints, version, {}, 0)->node, endpoints[1].node);
     mesh.time.advance(std::chrono::seconds{2});
-    EXPECT_EQ(mesh.subject.choose(endpoints, version, {})->node, endpoints[0].node);
+    EXPECT_EQ(mesh.subject.choose(endpoints, version, {}, 0)->node, endpoints[0].node);
 }
 
 TEST(nearest_endpoint_chooser, takes_an_ejected_endpoint_if_there_is_no_other)
@@ -94,7 +94,7 @@
     for (int i = 0; i < 3; ++i) {
         mesh.health.failed(endpoints[0].node);
     }
-    EXPECT_NE(mesh.subject.choose(endpoints, version, {}), nullptr);
+    EXPECT_NE(mesh.subject.choose(endpoints, version, {}, 0), nullptr);
 }
 
 TEST(proof_slow_start, a_new_endpoint_gets_fewer_calls_until_it_is_warm)
@@ -107,7 +107,7 @@
     mesh.time.advance(std::chrono::minutes{1});
     const auto share_of_new = [&mesh, &endpoints] {
         for (int i = 0; i < 400; ++i) {
-            const auto* chosen = mesh.subject.choose(endpoints, version, {});
+            const auto* chosen = mesh.subject.choose(endpoints, version, {}, 0);
             mesh.loads.begin(chosen->node);
         }
         const auto count = mesh.loads.outstanding(endpoints[1].node);
--- a/test/savorywheel/routing/proof_known_endpoints_test.cpp
+++ b/test/savorywheel/routing/proof_known_endpoints_test.cpp
@@ -73,7 +73,7 @@
     endpoint_health health{time};
     weighted_version_chooser versions{random};
     nearest_endpoint_chooser endpoints{
-        failure_domain{"d"}, region_name{"r"}, {loads, health, random}};
+        failure_domain{"d"}, region_name{"r"}, {loads, health, random, time}};
     routing_table_builder builder;
     member_table table;
     mesh_state state;
@@ -93,7 +93,7 @@
         if (!version) {
             continue;
         }
-        const auto* chosen = endpoints.choose(routes->endpoints, *version, {});
+        const auto* chosen = endpoints.choose(routes->endpoints, *version, {}, 0);
         RC_ASSERT(chosen != nullptr);
         RC_ASSERT(serves(table, *chosen));
         RC_ASSERT(std::ranges::any_of(routes->state->effective_weights(), [&](const auto& weight) {
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -76,7 +76,7 @@
     weighted_version_chooser versions{random};
     endpoint_health health{time};
     nearest_endpoint_chooser endpoints{
-        failure_domain{"d"}, region_name{"r"}, {loads, health, random}};
+        failure_domain{"d"}, region_name{"r"}, {loads, health, random, time}};
     retry_budget retries;
     evidence_recorder observer{region_name{"r"}};
     metric_registry metrics;
