Ignore late announcements of a backend server that left before its node started

The node beside the server restarted at 24.28 s, got the leaving at 24.50 s as the first thing it heard, and then a late announcement from before it; the withdrawal of an unknown server had been dropped, so the server got new calls.

Ruled out: gossip (the caller was on the same VM), a queue at the gate (2.9 s passed). Change: a leaving is remembered for a server that is not known yet; announcements of starts before it do not count.

--- a/src/savorywheel/node/backend_monitor.cpp
+++ b/src/savorywheel/node/backend_monitor.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds check_period{500};
+/** A VM has one backend server at a time, so few can leave while announcements are on their way. */
+constexpr std::size_t max_left = 64;
 
 } // namespace
 
@@ -47,33 +49,40 @@
         return false;
     }
     latest_ = announcement;
-    latest_left_ = false;
     announce(announcement.backend);
     return true;
 }
 
 bool backend_monitor::is_late(const backend_announcement& announcement) const
 {
+    const auto left = left_.find(announcement.backend.identity);
+    if (left != left_.end() && announcement.started_at <= left->second) {
+        return true;
+    }
     if (!latest_) {
         return false;
     }
     const auto& known = *latest_;
-    const bool same_start = announcement.started_at == known.started_at &&
-                            announcement.backend.identity == known.backend.identity;
-    if (same_start) {
-        return latest_left_ || announcement.sequence <= known.sequence;
+    if (announcement.started_at == known.started_at &&
+        announcement.backend.identity == known.backend.identity) {
+        return announcement.sequence <= known.sequence;
     }
     return announcement.started_at < known.started_at;
 }
 
 void backend_monitor::withdraw(std::string_view identity)
 {
-    if (!latest_ || latest_->backend.identity != identity) {
-        return;
+    const bool known = latest_ && latest_->backend.identity == identity;
+    if (left_.size() >= max_left) {
+        left_.clear();
     }
-    latest_left_ = true;
-    if (backend_) {
-        environment_.log.write(event_id::backend_left, identity);
+    // A node that has just started may hear of the leaving before any announcement. The backend
+    // server is on the same VM, so that its starts compare with this clock.
+    const auto now = environment_.loop.time().calendar_now().time_since_epoch();
+    left_.insert_or_assign(std::string{identity},
+                           known ? latest_->started_at : static_cast<std::uint64_t>(now.count()));
+    environment_.log.write(event_id::backend_left, identity);
+    if (known && backend_) {
         backend_.reset();
         changed_(backend_);
     }
--- a/src/savorywheel/node/backend_monitor.hpp
+++ b/src/savorywheel/node/backend_monitor.hpp
@@ -6,7 +6,9 @@
 #include <savorywheel/traffic/backend_announcement.hpp>
 
 #include <functional>
+#include <map>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace savorywheel {
@@ -64,7 +66,8 @@
     change_callback changed_;
     std::optional<backend_server> backend_;
     std::optional<backend_announcement> latest_;
-    bool latest_left_{};
+    /** Backend servers that left; announcements of starts up to the time given do not count. */
+    std::map<std::string, std::uint64_t, std::less<>> left_;
     monotonic_time seen_at_;
     bool stopped_{};
     subscription timer_;
--- a/src/savorywheel/rollout/step_schedule.hpp
+++ b/src/savorywheel/rollout/step_schedule.hpp
@@ -9,7 +9,7 @@
 namespace savorywheel {
 
 /** @brief Least time between two steps, so that a step is in force before it is judged. */
-inline constexpr std::chrono::milliseconds shortest_step{2000};
+inline constexpr std::chrono::milliseconds shortest_step{1500};
 
 /** @brief Time for which the old versions finish what they run, before a move is done. */
 inline constexpr std::chrono::milliseconds settling_time{2000};
--- /dev/null
+++ b/test/platform/main_configuration_decoder_test.cpp
@@ -0,0 +1,59 @@
+#include <gtest/gtest.h>
+#include <platform/main_configuration_decoder.hpp>
+#include <rapidcheck.h>
+
+namespace savorywheel::platform::test {
+
+namespace {
+
+constexpr const char* document = R"({"metadata":{"name":"main","revision":9},"spec":{"version":7,
+"services":[{"name":"a","health-path":"/healthz"},{"name":"b"}],"limits":{"idle-timeout":"15000ms"},
+"virtual-hosts":[{"host":"h.example","path-rules":[
+{"path-prefix":"/x/","kind":"idempotent","timeout":"1200ms","target-latency":"0.8s","priority":2,
+"max-attempts":2,"traffic-split":[{"service":"a","weight":90},{"service":"b","weight":10}]},
+{"path-prefix":"/y/","kind":"upload","timeout":"2s","service":"b","new-field":[1]}]}]}})";
+
+} // namespace
+
+TEST(main_configuration_decoder, reads_routes_with_their_shares_and_times)
+{
+    const auto result = main_configuration_decoder{}.decode(document);
+    ASSERT_TRUE(result) << result.reason().message;
+    EXPECT_EQ(result->version, config_version{7});
+    ASSERT_EQ(result->hosts.size(), 1U);
+    const auto& routes = result->hosts.front().routes;
+    ASSERT_EQ(routes.size(), 2U);
+    EXPECT_EQ(routes[0].kind, route_kind::idempotent);
+    EXPECT_EQ(routes[0].timeout, std::chrono::milliseconds{1200});
+    EXPECT_EQ(routes[0].target_latency, std::chrono::milliseconds{800});
+    EXPECT_EQ(routes[0].max_attempts, 2U);
+    EXPECT_EQ(routes[0].priority, 2U);
+    EXPECT_EQ(routes[0].shares, (std::vector<service_share>{{service_name{"a"}, 90},
+                                                            {service_name{"b"}, 10}}));
+    EXPECT_EQ(routes[1].kind, route_kind::upload);
+    EXPECT_EQ(routes[1].shares, (std::vector<service_share>{{service_name{"b"}, 1}}));
+}
+
+TEST(main_configuration_decoder, a_document_that_was_cut_or_changed_is_whole_or_refused)
+{
+    EXPECT_TRUE(rc::check([] {
+        std::string text{document};
+        const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
+        if (*rc::gen::arbitrary<bool>()) {
+            text.resize(position);
+        }
+        else {
+            text[position] = *rc::gen::arbitrary<char>();
+        }
+        const auto result = main_configuration_decoder{}.decode(text);
+        if (result) {
+            for (const auto& host : result->hosts) {
+                for (const auto& route : host.routes) {
+                    RC_ASSERT(!route.shares.empty());
+                }
+            }
+        }
+    }));
+}
+
+} // namespace savorywheel::platform::test
--- /dev/null
+++ b/test/savorywheel/rollout/order_state_test.cpp
@@ -0,0 +1,117 @@
+#include <savorywheel/rollout/order_state.hpp>
+#include <savorywheel/rollout/step_schedule.hpp>
+
+#include <gtest/gtest.h>
+#include <support/manual_clock.hpp>
+
+namespace savorywheel::test {
+
+namespace {
+
+const service_name service{"bookdesk"};
+
+void add_member(member_table& members, const std::string& name, const std::string& version,
+                monotonic_time now)
+{
+    member_record record;
+    record.id = node_id{name};
+    record.service = service;
+    record.version = version_name{version};
+    record.state = server_state::serving;
+    record.incarnation = 1;
+    members.merge({record, member_status::alive}, now);
+}
+
+directed_documents documents_with(const rollout_order& order)
+{
+    directed_documents documents;
+    operator_configuration configuration;
+    configuration.version = config_version{1};
+    configuration.services = {service};
+    documents.merge(configuration, 1);
+    documents.merge(order);
+    return documents;
+}
+
+rollout_order make_order()
+{
+    rollout_order order;
+    order.service = service;
+    order.target = version_name{"v2"};
+    order.duration = std::chrono::seconds{14};
+    order.revision = 5;
+    return order;
+}
+
+} // namespace
+
+TEST(order_state, a_version_that_an_order_names_gets_nothing_before_its_first_step)
+{
+    manual_clock time;
+    member_table members;
+    add_member(members, "a", "v1", time.now());
+    add_member(members, "b", "v2", time.now());
+    order_state subject;
+    const auto state = subject.join(documents_with(make_order()), members, time.calendar_now());
+    const auto joined = state.find(service);
+    ASSERT_TRUE(joined && joined->move);
+    ASSERT_EQ(joined->weights.size(), 1U);
+    EXPECT_EQ(joined->weights.front().version, version_name{"v1"});
+    EXPECT_EQ(joined->move->asked_at, config_version{5});
+    EXPECT_TRUE(subject.depends_on_members());
+}
+
+TEST(order_state, an_order_counts_from_when_it_was_first_seen)
+{
+    manual_clock time;
+    member_table members;
+    add_member(members, "a", "v1", time.now());
+    order_state subject;
+    const auto documents = documents_with(make_order());
+    const auto first = subject.join(documents, members, time.calendar_now());
+    time.advance(std::chrono::seconds{3});
+    const auto second = subject.join(documents, members, time.calendar_now());
+    EXPECT_EQ(first.find(service)->move->due, second.find(service)->move->due);
+}
+
+TEST(order_state, a_done_order_is_no_move_any_more)
+{
+    manual_clock time;
+    member_table members;
+    add_member(members, "b", "v2", time.now());
+    auto order = make_order();
+    order.record = order_record{};
+    order.record->move.status = move_status::done;
+    order.record->weights = {{version_name{"v2"}, weight_sum_permille}};
+    order_state subject;
+    const auto state = subject.join(documents_with(order), members, time.calendar_now());
+    EXPECT_FALSE(state.find(service)->move.has_value());
+    EXPECT_EQ(state.find(service)->weights.front().version, version_name{"v2"});
+    EXPECT_FALSE(subject.depends_on_members());
+}
+
+TEST(step_schedule, a_short_move_that_nobody_judges_keeps_the_new_share_small_until_its_last_part)
+{
+    for (const int seconds : {8, 14, 16, 30}) {
+        rollout_move move;
+        move.due = move.started_at + std::chrono::seconds{seconds};
+        const auto whole = std::chrono::seconds{seconds} / std::chrono::milliseconds{1};
+        double exposed = 0.0;
+        std::uint32_t share = 0;
+        for (int at = 0; at < whole; ++at) {
+            const auto now = move.started_at + std::chrono::milliseconds{at};
+            const auto next = next_progress(move, share);
+            if (share < weight_sum_permille && now >= scheduled_time(move, next)) {
+                share = next;
+            }
+            if (share < weight_sum_permille) {
+                exposed += share / double{weight_sum_permille};
+            }
+        }
+        EXPECT_EQ(share, weight_sum_permille);
+        EXPECT_LE(exposed / static_cast<double>(whole), 0.1) << seconds;
+        EXPECT_LE(scheduled_time(move, weight_sum_permille) + settling_time, *move.due);
+    }
+}
+
+} // namespace savorywheel::test
