Write structured logs to standard output; fetch changes that follow closely together

Cause: on-call engineers have only logs and metrics, and a failed request's id stood in no line but one.

Change: JSON lines by log4cxx's layout, behind its bounded asynchronous queue that drops and counts when full; lines of a call at its caller's node and its gate carry its id, the state's version, times, load and outcome; answered calls are sampled by a hash of the id, failures written up to 20 a second and counted beyond. Changes within 600 ms are fetched together.

--- a/apps/load/log_follower.cpp
+++ b/apps/load/log_follower.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <load/log_follower.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -21,10 +22,11 @@
     return value;
 }
 
-/** Reads a time such as "2026-12-04 11:22:33,456". */
+/** Reads the first time such as "2026-12-04 11:22:33,456". */
 calendar_time time_of(std::string_view line)
 {
     using namespace std::chrono;
+    line.remove_prefix(std::min(line.find_first_of("0123456789"), line.size()));
     const year_month_day date{year{static_cast<int>(number_at(line, 0, 4))},
                               month{number_at(line, 5, 2)}, day{number_at(line, 8, 2)}};
     return sys_days{date} + hours{number_at(line, 11, 2)} + minutes{number_at(line, 14, 2)} +
@@ -57,7 +59,7 @@
 void log_follower::take(std::string_view line)
 {
     static const auto mark =
-        fmt::format(" SW{} ", static_cast<int>(event_id::configuration_in_force));
+        fmt::format("SW{} ", static_cast<int>(event_id::configuration_in_force));
     const auto at = line.rfind(version_mark);
     if (line.find(mark) == std::string_view::npos || at == std::string_view::npos) {
         return;
--- a/src/savorywheel/config/mesh_state.cpp
+++ b/src/savorywheel/config/mesh_state.cpp
@@ -16,8 +16,7 @@
 }
 
 mesh_state::mesh_state(const operator_configuration& source, config_version version)
-    : version_{version},
-      hosts_{std::make_shared<const std::vector<virtual_host>>(source.hosts)}
+    : version_{version}, hosts_{std::make_shared<const std::vector<virtual_host>>(source.hosts)}
 {
     std::map<service_name, service_state> services;
     for (const auto& name : source.services) {
@@ -28,8 +27,8 @@
             for (const auto& share : route.shares) {
                 auto& spec = services[share.service].spec;
                 spec.name = share.service;
-                spec.routes.push_back({route.path, route.kind == route_kind::idempotent,
-                                       route.timeout, {}});
+                spec.routes.push_back(
+                    {route.path, route.kind == route_kind::idempotent, route.timeout, {}});
             }
         }
     }
--- a/src/savorywheel/distribution/document_watcher.cpp
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -10,9 +10,9 @@
 namespace {
 
 /** Longer watches cost fewer calls; a silent connection goes unnoticed for as long. */
-constexpr std::chrono::milliseconds watch_patience{20'000};
-/** Changes within this time are fetched together; a tenth of the shortest time to be in force. */
-constexpr std::chrono::milliseconds gather_time{250};
+constexpr std::chrono::milliseconds watch_patience{25'000};
+/** Changes within this time are fetched together; a quarter of the 2.5 s to be in force. */
+constexpr std::chrono::milliseconds gather_time{600};
 constexpr std::chrono::milliseconds first_delay{100};
 constexpr std::chrono::milliseconds longest_delay{1000};
 
--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -1,11 +1,11 @@
 #ifndef SAVORYWHEEL_ENCODING_DISTRIBUTION_ARCHIVE_HPP
 #define SAVORYWHEEL_ENCODING_DISTRIBUTION_ARCHIVE_HPP
 
-#include <savorywheel/distribution/directed_documents.hpp>
 #include <savorywheel/distribution/checkpoint_manifest.hpp>
 #include <savorywheel/distribution/commit_batch_message.hpp>
 #include <savorywheel/distribution/commit_fetch_message.hpp>
 #include <savorywheel/distribution/commit_push_message.hpp>
+#include <savorywheel/distribution/directed_documents.hpp>
 #include <savorywheel/distribution/floor_message.hpp>
 #include <savorywheel/distribution/head_message.hpp>
 #include <savorywheel/distribution/lease_record.hpp>
--- a/src/savorywheel/log/event_log.hpp
+++ b/src/savorywheel/log/event_log.hpp
@@ -2,7 +2,9 @@
 #define SAVORYWHEEL_LOG_EVENT_LOG_HPP
 
 #include <savorywheel/log/event_id.hpp>
+#include <savorywheel/log/log_field.hpp>
 
+#include <span>
 #include <string_view>
 
 namespace savorywheel {
@@ -23,6 +25,19 @@
      * @param detail What happened this time.
      */
     virtual void write(event_id id, std::string_view detail) = 0;
+
+    /**
+     * @brief Writes a decision with the inputs that decided it.
+     * @param id Number; its severity comes from the catalogue.
+     * @param detail What happened this time.
+     * @param fields Inputs and outcome.
+     */
+    virtual void write_decision(event_id id, std::string_view detail,
+                                std::span<const log_field> fields)
+    {
+        static_cast<void>(fields);
+        write(id, detail);
+    }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/log/log4cxx_event_log.cpp
+++ b/src/savorywheel/log/log4cxx_event_log.cpp
@@ -2,29 +2,49 @@
 #include <savorywheel/log/log4cxx_event_log.hpp>
 
 #include <fmt/format.h>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/mdc.h>
 
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace savorywheel {
 
 namespace {
 
+/** Lines that wait for a slow reader of the output; a line has some 300 bytes. */
+constexpr int max_waiting_lines = 1000;
+
+/** Configures the library, and writes what waits when the process ends. */
+class library_setup {
+public:
+    library_setup()
+    {
+        const auto layout = std::make_shared<log4cxx::JSONLayout>();
+        const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout);
+        const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+        queue->setBufferSize(max_waiting_lines);
+        queue->setBlocking(false);
+        queue->addAppender(console);
+        log4cxx::BasicConfigurator::configure(queue);
+    }
+    library_setup(const library_setup&) = delete;
+    library_setup& operator=(const library_setup&) = delete;
+    library_setup(library_setup&&) = delete;
+    library_setup& operator=(library_setup&&) = delete;
+    ~library_setup() { log4cxx::LogManager::shutdown(); }
+};
+
 void configure_library()
 {
-    static const bool configured = [] {
-        const auto layout =
-            std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%d{ISO8601} %p %m%n"));
-        const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-            layout, log4cxx::ConsoleAppender::getSystemErr());
-        log4cxx::BasicConfigurator::configure(appender);
-        return true;
-    }();
-    static_cast<void>(configured);
+    static const library_setup setup;
+    static_cast<void>(setup);
 }
 
 log4cxx::LevelPtr level_of(event_severity severity)
@@ -49,15 +69,25 @@
 }
 
 void log4cxx_event_log::write(event_id id, std::string_view detail)
+{
+    write_decision(id, detail, {});
+}
+
+void log4cxx_event_log::write_decision(event_id id, std::string_view detail,
+                                       std::span<const log_field> fields)
 {
     const auto& entry = describe(id);
     if (entry.severity < least_) {
         return;
     }
-    const auto line =
-        fmt::format("[{}] SW{} {} {}", process_, static_cast<int>(id), entry.meaning, detail);
-    const auto logger = log4cxx::Logger::getRootLogger();
-    logger->log(level_of(entry.severity), line);
+    std::vector<std::unique_ptr<log4cxx::MDC>> context;
+    context.push_back(std::make_unique<log4cxx::MDC>("process", process_));
+    context.push_back(std::make_unique<log4cxx::MDC>("detail", std::string{detail}));
+    for (const auto& field : fields) {
+        context.push_back(std::make_unique<log4cxx::MDC>(std::string{field.name}, field.value));
+    }
+    log4cxx::Logger::getRootLogger()->log(
+        level_of(entry.severity), fmt::format("SW{} {}", static_cast<int>(id), entry.meaning));
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/log/log4cxx_event_log.hpp
+++ b/src/savorywheel/log/log4cxx_event_log.hpp
@@ -8,7 +8,12 @@
 
 namespace savorywheel {
 
-/** @brief Event log on log4cxx that writes to standard error. */
+/**
+ * @brief Event log on log4cxx: one JSON object a line, on standard output.
+ *
+ * A bounded queue and a thread of log4cxx stand between the writers and the output. When the queue
+ * is full, lines are dropped, and a line says how many.
+ */
 class log4cxx_event_log final : public event_log {
 public:
     /**
@@ -18,6 +23,8 @@
     explicit log4cxx_event_log(std::string process, event_severity least = event_severity::info);
 
     void write(event_id id, std::string_view detail) override;
+    void write_decision(event_id id, std::string_view detail,
+                        std::span<const log_field> fields) override;
 
 private:
     std::string process_;
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -145,11 +145,10 @@
     }
     return std::make_unique<document_service>(
         *environment_.decoder, *environment_.orders,
-        document_service::environment{environment_.loop, quota_, environment_.random,
-                                      environment_.store, environment_.network,
-                                      environment_.requests, environment_.log,
-                                      [this] { apply_documents(); },
-                                      [this](bool reachable) { on_store_health(reachable); }});
+        document_service::environment{
+            environment_.loop, quota_, environment_.random, environment_.store,
+            environment_.network, environment_.requests, environment_.log,
+            [this] { apply_documents(); }, [this](bool reachable) { on_store_health(reachable); }});
 }
 
 std::unique_ptr<member_directory> control_plane::make_directory()
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -100,7 +100,8 @@
     /** @return Moves of traffic, for the network's threads. */
     [[nodiscard]] rollout_service& rollouts() noexcept { return rollouts_; }
 
-    /** @return The operators' configuration, for the network's threads; nullptr if it is the log. */
+    /** @return The operators' configuration, for the network's threads; nullptr if it is the log.
+     */
     [[nodiscard]] document_service* documents() noexcept { return documents_.get(); }
 
     [[nodiscard]] outcome<node_state_dump> dump() override;
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -112,20 +112,18 @@
 
 void document_service::fetch(const network_endpoint& peer)
 {
-    environment_.requests.submit(environment_.network.connection_to(peer),
-                                 frame_kind::configuration_get, {},
-                                 [this](request_client::answer answer) {
-                                     environment_.loop.post([this, item = std::move(answer)] {
-                                         on_fetched(item);
-                                     });
-                                 });
+    environment_.requests.submit(
+        environment_.network.connection_to(peer), frame_kind::configuration_get, {},
+        [this](request_client::answer answer) {
+            environment_.loop.post([this, item = std::move(answer)] { on_fetched(item); });
+        });
 }
 
 void document_service::on_fetched(const request_client::answer& answer)
 {
     fetching_ = false;
-    const auto theirs = answer ? decode<directed_documents>(*answer)
-                               : outcome<directed_documents>{answer.reason()};
+    const auto theirs =
+        answer ? decode<directed_documents>(*answer) : outcome<directed_documents>{answer.reason()};
     if (!theirs) {
         environment_.log.write(event_id::configuration_not_fetched, theirs.reason().message);
         return;
--- a/src/savorywheel/node/member_directory.cpp
+++ b/src/savorywheel/node/member_directory.cpp
@@ -80,7 +80,8 @@
 {
     environment_.worker.submit([this, self = self_, known = registered_](object_store& store) {
         result outcome;
-        const auto registered = known ? savorywheel::outcome<bool>{true} : register_node(store, self);
+        const auto registered =
+            known ? savorywheel::outcome<bool>{true} : register_node(store, self);
         outcome.registered = static_cast<bool>(registered);
         outcome.reason = registered.reason();
         if (const auto list = store.list(directory_prefix, {})) {
@@ -107,8 +108,8 @@
 {
     delay_ = std::min(delay_ * 2, longest_delay);
     const auto jitter = environment_.random.below(static_cast<std::uint64_t>(delay_.count()) / 2);
-    timer_ = environment_.loop.timers().after(
-        delay_ / 2 + std::chrono::milliseconds{jitter}, [this] {
+    timer_ =
+        environment_.loop.timers().after(delay_ / 2 + std::chrono::milliseconds{jitter}, [this] {
             if (registered_ && environment_.connected()) {
                 return;
             }
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -190,16 +190,14 @@
     asio_datagram_channel datagrams_{meter_};
     routing_table_holder tables_;
     peer_crash_reporter crashes_{tables_, network_, requests_};
-    gate gate_{
-        gate::environment{http_, time_, crashes_, log_, settings_.name, front_.servers()}};
+    gate gate_{gate::environment{http_, time_, crashes_, log_, settings_.name, front_.servers()}};
     evidence_recorder evidence_{settings_.region};
     version_ejections ejections_;
     retry_budget retries_{settings_.retries};
-    control_plane control_{settings_,
-                           control_plane::environment{loop_, random_, store_, worker_, datagrams_,
-                                                      network_, requests_, tables_, gate_,
-                                                      evidence_, ejections_, meter_, log_,
-                                                      retries_, front_.configuration(), front_.orders()}};
+    control_plane control_{settings_, control_plane::environment{
+                                          loop_, random_, store_, worker_, datagrams_, network_,
+                                          requests_, tables_, gate_, evidence_, ejections_, meter_,
+                                          log_, retries_, front_.configuration(), front_.orders()}};
     load_table loads_;
     endpoint_health health_{time_};
     weighted_version_chooser weighted_versions_{random_};
--- a/src/savorywheel/node/process_signals.hpp
+++ b/src/savorywheel/node/process_signals.hpp
@@ -5,7 +5,8 @@
 
 namespace savorywheel {
 
-/** @brief Receives the signals by which a process is asked to stop or to read its settings again. */
+/** @brief Receives the signals by which a process is asked to stop or to read its settings again.
+ */
 class process_signals {
 public:
     /** @brief Blocks the signals, so that all threads that start later leave them alone. */
--- a/src/savorywheel/node/rollout_service.cpp
+++ b/src/savorywheel/node/rollout_service.cpp
@@ -13,22 +13,21 @@
 } // namespace
 
 rollout_service::rollout_service(const lease_record& self, const environment& surroundings)
-    : self_{self.holder}, environment_{surroundings},
-      exchange_{self.holder,
-                evidence_exchange::environment{surroundings.network, surroundings.members}},
+    : self_{self.holder}, environment_{surroundings}, exchange_{self.holder,
+                                                                evidence_exchange::environment{
+                                                                    surroundings.network,
+                                                                    surroundings.members}},
       notices_{self.holder,
                withdrawal_spreader::environment{surroundings.network, surroundings.random,
                                                 surroundings.log, surroundings.members}},
-      controllers_{
-          self,
-          controller_set::environment{
-              lease_keeper::environment{surroundings.loop, surroundings.worker,
-                                        surroundings.random},
-              move_controller::environment{surroundings.commits, surroundings.random,
-                                                           surroundings.log}}},
+      controllers_{self,
+                   controller_set::environment{
+                       lease_keeper::environment{surroundings.loop, surroundings.worker,
+                                                 surroundings.random},
+                       move_controller::environment{surroundings.commits, surroundings.random,
+                                                    surroundings.log}}},
       ejector_{surroundings.log}, rewrites_{move_controller::environment{
-                                      surroundings.commits, surroundings.random,
-                                      surroundings.log}}
+                                      surroundings.commits, surroundings.random, surroundings.log}}
 {
 }
 
--- a/src/savorywheel/routing/endpoint_cost.cpp
+++ b/src/savorywheel/routing/endpoint_cost.cpp
@@ -14,7 +14,8 @@
 constexpr milliseconds domain_cost_per_kilobyte{5};
 constexpr milliseconds region_cost_per_kilobyte{20};
 constexpr std::size_t kilobyte = 1024;
-/** A backend server that runs as many calls as it has slots is this much slower than an idle one. */
+/** A backend server that runs as many calls as it has slots is this much slower than an idle one.
+ */
 constexpr double crowding = 0.5;
 /** A call at a backend server that has just started takes about twice as long. */
 constexpr int warming_factor = 2;
--- a/src/savorywheel/settings/node_settings_reader.cpp
+++ b/src/savorywheel/settings/node_settings_reader.cpp
@@ -186,8 +186,8 @@
         return settings;
     }
     root->expect_keys({"name", "failure_domain", "region", "address", "ports", "store", "seeds",
-                       "operators", "log_level", "listen", "caller_service",
-                       "backend_timeout_ms", "stop_notice_ms", "stop_limit_ms", "idle_timeout_ms", "retries"});
+                       "operators", "log_level", "listen", "caller_service", "backend_timeout_ms",
+                       "stop_notice_ms", "stop_limit_ms", "idle_timeout_ms", "retries"});
     settings.name = node_id{read_name(*root, "name")};
     settings.domain = failure_domain{read_name(*root, "failure_domain")};
     settings.region = region_name{read_name(*root, "region")};
--- a/src/savorywheel/traffic/admission.cpp
+++ b/src/savorywheel/traffic/admission.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr std::size_t max_waiting_per_slot = 4;
-/** Many calls take twice the mean; a queue that leaves time for the mean makes half of them late. */
+/** Many calls take twice the mean; a queue that leaves time for the mean makes half of them late.
+ */
 constexpr int usual_spread = 2;
 /** A caller that comes back sooner finds the same queue. */
 constexpr std::chrono::milliseconds shortest_retry{50};
--- /dev/null
+++ b/src/savorywheel/traffic/call_journal.cpp
@@ -0,0 +1,56 @@
+#include <savorywheel/traffic/call_journal.hpp>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+/** One call in this many is written; at 60 calls a second a node writes about one a second. */
+constexpr std::uint64_t sample_divisor = 64;
+/** Lines about failures at once, and one more for each interval: 20 a second. */
+constexpr unsigned line_burst = 100;
+constexpr std::chrono::milliseconds line_interval{50};
+
+} // namespace
+
+call_journal::call_journal(event_log& log, const clock& time) noexcept
+    : log_{log}, limiter_{time, line_burst, line_interval}
+{
+}
+
+bool call_journal::sampled(std::string_view request_id) noexcept
+{
+    return !request_id.empty() &&
+           XXH3_64bits(request_id.data(), request_id.size()) % sample_divisor == 0;
+}
+
+void call_journal::write(event_id id, std::string_view detail, std::span<const log_field> fields)
+{
+    std::uint64_t dropped{};
+    {
+        const std::scoped_lock lock{mutex_};
+        if (!limiter_.admit()) {
+            ++dropped_;
+            return;
+        }
+        dropped = std::exchange(dropped_, 0);
+    }
+    if (dropped > 0) {
+        log_.write(event_id::call_lines_dropped, fmt::format("{} lines", dropped));
+    }
+    log_.write_decision(id, detail, fields);
+}
+
+void call_journal::write_sampled(event_id id, std::string_view request_id, std::string_view detail,
+                                 std::span<const log_field> fields)
+{
+    if (sampled(request_id)) {
+        log_.write_decision(id, detail, fields);
+    }
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/traffic/call_request.hpp
+++ b/src/savorywheel/traffic/call_request.hpp
@@ -7,11 +7,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace savorywheel {
 
 /** @brief A caller's request on its way to the node beside a backend server. */
 struct call_request {
+    /** @brief Names the request in logs; empty if its caller gave no id. */
+    std::string request_id;
     /** @brief Service that is called. */
     service_name service;
     /** @brief Version that was chosen; another one must not run it. */
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -164,8 +164,7 @@
 
 gate_load gate::load() const
 {
-    return {static_cast<std::uint32_t>(running_.size()),
-            static_cast<std::uint32_t>(queue_.size()),
+    return {static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(queue_.size()),
             std::chrono::duration_cast<std::chrono::microseconds>(service_time_.mean())};
 }
 
@@ -185,9 +184,48 @@
         const std::scoped_lock lock{mutex_};
         response.load = load();
     }
+    note_refusal(item, response);
     respond(*item.source, item.correlation, response);
 }
 
+void gate::note_refusal(const gate_call& item, const call_response& response)
+{
+    const auto left = until(item.deadline, environment_.time.now());
+    std::vector<log_field> fields{{"request", item.call.request_id},
+                                  {"service", item.call.service.str()},
+                                  {"version", item.call.version.str()},
+                                  {"rank", std::to_string(item.call.priority)},
+                                  {"left_ms", std::to_string(left.count())},
+                                  {"preferred_ms", std::to_string(item.call.preferred.count())}};
+    if (response.load) {
+        const auto time =
+            std::chrono::duration_cast<std::chrono::milliseconds>(response.load->service_time);
+        fields.push_back({"running", std::to_string(response.load->running)});
+        fields.push_back({"waiting", std::to_string(response.load->waiting)});
+        fields.push_back({"service_ms", std::to_string(time.count())});
+    }
+    journal_.write(event_id::gate_refused, response.reason, fields);
+}
+
+void gate::note_outcome(const gate_call& item, const backend_server& backend,
+                        const call_response& response)
+{
+    const auto ran = until(environment_.time.now(), item.started);
+    const auto waited = until(item.started, item.arrived);
+    const std::vector<log_field> fields{{"request", item.call.request_id},
+                                        {"backend", backend.identity},
+                                        {"waited_ms", std::to_string(waited.count())},
+                                        {"ran_ms", std::to_string(ran.count())},
+                                        {"status", std::to_string(response.response.status)},
+                                        {"result", std::string{to_string(response.result)}}};
+    if (response.result == call_result::unknown) {
+        journal_.write(event_id::gate_unanswered, response.reason, fields);
+        return;
+    }
+    journal_.write_sampled(event_id::gate_answered, item.call.request_id, backend.service.str(),
+                           fields);
+}
+
 call_refusal gate::start_refusal(const gate_call& item) const
 {
     if (!backend_) {
@@ -271,6 +309,12 @@
                     call_refusal reason)
 {
     auto response = reason == call_refusal::none ? execute(*item, *backend) : refused(reason);
+    if (reason == call_refusal::none) {
+        note_outcome(*item, *backend, response);
+    }
+    else {
+        note_refusal(*item, response);
+    }
     {
         const std::scoped_lock lock{mutex_};
         std::erase(running_, item);
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -4,8 +4,9 @@
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/http/http_client.hpp>
 #include <savorywheel/log/event_log.hpp>
-#include <savorywheel/traffic/backend_server.hpp>
 #include <savorywheel/traffic/admission.hpp>
+#include <savorywheel/traffic/backend_server.hpp>
+#include <savorywheel/traffic/call_journal.hpp>
 #include <savorywheel/traffic/call_queue.hpp>
 #include <savorywheel/traffic/call_response.hpp>
 #include <savorywheel/traffic/crash_reporter.hpp>
@@ -48,7 +49,10 @@
     };
 
     /** @param surroundings What the gate works with. */
-    explicit gate(environment surroundings) : environment_{std::move(surroundings)} {}
+    explicit gate(environment surroundings)
+        : environment_{std::move(surroundings)}, journal_{environment_.log, environment_.time}
+    {
+    }
     gate(const gate&) = delete;
     gate& operator=(const gate&) = delete;
     gate(gate&&) = delete;
@@ -84,6 +88,9 @@
     [[nodiscard]] gate_load load() const;
     /** Takes out of the queue what can no longer be finished in time. */
     [[nodiscard]] std::vector<call_pointer> take_hopeless();
+    void note_refusal(const gate_call& item, const call_response& response);
+    void note_outcome(const gate_call& item, const backend_server& backend,
+                      const call_response& response);
     void refuse(const gate_call& item, call_refusal reason, std::optional<duration> retry_after);
     [[nodiscard]] call_refusal start_refusal(const gate_call& item) const;
     void admit(call_pointer item);
@@ -100,6 +107,7 @@
     void record_crash(const gate_call& item, const backend_server& backend);
 
     environment environment_;
+    call_journal journal_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
     std::optional<backend_server> backend_;
--- a/src/savorywheel/traffic/peer_call_transport.cpp
+++ b/src/savorywheel/traffic/peer_call_transport.cpp
@@ -68,7 +68,8 @@
                                                         monotonic_time deadline, cancellation& stop)
 {
     const auto connection = network_.connection_to(peer);
-    const auto expires = connection->await_open(deadline, std::min(deadline, time_.now() + open_wait));
+    const auto expires =
+        connection->await_open(deadline, std::min(deadline, time_.now() + open_wait));
     if (!expires) {
         return call_response::not_run(call_refusal::absent,
                                       "no connection to the node " + to_string(peer));
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -56,7 +56,7 @@
     const auto started = environment_.time.now();
     const auto terms = environment_.dialect.read(request);
     plan item;
-    item.request_id = terms.request_id;
+    item.call.request_id = terms.request_id;
     item.stop = &stop;
     item.call.request = request;
     if (const auto why = find_route(request, item)) {
@@ -116,6 +116,7 @@
             return conclude(item, std::move(outcome));
         }
         environment_.metrics.count("retries") += 1;
+        note_repetition(item, outcome);
     }
 }
 
@@ -147,9 +148,8 @@
     if (!version) {
         return call_response::not_run(call_refusal::absent, "no backend server is known");
     }
-    const auto* endpoint =
-        environment_.endpoints.choose(item.routes->endpoints, *version, item.tried,
-                                      item.call.request.body.size());
+    const auto* endpoint = environment_.endpoints.choose(item.routes->endpoints, *version,
+                                                         item.tried, item.call.request.body.size());
     if (endpoint == nullptr) {
         return call_response::not_run(call_refusal::absent, "every backend server refused");
     }
@@ -208,6 +208,10 @@
 {
     if (outcome.result == call_result::answered) {
         drop_hop_by_hop(outcome.response.headers);
+        auto fields = fields_of(item);
+        fields.push_back({"status", std::to_string(outcome.response.status)});
+        journal_.write_sampled(event_id::call_answered, item.call.request_id,
+                               item.call.service.str(), fields);
         return std::move(outcome.response);
     }
     rejection why{rejection_kind::unknown, std::move(outcome.reason), outcome.retry_after};
@@ -222,13 +226,49 @@
 
 http_response proxy_handler::reject(const plan& item, const rejection& why)
 {
-    const bool unknown =
-        why.kind == rejection_kind::unknown || why.kind == rejection_kind::expired;
+    const bool unknown = why.kind == rejection_kind::unknown || why.kind == rejection_kind::expired;
     environment_.metrics.count(unknown ? "calls_unknown" : "calls_not_run") += 1;
-    environment_.log.write(unknown ? event_id::call_outcome_unknown : event_id::call_not_run,
-                           fmt::format("{} {}{}: {}", item.request_id, item.call.service.str(),
-                                       item.call.request.target, why.reason));
+    auto fields = fields_of(item);
+    fields.push_back({"status", std::to_string(why.status())});
+    if (why.retry_after) {
+        fields.push_back({"retry_after_ms", std::to_string(why.retry_after->count())});
+    }
+    journal_.write(unknown ? event_id::call_outcome_unknown : event_id::call_not_run, why.reason,
+                   fields);
     return environment_.dialect.reject(why);
 }
 
+/** What decided about a call, with the state that was in force. */
+std::vector<log_field> proxy_handler::fields_of(const plan& item) const
+{
+    std::vector<log_field> fields{{"request", item.call.request_id},
+                                  {"target", item.call.request.target}};
+    if (item.table) {
+        fields.push_back({"state", std::to_string(item.table->version().number)});
+    }
+    if (item.route == nullptr) {
+        return fields;
+    }
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        environment_.time.now() - item.started);
+    const auto allowed =
+        std::chrono::duration_cast<std::chrono::milliseconds>(item.deadline - item.started);
+    fields.push_back({"route", item.route->path});
+    fields.push_back({"service", item.call.service.str()});
+    fields.push_back({"version", item.call.version.str()});
+    fields.push_back({"nodes_tried", std::to_string(item.tried.size())});
+    fields.push_back({"servers_reached", std::to_string(item.servers_reached)});
+    fields.push_back({"node", item.tried.empty() ? std::string{} : item.tried.back().str()});
+    fields.push_back({"elapsed_ms", std::to_string(elapsed.count())});
+    fields.push_back({"allowed_ms", std::to_string(allowed.count())});
+    return fields;
+}
+
+void proxy_handler::note_repetition(const plan& item, const call_response& outcome)
+{
+    auto fields = fields_of(item);
+    fields.push_back({"result", std::string{to_string(outcome.result)}});
+    journal_.write(event_id::call_repeated, outcome.reason, fields);
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -11,6 +11,7 @@
 #include <savorywheel/routing/load_table.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/routing/version_chooser.hpp>
+#include <savorywheel/traffic/call_journal.hpp>
 #include <savorywheel/traffic/call_observer.hpp>
 #include <savorywheel/traffic/call_transport.hpp>
 #include <savorywheel/traffic/caller_dialect.hpp>
@@ -58,7 +59,10 @@
     };
 
     /** @param surroundings What the proxy works with. */
-    explicit proxy_handler(environment surroundings) noexcept : environment_{surroundings} {}
+    explicit proxy_handler(environment surroundings) noexcept
+        : environment_{surroundings}, journal_{surroundings.log, surroundings.time}
+    {
+    }
 
     /** @brief Refuses new requests from now on; those in progress go on. */
     void refuse_new() noexcept { refusing_ = true; }
@@ -73,7 +77,6 @@
         std::shared_ptr<const service_routes> routes;
         const host_route* route{};
         call_request call;
-        std::string request_id;
         monotonic_time started;
         monotonic_time deadline;
         cancellation* stop{};
@@ -88,8 +91,11 @@
     void note(const node_id& endpoint, const call_request& call, const call_response& outcome);
     [[nodiscard]] http_response conclude(const plan& item, call_response outcome);
     [[nodiscard]] http_response reject(const plan& item, const rejection& why);
+    [[nodiscard]] std::vector<log_field> fields_of(const plan& item) const;
+    void note_repetition(const plan& item, const call_response& outcome);
 
     environment environment_;
+    call_journal journal_;
     std::atomic<bool> refusing_{};
 };
 
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -84,8 +84,8 @@
 TEST(client_headers, a_refused_client_is_told_when_to_come_back)
 {
     const client_headers subject{service_name{"huvo"}};
-    const auto response = subject.reject(
-        {rejection_kind::not_run, "too much waits", std::chrono::milliseconds{250}});
+    const auto response =
+        subject.reject({rejection_kind::not_run, "too much waits", std::chrono::milliseconds{250}});
     EXPECT_EQ(response.status, 503);
     EXPECT_EQ(find_header(response.headers, "Retry-After"), "0.250");
     EXPECT_EQ(subject.reject({rejection_kind::unknown, "reset", {}}).status, 502);
--- a/test/platform/main_configuration_decoder_test.cpp
+++ b/test/platform/main_configuration_decoder_test.cpp
@@ -28,8 +28,8 @@
     EXPECT_EQ(routes[0].target_latency, std::chrono::milliseconds{800});
     EXPECT_EQ(routes[0].max_attempts, 2U);
     EXPECT_EQ(routes[0].priority, 2U);
-    EXPECT_EQ(routes[0].shares, (std::vector<service_share>{{service_name{"a"}, 90},
-                                                            {service_name{"b"}, 10}}));
+    EXPECT_EQ(routes[0].shares,
+              (std::vector<service_share>{{service_name{"a"}, 90}, {service_name{"b"}, 10}}));
     EXPECT_EQ(routes[1].kind, route_kind::upload);
     EXPECT_EQ(routes[1].shares, (std::vector<service_share>{{service_name{"b"}, 1}}));
 }
--- a/test/savorywheel/node/backend_monitor_test.cpp
+++ b/test/savorywheel/node/backend_monitor_test.cpp
@@ -12,8 +12,8 @@
                           std::uint64_t sequence, server_state state = server_state::serving)
 {
     backend_announcement result;
-    result.backend = {service_name{"bookdesk"}, version_name{"v1"}, {"10.0.0.1", 80}, state, 12,
-                      identity};
+    result.backend = {
+        service_name{"bookdesk"}, version_name{"v1"}, {"10.0.0.1", 80}, state, 12, identity};
     result.started_at = started_at;
     result.sequence = sequence;
     return result;
@@ -65,7 +65,8 @@
 TEST(backend_monitor, a_node_that_starts_between_leaving_and_a_late_announcement_ignores_the_latter)
 {
     monitor_fixture node;
-    const auto now = static_cast<std::uint64_t>(node.time.calendar_now().time_since_epoch().count());
+    const auto now =
+        static_cast<std::uint64_t>(node.time.calendar_now().time_since_epoch().count());
     node.subject.withdraw("i-1");
     EXPECT_FALSE(node.subject.take(make("i-1", now - 5000, 7)));
     EXPECT_FALSE(node.latest.has_value());
--- a/test/savorywheel/routing/endpoint_cost_test.cpp
+++ b/test/savorywheel/routing/endpoint_cost_test.cpp
@@ -28,8 +28,8 @@
 struct two_servers {
     void report(const route_endpoint& endpoint, std::uint32_t calls, milliseconds service_time)
     {
-        loads.report(endpoint.node, {std::min(calls, 10U), calls - std::min(calls, 10U),
-                                     service_time},
+        loads.report(endpoint.node,
+                     {std::min(calls, 10U), calls - std::min(calls, 10U), service_time},
                      time.now());
     }
 
--- a/test/savorywheel/traffic/call_queue_test.cpp
+++ b/test/savorywheel/traffic/call_queue_test.cpp
@@ -32,8 +32,8 @@
         }
         RC_ASSERT(queue.size() == count);
         std::ranges::sort(expected);
-        const auto urgent = std::ranges::count_if(
-            expected, [](const auto& item) { return item.first <= 1; });
+        const auto urgent =
+            std::ranges::count_if(expected, [](const auto& item) { return item.first <= 1; });
         RC_ASSERT(queue.ahead_of(1) == static_cast<std::size_t>(urgent));
         for (const auto& [priority, number] : expected) {
             const auto item = queue.pop();
--- /dev/null
+++ b/tools/check_boundaries.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Holds the platform's names inside platform/: nothing else includes it or has a name of its wire, and
+# it stays small. Holds decisions apart from the encoding of messages.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+most_platform_lines=1200 # docs/design/platform.md states the bound.
+failed=0
+report() {
+    echo "$1"
+    failed=1
+}
+names='virtual-hosts|path-rules|path-prefix|traffic-split|max-concurrency|warmup-left|target-version'
+names+='|Server-Signature|Not-Executed|Expected-Instance|Caller-Service|Savorywheel-|heartbeat-addr'
+if grep -rnE "$names" src apps; then
+    report "names of the platform outside platform/"
+fi
+if grep -rnE '#include [<"](\.\./)*platform/' src apps; then
+    report "includes of platform/ outside of it"
+fi
+lines="$(cat platform/*.[ch]pp | wc -l)"
+((lines <= most_platform_lines)) || report "platform/ has $lines lines, at most $most_platform_lines"
+# Decisions see typed messages: these folders must not see a codec at all.
+for folder in config core routing membership rollout metrics log; do
+    if grep -rn 'savorywheel/encoding/' "src/savorywheel/$folder"; then
+        report "src/savorywheel/$folder depends on the encoding of messages"
+    fi
+done
+exit "$failed"
