--- a/src/savorywheel/distribution/document_watcher.cpp
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -93,6 +93,7 @@
         }
     }
     std::vector<stored_object> changed;
+    changed.reserve(newest.size());
     for (auto& [key, object] : newest) {
         changed.push_back(std::move(object));
     }
--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -35,14 +35,13 @@
 template<typename Archive>
 void serialize(Archive& archive, call_request& call)
 {
-    archive(cereal::make_nvp("request_id", call.request_id),
-            cereal::make_nvp("service", call.service), cereal::make_nvp("version", call.version),
-            cereal::make_nvp("remaining_ms", call.remaining),
-            cereal::make_nvp("expires_us", call.expires),
-            cereal::make_nvp("preferred_ms", call.preferred),
-            cereal::make_nvp("priority", call.priority),
-            cereal::make_nvp("idempotent", call.idempotent),
-            cereal::make_nvp("request", call.request));
+    archive(
+        cereal::make_nvp("request_id", call.request_id), cereal::make_nvp("service", call.service),
+        cereal::make_nvp("version", call.version), cereal::make_nvp("remaining_ms", call.remaining),
+        cereal::make_nvp("expires_us", call.expires),
+        cereal::make_nvp("preferred_ms", call.preferred),
+        cereal::make_nvp("priority", call.priority),
+        cereal::make_nvp("idempotent", call.idempotent), cereal::make_nvp("request", call.request));
 }
 
 /** @brief Lists the members of a gate's load. */
