Log why the platform's service or its list of nodes cannot be used

Cause: member_directory::stop dropped the outcome of removing its entry, entries that did not decode were passed over silently, and SW2004 named the watched key but not the reason. Ruled out: logging inside the stores, which do not know whether a failure matters.

--- a/src/savorywheel/distribution/document_watcher.cpp
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -49,7 +49,7 @@
 {
     name_this_thread("document-watch");
     while (true) {
-        const bool answered = revision_ ? follow() : read();
+        const auto answered = revision_ ? follow() : read();
         environment_.health(answered);
         if (!pause(answered ? gather_time : next_delay())) {
             return;
@@ -57,11 +57,11 @@
     }
 }
 
-bool document_watcher::read()
+outcome<bool> document_watcher::read()
 {
     auto seen = environment_.store.list(prefix_, {});
     if (!seen) {
-        return false;
+        return seen.reason();
     }
     revision_ = seen->revision;
     delay_ = first_delay;
@@ -69,13 +69,14 @@
     return true;
 }
 
-bool document_watcher::follow()
+outcome<bool> document_watcher::follow()
 {
     auto seen = environment_.store.watch(prefix_, *revision_, watch_patience);
     if (!seen) {
         // After a gap in the store's history only a fresh read shows the newest value.
         revision_.reset();
-        return seen.reason().code == failure_code::not_found;
+        return seen.reason().code == failure_code::not_found ? outcome<bool>{true}
+                                                             : outcome<bool>{seen.reason()};
     }
     revision_ = std::max(*revision_, seen->revision);
     delay_ = first_delay;
--- a/src/savorywheel/distribution/document_watcher.hpp
+++ b/src/savorywheel/distribution/document_watcher.hpp
@@ -25,8 +25,8 @@
     /** @brief Takes the newest value of each changed object; called on the watching thread. */
     using documents_callback = std::function<void(std::vector<stored_object>)>;
 
-    /** @brief Hears whether the platform's service answers; called on the watching thread. */
-    using health_callback = std::function<void(bool reachable)>;
+    /** @brief Hears how the platform's service answered; called on the watching thread. */
+    using health_callback = std::function<void(const outcome<bool>& answered)>;
 
     /** @brief What the watcher works with; all must outlive it. */
     struct environment {
@@ -36,7 +36,7 @@
         random_source& random;
         /** @brief Takes the newest values. */
         documents_callback documents;
-        /** @brief Hears whether the service answers. */
+        /** @brief Hears how the service answered. */
         health_callback health;
     };
 
@@ -59,8 +59,8 @@
 
 private:
     void run();
-    [[nodiscard]] bool read();
-    [[nodiscard]] bool follow();
+    [[nodiscard]] outcome<bool> read();
+    [[nodiscard]] outcome<bool> follow();
     void take(object_list seen);
     /** Waits; false at the end. */
     [[nodiscard]] bool pause(std::chrono::milliseconds length);
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -38,8 +38,8 @@
                     }
                 });
             },
-            [this](bool reachable) {
-                environment_.loop.post([this, reachable] { on_store_health(reachable); });
+            [this](const outcome<bool>& answered) {
+                environment_.loop.post([this, answered] { on_store_health(answered); });
             }};
 }
 
@@ -83,14 +83,15 @@
         fmt::format("{} at revision {}: {}", object.key, object.revision, reason.message));
 }
 
-void document_service::on_store_health(bool reachable)
+void document_service::on_store_health(const outcome<bool>& answered)
 {
+    const auto reachable = static_cast<bool>(answered);
     if (store_reachable_ == reachable) {
         return;
     }
     store_reachable_ = reachable;
     environment_.log.write(reachable ? event_id::store_reachable : event_id::store_unreachable,
-                           decoder_.key());
+                           answered ? std::string{decoder_.key()} : answered.reason().message);
     environment_.store_health(reachable);
 }
 
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -82,7 +82,7 @@
     [[nodiscard]] bool take_configuration(const stored_object& object);
     [[nodiscard]] bool take_order(const stored_object& object);
     void report_fault(const stored_object& object, const failure& reason);
-    void on_store_health(bool reachable);
+    void on_store_health(const outcome<bool>& answered);
     void fetch(const network_endpoint& peer);
     void on_fetched(const request_client::answer& answer);
 
--- a/src/savorywheel/node/member_directory.cpp
+++ b/src/savorywheel/node/member_directory.cpp
@@ -42,16 +42,19 @@
     return true;
 }
 
-std::vector<network_endpoint> peers_in(std::span<const stored_object> objects, const node_id& self)
+/** Removes the entry of a node; one that is gone already is no failure. */
+outcome<bool> unregister_node(object_store& store, const node_id& self)
 {
-    std::vector<network_endpoint> peers;
-    for (const auto& object : objects) {
-        const auto record = decode_json<member_record>(object.value);
-        if (record && record->id != self) {
-            peers.push_back(record->peer);
-        }
+    const auto key = key_of(self);
+    const auto known = store.get(key);
+    if (!known) {
+        return known.reason().code == failure_code::not_found ? outcome<bool>{false}
+                                                              : outcome<bool>{known.reason()};
+    }
+    if (const auto removed = store.remove(key, known->revision); !removed) {
+        return removed.reason();
     }
-    return peers;
+    return true;
 }
 
 } // namespace
@@ -61,6 +64,19 @@
 {
 }
 
+void member_directory::result::take(std::span<const stored_object> objects, const node_id& self)
+{
+    for (const auto& object : objects) {
+        const auto record = decode_json<member_record>(object.value);
+        if (!record) {
+            unreadable.push_back(fmt::format("{}: {}", object.key, record.reason().message));
+        }
+        else if (record->id != self) {
+            peers.push_back(record->peer);
+        }
+    }
+}
+
 void member_directory::start()
 {
     search();
@@ -69,9 +85,9 @@
 void member_directory::stop()
 {
     timer_.reset();
-    environment_.worker.submit([key = key_of(self_.id)](object_store& store) {
-        if (const auto known = store.get(key)) {
-            static_cast<void>(store.remove(key, known->revision));
+    environment_.worker.submit([&log = environment_.log, self = self_.id](object_store& store) {
+        if (const auto removed = unregister_node(store, self); !removed) {
+            log.write(event_id::directory_unreachable, removed.reason().message);
         }
     });
 }
@@ -85,7 +101,7 @@
         outcome.registered = static_cast<bool>(registered);
         outcome.reason = registered.reason();
         if (const auto list = store.list(directory_prefix, {})) {
-            outcome.peers = peers_in(list->objects, self.id);
+            outcome.take(list->objects, self.id);
         }
         else {
             outcome.reason = list.reason();
@@ -100,6 +116,9 @@
     if (outcome.reason.code != failure_code::none) {
         environment_.log.write(event_id::directory_unreachable, outcome.reason.message);
     }
+    for (const auto& entry : outcome.unreadable) {
+        environment_.log.write(event_id::directory_entry_unreadable, entry);
+    }
     environment_.found(outcome.peers);
     search_later();
 }
--- a/src/savorywheel/node/member_directory.hpp
+++ b/src/savorywheel/node/member_directory.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace savorywheel {
@@ -55,8 +56,11 @@
 
 private:
     struct result {
+        void take(std::span<const stored_object> objects, const node_id& self);
+
         bool registered{};
         std::vector<network_endpoint> peers;
+        std::vector<std::string> unreadable;
         failure reason;
     };
 
--- a/src/savorywheel/store/http_object_store.cpp
+++ b/src/savorywheel/store/http_object_store.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/store/http_object_store.hpp>
+#include <savorywheel/store/store_failure.hpp>
 
 #include <fmt/format.h>
 
@@ -12,28 +13,6 @@
 
 constexpr int status_ok = 200;
 constexpr int status_created = 201;
-constexpr int status_not_found = 404;
-constexpr int status_gone = 410;
-constexpr int status_precondition_failed = 412;
-constexpr int status_too_many_requests = 429;
-constexpr int status_unavailable = 503;
-
-failure failure_of(int status)
-{
-    const auto message = fmt::format("the platform's service answered {}", status);
-    switch (status) {
-    case status_not_found:
-    case status_gone:
-        return {failure_code::not_found, message};
-    case status_precondition_failed:
-        return {failure_code::conflict, message};
-    case status_too_many_requests:
-    case status_unavailable:
-        return {failure_code::unavailable, message};
-    default:
-        return {failure_code::unknown_outcome, message};
-    }
-}
 
 std::uint64_t revision_of(const http_response& response)
 {
@@ -66,7 +45,7 @@
         return response.reason();
     }
     if (response->status != status_ok) {
-        return failure_of(response->status);
+        return store_failure(response->status);
     }
     const auto revision = revision_of(*response);
     return stored_object{std::string{key}, std::move(response->body), revision};
@@ -112,7 +91,7 @@
         return response.reason();
     }
     if (response->status != status_ok && response->status != status_created) {
-        return failure_of(response->status);
+        return store_failure(response->status);
     }
     return revision_of(*response);
 }
@@ -125,7 +104,7 @@
         return response.reason();
     }
     if (response->status != status_ok) {
-        return failure_of(response->status);
+        return store_failure(response->status);
     }
     return decode_json<object_list>(response->body);
 }
--- /dev/null
+++ b/src/savorywheel/store/store_failure.cpp
@@ -0,0 +1,36 @@
+#include <savorywheel/store/store_failure.hpp>
+
+#include <fmt/format.h>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_gone = 410;
+constexpr int status_precondition_failed = 412;
+constexpr int status_too_many_requests = 429;
+constexpr int status_unavailable = 503;
+
+} // namespace
+
+failure store_failure(int status)
+{
+    const auto message = fmt::format("the platform's service answered {}", status);
+    switch (status) {
+    case status_not_found:
+    case status_gone:
+        return {failure_code::not_found, message};
+    case status_conflict:
+    case status_precondition_failed:
+        return {failure_code::conflict, message};
+    case status_too_many_requests:
+    case status_unavailable:
+        return {failure_code::unavailable, message};
+    default:
+        return {failure_code::unknown_outcome, message};
+    }
+}
+
+} // namespace savorywheel
