--- a/src/savorywheel/config/mesh_state.cpp
+++ b/src/savorywheel/config/mesh_state.cpp
@@ -2,10 +2,21 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace savorywheel {
 
+namespace {
+
+template<typename Value>
+bool same(const std::shared_ptr<const Value>& left, const std::shared_ptr<const Value>& right)
+{
+    return left == right || (left && right && *left == *right);
+}
+
+} // namespace
+
 mesh_state::mesh_state(config_version version, std::vector<domain_spec> domains,
                        std::span<const service_state> services)
     : version_{version}, domains_{std::move(domains)}
@@ -78,6 +89,16 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
+bool operator==(const mesh_state& left, const mesh_state& right)
+{
+    const auto same_service = [](const auto& one, const auto& other) {
+        return one.first == other.first && same(one.second, other.second);
+    };
+    return left.version_ == right.version_ && left.domains_ == right.domains_ &&
+           same(left.hosts_, right.hosts_) &&
+           std::ranges::equal(left.services_, right.services_, same_service);
+}
+
 outcome<bool> mesh_state::check_references() const
 {
     for (const auto& [name, service] : services_) {
--- a/src/savorywheel/config/mesh_state.hpp
+++ b/src/savorywheel/config/mesh_state.hpp
@@ -69,6 +69,9 @@
     /** @return The service, or nothing. */
     [[nodiscard]] std::shared_ptr<const service_state> find(const service_name& name) const;
 
+    /** @brief Compares what the states say, not which memory they share. */
+    friend bool operator==(const mesh_state& left, const mesh_state& right);
+
 private:
     [[nodiscard]] outcome<bool> check_references() const;
 
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -57,7 +57,7 @@
                [this](const auto& backend) { on_backend(backend); }},
       appender_{make_appender()}, rollouts_{make_node_lease(settings), rollout_environment()},
       heads_{surroundings.tables, surroundings.network, surroundings.requests},
-      documents_{make_documents()}, directory_{make_directory()}
+      documents_{make_documents()}
 {
 }
 
@@ -135,35 +135,20 @@
     }
     return std::make_unique<order_appender>(order_appender::environment{
         environment_.worker, environment_.loop, *environment_.orders,
-        [this]() -> const directed_documents& { return documents_->documents(); }});
+        [this]() -> const directed_documents& { return documents_->documents().documents(); }});
 }
 
-std::unique_ptr<document_service> control_plane::make_documents()
+std::unique_ptr<document_plane> control_plane::make_documents()
 {
     if (environment_.decoder == nullptr) {
         return nullptr;
     }
-    return std::make_unique<document_service>(
+    return std::make_unique<document_plane>(
         *environment_.decoder, *environment_.orders,
-        document_service::environment{
-            environment_.loop, quota_, environment_.random, environment_.store,
-            environment_.network, environment_.requests, environment_.log,
-            [this] { apply_documents(); }, [this](bool reachable) { on_store_health(reachable); }});
-}
-
-std::unique_ptr<member_directory> control_plane::make_directory()
-{
-    if (environment_.decoder == nullptr) {
-        return nullptr;
-    }
-    return std::make_unique<member_directory>(
-        membership_.agent().self(),
-        member_directory::environment{
-            environment_.loop, environment_.worker, environment_.random, environment_.log,
-            [this] { return membership_.agent().table().live().size() > 1; },
-            [this](std::span<const network_endpoint> peers) {
-                membership_.agent().introduce(peers);
-            }});
+        document_plane::environment{environment_.loop, quota_, environment_.random,
+                                    environment_.store, environment_.worker, environment_.network,
+                                    environment_.requests, environment_.log, membership_.agent(),
+                                    [this](const mesh_state& state) { route_by(state); }});
 }
 
 void control_plane::start()
@@ -173,7 +158,6 @@
     backend_.start();
     if (documents_) {
         documents_->start();
-        directory_->start();
     }
     else {
         floors_.keeper().start();
@@ -186,7 +170,6 @@
 {
     if (documents_) {
         documents_->stop();
-        directory_->stop();
     }
     else {
         floors_.keeper().stop();
@@ -197,30 +180,11 @@
     backend_.stop();
 }
 
-void control_plane::apply_documents()
+void control_plane::route_by(const mesh_state& state)
 {
-    const auto& documents = documents_->documents();
-    if (documents.revision == 0) {
-        return;
-    }
-    const auto state = orders_.join(documents, membership_.agent().table(),
-                                    environment_.loop.time().calendar_now());
     rollouts_.on_configuration(state);
     publisher_.on_configuration(state);
     membership_.agent().set_head(state.version());
-    environment_.log.write(event_id::configuration_in_force,
-                           fmt::format("version {}, state {}",
-                                       documents.configuration.version.number,
-                                       state.version().number));
-}
-
-void control_plane::on_store_health(bool reachable)
-{
-    auto record = membership_.agent().self();
-    if (record.store_reachable != reachable) {
-        record.store_reachable = reachable;
-        membership_.agent().update_self(std::move(record));
-    }
 }
 
 outcome<node_state_dump> control_plane::dump()
@@ -299,8 +263,8 @@
     }
     environment_.retries.set_nodes(membership_.agent().table().live().size());
     rollouts_.on_members_changed();
-    if (documents_ && orders_.depends_on_members()) {
-        apply_documents();
+    if (documents_) {
+        documents_->on_members_changed();
     }
     publisher_.on_members_changed();
 }
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -9,15 +9,13 @@
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/backend_monitor.hpp>
-#include <savorywheel/node/document_service.hpp>
+#include <savorywheel/node/document_plane.hpp>
 #include <savorywheel/node/head_service.hpp>
-#include <savorywheel/node/member_directory.hpp>
 #include <savorywheel/node/membership_service.hpp>
 #include <savorywheel/node/relay_role.hpp>
 #include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/node/table_publisher.hpp>
 #include <savorywheel/rollout/commit_appender.hpp>
-#include <savorywheel/rollout/order_state.hpp>
 #include <savorywheel/settings/node_settings.hpp>
 #include <savorywheel/traffic/gate.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
@@ -102,7 +100,10 @@
 
     /** @return The operators' configuration, for the network's threads; nullptr if it is the log.
      */
-    [[nodiscard]] document_service* documents() noexcept { return documents_.get(); }
+    [[nodiscard]] document_service* documents() noexcept
+    {
+        return documents_ ? &documents_->documents() : nullptr;
+    }
 
     [[nodiscard]] outcome<node_state_dump> dump() override;
     [[nodiscard]] outcome<mesh_state> configuration() override;
@@ -126,13 +127,10 @@
     [[nodiscard]] distributor::environment distribution_environment();
     [[nodiscard]] floor_service::environment floor_environment();
     [[nodiscard]] relay_role::environment relay_environment();
-    [[nodiscard]] std::unique_ptr<document_service> make_documents();
-    [[nodiscard]] std::unique_ptr<member_directory> make_directory();
+    [[nodiscard]] std::unique_ptr<document_plane> make_documents();
     [[nodiscard]] std::unique_ptr<commit_appender> make_appender();
     [[nodiscard]] rollout_service::environment rollout_environment();
-    /** Joins what operators keep in the platform's service, and routes by it. */
-    void apply_documents();
-    void on_store_health(bool reachable);
+    void route_by(const mesh_state& state);
     /** Reads the log in the store, so that this node learns its floor without buddies. */
     void read_store();
     void take_tail(const log_tail& tail);
@@ -152,9 +150,7 @@
     std::unique_ptr<commit_appender> appender_;
     rollout_service rollouts_;
     head_service heads_;
-    std::unique_ptr<document_service> documents_;
-    order_state orders_;
-    std::unique_ptr<member_directory> directory_;
+    std::unique_ptr<document_plane> documents_;
     std::map<config_version, mesh_state> accepted_;
 };
 
