End a call when no backend server is left, and spill over during a move

Change: a call ends when no backend server is left for it, with the Retry-After of the last refusal; after two refusals during a move it goes to the old version; a deadline that passed is not repeated; a node that knows no backend server says when to come back. Ruled out and reverted: giving a repeatable call up at half of its time.

--- /dev/null
+++ b/src/savorywheel/traffic/backend_runner.cpp
@@ -0,0 +1,94 @@
+#include <savorywheel/traffic/backend_runner.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace savorywheel {
+
+void backend_runner::note_crash(const crash_report& report)
+{
+    const std::scoped_lock lock{mutex_};
+    suspects_.add(report, environment_.time.now());
+}
+
+bool backend_runner::blocked(request_digest digest) const
+{
+    const std::scoped_lock lock{mutex_};
+    return suspects_.blocked(digest, environment_.time.now());
+}
+
+call_response backend_runner::run(gate_call& item, const backend_server& backend)
+{
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::milliseconds>(item.deadline - item.started);
+    if (remaining.count() <= 0) {
+        return call_response::not_run(call_refusal::expired, "the deadline passed");
+    }
+    auto& request = item.call.request;
+    environment_.dialect.address(request, backend, remaining);
+    auto answer =
+        environment_.client.send_until_cancelled(backend.endpoint, request, remaining, item.stop);
+    if (!answer) {
+        return fail(item, backend, answer.reason());
+    }
+    auto response = take_answer(request, backend, std::move(*answer));
+    if (response.result == call_result::answered) {
+        const std::scoped_lock lock{mutex_};
+        suspects_.clear(item.digest);
+    }
+    return response;
+}
+
+call_response backend_runner::take_answer(const http_request& request,
+                                          const backend_server& backend, http_response answer)
+{
+    switch (environment_.dialect.judge(request, answer)) {
+    case answer_verdict::whole:
+        return {call_result::answered, call_refusal::none, {}, std::move(answer), true, {}};
+    case answer_verdict::not_run: {
+        auto refusal = call_response::not_run(call_refusal::overload,
+                                              "the backend server has not run the request");
+        refusal.reached_server = true;
+        return refusal;
+    }
+    case answer_verdict::untrusted:
+        break;
+    }
+    // What the connection carries next may belong to another request as well.
+    environment_.client.close_idle(backend.endpoint);
+    return call_response::unknown("the backend server's answer cannot be passed on");
+}
+
+call_response backend_runner::fail(const gate_call& item, const backend_server& backend,
+                                   const failure& reason)
+{
+    if (reason.code == failure_code::unavailable) {
+        return call_response::not_run(call_refusal::absent, "the backend server refused the "
+                                                            "connection: " +
+                                                                reason.message);
+    }
+    if (reason.code == failure_code::unknown_outcome && !item.stop.cancelled() &&
+        !environment_.client.accepts_connections(backend.endpoint)) {
+        record_crash(item, backend);
+    }
+    return call_response::unknown(reason.message);
+}
+
+void backend_runner::record_crash(const gate_call& item, const backend_server& backend)
+{
+    crash_report report{backend.service, environment_.self, 0, item.digest};
+    {
+        const std::scoped_lock lock{mutex_};
+        if (crashes_ == 0 || item.started > last_crash_) {
+            ++crashes_;
+            last_crash_ = environment_.time.now();
+        }
+        report.crash = crashes_;
+        suspects_.add(report, environment_.time.now());
+    }
+    environment_.log.write(event_id::backend_crashed,
+                           backend.service.str() + item.call.request.target);
+    environment_.crashes.spread(report);
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/traffic/call_refusal.cpp
+++ b/src/savorywheel/traffic/call_refusal.cpp
@@ -19,6 +19,8 @@
         return "the deadline passed before a slot was free";
     case call_refusal::crashing:
         return "this request has crashed backend servers";
+    case call_refusal::silent:
+        return "the backend server answers none of the calls that it holds";
     }
     return "not refused";
 }
--- a/src/savorywheel/traffic/call_refusal.hpp
+++ b/src/savorywheel/traffic/call_refusal.hpp
@@ -15,7 +15,8 @@
     overload,      /**< It could not be finished before its deadline. */
     expired,       /**< Its deadline had passed. */
     crashing,      /**< The same request has crashed backend servers. */
-    last_refusal = crashing
+    silent,        /**< The backend server answers none of the calls that it holds. */
+    last_refusal = silent
 };
 
 /** @return The refusal in words. */
--- a/src/savorywheel/traffic/fwd.hpp
+++ b/src/savorywheel/traffic/fwd.hpp
@@ -5,7 +5,9 @@
 
 class call_observer;
 class call_transport;
+class backend_runner;
 class gate;
+class gate_journal;
 class peer_call_transport;
 class proxy_handler;
 class retry_budget;
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -25,11 +25,6 @@
     return call_response::not_run(refusal, std::string{to_string(refusal)});
 }
 
-std::chrono::milliseconds until(monotonic_time deadline, monotonic_time now)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
-}
-
 } // namespace
 
 gate::~gate()
@@ -40,6 +35,9 @@
 void gate::set_backend(std::optional<backend_server> backend)
 {
     const std::scoped_lock lock{mutex_};
+    if (!backend || !backend_ || backend->identity != backend_->identity) {
+        silence_.reset();
+    }
     backend_ = std::move(backend);
     const auto slots = backend_ ? std::min(backend_->slots, max_slots) : 0;
     while (threads_.size() < slots && !stopping_) {
@@ -125,10 +123,7 @@
         refuse_malformed(source, report.reason().message);
         return;
     }
-    {
-        const std::scoped_lock lock{mutex_};
-        suspects_.add(*report, environment_.time.now());
-    }
+    runner_.note_crash(*report);
     source.send(frame_kind::crash_noted, correlation, {});
 }
 
@@ -149,6 +144,23 @@
     return view_of(item).decide();
 }
 
+/** Refuses what waits for a backend server that has just fallen silent. */
+std::vector<gate::call_pointer> gate::find_silence()
+{
+    std::vector<monotonic_time> started;
+    started.reserve(running_.size());
+    for (const auto& item : running_) {
+        started.push_back(item->started);
+    }
+    const bool known = silence_.silent();
+    if (known || !silence_.look(started, service_time_.mean(), environment_.time.now())) {
+        return {};
+    }
+    environment_.log.write(event_id::backend_silent,
+                           fmt::format("{}: {} calls held", backend_->identity, started.size()));
+    return queue_.remove_if([](const gate_call& /*item*/) { return true; });
+}
+
 admission gate::view_of(const gate_call& item) const
 {
     admission view;
@@ -184,48 +196,10 @@
         const std::scoped_lock lock{mutex_};
         response.load = load();
     }
-    note_refusal(item, response);
+    journal_.refused(item, response);
     respond(*item.source, item.correlation, response);
 }
 
-void gate::note_refusal(const gate_call& item, const call_response& response)
-{
-    const auto left = until(item.deadline, environment_.time.now());
-    std::vector<log_field> fields{{"request", item.call.request_id},
-                                  {"service", item.call.service.str()},
-                                  {"version", item.call.version.str()},
-                                  {"rank", std::to_string(item.call.priority)},
-                                  {"left_ms", std::to_string(left.count())},
-                                  {"preferred_ms", std::to_string(item.call.preferred.count())}};
-    if (response.load) {
-        const auto time =
-            std::chrono::duration_cast<std::chrono::milliseconds>(response.load->service_time);
-        fields.push_back({"running", std::to_string(response.load->running)});
-        fields.push_back({"waiting", std::to_string(response.load->waiting)});
-        fields.push_back({"service_ms", std::to_string(time.count())});
-    }
-    journal_.write(event_id::gate_refused, response.reason, fields);
-}
-
-void gate::note_outcome(const gate_call& item, const backend_server& backend,
-                        const call_response& response)
-{
-    const auto ran = until(environment_.time.now(), item.started);
-    const auto waited = until(item.started, item.arrived);
-    const std::vector<log_field> fields{{"request", item.call.request_id},
-                                        {"backend", backend.identity},
-                                        {"waited_ms", std::to_string(waited.count())},
-                                        {"ran_ms", std::to_string(ran.count())},
-                                        {"status", std::to_string(response.response.status)},
-                                        {"result", std::string{to_string(response.result)}}};
-    if (response.result == call_result::unknown) {
-        journal_.write(event_id::gate_unanswered, response.reason, fields);
-        return;
-    }
-    journal_.write_sampled(event_id::gate_answered, item.call.request_id, backend.service.str(),
-                           fields);
-}
-
 call_refusal gate::start_refusal(const gate_call& item) const
 {
     if (!backend_) {
@@ -237,7 +211,7 @@
     if (backend_->service != item.call.service || backend_->version != item.call.version) {
         return call_refusal::wrong_version;
     }
-    if (suspects_.blocked(item.digest, environment_.time.now())) {
+    if (runner_.blocked(item.digest)) {
         return call_refusal::crashing;
     }
     return item.stop.cancelled() ? call_refusal::expired : call_refusal::none;
@@ -246,7 +220,13 @@
 void gate::admit(call_pointer item)
 {
     std::unique_lock lock{mutex_};
-    if (const auto reason = refusal(*item); reason != call_refusal::none) {
+    const auto stuck = find_silence();
+    auto reason = refusal(*item);
+    if (reason == call_refusal::none && silence_.silent() &&
+        !silence_.take_probe(environment_.time.now())) {
+        reason = call_refusal::silent;
+    }
+    if (reason != call_refusal::none) {
         const auto retry_after = reason == call_refusal::overload
                                      ? std::optional{view_of(*item).retry_after()}
                                      : std::nullopt;
@@ -256,11 +236,15 @@
                                    item->call.service.str() + item->call.request.target);
         }
         refuse(*item, reason, retry_after);
-        return;
     }
-    queue_.push(std::move(item));
-    lock.unlock();
-    wake_.notify_one();
+    else {
+        queue_.push(std::move(item));
+        lock.unlock();
+        wake_.notify_one();
+    }
+    for (const auto& late : stuck) {
+        refuse(*late, call_refusal::silent, std::nullopt);
+    }
 }
 
 template<typename Condition>
@@ -292,6 +276,7 @@
         const auto backend = backend_;
         const auto reason = item ? start_refusal(*item) : call_refusal::none;
         if (item) {
+            item->started = environment_.time.now();
             running_.push_back(item);
         }
         lock.unlock();
@@ -308,19 +293,22 @@
 void gate::run_call(const call_pointer& item, const std::optional<backend_server>& backend,
                     call_refusal reason)
 {
-    auto response = reason == call_refusal::none ? execute(*item, *backend) : refused(reason);
+    auto response = reason == call_refusal::none ? runner_.run(*item, *backend) : refused(reason);
     if (reason == call_refusal::none) {
-        note_outcome(*item, *backend, response);
+        journal_.ran(*item, *backend, response);
     }
     else {
-        note_refusal(*item, response);
+        journal_.refused(*item, response);
     }
     {
         const std::scoped_lock lock{mutex_};
         std::erase(running_, item);
         if (response.result == call_result::answered) {
             service_time_.record(environment_.time.now() - item->started);
-            suspects_.clear(item->digest);
+            if (silence_.silent()) {
+                environment_.log.write(event_id::backend_answers_again, backend->identity);
+            }
+            silence_.answered(environment_.time.now());
         }
         response.load = load();
     }
@@ -328,73 +316,4 @@
     respond(*item->source, item->correlation, response);
 }
 
-call_response gate::execute(gate_call& item, const backend_server& backend)
-{
-    item.started = environment_.time.now();
-    const auto remaining = until(item.deadline, item.started);
-    if (remaining.count() <= 0) {
-        return refused(call_refusal::expired);
-    }
-    auto& request = item.call.request;
-    environment_.dialect.address(request, backend, remaining);
-    auto answer =
-        environment_.client.send_until_cancelled(backend.endpoint, request, remaining, item.stop);
-    if (answer) {
-        return take_answer(request, backend, std::move(*answer));
-    }
-    return fail(item, backend, answer.reason());
-}
-
-call_response gate::take_answer(const http_request& request, const backend_server& backend,
-                                http_response answer)
-{
-    switch (environment_.dialect.judge(request, answer)) {
-    case answer_verdict::whole:
-        return {call_result::answered, call_refusal::none, {}, std::move(answer), true, {}};
-    case answer_verdict::not_run: {
-        auto refusal = call_response::not_run(call_refusal::overload,
-                                              "the backend server has not run the request");
-        refusal.reached_server = true;
-        return refusal;
-    }
-    case answer_verdict::untrusted:
-        break;
-    }
-    // What the connection carries next may belong to another request as well.
-    environment_.client.close_idle(backend.endpoint);
-    return call_response::unknown("the backend server's answer cannot be passed on");
-}
-
-call_response gate::fail(const gate_call& item, const backend_server& backend,
-                         const failure& reason)
-{
-    if (reason.code == failure_code::unavailable) {
-        return call_response::not_run(call_refusal::absent, "the backend server refused the "
-                                                            "connection: " +
-                                                                reason.message);
-    }
-    if (reason.code == failure_code::unknown_outcome && !item.stop.cancelled() &&
-        !environment_.client.accepts_connections(backend.endpoint)) {
-        record_crash(item, backend);
-    }
-    return call_response::unknown(reason.message);
-}
-
-void gate::record_crash(const gate_call& item, const backend_server& backend)
-{
-    crash_report report{backend.service, environment_.self, 0, item.digest};
-    {
-        const std::scoped_lock lock{mutex_};
-        if (crashes_ == 0 || item.started > last_crash_) {
-            ++crashes_;
-            last_crash_ = environment_.time.now();
-        }
-        report.crash = crashes_;
-        suspects_.add(report, environment_.time.now());
-    }
-    environment_.log.write(event_id::backend_crashed,
-                           backend.service.str() + item.call.request.target);
-    environment_.crashes.spread(report);
-}
-
 } // namespace savorywheel
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -2,18 +2,15 @@
 #define SAVORYWHEEL_TRAFFIC_GATE_HPP
 
 #include <savorywheel/core/clock.hpp>
-#include <savorywheel/http/http_client.hpp>
-#include <savorywheel/log/event_log.hpp>
 #include <savorywheel/traffic/admission.hpp>
+#include <savorywheel/traffic/backend_runner.hpp>
 #include <savorywheel/traffic/backend_server.hpp>
-#include <savorywheel/traffic/call_journal.hpp>
 #include <savorywheel/traffic/call_queue.hpp>
 #include <savorywheel/traffic/call_response.hpp>
-#include <savorywheel/traffic/crash_reporter.hpp>
-#include <savorywheel/traffic/crash_suspects.hpp>
 #include <savorywheel/traffic/gate_call.hpp>
-#include <savorywheel/traffic/server_dialect.hpp>
+#include <savorywheel/traffic/gate_journal.hpp>
 #include <savorywheel/traffic/service_time_estimate.hpp>
+#include <savorywheel/traffic/silence_watch.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 
 #include <condition_variable>
@@ -33,24 +30,12 @@
 class gate final : public frame_handler {
 public:
     /** @brief What the gate works with; all must outlive it. */
-    struct environment {
-        /** @brief Sends requests to the backend server. */
-        http_client& client;
-        /** @brief Clock. */
-        const clock& time;
-        /** @brief Spreads news of crashes. */
-        crash_reporter& crashes;
-        /** @brief Log. */
-        event_log& log;
-        /** @brief This node. */
-        node_id self;
-        /** @brief How the backend server speaks about requests. */
-        const server_dialect& dialect;
-    };
+    using environment = backend_runner::environment;
 
     /** @param surroundings What the gate works with. */
     explicit gate(environment surroundings)
-        : environment_{std::move(surroundings)}, journal_{environment_.log, environment_.time}
+        : environment_{std::move(surroundings)}, journal_{environment_.log, environment_.time},
+          runner_{environment_}
     {
     }
     gate(const gate&) = delete;
@@ -88,9 +73,7 @@
     [[nodiscard]] gate_load load() const;
     /** Takes out of the queue what can no longer be finished in time. */
     [[nodiscard]] std::vector<call_pointer> take_hopeless();
-    void note_refusal(const gate_call& item, const call_response& response);
-    void note_outcome(const gate_call& item, const backend_server& backend,
-                      const call_response& response);
+    [[nodiscard]] std::vector<call_pointer> find_silence();
     void refuse(const gate_call& item, call_refusal reason, std::optional<duration> retry_after);
     [[nodiscard]] call_refusal start_refusal(const gate_call& item) const;
     void admit(call_pointer item);
@@ -99,24 +82,17 @@
     void run();
     void run_call(const call_pointer& item, const std::optional<backend_server>& backend,
                   call_refusal reason);
-    [[nodiscard]] call_response execute(gate_call& item, const backend_server& backend);
-    [[nodiscard]] call_response take_answer(const http_request& request,
-                                            const backend_server& backend, http_response answer);
-    [[nodiscard]] call_response fail(const gate_call& item, const backend_server& backend,
-                                     const failure& reason);
-    void record_crash(const gate_call& item, const backend_server& backend);
 
     environment environment_;
-    call_journal journal_;
+    gate_journal journal_;
+    backend_runner runner_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
     std::optional<backend_server> backend_;
     call_queue queue_;
     std::vector<call_pointer> running_;
     service_time_estimate service_time_;
-    crash_suspects suspects_;
-    monotonic_time last_crash_;
-    std::uint64_t crashes_{};
+    silence_watch silence_;
     bool stopping_{};
     std::vector<std::thread> threads_;
 };
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/routing/share_choice.hpp>
+#include <savorywheel/routing/spill_version.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
 
 #include <fmt/format.h>
@@ -17,6 +18,8 @@
 constexpr std::chrono::milliseconds configuration_wait{300};
 /** Time in which a node that stops has usually been replaced or started again. */
 constexpr std::chrono::milliseconds restart_wait{500};
+/** One refusal may be bad luck of the choice; after two, the version is likely to be full. */
+constexpr std::size_t refusals_to_spill = 2;
 constexpr std::array<std::string_view, 8> hop_by_hop_headers{
     "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
     "TE",         "Trailer",    "Upgrade",           "Proxy-Connection"};
@@ -38,6 +41,12 @@
     return terms.patience ? std::min(route.timeout, *terms.patience) : route.timeout;
 }
 
+bool is_want_of_room(call_refusal refusal)
+{
+    return refusal == call_refusal::overload || refusal == call_refusal::silent ||
+           refusal == call_refusal::absent;
+}
+
 rejection not_run(std::string reason)
 {
     return {rejection_kind::not_run, std::move(reason), std::nullopt};
@@ -105,11 +114,19 @@
 http_response proxy_handler::execute(plan& item)
 {
     environment_.retries.earn(item.call.service);
+    const auto* endpoint = next_endpoint(item);
+    if (endpoint == nullptr) {
+        auto none = call_response::not_run(call_refusal::absent, "no backend server is known");
+        none.retry_after = configuration_wait;
+        return conclude(item, std::move(none));
+    }
     bool may_have_run = false;
     while (true) {
-        auto outcome = attempt(item);
+        auto outcome = attempt(item, *endpoint);
         may_have_run = may_have_run || outcome.result == call_result::unknown;
-        if (!may_repeat(item, outcome)) {
+        item.refusals += is_want_of_room(outcome.refusal) ? 1 : 0;
+        endpoint = outcome.result == call_result::answered ? nullptr : next_endpoint(item);
+        if (endpoint == nullptr || !may_repeat(item, outcome)) {
             if (may_have_run && outcome.result == call_result::not_run) {
                 outcome.result = call_result::unknown;
             }
@@ -120,13 +137,36 @@
     }
 }
 
+/** The next backend server to try; nullptr if all were tried. */
+const route_endpoint* proxy_handler::next_endpoint(plan& item)
+{
+    const auto bytes = item.call.request.body.size();
+    const auto& endpoints = item.routes->endpoints;
+    auto version = environment_.versions.choose(*item.routes);
+    const auto* found =
+        version ? environment_.endpoints.choose(endpoints, *version, item.tried, bytes) : nullptr;
+    if (found == nullptr || item.refusals >= refusals_to_spill) {
+        if (const auto other = spill_version(*item.routes, environment_.random)) {
+            if (const auto* spare =
+                    environment_.endpoints.choose(endpoints, *other, item.tried, bytes)) {
+                found = spare;
+                version = other;
+            }
+        }
+    }
+    if (found != nullptr) {
+        item.call.version = *version;
+    }
+    return found;
+}
+
 bool proxy_handler::may_repeat(const plan& item, const call_response& outcome)
 {
-    const bool allowed =
-        (outcome.result == call_result::not_run && outcome.refusal != call_refusal::crashing) ||
-        (outcome.result == call_result::unknown && item.call.idempotent);
-    if (!allowed || item.stop->cancelled() || environment_.time.now() >= item.deadline ||
-        item.tried.size() >= item.routes->endpoints.size()) {
+    const bool lasting =
+        outcome.refusal == call_refusal::crashing || outcome.refusal == call_refusal::expired;
+    const bool allowed = (outcome.result == call_result::not_run && !lasting) ||
+                         (outcome.result == call_result::unknown && item.call.idempotent);
+    if (!allowed || item.stop->cancelled() || environment_.time.now() >= item.deadline) {
         return false;
     }
     const auto limit = item.route->max_attempts;
@@ -137,40 +177,30 @@
     return item.servers_reached == 0 || environment_.retries.spend(item.call.service);
 }
 
-call_response proxy_handler::attempt(plan& item)
+call_response proxy_handler::attempt(plan& item, const route_endpoint& endpoint)
 {
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
         item.deadline - environment_.time.now());
     if (remaining.count() <= 0) {
         return call_response::not_run(call_refusal::expired, "the deadline passed");
     }
-    const auto version = environment_.versions.choose(*item.routes);
-    if (!version) {
-        return call_response::not_run(call_refusal::absent, "no backend server is known");
-    }
-    const auto* endpoint = environment_.endpoints.choose(item.routes->endpoints, *version,
-                                                         item.tried, item.call.request.body.size());
-    if (endpoint == nullptr) {
-        return call_response::not_run(call_refusal::absent, "every backend server refused");
-    }
-    item.call.version = *version;
     item.call.remaining = remaining;
     item.call.preferred = std::chrono::duration_cast<std::chrono::milliseconds>(
         item.started + item.route->target_latency - environment_.time.now());
-    item.tried.push_back(endpoint->node);
-    environment_.loads.begin(endpoint->node);
+    item.tried.push_back(endpoint.node);
+    environment_.loads.begin(endpoint.node);
     const auto sent_at = environment_.time.now();
-    auto outcome = environment_.transport.call_until_cancelled(endpoint->peer, item.call,
+    auto outcome = environment_.transport.call_until_cancelled(endpoint.peer, item.call,
                                                                item.deadline, *item.stop);
-    environment_.loads.end(endpoint->node);
+    environment_.loads.end(endpoint.node);
     if (outcome.load) {
-        environment_.loads.report(endpoint->node, *outcome.load, environment_.time.now());
+        environment_.loads.report(endpoint.node, *outcome.load, environment_.time.now());
     }
     item.servers_reached += outcome.reached_server ? 1 : 0;
     if (!item.stop->cancelled()) {
-        note(endpoint->node, item.call, outcome);
+        note(endpoint.node, item.call, outcome);
         environment_.observer.on_attempt(
-            {item.call.service, *version, item.route->path, endpoint->node, endpoint->region,
+            {item.call.service, item.call.version, item.route->path, endpoint.node, endpoint.region,
              outcome.result, outcome.response.status, environment_.time.now() - sent_at});
     }
     return outcome;
@@ -196,6 +226,7 @@
         environment_.health.leaving(endpoint);
         break;
     case call_refusal::absent:
+    case call_refusal::silent:
         environment_.health.unreachable(endpoint);
         break;
     case call_refusal::expired:
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -82,11 +82,14 @@
         cancellation* stop{};
         std::vector<node_id> tried;
         std::size_t servers_reached{};
+        /** Refusals for want of room at the version of the share. */
+        std::size_t refusals{};
     };
 
     [[nodiscard]] std::optional<rejection> find_route(const http_request& request, plan& item);
     [[nodiscard]] http_response execute(plan& item);
-    [[nodiscard]] call_response attempt(plan& item);
+    [[nodiscard]] const route_endpoint* next_endpoint(plan& item);
+    [[nodiscard]] call_response attempt(plan& item, const route_endpoint& endpoint);
     [[nodiscard]] bool may_repeat(const plan& item, const call_response& outcome);
     void note(const node_id& endpoint, const call_request& call, const call_response& outcome);
     [[nodiscard]] http_response conclude(const plan& item, call_response outcome);
--- a/test/savorywheel/traffic/gate_test.cpp
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -85,6 +85,28 @@
     }));
 }
 
+TEST(gate, refuses_for_a_backend_server_that_answers_none_of_its_calls)
+{
+    constexpr std::uint32_t slots = 3;
+    constexpr milliseconds allowed{10'000};
+    controlled_gate mesh{slots};
+    mesh.time.advance(milliseconds{5000});
+    for (std::uint64_t id = 1; id <= slots; ++id) {
+        mesh.submit(id, allowed);
+    }
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.client.started().size() == slots; }));
+    mesh.time.advance(milliseconds{2000});
+    mesh.submit(4, allowed);
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.sink->response(4).has_value(); }));
+    EXPECT_EQ(mesh.sink->response(4)->refusal, call_refusal::silent);
+    EXPECT_EQ(mesh.client.count("4"), 0U);
+    mesh.client.release(1'000'000);
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.sink->responses() == slots + 1; }));
+    mesh.submit(5, allowed);
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.sink->response(5).has_value(); }));
+    EXPECT_EQ(mesh.sink->response(5)->result, call_result::answered);
+}
+
 TEST(proof_truthful_not_run, what_the_gate_refuses_or_cancels_never_runs)
 {
     EXPECT_TRUE(rc::check([] {
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -102,6 +102,61 @@
     proxy_fixture fixture;
 };
 
+/** Refuses every call to a version for want of room, and answers the others. */
+class full_version final : public call_transport {
+public:
+    explicit full_version(version_name version) : version_{std::move(version)} {}
+
+    call_response call(const network_endpoint& /*peer*/, const call_request& call,
+                       monotonic_time /*deadline*/) override
+    {
+        versions.push_back(call.version);
+        if (call.version != version_) {
+            return {call_result::answered, call_refusal::none, {}, {200, {}, "whole"}};
+        }
+        auto refusal = call_response::not_run(call_refusal::overload, "full");
+        refusal.retry_after = std::chrono::milliseconds{70};
+        return refusal;
+    }
+
+    std::vector<version_name> versions;
+
+private:
+    version_name version_;
+};
+
+/** A service with three backend servers of each of two versions, of which the new one gets all. */
+std::shared_ptr<const routing_table> make_moving_table(bool in_progress)
+{
+    const version_name old_version{"v1"};
+    const version_name new_version{"v2"};
+    auto state = std::make_shared<service_state>();
+    state->spec.name = service_name{"bookdesk"};
+    state->spec.routes = {{"/", false, std::chrono::milliseconds{1000}, {}}};
+    state->weights = {{new_version, weight_sum_permille}};
+    if (in_progress) {
+        rollout_move move;
+        move.from = {{old_version, weight_sum_permille}};
+        move.to = state->weights;
+        state->move = move;
+    }
+    auto routes = std::make_shared<service_routes>();
+    routes->state = state;
+    for (const auto& version : {old_version, new_version}) {
+        for (int i = 0; i < 3; ++i) {
+            route_endpoint endpoint;
+            endpoint.node = node_id{version.str() + std::to_string(i)};
+            endpoint.version = version;
+            endpoint.slots = 12;
+            routes->endpoints.push_back(std::move(endpoint));
+        }
+    }
+    const auto hosts = std::make_shared<const host_table>(
+        mesh_state::service_map{{service_name{"bookdesk"}, state}});
+    return std::make_shared<const routing_table>(
+        config_version{1}, routing_table::route_map{{service_name{"bookdesk"}, routes}}, hosts);
+}
+
 /** One hop of a chain: its backend server passes each request on to the next hop's proxy. */
 class chained_hop final : public call_transport {
 public:
@@ -171,6 +226,30 @@
     }));
 }
 
+TEST(proxy_handler, a_call_ends_when_each_backend_server_of_its_version_refused)
+{
+    manual_clock time;
+    full_version transport{version_name{"v2"}};
+    proxy_fixture fixture{transport, time, false, 0};
+    fixture.tables.publish(make_moving_table(false));
+    const auto answer = fixture.proxy.handle({"POST", "/", {{"Host", "bookdesk"}}, "x"});
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(transport.versions, std::vector<version_name>(3, version_name{"v2"}));
+}
+
+TEST(proxy_handler, a_full_new_version_spills_over_to_the_old_one_during_the_move)
+{
+    manual_clock time;
+    full_version transport{version_name{"v2"}};
+    proxy_fixture fixture{transport, time, false, 0};
+    fixture.tables.publish(make_moving_table(true));
+    const auto answer = fixture.proxy.handle({"POST", "/", {{"Host", "bookdesk"}}, "x"});
+    EXPECT_EQ(answer.status, 200);
+    const std::vector<version_name> tried{version_name{"v2"}, version_name{"v2"},
+                                          version_name{"v1"}};
+    EXPECT_EQ(transport.versions, tried);
+}
+
 TEST(proof_retry_budget, retries_do_not_multiply_over_27_hops)
 {
     constexpr int depth = 27;
