--- a/apps/ctl/command_line.cpp
+++ b/apps/ctl/command_line.cpp
@@ -4,6 +4,7 @@
 #include <ctl/check_command.hpp>
 #include <ctl/command_line.hpp>
 #include <ctl/diff_command.hpp>
+#include <ctl/explain_command.hpp>
 #include <ctl/history_command.hpp>
 #include <ctl/override_list_command.hpp>
 #include <ctl/override_release_command.hpp>
@@ -30,6 +31,7 @@
   savorywheelctl override set bookdesk v1=100 --reason "v2 loses bookings"
   savorywheelctl override release bookdesk --seen 14 --reason "v2 is mended"
   savorywheelctl settle 5e3a...                           what became of an unknown outcome?
+  savorywheelctl explain 62a1... --logs node-*.log        why did a request fail?
 
 Exit codes:
   0 done, accepted or without findings    1 the node did not or could not answer
@@ -92,6 +94,7 @@
     commands_.push_back(std::make_unique<status_command>());
     commands_.push_back(std::make_unique<history_command>());
     commands_.push_back(std::make_unique<state_command>());
+    commands_.push_back(std::make_unique<explain_command>());
     for (const auto& item : commands_) {
         item->add_to(app_);
     }
--- /dev/null
+++ b/apps/ctl/explain_command.hpp
@@ -0,0 +1,27 @@
+#ifndef SAVORYWHEEL_APPS_CTL_EXPLAIN_COMMAND_HPP
+#define SAVORYWHEEL_APPS_CTL_EXPLAIN_COMMAND_HPP
+
+#include <ctl/command.hpp>
+
+#include <string>
+#include <vector>
+
+namespace savorywheel::ctl {
+
+/** @brief Tells from logs what became of requests; needs no node. */
+class explain_command final : public command {
+public:
+    void add_to(CLI::App& parent) override;
+    [[nodiscard]] bool chosen() const override;
+    [[nodiscard]] exit_code run(const node_client& node) override;
+
+private:
+    CLI::App* self_{};
+    std::vector<std::string> ids_;
+    std::vector<std::string> logs_;
+    bool brief_{};
+};
+
+} // namespace savorywheel::ctl
+
+#endif
--- /dev/null
+++ b/src/savorywheel/explain/fwd.hpp
@@ -0,0 +1,11 @@
+#ifndef SAVORYWHEEL_EXPLAIN_FWD_HPP
+#define SAVORYWHEEL_EXPLAIN_FWD_HPP
+
+namespace savorywheel {
+
+class request_story;
+struct log_line;
+
+} // namespace savorywheel
+
+#endif
