Serve metrics in the text format of Prometheus; be ready with a backend server

Cause: metrics were lines of name and value without types, kinds or histograms, and said nothing about the gate, members, retries left or the state in force. A node was ready as soon as it had a configuration, and refused callers until it knew a backend server (503 in OPERATIONS.md's example). Ruled out: Debian's prometheus-cpp-dev, whose installation removes libulfius-dev (their builds of libcurl conflict); the format is written with fmt instead. Change: counters and gauges with a label, histograms of latencies, node_metric_source; readiness waits for a backend server, for 3 s at most. Tests: metric_registry.*, readiness_handler.* (the first expectation on an empty table failed before).

--- a/apps/load/metric_reading.cpp
+++ b/apps/load/metric_reading.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::string_view prefix = "savorywheel_";
+constexpr char comment = '#';
 
 } // namespace
 
@@ -23,6 +24,9 @@
         const auto end = text.find('\n');
         auto line = text.substr(0, end);
         text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+        if (line.starts_with(comment)) {
+            continue;
+        }
         if (line.starts_with(prefix)) {
             line.remove_prefix(prefix.size());
         }
--- a/src/savorywheel/metrics/fwd.hpp
+++ b/src/savorywheel/metrics/fwd.hpp
@@ -6,9 +6,11 @@
 class latency_recorder;
 class metric_registry;
 class metric_source;
+class prometheus_text;
 class process_cost_source;
 class region_byte_meter;
 struct latency_summary;
+struct metric_key;
 
 } // namespace savorywheel
 
--- a/src/savorywheel/metrics/latency_recorder.cpp
+++ b/src/savorywheel/metrics/latency_recorder.cpp
@@ -7,7 +7,10 @@
 #include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 
+#include <algorithm>
+#include <array>
 #include <mutex>
+#include <numeric>
 
 namespace savorywheel {
 
@@ -20,7 +23,8 @@
 
 using quantile = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
 using moments =
-    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::mean, acc::tag::max>>;
+    acc::accumulator_set<double,
+                         acc::stats<acc::tag::count, acc::tag::sum, acc::tag::mean, acc::tag::max>>;
 
 } // namespace
 
@@ -31,6 +35,8 @@
     {
         const std::scoped_lock lock{mutex_};
         moments_(milliseconds);
+        ++buckets_.at(static_cast<std::size_t>(
+            std::ranges::lower_bound(latency_bounds_ms, milliseconds) - latency_bounds_ms.begin()));
         p50_(milliseconds);
         p99_(milliseconds);
     }
@@ -42,16 +48,19 @@
         result.count = acc::count(moments_);
         if (result.count > 0) {
             result.mean_ms = acc::mean(moments_);
+            result.sum_ms = acc::sum(moments_);
             result.max_ms = acc::max(moments_);
             result.p50_ms = acc::p_square_quantile(p50_);
             result.p99_ms = acc::p_square_quantile(p99_);
         }
+        std::partial_sum(buckets_.begin(), buckets_.end(), result.buckets.begin());
         return result;
     }
 
 private:
     mutable std::mutex mutex_;
     moments moments_;
+    std::array<std::uint64_t, latency_bounds_ms.size() + 1> buckets_{};
     quantile p50_{acc::quantile_probability = median};
     quantile p99_{acc::quantile_probability = percentile_99};
 };
--- a/src/savorywheel/metrics/metric_registry.cpp
+++ b/src/savorywheel/metrics/metric_registry.cpp
@@ -1,13 +1,18 @@
 #include <savorywheel/metrics/metric_registry.hpp>
-
-#include <fmt/format.h>
+#include <savorywheel/metrics/prometheus_text.hpp>
 
 namespace savorywheel {
 
-metric_registry::counter& metric_registry::count(std::string_view name)
+metric_registry::counter& metric_registry::count(const metric_key& key)
+{
+    const std::scoped_lock lock{mutex_};
+    return counters_[key];
+}
+
+metric_registry::counter& metric_registry::gauge(const metric_key& key)
 {
     const std::scoped_lock lock{mutex_};
-    return counters_[std::string{name}];
+    return gauges_[key];
 }
 
 latency_recorder& metric_registry::latency(std::string_view name)
@@ -21,20 +26,18 @@
     for (auto* source : sources_) {
         source->collect(*this);
     }
+    prometheus_text text;
     const std::scoped_lock lock{mutex_};
-    std::string text;
-    for (const auto& [name, value] : counters_) {
-        text += fmt::format("savorywheel_{} {}\n", name, value.load());
+    for (const auto& [key, value] : counters_) {
+        text.add_counter(key, value);
+    }
+    for (const auto& [key, value] : gauges_) {
+        text.add_gauge(key, value);
     }
     for (const auto& [name, recorder] : latencies_) {
-        const auto summary = recorder.summary();
-        text += fmt::format("savorywheel_{}_count {}\n", name, summary.count);
-        text += fmt::format("savorywheel_{}_mean_ms {:.4f}\n", name, summary.mean_ms);
-        text += fmt::format("savorywheel_{}_p50_ms {:.4f}\n", name, summary.p50_ms);
-        text += fmt::format("savorywheel_{}_p99_ms {:.4f}\n", name, summary.p99_ms);
-        text += fmt::format("savorywheel_{}_max_ms {:.4f}\n", name, summary.max_ms);
+        text.add_latency(name, recorder.summary());
     }
-    return text;
+    return text.str();
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/metrics/process_cost_source.cpp
+++ b/src/savorywheel/metrics/process_cost_source.cpp
@@ -72,8 +72,8 @@
         registry.count("thread_cpu_us_" + name) = time;
     }
     registry.count("process_cpu_us") = process_cpu_us();
-    registry.count("process_resident_kb") = resident_kb();
-    registry.count("process_threads") = threads;
+    registry.gauge({"process_resident_kb"}) = resident_kb();
+    registry.gauge({"process_threads"}) = threads;
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -9,6 +9,7 @@
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/node.hpp>
+#include <savorywheel/node/node_metric_source.hpp>
 #include <savorywheel/node/readiness_handler.hpp>
 #include <savorywheel/routing/ejecting_version_chooser.hpp>
 #include <savorywheel/routing/nearest_endpoint_chooser.hpp>
@@ -69,6 +70,7 @@
         : settings_{std::move(settings)}, log_{log}, links_{links}, front_{front}
     {
         metrics_.add_source(cost_);
+        metrics_.add_source(state_metrics_);
         router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_report},
                     gate_);
         router_.add({frame_kind::call_response, frame_kind::crash_noted, frame_kind::commit_batch,
@@ -198,6 +200,8 @@
                                           loop_, random_, store_, worker_, datagrams_, network_,
                                           requests_, tables_, gate_, evidence_, ejections_, meter_,
                                           log_, retries_, front_.configuration(), front_.orders()}};
+    node_metric_source state_metrics_{
+        node_metric_source::environment{control_, gate_, retries_, tables_}};
     load_table loads_;
     endpoint_health health_{time_};
     weighted_version_chooser weighted_versions_{random_};
@@ -213,7 +217,7 @@
     change_service changes_{change_service::environment{time_, random_, store_, control_}};
     admin_handler admin_{
         admin_handler::environment{control_, changes_, operators_, metrics_, log_}};
-    readiness_handler readiness_{tables_};
+    readiness_handler readiness_{tables_, time_};
     std::unique_ptr<http_handler> announcements_{front_.make_announcements(control_)};
     http_server proxy_server_{proxy_, traffic_limits(settings_)};
     http_server admin_server_{admin_, http_server_limits{.max_body_bytes = max_admin_body_bytes}};
--- /dev/null
+++ b/src/savorywheel/node/node_metric_source.cpp
@@ -0,0 +1,65 @@
+#include <savorywheel/metrics/metric_registry.hpp>
+#include <savorywheel/node/node_metric_source.hpp>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr std::array<std::pair<member_status, const char*>, 3> statuses{
+    {{member_status::alive, "alive"},
+     {member_status::suspect, "suspect"},
+     {member_status::dead, "dead"}}};
+
+} // namespace
+
+void node_metric_source::collect(metric_registry& registry)
+{
+    collect_members(registry);
+    collect_gate(registry);
+    collect_routing(registry);
+}
+
+/** Members keep their last values while the control thread does not answer. */
+void node_metric_source::collect_members(metric_registry& registry)
+{
+    const auto state = environment_.view.dump();
+    registry.gauge({"control_answers"}) = state ? 1 : 0;
+    if (!state) {
+        return;
+    }
+    for (const auto& [status, name] : statuses) {
+        const auto count = std::ranges::count(state->members, status, &member_update::status);
+        registry.gauge({"members", "status", name}) = static_cast<std::uint64_t>(count);
+    }
+}
+
+void node_metric_source::collect_gate(metric_registry& registry)
+{
+    const auto& gate = environment_.backend_gate;
+    registry.gauge({"gate_slots"}) = gate.slots();
+    registry.gauge({"gate_running"}) = gate.running();
+    registry.gauge({"gate_waiting"}) = gate.waiting();
+    registry.gauge({"gate_silent"}) = gate.silent() ? 1 : 0;
+    for (std::size_t i = 1; i < call_refusal_count; ++i) {
+        const auto reason = static_cast<call_refusal>(i);
+        registry.count({"gate_refusals", "reason", std::string{label_of(reason)}}) =
+            gate.refusals(reason);
+    }
+}
+
+void node_metric_source::collect_routing(metric_registry& registry)
+{
+    const auto table = environment_.tables.current();
+    registry.gauge({"state_in_force"}) = table->version().number;
+    for (const auto& [service, routes] : table->routes()) {
+        registry.gauge({"backend_servers", "service", service.str()}) = routes->endpoints.size();
+        registry.gauge({"retries_saved", "service", service.str()}) =
+            environment_.retries.saved(service);
+    }
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/node/readiness_handler.cpp
+++ b/src/savorywheel/node/readiness_handler.cpp
@@ -1,11 +1,21 @@
 #include <savorywheel/node/readiness_handler.hpp>
 
+#include <algorithm>
+
 namespace savorywheel {
 
 namespace {
 
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
+/** A node finds the others within a second; a mesh without backend servers is ready all the same. */
+constexpr std::chrono::milliseconds longest_search{3000};
+
+bool knows_backend_server(const routing_table& table)
+{
+    return std::ranges::any_of(table.routes(),
+                               [](const auto& item) { return !item.second->endpoints.empty(); });
+}
 
 } // namespace
 
@@ -14,9 +24,13 @@
     if (stopping_) {
         return {status_unavailable, {}, "the node stops\n"};
     }
-    if (tables_.current()->version() == config_version{}) {
+    const auto table = tables_.current();
+    if (table->version() == config_version{}) {
         return {status_unavailable, {}, "no configuration yet\n"};
     }
+    if (!knows_backend_server(*table) && time_.now() - created_ < longest_search) {
+        return {status_unavailable, {}, "no backend server known yet\n"};
+    }
     return {status_ok, {}, "ready\n"};
 }
 
--- a/src/savorywheel/node/readiness_handler.hpp
+++ b/src/savorywheel/node/readiness_handler.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_NODE_READINESS_HANDLER_HPP
 #define SAVORYWHEEL_NODE_READINESS_HANDLER_HPP
 
+#include <savorywheel/core/clock.hpp>
 #include <savorywheel/http/http_handler.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 
@@ -8,11 +9,22 @@
 
 namespace savorywheel {
 
-/** @brief Tells whether the node should get new work from callers. */
+/**
+ * @brief Tells whether the node should get new work from callers.
+ *
+ * A node that has just started knows the configuration before it knows any backend server; callers
+ * that came in between would be refused.
+ */
 class readiness_handler final : public http_handler {
 public:
-    /** @param tables Table in force; must outlive the handler. */
-    explicit readiness_handler(const routing_table_holder& tables) noexcept : tables_{tables} {}
+    /**
+     * @param tables Table in force; must outlive the handler.
+     * @param time Clock; must outlive the handler.
+     */
+    readiness_handler(const routing_table_holder& tables, const clock& time) noexcept
+        : tables_{tables}, time_{time}, created_{time.now()}
+    {
+    }
 
     /** @brief Makes the node count as not ready from now on. */
     void set_stopping() noexcept { stopping_ = true; }
@@ -21,6 +33,8 @@
 
 private:
     const routing_table_holder& tables_;
+    const clock& time_;
+    monotonic_time created_;
     std::atomic<bool> stopping_{};
 };
 
--- a/src/savorywheel/traffic/call_refusal.cpp
+++ b/src/savorywheel/traffic/call_refusal.cpp
@@ -2,6 +2,29 @@
 
 namespace savorywheel {
 
+std::string_view label_of(call_refusal refusal) noexcept
+{
+    switch (refusal) {
+    case call_refusal::none:
+        return "none";
+    case call_refusal::absent:
+        return "absent";
+    case call_refusal::leaving:
+        return "leaving";
+    case call_refusal::wrong_version:
+        return "wrong_version";
+    case call_refusal::overload:
+        return "overload";
+    case call_refusal::expired:
+        return "expired";
+    case call_refusal::crashing:
+        return "crashing";
+    case call_refusal::silent:
+        return "silent";
+    }
+    return "none";
+}
+
 std::string_view to_string(call_refusal refusal) noexcept
 {
     switch (refusal) {
--- a/src/savorywheel/traffic/call_refusal.hpp
+++ b/src/savorywheel/traffic/call_refusal.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_TRAFFIC_CALL_REFUSAL_HPP
 #define SAVORYWHEEL_TRAFFIC_CALL_REFUSAL_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -19,6 +20,13 @@
     last_refusal = silent
 };
 
+/** @brief Number of values, of which the first is no refusal. */
+inline constexpr std::size_t call_refusal_count =
+    static_cast<std::size_t>(call_refusal::last_refusal) + 1;
+
+/** @return One word for the refusal, as metrics label it. */
+[[nodiscard]] std::string_view label_of(call_refusal refusal) noexcept;
+
 /** @return The refusal in words. */
 [[nodiscard]] std::string_view to_string(call_refusal refusal) noexcept;
 
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -72,6 +72,18 @@
     return queue_.size();
 }
 
+std::uint32_t gate::slots() const
+{
+    const std::scoped_lock lock{mutex_};
+    return backend_ ? backend_->slots : 0;
+}
+
+bool gate::silent() const
+{
+    const std::scoped_lock lock{mutex_};
+    return silence_.silent();
+}
+
 void gate::on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
                     std::uint64_t correlation, std::span<const std::byte> payload)
 {
@@ -196,6 +208,7 @@
         const std::scoped_lock lock{mutex_};
         response.load = load();
     }
+    ++refusals_.at(static_cast<std::size_t>(reason));
     journal_.refused(item, response);
     respond(*item.source, item.correlation, response);
 }
@@ -298,6 +311,7 @@
         journal_.ran(*item, *backend, response);
     }
     else {
+        ++refusals_.at(static_cast<std::size_t>(reason));
         journal_.refused(*item, response);
     }
     {
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -13,6 +13,8 @@
 #include <savorywheel/traffic/silence_watch.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 
+#include <array>
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
@@ -56,6 +58,18 @@
     /** @return Calls that wait for a slot. */
     [[nodiscard]] std::size_t waiting() const;
 
+    /** @return Calls that the backend server takes at one time; zero without one. */
+    [[nodiscard]] std::uint32_t slots() const;
+
+    /** @return True if the backend server answers none of its calls. */
+    [[nodiscard]] bool silent() const;
+
+    /** @return Calls that were refused for that reason since the start. */
+    [[nodiscard]] std::uint64_t refusals(call_refusal reason) const
+    {
+        return refusals_.at(static_cast<std::size_t>(reason));
+    }
+
     void on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
                   std::uint64_t correlation, std::span<const std::byte> payload) override;
     void on_closed(const frame_sink& source, bool established) override;
@@ -93,6 +107,7 @@
     std::vector<call_pointer> running_;
     service_time_estimate service_time_;
     silence_watch silence_;
+    std::array<std::atomic<std::uint64_t>, call_refusal_count> refusals_{};
     bool stopping_{};
     std::vector<std::thread> threads_;
 };
--- a/src/savorywheel/traffic/retry_budget.cpp
+++ b/src/savorywheel/traffic/retry_budget.cpp
@@ -22,6 +22,12 @@
     return true;
 }
 
+std::uint64_t retry_budget::saved(const service_name& service)
+{
+    const std::scoped_lock lock{mutex_};
+    return static_cast<std::uint64_t>(tokens_of(service));
+}
+
 void retry_budget::set_limits(retry_limits limits)
 {
     const std::scoped_lock lock{mutex_};
--- a/src/savorywheel/traffic/retry_budget.hpp
+++ b/src/savorywheel/traffic/retry_budget.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/traffic/retry_limits.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <mutex>
 
@@ -27,6 +28,9 @@
     /** @return True if a retry is allowed; it is then counted. */
     [[nodiscard]] bool spend(const service_name& service);
 
+    /** @return Whole retries that are saved up for a service. */
+    [[nodiscard]] std::uint64_t saved(const service_name& service);
+
     /** @brief Replaces the bounds. */
     void set_limits(retry_limits limits);
 
