--- /dev/null
+++ b/test/platform/member_directory_test.cpp
@@ -0,0 +1,132 @@
+#include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/node/member_directory.hpp>
+
+#include <gtest/gtest.h>
+#include <platform/object_api_store.hpp>
+#include <platform/store_standin.hpp>
+#include <support/manual_clock.hpp>
+#include <support/recording_event_log.hpp>
+
+#include <future>
+
+namespace savorywheel::platform::test {
+
+namespace {
+
+using savorywheel::test::manual_clock;
+using savorywheel::test::recording_event_log;
+using std::chrono::milliseconds;
+
+member_record make_record(const std::string& name, std::uint16_t port)
+{
+    member_record record;
+    record.id = node_id{name};
+    record.peer = {"127.0.0.1", port};
+    return record;
+}
+
+/** The directory of one node over the store's stand-in; time passes only by pass(). */
+class member_directory_test : public testing::Test {
+protected:
+    member_directory make_directory(const member_record& self)
+    {
+        return {self, member_directory::environment{
+                          loop, worker, random, log, [this] { return !found.empty(); },
+                          [this](std::span<const network_endpoint> peers) {
+                              found.assign(peers.begin(), peers.end());
+                          }}};
+    }
+
+    void pass(milliseconds length)
+    {
+        constexpr milliseconds step{100};
+        for (milliseconds passed{}; passed < length; passed += step) {
+            time.advance(step);
+            loop.run_pending();
+            finish_store_calls();
+            loop.run_pending();
+        }
+    }
+
+    void finish_store_calls()
+    {
+        std::promise<void> done;
+        worker.submit([&done](object_store& /*store*/) { done.set_value(); });
+        done.get_future().wait();
+    }
+
+    manual_clock time;
+    control_loop loop{time};
+    seeded_random random{1};
+    recording_event_log log;
+    store_standin standin;
+    object_api_store store{standin, network_endpoint{"127.0.0.1", 1}};
+    store_worker worker{store};
+    std::vector<network_endpoint> found;
+};
+
+} // namespace
+
+TEST_F(member_directory_test, nodes_find_each_other_through_the_store)
+{
+    auto first = make_directory(make_record("a", 1001));
+    first.start();
+    pass(milliseconds{100});
+    EXPECT_TRUE(found.empty());
+    auto second = make_directory(make_record("b", 1002));
+    second.start();
+    pass(milliseconds{100});
+    ASSERT_EQ(found.size(), 1U);
+    EXPECT_EQ(found.front().port, 1001);
+}
+
+TEST_F(member_directory_test, a_node_that_starts_during_an_outage_is_found_after_it)
+{
+    standin.fail_next(std::vector<store_fault>(2, store_fault::refused));
+    auto subject = make_directory(make_record("a", 1001));
+    subject.start();
+    pass(milliseconds{100});
+    EXPECT_EQ(log.count(event_id::directory_unreachable), 1U);
+    pass(milliseconds{2000});
+    EXPECT_TRUE(store.get("nodes/a"));
+}
+
+TEST_F(member_directory_test, a_registration_whose_answer_was_lost_counts)
+{
+    standin.fail_next({store_fault::lost_answer});
+    auto subject = make_directory(make_record("a", 1001));
+    subject.start();
+    pass(milliseconds{2000});
+    EXPECT_TRUE(store.get("nodes/a"));
+}
+
+TEST_F(member_directory_test, an_entry_that_cannot_be_read_is_logged_and_passed_over)
+{
+    standin.put("nodes", "x", {{"spec", "no record"}});
+    auto other = make_directory(make_record("b", 1002));
+    other.start();
+    pass(milliseconds{100});
+    auto subject = make_directory(make_record("a", 1001));
+    subject.start();
+    pass(milliseconds{100});
+    EXPECT_EQ(found.size(), 1U);
+    EXPECT_GE(log.count(event_id::directory_entry_unreadable), 1U);
+}
+
+TEST_F(member_directory_test, a_node_that_stops_takes_its_entry_away_or_logs_why_not)
+{
+    auto subject = make_directory(make_record("a", 1001));
+    subject.start();
+    pass(milliseconds{100});
+    subject.stop();
+    finish_store_calls();
+    EXPECT_EQ(store.get("nodes/a").reason().code, failure_code::not_found);
+    const auto before = log.count(event_id::directory_unreachable);
+    standin.fail_next({store_fault::too_many});
+    subject.stop();
+    finish_store_calls();
+    EXPECT_EQ(log.count(event_id::directory_unreachable), before + 1);
+}
+
+} // namespace savorywheel::platform::test
