Keep one HTTP client, and split the transfer from the pool

Change: savorywheelctl uses curl_http_client, ulfius_http_client is gone; curl_transfer is one handle with its connection, curl_http_client the pool of them. Ruled out: ulfius in nodes too, which opens a connection for each request.

--- a/apps/ctl/command_line.cpp
+++ b/apps/ctl/command_line.cpp
@@ -1,4 +1,4 @@
-#include <savorywheel/http/ulfius_http_client.hpp>
+#include <savorywheel/http/curl_http_client.hpp>
 
 #include <ctl/apply_command.hpp>
 #include <ctl/check_command.hpp>
@@ -56,7 +56,7 @@
         return exit_code::usage;
     }
     options_.node = *endpoint;
-    ulfius_http_client http;
+    curl_http_client http;
     const node_client node{http, options_};
     for (const auto& item : commands_) {
         if (item->chosen()) {
--- a/src/savorywheel/http/curl_http_client.hpp
+++ b/src/savorywheel/http/curl_http_client.hpp
@@ -11,6 +11,8 @@
 
 namespace savorywheel {
 
+class curl_transfer;
+
 /** @brief HTTP client on libcurl that keeps connections open between requests. */
 class curl_http_client final : public http_client {
 public:
@@ -36,13 +38,11 @@
     [[nodiscard]] bool accepts_connections(const network_endpoint& server) override;
 
 private:
-    class transfer;
-
-    [[nodiscard]] std::unique_ptr<transfer> borrow(const network_endpoint& server);
-    void give_back(const network_endpoint& server, std::unique_ptr<transfer> handle);
+    [[nodiscard]] std::unique_ptr<curl_transfer> borrow(const network_endpoint& server);
+    void give_back(const network_endpoint& server, std::unique_ptr<curl_transfer> handle);
 
     std::mutex mutex_;
-    std::map<network_endpoint, std::vector<std::unique_ptr<transfer>>> idle_;
+    std::map<network_endpoint, std::vector<std::unique_ptr<curl_transfer>>> idle_;
     std::set<cancellation*> waiting_;
     bool aborted_{};
 };
--- /dev/null
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -0,0 +1,199 @@
+#include <savorywheel/http/curl_transfer.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <string_view>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+constexpr long max_connect_milliseconds = 1000;
+constexpr long max_idle_seconds = 20;
+/** Finds a connection that went silent while a long watch waits on it. */
+constexpr long keepalive_seconds = 1;
+constexpr unsigned unacknowledged_milliseconds = 1500;
+constexpr int max_wait_milliseconds = 60'000;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+std::string_view trim(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t\r\n");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
+}
+
+} // namespace
+
+curl_transfer::curl_transfer() : handle_{curl_easy_init()}, multi_{curl_multi_init()} {}
+
+curl_transfer::~curl_transfer()
+{
+    curl_easy_cleanup(handle_);
+    curl_multi_cleanup(multi_);
+}
+
+outcome<http_response> curl_transfer::perform(const network_endpoint& server,
+                                              const http_request& request,
+                                              std::chrono::milliseconds timeout, cancellation& stop)
+{
+    response_ = {};
+    sent_ = false;
+    head_request_ = request.method == "HEAD";
+    headers_ended_ = false;
+    curl_easy_reset(handle_);
+    const auto url = "http://" + to_string(server) + request.target;
+    set_connection();
+    set_request(request, url, timeout);
+    auto* fields = make_fields(request);
+    curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, fields);
+    const auto result = run(stop);
+    curl_slist_free_all(fields);
+    return conclude(result);
+}
+
+CURLcode curl_transfer::run(cancellation& stop)
+{
+    stop.set_wake([this] { curl_multi_wakeup(multi_); });
+    curl_multi_add_handle(multi_, handle_);
+    int running = 1;
+    while (curl_multi_perform(multi_, &running) == CURLM_OK && running > 0 && !stop.cancelled()) {
+        curl_multi_poll(multi_, nullptr, 0, max_wait_milliseconds, nullptr);
+    }
+    auto result = CURLE_ABORTED_BY_CALLBACK;
+    int left{};
+    if (const auto* message = curl_multi_info_read(multi_, &left); message != nullptr) {
+        result = message->data.result;
+    }
+    curl_multi_remove_handle(multi_, handle_);
+    stop.set_wake({});
+    return result;
+}
+
+void curl_transfer::set_request(const http_request& request, const std::string& url,
+                                std::chrono::milliseconds timeout)
+{
+    curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+    curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &curl_transfer::on_body);
+    curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &curl_transfer::on_header);
+    curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+    if (request.method == "HEAD") {
+        curl_easy_setopt(handle_, CURLOPT_NOBODY, 1L);
+    }
+    else if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(request.body.size()));
+        curl_easy_setopt(handle_, CURLOPT_POSTFIELDS, request.body.data());
+    }
+}
+
+void curl_transfer::set_connection()
+{
+    curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle_, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(handle_, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(handle_, CURLOPT_TCP_KEEPIDLE, keepalive_seconds);
+    curl_easy_setopt(handle_, CURLOPT_TCP_KEEPINTVL, keepalive_seconds);
+    curl_easy_setopt(handle_, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(handle_, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS, max_connect_milliseconds);
+    curl_easy_setopt(handle_, CURLOPT_SOCKOPTFUNCTION, &curl_transfer::on_socket);
+    curl_easy_setopt(handle_, CURLOPT_MAXAGE_CONN, max_idle_seconds);
+    curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &curl_transfer::before_request);
+    curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
+}
+
+curl_slist* curl_transfer::make_fields(const http_request& request)
+{
+    curl_slist* fields = nullptr;
+    for (const auto& header : request.headers) {
+        if (!equal_ignoring_case(header.name, "Content-Length")) {
+            fields = curl_slist_append(fields, (header.name + ": " + header.value).c_str());
+        }
+    }
+    fields = curl_slist_append(fields, "Expect:");
+    if (find_header(request.headers, "Content-Type").empty()) {
+        fields = curl_slist_append(fields, "Content-Type:");
+    }
+    return fields;
+}
+
+outcome<http_response> curl_transfer::conclude(CURLcode result)
+{
+    if (result == CURLE_OK) {
+        long status{};
+        curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+        response_.status = static_cast<int>(status);
+        if (!headers_ended_ || !length_known()) {
+            return failure{failure_code::unknown_outcome,
+                           "the answer may be cut: its length is not given"};
+        }
+        return std::move(response_);
+    }
+    const std::string message = curl_easy_strerror(result);
+    if (!sent_) {
+        return failure{failure_code::unavailable, message};
+    }
+    if (result == CURLE_OPERATION_TIMEDOUT) {
+        return failure{failure_code::timeout, message};
+    }
+    return failure{failure_code::unknown_outcome, message};
+}
+
+bool curl_transfer::length_known() const
+{
+    return head_request_ || response_.status == status_no_content ||
+           response_.status == status_not_modified ||
+           !find_header(response_.headers, "Content-Length").empty() ||
+           !find_header(response_.headers, "Transfer-Encoding").empty();
+}
+
+int curl_transfer::before_request(void* self, char* /*remote*/, char* /*local*/,
+                                  int /*remote_port*/, int /*local_port*/)
+{
+    auto& sent = static_cast<curl_transfer*>(self)->sent_;
+    return std::exchange(sent, true) ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+int curl_transfer::on_socket(void* /*self*/, curl_socket_t socket, curlsocktype /*purpose*/)
+{
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_milliseconds,
+                 sizeof(unacknowledged_milliseconds));
+    return CURL_SOCKOPT_OK;
+}
+
+std::size_t curl_transfer::on_body(char* data, std::size_t size, std::size_t count, void* self)
+{
+    static_cast<curl_transfer*>(self)->response_.body.append(data, size * count);
+    return size * count;
+}
+
+std::size_t curl_transfer::on_header(char* data, std::size_t size, std::size_t count, void* self)
+{
+    const std::string_view line{data, size * count};
+    auto& headers = static_cast<curl_transfer*>(self)->response_.headers;
+    const auto colon = line.find(':');
+    if (line.starts_with("HTTP/")) {
+        headers.clear();
+        static_cast<curl_transfer*>(self)->headers_ended_ = false;
+    }
+    else if (trim(line).empty()) {
+        static_cast<curl_transfer*>(self)->headers_ended_ = true;
+    }
+    else if (colon != std::string_view::npos) {
+        headers.push_back(
+            {std::string{trim(line.substr(0, colon))}, std::string{trim(line.substr(colon + 1))}});
+    }
+    return size * count;
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/http/curl_transfer.hpp
@@ -0,0 +1,61 @@
+#ifndef SAVORYWHEEL_HTTP_CURL_TRANSFER_HPP
+#define SAVORYWHEEL_HTTP_CURL_TRANSFER_HPP
+
+#include <savorywheel/core/network_endpoint.hpp>
+#include <savorywheel/core/outcome.hpp>
+#include <savorywheel/http/cancellation.hpp>
+#include <savorywheel/http/http_request.hpp>
+#include <savorywheel/http/http_response.hpp>
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <string>
+
+namespace savorywheel {
+
+/** @brief One libcurl handle with its kept connection; one thread uses it at a time. */
+class curl_transfer {
+public:
+    curl_transfer();
+    curl_transfer(const curl_transfer&) = delete;
+    curl_transfer& operator=(const curl_transfer&) = delete;
+    curl_transfer(curl_transfer&&) = delete;
+    curl_transfer& operator=(curl_transfer&&) = delete;
+    ~curl_transfer();
+
+    /** @copydoc http_client::send_until_cancelled */
+    [[nodiscard]] outcome<http_response> perform(const network_endpoint& server,
+                                                 const http_request& request,
+                                                 std::chrono::milliseconds timeout,
+                                                 cancellation& stop);
+
+private:
+    /** Drives the transfer until it ends or is cancelled; waits on its sockets between steps. */
+    [[nodiscard]] CURLcode run(cancellation& stop);
+    void set_request(const http_request& request, const std::string& url,
+                     std::chrono::milliseconds timeout);
+    void set_connection();
+    [[nodiscard]] static curl_slist* make_fields(const http_request& request);
+    [[nodiscard]] outcome<http_response> conclude(CURLcode result);
+    /** A body that ends where the connection does cannot be told from one that was cut. */
+    [[nodiscard]] bool length_known() const;
+    /** Libcurl repeats a request whose kept connection was closed; the second time is refused. */
+    static int before_request(void* self, char* remote, char* local, int remote_port,
+                              int local_port);
+    /** Bytes that are not acknowledged in time end the connection. */
+    static int on_socket(void* self, curl_socket_t socket, curlsocktype purpose);
+    static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self);
+    static std::size_t on_header(char* data, std::size_t size, std::size_t count, void* self);
+
+    CURL* handle_;
+    CURLM* multi_;
+    http_response response_;
+    bool sent_{};
+    bool head_request_{};
+    bool headers_ended_{};
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/http/fwd.hpp
+++ b/src/savorywheel/http/fwd.hpp
@@ -4,10 +4,10 @@
 namespace savorywheel {
 
 class curl_http_client;
+class curl_transfer;
 class http_client;
 class http_handler;
 class http_server;
-class ulfius_http_client;
 struct http_header;
 struct http_request;
 struct http_response;
