Pass on answers that end with their connection, where that is agreed

Cause: backend servers may answer without a length; every such answer became an unknown outcome (502), though only a reset says that it was cut. Ruled out: treating them as whole for all front ends; the mesh's own backend servers give a length, and a crash can close a connection in order, so the product's own check and its proof stay as they are. Change: answer_end says what makes an answer whole; server_dialect chooses it. Tests: curl_http_client.a_body_that_ends_with_the_connection_is_whole_where_that_is_agreed (failed before), ...an_answer_that_is_reset_or_cut_short_is_never_whole.

--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-curl_http_client::curl_http_client()
+curl_http_client::curl_http_client(answer_end whole) : whole_{whole}
 {
     initialize_library();
 }
@@ -98,7 +98,7 @@
     const std::scoped_lock lock{mutex_};
     auto& idle = idle_[server];
     if (idle.empty()) {
-        return std::make_unique<curl_transfer>();
+        return std::make_unique<curl_transfer>(whole_);
     }
     auto handle = std::move(idle.back());
     idle.pop_back();
--- a/src/savorywheel/http/curl_http_client.hpp
+++ b/src/savorywheel/http/curl_http_client.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_HTTP_CURL_HTTP_CLIENT_HPP
 #define SAVORYWHEEL_HTTP_CURL_HTTP_CLIENT_HPP
 
+#include <savorywheel/http/answer_end.hpp>
 #include <savorywheel/http/http_client.hpp>
 
 #include <map>
@@ -16,7 +17,8 @@
 /** @brief HTTP client on libcurl that keeps connections open between requests. */
 class curl_http_client final : public http_client {
 public:
-    curl_http_client();
+    /** @param whole What makes an answer whole. */
+    explicit curl_http_client(answer_end whole = answer_end::by_length);
     curl_http_client(const curl_http_client&) = delete;
     curl_http_client& operator=(const curl_http_client&) = delete;
     curl_http_client(curl_http_client&&) = delete;
@@ -41,6 +43,7 @@
     [[nodiscard]] std::unique_ptr<curl_transfer> borrow(const network_endpoint& server);
     void give_back(const network_endpoint& server, std::unique_ptr<curl_transfer> handle);
 
+    answer_end whole_;
     std::mutex mutex_;
     std::map<network_endpoint, std::vector<std::unique_ptr<curl_transfer>>> idle_;
     std::set<cancellation*> waiting_;
--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -31,7 +31,10 @@
 
 } // namespace
 
-curl_transfer::curl_transfer() : handle_{curl_easy_init()}, multi_{curl_multi_init()} {}
+curl_transfer::curl_transfer(answer_end whole)
+    : whole_{whole}, handle_{curl_easy_init()}, multi_{curl_multi_init()}
+{
+}
 
 curl_transfer::~curl_transfer()
 {
@@ -133,7 +136,7 @@
         long status{};
         curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
         response_.status = static_cast<int>(status);
-        if (!headers_ended_ || !length_known()) {
+        if (!ended()) {
             return failure{failure_code::unknown_outcome,
                            "the answer may be cut: its length is not given"};
         }
@@ -149,10 +152,13 @@
     return failure{failure_code::unknown_outcome, message};
 }
 
-bool curl_transfer::length_known() const
+bool curl_transfer::ended() const
 {
-    return head_request_ || response_.status == status_no_content ||
-           response_.status == status_not_modified ||
+    if (!headers_ended_) {
+        return false;
+    }
+    return whole_ == answer_end::or_connection || head_request_ ||
+           response_.status == status_no_content || response_.status == status_not_modified ||
            !find_header(response_.headers, "Content-Length").empty() ||
            !find_header(response_.headers, "Transfer-Encoding").empty();
 }
--- a/src/savorywheel/http/curl_transfer.hpp
+++ b/src/savorywheel/http/curl_transfer.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/core/outcome.hpp>
+#include <savorywheel/http/answer_end.hpp>
 #include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/http/http_request.hpp>
 #include <savorywheel/http/http_response.hpp>
@@ -17,7 +18,8 @@
 /** @brief One libcurl handle with its kept connection; one thread uses it at a time. */
 class curl_transfer {
 public:
-    curl_transfer();
+    /** @param whole What makes an answer whole. */
+    explicit curl_transfer(answer_end whole);
     curl_transfer(const curl_transfer&) = delete;
     curl_transfer& operator=(const curl_transfer&) = delete;
     curl_transfer(curl_transfer&&) = delete;
@@ -38,8 +40,8 @@
     void set_connection();
     [[nodiscard]] static curl_slist* make_fields(const http_request& request);
     [[nodiscard]] outcome<http_response> conclude(CURLcode result);
-    /** A body that ends where the connection does cannot be told from one that was cut. */
-    [[nodiscard]] bool length_known() const;
+    /** True if the end of the answer is known to be its end. */
+    [[nodiscard]] bool ended() const;
     /** Libcurl repeats a request whose kept connection was closed; the second time is refused. */
     static int before_request(void* self, char* remote, char* local, int remote_port,
                               int local_port);
@@ -48,6 +50,7 @@
     static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self);
     static std::size_t on_header(char* data, std::size_t size, std::size_t count, void* self);
 
+    answer_end whole_;
     CURL* handle_;
     CURLM* multi_;
     http_response response_;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -177,7 +177,7 @@
     system_clock_source time_;
     seeded_random random_{random_seed()};
     control_loop loop_{time_};
-    curl_http_client http_;
+    curl_http_client http_{front_.servers().whole_answers()};
     curl_http_client store_http_;
     metric_registry metrics_;
     process_cost_source cost_;
--- a/src/savorywheel/node/readiness_handler.cpp
+++ b/src/savorywheel/node/readiness_handler.cpp
@@ -8,7 +8,8 @@
 
 constexpr int status_ok = 200;
 constexpr int status_unavailable = 503;
-/** A node finds the others within a second; a mesh without backend servers is ready all the same. */
+/** A node finds the others within a second; a mesh without backend servers is ready all the same.
+ */
 constexpr std::chrono::milliseconds longest_search{3000};
 
 bool knows_backend_server(const routing_table& table)
--- a/src/savorywheel/traffic/server_dialect.hpp
+++ b/src/savorywheel/traffic/server_dialect.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_TRAFFIC_SERVER_DIALECT_HPP
 #define SAVORYWHEEL_TRAFFIC_SERVER_DIALECT_HPP
 
+#include <savorywheel/http/answer_end.hpp>
 #include <savorywheel/http/http_request.hpp>
 #include <savorywheel/http/http_response.hpp>
 #include <savorywheel/traffic/answer_verdict.hpp>
@@ -32,6 +33,12 @@
     /** @return What an answer says about the request that was sent. */
     [[nodiscard]] virtual answer_verdict judge(const http_request& request,
                                                const http_response& response) const = 0;
+
+    /** @return What makes an answer of a backend server whole. */
+    [[nodiscard]] virtual answer_end whole_answers() const noexcept
+    {
+        return answer_end::by_length;
+    }
 };
 
 } // namespace savorywheel
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -69,6 +69,30 @@
     EXPECT_EQ(answer.reason().code, failure_code::unknown_outcome);
 }
 
+TEST(curl_http_client, a_body_that_ends_with_the_connection_is_whole_where_that_is_agreed)
+{
+    scripted_server server{{{"HTTP/1.1 200 OK\r\n\r\nhello"}}};
+    curl_http_client client{answer_end::or_connection};
+    const auto answer = client.send(server.endpoint(), booking, timeout);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->body, "hello");
+}
+
+TEST(curl_http_client, an_answer_that_is_reset_or_cut_short_is_never_whole)
+{
+    const std::vector<scripted_exchange> cuts{{"HTTP/1.1 200 OK\r\n\r\nhel", true, true},
+                                              {"HTTP/1.1 200 OK\r\nServer: x", true, false},
+                                              {whole_answer(false).substr(0, 40), true, false},
+                                              {whole_answer(true).substr(0, 52), true, false}};
+    for (const auto& cut : cuts) {
+        scripted_server server{{cut}};
+        curl_http_client client{answer_end::or_connection};
+        const auto answer = client.send(server.endpoint(), booking, timeout);
+        ASSERT_FALSE(answer) << cut.answer;
+        EXPECT_EQ(answer.reason().code, failure_code::unknown_outcome);
+    }
+}
+
 TEST(proof_at_most_once, a_kept_connection_that_closes_under_a_request_is_not_retried)
 {
     scripted_server server{{{whole_answer(false), false}, {"", true}, {whole_answer(false)}}};
--- a/test/support/scripted_server.cpp
+++ b/test/support/scripted_server.cpp
@@ -34,6 +34,11 @@
             const auto& exchange = script_[next++];
             static_cast<void>(
                 ::send(connection, exchange.answer.data(), exchange.answer.size(), MSG_NOSIGNAL));
+            if (exchange.reset) {
+                // Without lingering, closing sends a reset.
+                const linger none{1, 0};
+                ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+            }
             if (exchange.close) {
                 break;
             }
--- a/test/support/scripted_server.hpp
+++ b/test/support/scripted_server.hpp
@@ -16,6 +16,8 @@
     std::string answer;
     /** @brief True to close the connection after the answer. */
     bool close{true};
+    /** @brief True to reset the connection instead, which needs close. */
+    bool reset{false};
 };
 
 /** @brief TCP server that sends given bytes to each request in turn. */
