--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -113,6 +113,8 @@
                       "An accepted commit was changed in the platform's service."},
     event_description{event_id::unknown_override, warning,
                       "An override of an unknown author was published."},
+    event_description{event_id::controller_note_unreadable, warning,
+                      "What the last controller of a move has left cannot be read."},
 };
 
 } // namespace
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -63,7 +63,8 @@
     controller_lease_gained = 6008,
     controller_lease_lost = 6009,
     commit_rewritten = 6010,
-    unknown_override = 6011
+    unknown_override = 6011,
+    controller_note_unreadable = 6012
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/controller_set.cpp
+++ b/src/savorywheel/node/controller_set.cpp
@@ -9,19 +9,6 @@
 
 namespace savorywheel {
 
-namespace {
-
-std::optional<move_case> left_by_predecessor(const lease_keeper& lease)
-{
-    const auto& record = lease.predecessor();
-    if (!record || record->note.empty()) {
-        return std::nullopt;
-    }
-    return decode_json<move_case>(record->note).value();
-}
-
-} // namespace
-
 controller_set::controller_set(lease_record self, environment surroundings)
     : self_{std::move(self)}, environment_{surroundings}
 {
@@ -48,14 +35,35 @@
 {
     auto& lease = lease_of(service.spec.name);
     auto& controller = controller_of(service);
-    const auto earlier = left_by_predecessor(lease);
     now.leader = lease.held();
-    now.earlier = earlier ? &*earlier : nullptr;
-    const auto issued = controller.run(now);
-    lease.set_note(encode_json(controller.summary(*service.move)));
+    now.earlier = left_by_predecessor(service.spec.name, lease);
+    auto issued = controller.run(now);
+    if (now.leader) {
+        lease.set_note(encode_json(controller.summary(*service.move)));
+    }
     return issued;
 }
 
+const move_case* controller_set::left_by_predecessor(const service_name& service,
+                                                     const lease_keeper& lease)
+{
+    const auto& record = lease.predecessor();
+    if (!record || record->note.empty()) {
+        return nullptr;
+    }
+    auto& known = left_[service];
+    if (known.term != record->term) {
+        auto found = decode_json<move_case>(record->note);
+        if (!found) {
+            environment_.controllers.log.write(
+                event_id::controller_note_unreadable,
+                fmt::format("{}: {}", service.str(), found.reason().message));
+        }
+        known = {record->term, found.value()};
+    }
+    return known.seen ? &*known.seen : nullptr;
+}
+
 move_controller& controller_set::controller_of(const service_state& service)
 {
     const auto& move = *service.move;
--- a/src/savorywheel/node/controller_set.hpp
+++ b/src/savorywheel/node/controller_set.hpp
@@ -49,6 +49,14 @@
         std::unique_ptr<move_controller> controller;
     };
 
+    /** What the last holder of a lease has left, decoded once. */
+    struct note {
+        std::uint64_t term{};
+        std::optional<move_case> seen;
+    };
+
+    [[nodiscard]] const move_case* left_by_predecessor(const service_name& service,
+                                                       const lease_keeper& lease);
     [[nodiscard]] move_controller& controller_of(const service_state& service);
     [[nodiscard]] lease_keeper& lease_of(const service_name& service);
 
@@ -56,6 +64,7 @@
     environment environment_;
     std::set<service_name> services_;
     std::map<service_name, controlled> controllers_;
+    std::map<service_name, note> left_;
     /** Leases are kept until the end, as work for the platform's service may refer to them. */
     std::map<service_name, std::unique_ptr<lease_keeper>> leases_;
 };
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -156,8 +156,8 @@
     return view_of(item).decide();
 }
 
-/** Refuses what waits for a backend server that has just fallen silent. */
-std::vector<gate::call_pointer> gate::find_silence()
+/** Takes out of the queue what waits for a backend server that has just fallen silent. */
+std::vector<gate::call_pointer> gate::take_stuck()
 {
     std::vector<monotonic_time> started;
     started.reserve(running_.size());
@@ -233,7 +233,7 @@
 void gate::admit(call_pointer item)
 {
     std::unique_lock lock{mutex_};
-    const auto stuck = find_silence();
+    const auto stuck = take_stuck();
     auto reason = refusal(*item);
     if (reason == call_refusal::none && silence_.silent() &&
         !silence_.take_probe(environment_.time.now())) {
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -87,7 +87,7 @@
     [[nodiscard]] gate_load load() const;
     /** Takes out of the queue what can no longer be finished in time. */
     [[nodiscard]] std::vector<call_pointer> take_hopeless();
-    [[nodiscard]] std::vector<call_pointer> find_silence();
+    [[nodiscard]] std::vector<call_pointer> take_stuck();
     void refuse(const gate_call& item, call_refusal reason, std::optional<duration> retry_after);
     [[nodiscard]] call_refusal start_refusal(const gate_call& item) const;
     void admit(call_pointer item);
