--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -159,13 +159,15 @@
 /** Takes out of the queue what waits for a backend server that has just fallen silent. */
 std::vector<gate::call_pointer> gate::take_stuck()
 {
+    if (!backend_ || silence_.silent()) {
+        return {};
+    }
     std::vector<monotonic_time> started;
     started.reserve(running_.size());
     for (const auto& item : running_) {
         started.push_back(item->started);
     }
-    const bool known = silence_.silent();
-    if (known || !silence_.look(started, service_time_.mean(), environment_.time.now())) {
+    if (!silence_.look(started, service_time_.mean(), environment_.time.now())) {
         return {};
     }
     environment_.log.write(event_id::backend_silent,
--- a/test/savorywheel/traffic/gate_test.cpp
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -107,6 +107,23 @@
     EXPECT_EQ(mesh.sink->response(5)->result, call_result::answered);
 }
 
+TEST(gate, a_backend_server_that_is_gone_with_its_calls_is_absent)
+{
+    constexpr std::uint32_t slots = 3;
+    constexpr milliseconds allowed{10'000};
+    controlled_gate mesh{slots};
+    mesh.time.advance(milliseconds{5000});
+    for (std::uint64_t id = 1; id <= slots; ++id) {
+        mesh.submit(id, allowed);
+    }
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.client.started().size() == slots; }));
+    mesh.subject.set_backend(std::nullopt);
+    mesh.time.advance(milliseconds{2000});
+    mesh.submit(4, allowed);
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.sink->response(4).has_value(); }));
+    EXPECT_EQ(mesh.sink->response(4)->refusal, call_refusal::absent);
+}
+
 TEST(proof_truthful_not_run, what_the_gate_refuses_or_cancels_never_runs)
 {
     EXPECT_TRUE(rc::check([] {
