--- a/test/platform/member_directory_test.cpp
+++ b/test/platform/member_directory_test.cpp
@@ -32,9 +32,9 @@
     member_directory make_directory(const member_record& self)
     {
         return {self, member_directory::environment{
-                          loop, worker, random, log, [this] { return !found.empty(); },
+                          loop_, worker_, random_, log_, [this] { return !found_.empty(); },
                           [this](std::span<const network_endpoint> peers) {
-                              found.assign(peers.begin(), peers.end());
+                              found_.assign(peers.begin(), peers.end());
                           }}};
     }
 
@@ -42,28 +42,28 @@
     {
         constexpr milliseconds step{100};
         for (milliseconds passed{}; passed < length; passed += step) {
-            time.advance(step);
-            loop.run_pending();
+            time_.advance(step);
+            loop_.run_pending();
             finish_store_calls();
-            loop.run_pending();
+            loop_.run_pending();
         }
     }
 
     void finish_store_calls()
     {
         std::promise<void> done;
-        worker.submit([&done](object_store& /*store*/) { done.set_value(); });
+        worker_.submit([&done](object_store& /*store*/) { done.set_value(); });
         done.get_future().wait();
     }
 
-    manual_clock time;
-    control_loop loop{time};
-    seeded_random random{1};
-    recording_event_log log;
-    store_standin standin;
-    object_api_store store{standin, network_endpoint{"127.0.0.1", 1}};
-    store_worker worker{store};
-    std::vector<network_endpoint> found;
+    manual_clock time_;
+    control_loop loop_{time_};
+    seeded_random random_{1};
+    recording_event_log log_;
+    store_standin standin_;
+    object_api_store store_{standin_, network_endpoint{"127.0.0.1", 1}};
+    store_worker worker_{store_};
+    std::vector<network_endpoint> found_;
 };
 
 } // namespace
@@ -73,45 +73,45 @@
     auto first = make_directory(make_record("a", 1001));
     first.start();
     pass(milliseconds{100});
-    EXPECT_TRUE(found.empty());
+    EXPECT_TRUE(found_.empty());
     auto second = make_directory(make_record("b", 1002));
     second.start();
     pass(milliseconds{100});
-    ASSERT_EQ(found.size(), 1U);
-    EXPECT_EQ(found.front().port, 1001);
+    ASSERT_EQ(found_.size(), 1U);
+    EXPECT_EQ(found_.front().port, 1001);
 }
 
 TEST_F(member_directory_test, a_node_that_starts_during_an_outage_is_found_after_it)
 {
-    standin.fail_next(std::vector<store_fault>(2, store_fault::refused));
+    standin_.fail_next(std::vector<store_fault>(2, store_fault::refused));
     auto subject = make_directory(make_record("a", 1001));
     subject.start();
     pass(milliseconds{100});
-    EXPECT_EQ(log.count(event_id::directory_unreachable), 1U);
+    EXPECT_EQ(log_.count(event_id::directory_unreachable), 1U);
     pass(milliseconds{2000});
-    EXPECT_TRUE(store.get("nodes/a"));
+    EXPECT_TRUE(store_.get("nodes/a"));
 }
 
 TEST_F(member_directory_test, a_registration_whose_answer_was_lost_counts)
 {
-    standin.fail_next({store_fault::lost_answer});
+    standin_.fail_next({store_fault::lost_answer});
     auto subject = make_directory(make_record("a", 1001));
     subject.start();
     pass(milliseconds{2000});
-    EXPECT_TRUE(store.get("nodes/a"));
+    EXPECT_TRUE(store_.get("nodes/a"));
 }
 
 TEST_F(member_directory_test, an_entry_that_cannot_be_read_is_logged_and_passed_over)
 {
-    standin.put("nodes", "x", {{"spec", "no record"}});
+    standin_.put("nodes", "x", {{"spec", "no record"}});
     auto other = make_directory(make_record("b", 1002));
     other.start();
     pass(milliseconds{100});
     auto subject = make_directory(make_record("a", 1001));
     subject.start();
     pass(milliseconds{100});
-    EXPECT_EQ(found.size(), 1U);
-    EXPECT_GE(log.count(event_id::directory_entry_unreadable), 1U);
+    EXPECT_EQ(found_.size(), 1U);
+    EXPECT_GE(log_.count(event_id::directory_entry_unreadable), 1U);
 }
 
 TEST_F(member_directory_test, a_node_that_stops_takes_its_entry_away_or_logs_why_not)
@@ -121,12 +121,12 @@
     pass(milliseconds{100});
     subject.stop();
     finish_store_calls();
-    EXPECT_EQ(store.get("nodes/a").reason().code, failure_code::not_found);
-    const auto before = log.count(event_id::directory_unreachable);
-    standin.fail_next({store_fault::too_many});
+    EXPECT_EQ(store_.get("nodes/a").reason().code, failure_code::not_found);
+    const auto before = log_.count(event_id::directory_unreachable);
+    standin_.fail_next({store_fault::too_many});
     subject.stop();
     finish_store_calls();
-    EXPECT_EQ(log.count(event_id::directory_unreachable), before + 1);
+    EXPECT_EQ(log_.count(event_id::directory_unreachable), before + 1);
 }
 
 } // namespace savorywheel::platform::test
--- a/test/savorywheel/distribution/lease_keeper_test.cpp
+++ b/test/savorywheel/distribution/lease_keeper_test.cpp
@@ -23,7 +23,7 @@
         lease_record self;
         self.holder = node_id{name};
         self.lifetime = lifetime;
-        return {"leases/test", self, lease_keeper::environment{loop, worker, random},
+        return {"leases/test", self, lease_keeper::environment{loop_, worker_, random_},
                 [](bool /*held*/) {}};
     }
 
@@ -31,12 +31,12 @@
     {
         constexpr milliseconds step{50};
         for (milliseconds passed{}; passed < length; passed += step) {
-            time.advance(step);
-            loop.run_pending();
+            time_.advance(step);
+            loop_.run_pending();
             finish_store_calls();
-            loop.run_pending();
+            loop_.run_pending();
             finish_store_calls();
-            loop.run_pending();
+            loop_.run_pending();
         }
     }
 
@@ -44,15 +44,15 @@
     void finish_store_calls()
     {
         std::promise<void> done;
-        worker.submit([&done](object_store& /*store*/) { done.set_value(); });
+        worker_.submit([&done](object_store& /*store*/) { done.set_value(); });
         done.get_future().wait();
     }
 
-    manual_clock time;
-    control_loop loop{time};
-    seeded_random random{1};
-    standin::object_table store;
-    store_worker worker{store};
+    manual_clock time_;
+    control_loop loop_{time_};
+    seeded_random random_{1};
+    standin::object_table store_;
+    store_worker worker_{store_};
 };
 
 } // namespace
