Do not skip the step to a half of a late move

Change: a late move may skip small steps only; a good one may miss its time instead, which is a price and no broken rule.

--- a/src/savorywheel/rollout/evidence_policy.cpp
+++ b/src/savorywheel/rollout/evidence_policy.cpp
@@ -12,12 +12,18 @@
 constexpr double suspicion_of_none = 0.25;
 constexpr double suspicion_that_holds = 0.5;
 
+/** A greater share is reached by each step before it, also late: a bad version shows at a small
+ * one. */
+constexpr std::uint32_t greatest_skipped_to = 200;
+
 /** The next step, or the one after it if the schedule already asks for that one. */
 std::uint32_t target_step(const rollout_move& move, std::uint32_t progress, calendar_time now)
 {
     const auto next = next_progress(move, progress);
     const auto second = next_progress(move, next);
-    return progress > 0 && now >= scheduled_time(move, second) ? second : next;
+    const bool skip =
+        progress > 0 && second <= greatest_skipped_to && now >= scheduled_time(move, second);
+    return skip ? second : next;
 }
 
 } // namespace
