Name HTTP statuses once

Change: http/http_status.hpp has them; the copies are gone. Ruled out: admin_status for all, which is the administration API's own list.

--- a/apps/load/fixed_steps.cpp
+++ b/apps/load/fixed_steps.cpp
@@ -1,3 +1,5 @@
+#include <savorywheel/http/http_status.hpp>
+
 #include <fmt/format.h>
 #include <load/fixed_steps.hpp>
 
@@ -10,7 +12,6 @@
 
 constexpr std::array<unsigned, 9> shares_permille{10, 20, 50, 100, 200, 350, 500, 700, 1000};
 constexpr unsigned whole_permille = 1000;
-constexpr int status_ok = 200;
 
 std::string override_body(const std::string& from, const std::string& to, unsigned permille)
 {
--- a/apps/load/rollout_trial.cpp
+++ b/apps/load/rollout_trial.cpp
@@ -1,6 +1,7 @@
 #include <savorywheel/admin/status_report.hpp>
 #include <savorywheel/config/calendar_text.hpp>
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/http/http_status.hpp>
 
 #include <fmt/format.h>
 #include <load/background_load.hpp>
@@ -26,7 +27,6 @@
 constexpr unsigned fail_permille = 500;
 constexpr std::uint32_t connections = 16;
 constexpr double percent = 100.0;
-constexpr int status_ok = 200;
 
 std::string other_version(const std::string& version)
 {
--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/http/curl_transfer.hpp>
+#include <savorywheel/http/http_status.hpp>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -17,8 +18,6 @@
 constexpr long keepalive_seconds = 1;
 constexpr unsigned unacknowledged_milliseconds = 1500;
 constexpr int max_wait_milliseconds = 60'000;
-constexpr int status_no_content = 204;
-constexpr int status_not_modified = 304;
 
 std::string_view trim(std::string_view text)
 {
--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -1,6 +1,7 @@
 #include <savorywheel/http/connection_table.hpp>
 #include <savorywheel/http/hangup_watcher.hpp>
 #include <savorywheel/http/http_server.hpp>
+#include <savorywheel/http/http_status.hpp>
 
 #include <arpa/inet.h>
 #include <ulfius.h>
@@ -14,7 +15,6 @@
 
 namespace {
 
-constexpr int status_payload_too_large = 413;
 constexpr unsigned port_bits = 16;
 constexpr unsigned server_flags =
     MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_AUTO;
--- a/src/savorywheel/node/readiness_handler.cpp
+++ b/src/savorywheel/node/readiness_handler.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/http/http_status.hpp>
 #include <savorywheel/node/readiness_handler.hpp>
 
 #include <algorithm>
@@ -6,8 +7,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_unavailable = 503;
 /** A node finds the others within a second; a mesh without backend servers is ready all the same.
  */
 constexpr std::chrono::milliseconds longest_search{3000};
--- a/src/savorywheel/store/http_object_store.cpp
+++ b/src/savorywheel/store/http_object_store.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/http/http_status.hpp>
 #include <savorywheel/store/http_object_store.hpp>
 #include <savorywheel/store/store_failure.hpp>
 
@@ -11,9 +12,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_created = 201;
-
 std::uint64_t revision_of(const http_response& response)
 {
     auto tag = find_header(response.headers, "ETag");
--- a/src/savorywheel/store/store_failure.cpp
+++ b/src/savorywheel/store/store_failure.cpp
@@ -1,20 +1,10 @@
+#include <savorywheel/http/http_status.hpp>
 #include <savorywheel/store/store_failure.hpp>
 
 #include <fmt/format.h>
 
 namespace savorywheel {
 
-namespace {
-
-constexpr int status_not_found = 404;
-constexpr int status_conflict = 409;
-constexpr int status_gone = 410;
-constexpr int status_precondition_failed = 412;
-constexpr int status_too_many_requests = 429;
-constexpr int status_unavailable = 503;
-
-} // namespace
-
 failure store_failure(int status)
 {
     const auto message = fmt::format("the platform's service answered {}", status);
--- a/src/savorywheel/traffic/rejection.cpp
+++ b/src/savorywheel/traffic/rejection.cpp
@@ -1,16 +1,8 @@
+#include <savorywheel/http/http_status.hpp>
 #include <savorywheel/traffic/rejection.hpp>
 
 namespace savorywheel {
 
-namespace {
-
-constexpr int status_not_found = 404;
-constexpr int status_bad_gateway = 502;
-constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
-
-} // namespace
-
 int rejection::status() const noexcept
 {
     switch (kind) {
--- a/standin/backend/backend_handler.cpp
+++ b/standin/backend/backend_handler.cpp
@@ -1,3 +1,5 @@
+#include <savorywheel/http/http_status.hpp>
+
 #include <standin/backend/backend_handler.hpp>
 #include <standin/support/query.hpp>
 
@@ -9,8 +11,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_failed = 500;
 constexpr int crash_exit_code = 70;
 constexpr std::uint64_t permille = 1000;
 
@@ -45,7 +45,7 @@
         {"x-request", std::string{find_header(request.headers, "x-request")}},
         {"Content-Type", "application/octet-stream"}};
     if (fails(request, behaviour)) {
-        return {status_failed, headers, "failed\n"};
+        return {status_internal_error, headers, "failed\n"};
     }
     return {status_ok, headers, request.method + " " + request.target + "\n" + request.body};
 }
--- a/standin/platform/platform_handler.cpp
+++ b/standin/platform/platform_handler.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/http/http_status.hpp>
 
 #include <standin/platform/platform_handler.hpp>
 #include <standin/support/query.hpp>
@@ -12,14 +13,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_created = 201;
-constexpr int status_bad_request = 400;
-constexpr int status_not_found = 404;
-constexpr int status_precondition_failed = 412;
-constexpr int status_too_many_requests = 429;
-constexpr int status_unavailable = 503;
-constexpr int status_gateway_timeout = 504;
 constexpr std::string_view objects_path = "/objects/";
 
 http_response plain(int status, std::string body)
--- a/test/platform/store_standin.cpp
+++ b/test/platform/store_standin.cpp
@@ -1,3 +1,5 @@
+#include <savorywheel/http/http_status.hpp>
+
 #include <platform/store_standin.hpp>
 
 #include <algorithm>
@@ -41,9 +43,9 @@
     faults_.pop_front();
     switch (fault) {
     case store_fault::refused:
-        return http_response{503, {}, {}};
+        return http_response{status_unavailable, {}, {}};
     case store_fault::too_many:
-        return http_response{429, {}, {}};
+        return http_response{status_too_many_requests, {}, {}};
     case store_fault::unreachable:
         return failure{failure_code::unavailable, "no connection"};
     case store_fault::lost_answer:
@@ -53,7 +55,7 @@
         static_cast<void>(answer(request));
         break;
     }
-    return http_response{200, {}, "not JSON"};
+    return http_response{status_ok, {}, "not JSON"};
 }
 
 void store_standin::fail_next(std::vector<store_fault> faults)
@@ -136,7 +138,7 @@
 http_response store_standin::read(const target& place)
 {
     const auto found = table_.get(place.key());
-    return found ? with(200, whole(*found)) : http_response{404, {}, {}};
+    return found ? with(status_ok, whole(*found)) : http_response{status_not_found, {}, {}};
 }
 
 http_response store_standin::list(const target& place)
@@ -155,21 +157,21 @@
         }
         items.push_back(whole(object));
     }
-    return with(200, {{"items", items}, {"more", more}, {"at", all->revision}});
+    return with(status_ok, {{"items", items}, {"more", more}, {"at", all->revision}});
 }
 
 http_response store_standin::watch(const target& place)
 {
     const auto after = number(place.parameter("watch"));
     if (after < oldest_) {
-        return {410, {}, {}};
+        return {status_gone, {}, {}};
     }
     const auto seen = table_.watch(place.kind + '/', after, std::chrono::milliseconds{0});
     json events = json::array();
     for (const auto& object : seen->objects) {
         events.push_back({{"object", whole(object)}, {"deleted", false}});
     }
-    return with(200, {{"events", events}, {"at", seen->revision}});
+    return with(status_ok, {{"events", events}, {"at", seen->revision}});
 }
 
 http_response store_standin::create(const target& place, const json& body)
@@ -177,33 +179,34 @@
     const auto name = text_field(body.at("metadata"), "name").value_or("");
     const auto made = table_.create(place.kind + '/' + name, body.dump());
     if (!made) {
-        return {409, {}, {}};
+        return {status_conflict, {}, {}};
     }
-    return with(201, whole(*table_.get(place.kind + '/' + name)));
+    return with(status_created, whole(*table_.get(place.kind + '/' + name)));
 }
 
 http_response store_standin::replace(const target& place, const json& body)
 {
     const auto known = table_.get(place.key());
     if (!known) {
-        return {404, {}, {}};
+        return {status_not_found, {}, {}};
     }
     auto value = json::parse(known->value);
     const auto* field = place.status ? "status" : "spec";
     value[field] = body.at(field);
     const auto expected = number_field(body.at("metadata"), "revision").value_or(known->revision);
     const auto made = table_.update(place.key(), value.dump(), expected);
-    return made ? with(200, whole(*table_.get(place.key()))) : with(409, whole(*known));
+    return made ? with(status_ok, whole(*table_.get(place.key())))
+                : with(status_conflict, whole(*known));
 }
 
 http_response store_standin::remove(const target& place)
 {
     const auto known = table_.get(place.key());
     if (!known) {
-        return {404, {}, {}};
+        return {status_not_found, {}, {}};
     }
     const auto gone = table_.remove(place.key(), number(place.parameter("revision")));
-    return gone ? with(200, json::object()) : with(409, whole(*known));
+    return gone ? with(status_ok, json::object()) : with(status_conflict, whole(*known));
 }
 
 } // namespace savorywheel::platform::test
--- a/test/standin/platform_handler_test.cpp
+++ b/test/standin/platform_handler_test.cpp
@@ -1,3 +1,5 @@
+#include <savorywheel/http/http_status.hpp>
+
 #include <gtest/gtest.h>
 #include <standin/platform/platform_handler.hpp>
 #include <support/manual_clock.hpp>
@@ -6,12 +8,6 @@
 
 namespace {
 
-constexpr int status_ok = 200;
-constexpr int status_created = 201;
-constexpr int status_bad_request = 400;
-constexpr int status_too_many_requests = 429;
-constexpr int status_gateway_timeout = 504;
-
 http_request creation(const std::string& key, std::string value)
 {
     return {"PUT", "/objects/" + key, {{"If-None-Match", "*"}}, std::move(value)};
