--- /dev/null
+++ b/src/savorywheel/http/hop_by_hop.hpp
@@ -0,0 +1,15 @@
+#ifndef SAVORYWHEEL_HTTP_HOP_BY_HOP_HPP
+#define SAVORYWHEEL_HTTP_HOP_BY_HOP_HPP
+
+#include <savorywheel/http/http_header.hpp>
+
+#include <vector>
+
+namespace savorywheel {
+
+/** @brief Removes the fields that are for one connection only and must not be passed on. */
+void drop_hop_by_hop(std::vector<http_header>& headers);
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/traffic/call_journal.cpp
+++ b/src/savorywheel/traffic/call_journal.cpp
@@ -28,7 +28,7 @@
            XXH3_64bits(request_id.data(), request_id.size()) % sample_divisor == 0;
 }
 
-void call_journal::write(event_id id, std::string_view detail, std::span<const log_field> fields)
+void call_journal::write(event_id id, std::string_view detail, const field_maker& fields)
 {
     std::uint64_t dropped{};
     {
@@ -42,15 +42,20 @@
     if (dropped > 0) {
         log_.write(event_id::call_lines_dropped, fmt::format("{} lines", dropped));
     }
-    log_.write_decision(id, detail, fields);
+    log_.write_decision(id, detail, fields());
 }
 
 void call_journal::write_sampled(event_id id, std::string_view request_id, std::string_view detail,
-                                 std::span<const log_field> fields)
+                                 const field_maker& fields)
 {
     if (sampled(request_id)) {
-        log_.write_decision(id, detail, fields);
+        log_.write_decision(id, detail, fields());
     }
 }
 
+std::string in_milliseconds(duration length)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/traffic/call_journal.hpp
+++ b/src/savorywheel/traffic/call_journal.hpp
@@ -2,12 +2,15 @@
 #define SAVORYWHEEL_TRAFFIC_CALL_JOURNAL_HPP
 
 #include <savorywheel/core/admission_limiter.hpp>
+#include <savorywheel/core/clock.hpp>
 #include <savorywheel/log/event_log.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <mutex>
-#include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace savorywheel {
 
@@ -19,6 +22,9 @@
  */
 class call_journal {
 public:
+    /** @brief Makes the fields of a line; called only if the line is written. */
+    using field_maker = std::function<std::vector<log_field>()>;
+
     /**
      * @param log Log; must outlive the journal.
      * @param time Clock; must outlive the journal.
@@ -29,11 +35,11 @@
     [[nodiscard]] static bool sampled(std::string_view request_id) noexcept;
 
     /** @brief Writes a line about a call that failed, was refused or repeated. */
-    void write(event_id id, std::string_view detail, std::span<const log_field> fields);
+    void write(event_id id, std::string_view detail, const field_maker& fields);
 
     /** @brief Writes a line about a call that went well, if it is sampled. */
     void write_sampled(event_id id, std::string_view request_id, std::string_view detail,
-                       std::span<const log_field> fields);
+                       const field_maker& fields);
 
 private:
     event_log& log_;
@@ -42,6 +48,9 @@
     std::uint64_t dropped_{};
 };
 
+/** @return The whole milliseconds of a time, as lines about calls give it. */
+[[nodiscard]] std::string in_milliseconds(duration length);
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/traffic/fwd.hpp
+++ b/src/savorywheel/traffic/fwd.hpp
@@ -10,9 +10,11 @@
 class gate_journal;
 class peer_call_transport;
 class proxy_handler;
+class proxy_journal;
 class retry_budget;
 struct backend_server;
 struct call_observation;
+struct call_plan;
 struct call_request;
 struct call_response;
 
--- a/src/savorywheel/traffic/plain_caller_dialect.cpp
+++ b/src/savorywheel/traffic/plain_caller_dialect.cpp
@@ -26,9 +26,7 @@
 
 http_response plain_caller_dialect::reject(const rejection& why) const
 {
-    const auto* outcome =
-        why.kind == rejection_kind::not_run || why.kind == rejection_kind::no_route ? "not-run"
-                                                                                    : "unknown";
+    const auto* outcome = why.may_have_run() ? "unknown" : "not-run";
     return {why.status(),
             {{std::string{plain_outcome_header}, outcome}, {"Content-Type", "text/plain"}},
             why.reason + "\n"};
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/http/hop_by_hop.hpp>
 #include <savorywheel/routing/share_choice.hpp>
 #include <savorywheel/routing/spill_version.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
@@ -5,7 +6,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace savorywheel {
@@ -20,21 +20,6 @@
 constexpr std::chrono::milliseconds restart_wait{500};
 /** One refusal may be bad luck of the choice; after two, the version is likely to be full. */
 constexpr std::size_t refusals_to_spill = 2;
-constexpr std::array<std::string_view, 8> hop_by_hop_headers{
-    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
-    "TE",         "Trailer",    "Upgrade",           "Proxy-Connection"};
-
-bool is_hop_by_hop(const http_header& header)
-{
-    return std::ranges::any_of(hop_by_hop_headers, [&header](std::string_view name) {
-        return equal_ignoring_case(name, header.name);
-    });
-}
-
-void drop_hop_by_hop(std::vector<http_header>& headers)
-{
-    std::erase_if(headers, is_hop_by_hop);
-}
 
 std::chrono::milliseconds deadline_of(const caller_terms& terms, const host_route& route)
 {
@@ -54,6 +39,15 @@
 
 } // namespace
 
+proxy_handler::proxy_handler(environment surroundings)
+    : environment_{surroundings}, calls_{surroundings.metrics.count("calls")},
+      retries_{surroundings.metrics.count("retries")}, calls_not_run_{surroundings.metrics.count(
+                                                           "calls_not_run")},
+      calls_unknown_{surroundings.metrics.count("calls_unknown")},
+      latency_{surroundings.metrics.latency("call")}, journal_{surroundings.log, surroundings.time}
+{
+}
+
 http_response proxy_handler::handle(const http_request& request)
 {
     cancellation never;
@@ -64,7 +58,7 @@
 {
     const auto started = environment_.time.now();
     const auto terms = environment_.dialect.read(request);
-    plan item;
+    call_plan item;
     item.call.request_id = terms.request_id;
     item.stop = &stop;
     item.call.request = request;
@@ -77,13 +71,13 @@
     item.call.priority = item.route->priority;
     item.started = started;
     item.deadline = started + deadline_of(terms, *item.route);
-    environment_.metrics.count("calls") += 1;
+    ++calls_;
     auto response = execute(item);
-    environment_.metrics.latency("call").record(environment_.time.now() - started);
+    latency_.record(environment_.time.now() - started);
     return response;
 }
 
-std::optional<rejection> proxy_handler::find_route(const http_request& request, plan& item)
+std::optional<rejection> proxy_handler::find_route(const http_request& request, call_plan& item)
 {
     if (refusing_) {
         auto why = not_run("this node stops");
@@ -111,7 +105,7 @@
     return std::nullopt;
 }
 
-http_response proxy_handler::execute(plan& item)
+http_response proxy_handler::execute(call_plan& item)
 {
     environment_.retries.earn(item.call.service);
     const auto* endpoint = next_endpoint(item);
@@ -132,35 +126,46 @@
             }
             return conclude(item, std::move(outcome));
         }
-        environment_.metrics.count("retries") += 1;
-        note_repetition(item, outcome);
+        ++retries_;
+        journal_.repeated(item, outcome);
     }
 }
 
 /** The next backend server to try; nullptr if all were tried. */
-const route_endpoint* proxy_handler::next_endpoint(plan& item)
+const route_endpoint* proxy_handler::next_endpoint(call_plan& item)
 {
-    const auto bytes = item.call.request.body.size();
-    const auto& endpoints = item.routes->endpoints;
-    auto version = environment_.versions.choose(*item.routes);
-    const auto* found =
-        version ? environment_.endpoints.choose(endpoints, *version, item.tried, bytes) : nullptr;
-    if (found == nullptr || item.refusals >= refusals_to_spill) {
-        if (const auto other = spill_version(*item.routes, environment_.random)) {
-            if (const auto* spare =
-                    environment_.endpoints.choose(endpoints, *other, item.tried, bytes)) {
-                found = spare;
-                version = other;
-            }
+    const bool crowded = item.refusals >= refusals_to_spill;
+    if (crowded) {
+        if (const auto* spare = spare_endpoint(item)) {
+            return spare;
         }
     }
+    if (const auto* found = choose(item, environment_.versions.choose(*item.routes))) {
+        return found;
+    }
+    return crowded ? nullptr : spare_endpoint(item);
+}
+
+const route_endpoint* proxy_handler::spare_endpoint(call_plan& item)
+{
+    return choose(item, spill_version(*item.routes, environment_.random));
+}
+
+const route_endpoint* proxy_handler::choose(call_plan& item,
+                                            const std::optional<version_name>& version)
+{
+    if (!version) {
+        return nullptr;
+    }
+    const auto* found = environment_.endpoints.choose(item.routes->endpoints, *version, item.tried,
+                                                      item.call.request.body.size());
     if (found != nullptr) {
         item.call.version = *version;
     }
     return found;
 }
 
-bool proxy_handler::may_repeat(const plan& item, const call_response& outcome)
+bool proxy_handler::may_repeat(const call_plan& item, const call_response& outcome)
 {
     const bool lasting =
         outcome.refusal == call_refusal::crashing || outcome.refusal == call_refusal::expired;
@@ -177,7 +182,7 @@
     return item.servers_reached == 0 || environment_.retries.spend(item.call.service);
 }
 
-call_response proxy_handler::attempt(plan& item, const route_endpoint& endpoint)
+call_response proxy_handler::attempt(call_plan& item, const route_endpoint& endpoint)
 {
     const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
         item.deadline - environment_.time.now());
@@ -235,14 +240,11 @@
     }
 }
 
-http_response proxy_handler::conclude(const plan& item, call_response outcome)
+http_response proxy_handler::conclude(const call_plan& item, call_response outcome)
 {
     if (outcome.result == call_result::answered) {
         drop_hop_by_hop(outcome.response.headers);
-        auto fields = fields_of(item);
-        fields.push_back({"status", std::to_string(outcome.response.status)});
-        journal_.write_sampled(event_id::call_answered, item.call.request_id,
-                               item.call.service.str(), fields);
+        journal_.answered(item, outcome.response.status);
         return std::move(outcome.response);
     }
     rejection why{rejection_kind::unknown, std::move(outcome.reason), outcome.retry_after};
@@ -255,51 +257,11 @@
     return reject(item, why);
 }
 
-http_response proxy_handler::reject(const plan& item, const rejection& why)
+http_response proxy_handler::reject(const call_plan& item, const rejection& why)
 {
-    const bool unknown = why.kind == rejection_kind::unknown || why.kind == rejection_kind::expired;
-    environment_.metrics.count(unknown ? "calls_unknown" : "calls_not_run") += 1;
-    auto fields = fields_of(item);
-    fields.push_back({"status", std::to_string(why.status())});
-    if (why.retry_after) {
-        fields.push_back({"retry_after_ms", std::to_string(why.retry_after->count())});
-    }
-    journal_.write(unknown ? event_id::call_outcome_unknown : event_id::call_not_run, why.reason,
-                   fields);
+    ++(why.may_have_run() ? calls_unknown_ : calls_not_run_);
+    journal_.rejected(item, why);
     return environment_.dialect.reject(why);
 }
 
-/** What decided about a call, with the state that was in force. */
-std::vector<log_field> proxy_handler::fields_of(const plan& item) const
-{
-    std::vector<log_field> fields{{"request", item.call.request_id},
-                                  {"target", item.call.request.target}};
-    if (item.table) {
-        fields.push_back({"state", std::to_string(item.table->version().number)});
-    }
-    if (item.route == nullptr) {
-        return fields;
-    }
-    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        environment_.time.now() - item.started);
-    const auto allowed =
-        std::chrono::duration_cast<std::chrono::milliseconds>(item.deadline - item.started);
-    fields.push_back({"route", item.route->path});
-    fields.push_back({"service", item.call.service.str()});
-    fields.push_back({"version", item.call.version.str()});
-    fields.push_back({"nodes_tried", std::to_string(item.tried.size())});
-    fields.push_back({"servers_reached", std::to_string(item.servers_reached)});
-    fields.push_back({"node", item.tried.empty() ? std::string{} : item.tried.back().str()});
-    fields.push_back({"elapsed_ms", std::to_string(elapsed.count())});
-    fields.push_back({"allowed_ms", std::to_string(allowed.count())});
-    return fields;
-}
-
-void proxy_handler::note_repetition(const plan& item, const call_response& outcome)
-{
-    auto fields = fields_of(item);
-    fields.push_back({"result", std::string{to_string(outcome.result)}});
-    journal_.write(event_id::call_repeated, outcome.reason, fields);
-}
-
 } // namespace savorywheel
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -11,17 +11,15 @@
 #include <savorywheel/routing/load_table.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/routing/version_chooser.hpp>
-#include <savorywheel/traffic/call_journal.hpp>
 #include <savorywheel/traffic/call_observer.hpp>
+#include <savorywheel/traffic/call_plan.hpp>
 #include <savorywheel/traffic/call_transport.hpp>
 #include <savorywheel/traffic/caller_dialect.hpp>
+#include <savorywheel/traffic/proxy_journal.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
 #include <atomic>
-#include <memory>
 #include <optional>
-#include <string>
-#include <vector>
 
 namespace savorywheel {
 
@@ -59,10 +57,7 @@
     };
 
     /** @param surroundings What the proxy works with. */
-    explicit proxy_handler(environment surroundings) noexcept
-        : environment_{surroundings}, journal_{surroundings.log, surroundings.time}
-    {
-    }
+    explicit proxy_handler(environment surroundings);
 
     /** @brief Refuses new requests from now on; those in progress go on. */
     void refuse_new() noexcept { refusing_ = true; }
@@ -72,33 +67,28 @@
                                                        cancellation& stop) override;
 
 private:
-    struct plan {
-        std::shared_ptr<const routing_table> table;
-        std::shared_ptr<const service_routes> routes;
-        const host_route* route{};
-        call_request call;
-        monotonic_time started;
-        monotonic_time deadline;
-        cancellation* stop{};
-        std::vector<node_id> tried;
-        std::size_t servers_reached{};
-        /** Refusals for want of room at the version of the share. */
-        std::size_t refusals{};
-    };
+    using counter = metric_registry::counter;
 
-    [[nodiscard]] std::optional<rejection> find_route(const http_request& request, plan& item);
-    [[nodiscard]] http_response execute(plan& item);
-    [[nodiscard]] const route_endpoint* next_endpoint(plan& item);
-    [[nodiscard]] call_response attempt(plan& item, const route_endpoint& endpoint);
-    [[nodiscard]] bool may_repeat(const plan& item, const call_response& outcome);
+    [[nodiscard]] std::optional<rejection> find_route(const http_request& request, call_plan& item);
+    [[nodiscard]] http_response execute(call_plan& item);
+    [[nodiscard]] const route_endpoint* next_endpoint(call_plan& item);
+    /** An endpoint of the old version during a move; nullptr if there is none. */
+    [[nodiscard]] const route_endpoint* spare_endpoint(call_plan& item);
+    [[nodiscard]] const route_endpoint* choose(call_plan& item,
+                                               const std::optional<version_name>& version);
+    [[nodiscard]] call_response attempt(call_plan& item, const route_endpoint& endpoint);
+    [[nodiscard]] bool may_repeat(const call_plan& item, const call_response& outcome);
     void note(const node_id& endpoint, const call_request& call, const call_response& outcome);
-    [[nodiscard]] http_response conclude(const plan& item, call_response outcome);
-    [[nodiscard]] http_response reject(const plan& item, const rejection& why);
-    [[nodiscard]] std::vector<log_field> fields_of(const plan& item) const;
-    void note_repetition(const plan& item, const call_response& outcome);
+    [[nodiscard]] http_response conclude(const call_plan& item, call_response outcome);
+    [[nodiscard]] http_response reject(const call_plan& item, const rejection& why);
 
     environment environment_;
-    call_journal journal_;
+    counter& calls_;
+    counter& retries_;
+    counter& calls_not_run_;
+    counter& calls_unknown_;
+    latency_recorder& latency_;
+    proxy_journal journal_;
     std::atomic<bool> refusing_{};
 };
 
--- a/src/savorywheel/traffic/rejection.hpp
+++ b/src/savorywheel/traffic/rejection.hpp
@@ -25,6 +25,12 @@
     /** @brief When the caller should try again, if it should. */
     std::optional<std::chrono::milliseconds> retry_after;
 
+    /** @return True if a backend server may have run the request. */
+    [[nodiscard]] bool may_have_run() const noexcept
+    {
+        return kind == rejection_kind::unknown || kind == rejection_kind::expired;
+    }
+
     /** @return Status code for the kind. */
     [[nodiscard]] int status() const noexcept;
 };
