Split what decides about calls from the gate's threads

Change: gate_state has the calls and the decisions, without threads or locks; gate has the rest. A call that cannot be started is refused like any other. A thread that ends wakes the others, of which some could have slept on if slots had shrunk. Ruled out: a lock inside gate_state, as decisions and the queue must change together.

--- a/src/savorywheel/traffic/fwd.hpp
+++ b/src/savorywheel/traffic/fwd.hpp
@@ -8,6 +8,7 @@
 class backend_runner;
 class gate;
 class gate_journal;
+class gate_state;
 class peer_call_transport;
 class proxy_handler;
 class proxy_journal;
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr std::uint32_t max_slots = 256;
-/** A call with less than this part of the mean time left cannot be expected to finish. */
-constexpr int hopeless_divisor = 2;
 
 void respond(frame_sink& target, std::uint64_t correlation, const call_response& response)
 {
@@ -35,11 +33,8 @@
 void gate::set_backend(std::optional<backend_server> backend)
 {
     const std::scoped_lock lock{mutex_};
-    if (!backend || !backend_ || backend->identity != backend_->identity) {
-        silence_.reset();
-    }
-    backend_ = std::move(backend);
-    const auto slots = backend_ ? std::min(backend_->slots, max_slots) : 0;
+    state_.set_backend(std::move(backend));
+    const auto slots = std::min(state_.slots(), max_slots);
     while (threads_.size() < slots && !stopping_) {
         threads_.emplace_back([this] { run(); });
     }
@@ -63,25 +58,25 @@
 std::uint32_t gate::running() const
 {
     const std::scoped_lock lock{mutex_};
-    return static_cast<std::uint32_t>(running_.size());
+    return state_.running();
 }
 
 std::size_t gate::waiting() const
 {
     const std::scoped_lock lock{mutex_};
-    return queue_.size();
+    return state_.waiting();
 }
 
 std::uint32_t gate::slots() const
 {
     const std::scoped_lock lock{mutex_};
-    return backend_ ? backend_->slots : 0;
+    return state_.slots();
 }
 
 bool gate::silent() const
 {
     const std::scoped_lock lock{mutex_};
-    return silence_.silent();
+    return state_.silent();
 }
 
 void gate::on_frame(const std::shared_ptr<frame_sink>& source, frame_kind kind,
@@ -145,61 +140,6 @@
     source.close();
 }
 
-call_refusal gate::refusal(const gate_call& item) const
-{
-    if (stopping_) {
-        return call_refusal::leaving;
-    }
-    if (const auto reason = start_refusal(item); reason != call_refusal::none) {
-        return reason;
-    }
-    return view_of(item).decide();
-}
-
-/** Takes out of the queue what waits for a backend server that has just fallen silent. */
-std::vector<gate::call_pointer> gate::take_stuck()
-{
-    if (!backend_ || silence_.silent()) {
-        return {};
-    }
-    std::vector<monotonic_time> started;
-    started.reserve(running_.size());
-    for (const auto& item : running_) {
-        started.push_back(item->started);
-    }
-    if (!silence_.look(started, service_time_.mean(), environment_.time.now())) {
-        return {};
-    }
-    environment_.log.write(event_id::backend_silent,
-                           fmt::format("{}: {} calls held", backend_->identity, started.size()));
-    return queue_.remove_if([](const gate_call& /*item*/) { return true; });
-}
-
-admission gate::view_of(const gate_call& item) const
-{
-    admission view;
-    view.slots = backend_ ? backend_->slots : 0;
-    view.running = static_cast<std::uint32_t>(running_.size());
-    view.waiting = queue_.ahead_of(item.call.priority);
-    view.service_time = service_time_.mean();
-    view.remaining = item.deadline - environment_.time.now();
-    view.preferred = item.call.preferred;
-    view.highest_rank = item.call.priority == 0;
-    return view;
-}
-
-gate_load gate::load() const
-{
-    return {static_cast<std::uint32_t>(running_.size()), static_cast<std::uint32_t>(queue_.size()),
-            std::chrono::duration_cast<std::chrono::microseconds>(service_time_.mean())};
-}
-
-std::vector<gate::call_pointer> gate::take_hopeless()
-{
-    const auto latest = environment_.time.now() + service_time_.mean() / hopeless_divisor;
-    return queue_.remove_if([latest](const gate_call& item) { return latest > item.deadline; });
-}
-
 void gate::refuse(const gate_call& item, call_refusal reason, std::optional<duration> retry_after)
 {
     auto response = refused(reason);
@@ -208,42 +148,23 @@
     }
     {
         const std::scoped_lock lock{mutex_};
-        response.load = load();
+        response.load = state_.load();
     }
     ++refusals_.at(static_cast<std::size_t>(reason));
     journal_.refused(item, response);
     respond(*item.source, item.correlation, response);
 }
 
-call_refusal gate::start_refusal(const gate_call& item) const
-{
-    if (!backend_) {
-        return call_refusal::absent;
-    }
-    if (backend_->state == server_state::draining) {
-        return call_refusal::leaving;
-    }
-    if (backend_->service != item.call.service || backend_->version != item.call.version) {
-        return call_refusal::wrong_version;
-    }
-    if (runner_.blocked(item.digest)) {
-        return call_refusal::crashing;
-    }
-    return item.stop.cancelled() ? call_refusal::expired : call_refusal::none;
-}
-
 void gate::admit(call_pointer item)
 {
     std::unique_lock lock{mutex_};
-    const auto stuck = take_stuck();
-    auto reason = refusal(*item);
-    if (reason == call_refusal::none && silence_.silent() &&
-        !silence_.take_probe(environment_.time.now())) {
-        reason = call_refusal::silent;
-    }
+    const auto now = environment_.time.now();
+    const auto stuck = take_stuck(now);
+    const auto reason = stopping_ ? call_refusal::leaving
+                                  : state_.decide(*item, runner_.blocked(item->digest), now);
     if (reason != call_refusal::none) {
         const auto retry_after = reason == call_refusal::overload
-                                     ? std::optional{view_of(*item).retry_after()}
+                                     ? std::optional{state_.retry_after(*item, now)}
                                      : std::nullopt;
         lock.unlock();
         if (reason == call_refusal::crashing) {
@@ -253,7 +174,7 @@
         refuse(*item, reason, retry_after);
     }
     else {
-        queue_.push(std::move(item));
+        state_.push(std::move(item));
         lock.unlock();
         wake_.notify_one();
     }
@@ -262,16 +183,23 @@
     }
 }
 
-template<typename Condition>
-void gate::cancel_if(Condition condition)
+/** Takes out of the queue what waits for a backend server that has just fallen silent. */
+std::vector<gate::call_pointer> gate::take_stuck(monotonic_time now)
 {
-    const std::scoped_lock lock{mutex_};
-    queue_.remove_if([&condition](const gate_call& item) { return condition(item); });
-    for (const auto& item : running_) {
-        if (condition(*item)) {
-            item->stop.cancel();
-        }
+    const bool known = state_.silent();
+    auto stuck = state_.take_stuck(now);
+    if (state_.silent() && !known) {
+        environment_.log.write(
+            event_id::backend_silent,
+            fmt::format("{}: {} calls held", state_.backend()->identity, state_.running()));
     }
+    return stuck;
+}
+
+void gate::cancel_if(const gate_state::condition& meant)
+{
+    const std::scoped_lock lock{mutex_};
+    state_.cancel_if(meant);
 }
 
 void gate::run()
@@ -279,54 +207,48 @@
     name_this_thread("gate");
     std::unique_lock lock{mutex_};
     while (true) {
-        wake_.wait(lock, [this] {
-            return (stopping_ && queue_.empty()) ||
-                   (!queue_.empty() && (!backend_ || running_.size() < backend_->slots));
-        });
-        if (queue_.empty()) {
+        wake_.wait(lock,
+                   [this] { return (stopping_ && state_.waiting() == 0) || state_.has_work(); });
+        if (state_.waiting() == 0) {
+            // Of the others some may sleep since before the last call was taken.
+            wake_.notify_all();
             return;
         }
-        const auto hopeless = take_hopeless();
-        const auto item = queue_.pop();
-        const auto backend = backend_;
-        const auto reason = item ? start_refusal(*item) : call_refusal::none;
-        if (item) {
-            item->started = environment_.time.now();
-            running_.push_back(item);
+        const auto now = environment_.time.now();
+        const auto hopeless = state_.take_hopeless(now);
+        const auto item = state_.pop();
+        const auto backend = state_.backend();
+        const auto reason =
+            item ? state_.start_refusal(*item, runner_.blocked(item->digest)) : call_refusal::none;
+        const bool runs = item && reason == call_refusal::none;
+        if (runs) {
+            state_.start(item, now);
         }
         lock.unlock();
         for (const auto& late : hopeless) {
             refuse(*late, call_refusal::overload, std::nullopt);
         }
-        if (item) {
-            run_call(item, backend, reason);
+        if (runs) {
+            run_call(item, *backend);
+        }
+        else if (item) {
+            refuse(*item, reason, std::nullopt);
         }
         lock.lock();
     }
 }
 
-void gate::run_call(const call_pointer& item, const std::optional<backend_server>& backend,
-                    call_refusal reason)
+void gate::run_call(const call_pointer& item, const backend_server& backend)
 {
-    auto response = reason == call_refusal::none ? runner_.run(*item, *backend) : refused(reason);
-    if (reason == call_refusal::none) {
-        journal_.ran(*item, *backend, response);
-    }
-    else {
-        ++refusals_.at(static_cast<std::size_t>(reason));
-        journal_.refused(*item, response);
-    }
+    auto response = runner_.run(*item, backend);
+    journal_.ran(*item, backend, response);
     {
         const std::scoped_lock lock{mutex_};
-        std::erase(running_, item);
-        if (response.result == call_result::answered) {
-            service_time_.record(environment_.time.now() - item->started);
-            if (silence_.silent()) {
-                environment_.log.write(event_id::backend_answers_again, backend->identity);
-            }
-            silence_.answered(environment_.time.now());
+        const bool answered = response.result == call_result::answered;
+        if (state_.end(item, answered, environment_.time.now())) {
+            environment_.log.write(event_id::backend_answers_again, backend.identity);
         }
-        response.load = load();
+        response.load = state_.load();
     }
     wake_.notify_one();
     respond(*item->source, item->correlation, response);
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -2,15 +2,12 @@
 #define SAVORYWHEEL_TRAFFIC_GATE_HPP
 
 #include <savorywheel/core/clock.hpp>
-#include <savorywheel/traffic/admission.hpp>
 #include <savorywheel/traffic/backend_runner.hpp>
 #include <savorywheel/traffic/backend_server.hpp>
-#include <savorywheel/traffic/call_queue.hpp>
 #include <savorywheel/traffic/call_response.hpp>
 #include <savorywheel/traffic/gate_call.hpp>
 #include <savorywheel/traffic/gate_journal.hpp>
-#include <savorywheel/traffic/service_time_estimate.hpp>
-#include <savorywheel/traffic/silence_watch.hpp>
+#include <savorywheel/traffic/gate_state.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 
 #include <array>
@@ -75,38 +72,26 @@
     void on_closed(const frame_sink& source, bool established) override;
 
 private:
-    using call_pointer = std::shared_ptr<gate_call>;
+    using call_pointer = gate_state::call_pointer;
 
     void on_call(const std::shared_ptr<frame_sink>& source, std::uint64_t correlation,
                  std::span<const std::byte> payload);
     void on_crash_report(frame_sink& source, std::uint64_t correlation,
                          std::span<const std::byte> payload);
     void refuse_malformed(frame_sink& source, std::string_view reason);
-    [[nodiscard]] call_refusal refusal(const gate_call& item) const;
-    [[nodiscard]] admission view_of(const gate_call& item) const;
-    [[nodiscard]] gate_load load() const;
-    /** Takes out of the queue what can no longer be finished in time. */
-    [[nodiscard]] std::vector<call_pointer> take_hopeless();
-    [[nodiscard]] std::vector<call_pointer> take_stuck();
     void refuse(const gate_call& item, call_refusal reason, std::optional<duration> retry_after);
-    [[nodiscard]] call_refusal start_refusal(const gate_call& item) const;
     void admit(call_pointer item);
-    template<typename Condition>
-    void cancel_if(Condition condition);
+    [[nodiscard]] std::vector<call_pointer> take_stuck(monotonic_time now);
+    void cancel_if(const gate_state::condition& meant);
     void run();
-    void run_call(const call_pointer& item, const std::optional<backend_server>& backend,
-                  call_refusal reason);
+    void run_call(const call_pointer& item, const backend_server& backend);
 
     environment environment_;
     gate_journal journal_;
     backend_runner runner_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
-    std::optional<backend_server> backend_;
-    call_queue queue_;
-    std::vector<call_pointer> running_;
-    service_time_estimate service_time_;
-    silence_watch silence_;
+    gate_state state_;
     std::array<std::atomic<std::uint64_t>, call_refusal_count> refusals_{};
     bool stopping_{};
     std::vector<std::thread> threads_;
