Group endpoints by distance only where no gate has told its load

Cause: each choice sorted all endpoints into groups by distance, with two locks an endpoint, and threw the groups away as soon as one gate had told its load, which is after the first answer. Change: nearest_free() does so where it is needed. Ruled out: keeping the groups in the table, whose endpoints' capacity changes with each call.

--- a/src/savorywheel/routing/nearest_endpoint_chooser.cpp
+++ b/src/savorywheel/routing/nearest_endpoint_chooser.cpp
@@ -18,8 +18,6 @@
                                                        std::span<const node_id> tried,
                                                        std::size_t bytes)
 {
-    constexpr std::size_t groups = 3;
-    std::array<std::vector<const route_endpoint*>, groups> free;
     std::vector<const route_endpoint*> trusted;
     std::vector<const route_endpoint*> all;
     for (const auto& endpoint : endpoints) {
@@ -27,25 +25,33 @@
             continue;
         }
         all.push_back(&endpoint);
-        if (environment_.health.avoided(endpoint.node)) {
-            continue;
-        }
-        trusted.push_back(&endpoint);
-        if (has_capacity(endpoint)) {
-            free[static_cast<std::size_t>(distance_to(endpoint))].push_back(&endpoint);
+        if (!environment_.health.avoided(endpoint.node)) {
+            trusted.push_back(&endpoint);
         }
     }
     if (const auto* best = cheapest(trusted, bytes)) {
         return best;
     }
-    for (const auto& candidates : free) {
-        if (!candidates.empty()) {
-            return less_loaded(candidates);
-        }
+    if (const auto* near = nearest_free(trusted)) {
+        return near;
     }
     return less_loaded(trusted.empty() ? all : trusted);
 }
 
+const route_endpoint* nearest_endpoint_chooser::nearest_free(group candidates)
+{
+    constexpr std::size_t distances = 3;
+    std::array<std::vector<const route_endpoint*>, distances> free;
+    for (const auto* endpoint : candidates) {
+        if (has_capacity(*endpoint)) {
+            free[static_cast<std::size_t>(distance_to(*endpoint))].push_back(endpoint);
+        }
+    }
+    const auto nearest =
+        std::ranges::find_if(free, [](const auto& endpoints) { return !endpoints.empty(); });
+    return nearest == free.end() ? nullptr : less_loaded(*nearest);
+}
+
 const route_endpoint* nearest_endpoint_chooser::cheapest(group candidates, std::size_t bytes)
 {
     const auto typical = typical_service_time(candidates);
--- a/src/savorywheel/routing/nearest_endpoint_chooser.hpp
+++ b/src/savorywheel/routing/nearest_endpoint_chooser.hpp
@@ -57,6 +57,8 @@
     [[nodiscard]] const route_endpoint* less_loaded(group candidates);
     /** The endpoint of least cost; nullptr if no gate of them has told its load. */
     [[nodiscard]] const route_endpoint* cheapest(group candidates, std::size_t bytes);
+    /** The less loaded of two with capacity in the nearest group that has one; or nullptr. */
+    [[nodiscard]] const route_endpoint* nearest_free(group candidates);
     [[nodiscard]] duration typical_service_time(group candidates) const;
 
     failure_domain domain_;
