Use one piece of code for what stood twice

- curl_transfer has the probe for connections, with the limit that stood in two files since the split;
- call_response names only what differs from its defaults; case_file looks at the move first, so that the sums are not copied for the case of another one.
Ruled out: merging the overrides of the four object stores, which only repeat the interface.

--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -1,8 +1,6 @@
 #include <savorywheel/http/curl_http_client.hpp>
 #include <savorywheel/http/curl_transfer.hpp>
 
-#include <poll.h>
-
 #include <utility>
 
 namespace savorywheel {
@@ -10,9 +8,6 @@
 namespace {
 
 constexpr std::size_t max_idle_handles = 64;
-constexpr long max_connect_milliseconds = 1000;
-/** A process that ends resets the connections that its listener has not accepted. */
-constexpr int probe_milliseconds = 50;
 
 /** Initializes libcurl once for the process. */
 void initialize_library()
@@ -76,21 +71,7 @@
 
 bool curl_http_client::accepts_connections(const network_endpoint& server)
 {
-    auto* handle = curl_easy_init();
-    const auto url = "http://" + to_string(server);
-    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
-    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(handle, CURLOPT_PROXY, "");
-    curl_easy_setopt(handle, CURLOPT_CONNECT_ONLY, 1L);
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, max_connect_milliseconds);
-    bool open = curl_easy_perform(handle) == CURLE_OK;
-    if (open) {
-        pollfd connection{CURL_SOCKET_BAD, POLLIN, 0};
-        curl_easy_getinfo(handle, CURLINFO_ACTIVESOCKET, &connection.fd);
-        open = ::poll(&connection, 1, probe_milliseconds) == 0;
-    }
-    curl_easy_cleanup(handle);
-    return open;
+    return curl_transfer::accepts_connections(server);
 }
 
 std::unique_ptr<curl_transfer> curl_http_client::borrow(const network_endpoint& server)
--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <string_view>
@@ -17,6 +18,8 @@
 /** Finds a connection that went silent while a long watch waits on it. */
 constexpr long keepalive_seconds = 1;
 constexpr unsigned unacknowledged_milliseconds = 1500;
+/** A process that ends resets the connections that its listener has not accepted. */
+constexpr int probe_milliseconds = 50;
 constexpr int max_wait_milliseconds = 60'000;
 
 std::string_view trim(std::string_view text)
@@ -60,6 +63,25 @@
     return conclude(result);
 }
 
+bool curl_transfer::accepts_connections(const network_endpoint& server)
+{
+    auto* handle = curl_easy_init();
+    const auto url = "http://" + to_string(server);
+    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_CONNECT_ONLY, 1L);
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS, max_connect_milliseconds);
+    bool open = curl_easy_perform(handle) == CURLE_OK;
+    if (open) {
+        pollfd connection{CURL_SOCKET_BAD, POLLIN, 0};
+        curl_easy_getinfo(handle, CURLINFO_ACTIVESOCKET, &connection.fd);
+        open = ::poll(&connection, 1, probe_milliseconds) == 0;
+    }
+    curl_easy_cleanup(handle);
+    return open;
+}
+
 CURLcode curl_transfer::run(cancellation& stop)
 {
     stop.set_wake([this] { curl_multi_wakeup(multi_); });
--- a/src/savorywheel/http/curl_transfer.hpp
+++ b/src/savorywheel/http/curl_transfer.hpp
@@ -32,6 +32,9 @@
                                                  std::chrono::milliseconds timeout,
                                                  cancellation& stop);
 
+    /** @copydoc http_client::accepts_connections */
+    [[nodiscard]] static bool accepts_connections(const network_endpoint& server);
+
 private:
     /** Drives the transfer until it ends or is cancelled; waits on its sockets between steps. */
     [[nodiscard]] CURLcode run(cancellation& stop);
--- a/src/savorywheel/rollout/case_file.cpp
+++ b/src/savorywheel/rollout/case_file.cpp
@@ -51,9 +51,8 @@
 std::vector<std::vector<route_evidence>> case_file::inherit(const rollout_move& move,
                                                             const move_case& earlier)
 {
-    const auto theirs = new_calls(move, earlier.evidence);
     if (earlier.asked_at != move.asked_at ||
-        new_calls(move, sums_.all()) * overlap_divisor >= theirs) {
+        new_calls(move, sums_.all()) * overlap_divisor >= new_calls(move, earlier.evidence)) {
         return {};
     }
     add(earlier.evidence);
--- a/src/savorywheel/routing/weighted_choice.cpp
+++ b/src/savorywheel/routing/weighted_choice.cpp
@@ -1,6 +1,5 @@
 #include <savorywheel/routing/weighted_choice.hpp>
-
-#include <vector>
+#include <savorywheel/routing/weighted_draw.hpp>
 
 namespace savorywheel {
 
@@ -23,25 +22,13 @@
     if (weights.empty()) {
         return choose_any(routes, random);
     }
-    std::vector<const version_weight*> candidates;
-    std::uint64_t sum = 0;
-    for (const auto& weight : weights) {
-        if (weight.permille > 0 && routes.has_endpoint(weight.version)) {
-            candidates.push_back(&weight);
-            sum += weight.permille;
-        }
-    }
-    if (candidates.empty()) {
-        return std::nullopt;
-    }
-    auto draw = random.below(sum);
-    for (const auto* weight : candidates) {
-        if (draw < weight->permille) {
-            return weight->version;
-        }
-        draw -= weight->permille;
-    }
-    return candidates.back()->version;
+    const auto* drawn = draw_by_weight(
+        weights,
+        [&routes](const version_weight& weight) {
+            return routes.has_endpoint(weight.version) ? weight.permille : 0;
+        },
+        random);
+    return drawn == nullptr ? std::nullopt : std::optional{drawn->version};
 }
 
 } // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/routing/weighted_draw.hpp
@@ -0,0 +1,42 @@
+#ifndef SAVORYWHEEL_ROUTING_WEIGHTED_DRAW_HPP
+#define SAVORYWHEEL_ROUTING_WEIGHTED_DRAW_HPP
+
+#include <savorywheel/core/random_source.hpp>
+
+#include <cstdint>
+#include <span>
+
+namespace savorywheel {
+
+/**
+ * @brief Draws an item, each as often as its weight says.
+ * @param items Items.
+ * @param weight_of Gives the weight of an item; must give the same one each time.
+ * @param random Random numbers.
+ * @return The item; nullptr if none has a weight.
+ */
+template<typename Item, typename Weight>
+[[nodiscard]] const Item* draw_by_weight(std::span<const Item> items, Weight weight_of,
+                                         random_source& random)
+{
+    std::uint64_t sum = 0;
+    for (const auto& item : items) {
+        sum += weight_of(item);
+    }
+    if (sum == 0) {
+        return nullptr;
+    }
+    auto draw = random.below(sum);
+    for (const auto& item : items) {
+        const std::uint64_t weight = weight_of(item);
+        if (draw < weight) {
+            return &item;
+        }
+        draw -= weight;
+    }
+    return nullptr;
+}
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/traffic/backend_runner.cpp
+++ b/src/savorywheel/traffic/backend_runner.cpp
@@ -44,7 +44,7 @@
 {
     switch (environment_.dialect.judge(request, answer)) {
     case answer_verdict::whole:
-        return {call_result::answered, call_refusal::none, {}, std::move(answer), true, {}};
+        return {call_result::answered, call_refusal::none, {}, std::move(answer), true};
     case answer_verdict::not_run: {
         auto refusal = call_response::not_run(call_refusal::overload,
                                               "the backend server has not run the request");
--- a/src/savorywheel/traffic/call_response.hpp
+++ b/src/savorywheel/traffic/call_response.hpp
@@ -33,15 +33,13 @@
     /** @return A call that was not run. */
     [[nodiscard]] static call_response not_run(call_refusal refusal, std::string reason)
     {
-        return {call_result::not_run, refusal,     std::move(reason), {}, false,
-                std::nullopt,         std::nullopt};
+        return {call_result::not_run, refusal, std::move(reason), {}};
     }
 
     /** @return A call that may have been run. */
     [[nodiscard]] static call_response unknown(std::string reason)
     {
-        return {call_result::unknown, call_refusal::none, std::move(reason), {}, true,
-                std::nullopt,         std::nullopt};
+        return {call_result::unknown, call_refusal::none, std::move(reason), {}, true};
     }
 };
 
--- a/src/savorywheel/traffic/caller_terms.hpp
+++ b/src/savorywheel/traffic/caller_terms.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace savorywheel {
 
@@ -15,6 +16,14 @@
     std::optional<std::chrono::milliseconds> patience;
 };
 
+/**
+ * @brief Reads how long a caller waits.
+ * @param text Whole milliseconds.
+ * @return Nothing if it is no number above zero.
+ */
+[[nodiscard]] std::optional<std::chrono::milliseconds>
+read_patience(std::string_view text) noexcept;
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/traffic/plain_caller_dialect.cpp
+++ b/src/savorywheel/traffic/plain_caller_dialect.cpp
@@ -1,19 +1,12 @@
 #include <savorywheel/traffic/plain_caller_dialect.hpp>
 #include <savorywheel/traffic/plain_headers.hpp>
 
-#include <charconv>
-
 namespace savorywheel {
 
 caller_terms plain_caller_dialect::read(const http_request& request) const
 {
-    const auto text = find_header(request.headers, plain_deadline_header);
-    std::int64_t asked{};
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), asked);
     caller_terms terms;
-    if (error == std::errc{} && end == text.data() + text.size() && asked > 0) {
-        terms.patience = std::chrono::milliseconds{asked};
-    }
+    terms.patience = read_patience(find_header(request.headers, plain_deadline_header));
     return terms;
 }
 
