--- a/platform/json_fields.cpp
+++ b/src/savorywheel/encoding/json_fields.cpp
@@ -1,8 +1,6 @@
-#include <platform/json_fields.hpp>
+#include <savorywheel/encoding/json_fields.hpp>
 
-#include <cstdlib>
-
-namespace savorywheel::platform {
+namespace savorywheel {
 
 namespace {
 
@@ -44,23 +42,6 @@
     return value->get<std::uint64_t>();
 }
 
-std::optional<std::chrono::milliseconds> time_field(const json& object, const char* key)
-{
-    const auto text = text_field(object, key);
-    if (!text) {
-        return std::nullopt;
-    }
-    char* unit = nullptr;
-    const double number = std::strtod(text->c_str(), &unit);
-    const std::string_view name{unit};
-    if (unit == text->c_str() || number < 0 || (name != "ms" && name != "s")) {
-        return std::nullopt;
-    }
-    using fractional = std::chrono::duration<double>;
-    const auto length = name == "s" ? fractional{number} : fractional{number / std::milli::den};
-    return std::chrono::round<std::chrono::milliseconds>(length);
-}
-
 const json* list_field(const json& object, const char* key)
 {
     const auto* value = find(object, key);
@@ -73,4 +54,4 @@
     return value != nullptr && value->is_object() ? value : nullptr;
 }
 
-} // namespace savorywheel::platform
+} // namespace savorywheel
--- a/platform/json_fields.hpp
+++ b/src/savorywheel/encoding/json_fields.hpp
@@ -1,15 +1,14 @@
-#ifndef SAVORYWHEEL_PLATFORM_JSON_FIELDS_HPP
-#define SAVORYWHEEL_PLATFORM_JSON_FIELDS_HPP
+#ifndef SAVORYWHEEL_ENCODING_JSON_FIELDS_HPP
+#define SAVORYWHEEL_ENCODING_JSON_FIELDS_HPP
 
 #include <nlohmann/json.hpp>
 
-#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace savorywheel::platform {
+namespace savorywheel {
 
 /** @brief A JSON value of any type. */
 using json = nlohmann::json;
@@ -23,16 +22,12 @@
 /** @return The whole number under a key; nothing if there is none, or a value of another type. */
 [[nodiscard]] std::optional<std::uint64_t> number_field(const json& object, const char* key);
 
-/** @return The time under a key, such as "1500ms" or "2.5s"; nothing if there is none. */
-[[nodiscard]] std::optional<std::chrono::milliseconds> time_field(const json& object,
-                                                                  const char* key);
-
 /** @return The list under a key; nullptr if there is none. */
 [[nodiscard]] const json* list_field(const json& object, const char* key);
 
 /** @return The object under a key; nullptr if there is none. */
 [[nodiscard]] const json* object_field(const json& object, const char* key);
 
-} // namespace savorywheel::platform
+} // namespace savorywheel
 
 #endif
--- a/test/platform/store_standin.hpp
+++ b/test/platform/store_standin.hpp
@@ -1,9 +1,9 @@
 #ifndef SAVORYWHEEL_TEST_PLATFORM_STORE_STANDIN_HPP
 #define SAVORYWHEEL_TEST_PLATFORM_STORE_STANDIN_HPP
 
+#include <savorywheel/encoding/json_fields.hpp>
 #include <savorywheel/http/http_client.hpp>
 
-#include <platform/json_fields.hpp>
 #include <standin/platform/object_table.hpp>
 
 #include <deque>
