Split the ordered log's part from the control plane

Change: log_plane holds the copy of the ordered log, floors and the relay, as document_plane holds the operators' objects; the control plane starts one of them. Ruled out: constructing only the one that is used, since the router sends the log's frames to it.

--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -1,4 +1,3 @@
-#include <savorywheel/distribution/commit_reader.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/control_query.hpp>
 #include <savorywheel/node/domain_survey.hpp>
@@ -20,13 +19,6 @@
 constexpr std::size_t max_peer_bytes = 64UL * 1024UL * 1024UL;
 constexpr std::chrono::milliseconds survey_patience{1000};
 
-/** Tells whether the node was given no other peer to join through. */
-bool is_alone(const node_settings& settings)
-{
-    return std::ranges::all_of(settings.seeds,
-                               [&](const auto& seed) { return seed == settings.peer; });
-}
-
 event_id event_of(member_status status)
 {
     switch (status) {
@@ -50,11 +42,12 @@
           [this]() -> const member_table& { return membership_.agent().table(); }}},
       membership_{make_node_record(settings, surroundings.loop.time()), settings.seeds,
                   membership_environment()},
-      distributor_{settings.name, settings.domain, distribution_environment()},
-      floors_{is_alone(settings), floor_environment()}, relay_{settings_, relay_environment()},
-      backend_{backend_monitor::environment{surroundings.loop, surroundings.log,
-                                            settings.backend_timeout},
-               [this](const auto& backend) { on_backend(backend); }},
+      ordered_log_{settings_, log_environment()}, backend_{backend_monitor::environment{
+                                                               surroundings.loop, surroundings.log,
+                                                               settings.backend_timeout},
+                                                           [this](const auto& backend) {
+                                                               on_backend(backend);
+                                                           }},
       appender_{make_appender()}, rollouts_{make_node_lease(settings), rollout_environment()},
       heads_{surroundings.tables, surroundings.network, surroundings.requests},
       documents_{make_documents()}
@@ -72,47 +65,25 @@
             *this};
 }
 
-distributor::environment control_plane::distribution_environment()
-{
-    return {environment_.loop,
-            quota_,
-            environment_.random,
-            environment_.network,
-            environment_.requests,
-            *this,
-            [this]() -> const member_table& { return membership_.agent().table(); }};
-}
-
-floor_service::environment control_plane::floor_environment()
+log_plane::environment control_plane::log_environment()
 {
     return {environment_.loop,
             quota_,
-            environment_.random,
-            environment_.network,
-            environment_.requests,
-            *this,
-            [this]() -> const member_table& { return membership_.agent().table(); },
-            [this]() -> const member_record& { return membership_.agent().self(); },
-            [this] { return membership_.agent().joined(); },
-            [this](const node_id& member, config_version version) {
-                if (const auto* known = membership_.agent().table().find(member)) {
-                    distributor_.peer_has(known->update.record.peer, version);
-                }
-            },
-            [this] { read_store(); }};
-}
-
-relay_role::environment control_plane::relay_environment()
-{
-    return {environment_.loop,
             environment_.random,
             environment_.store,
             environment_.worker,
+            environment_.network,
+            environment_.requests,
             environment_.log,
-            [this]() -> const member_record& { return membership_.agent().self(); },
-            [this]() -> const member_table& { return membership_.agent().table(); },
-            [this]() -> const commit_log& { return distributor_.log(); },
-            [this](const log_tail& tail) { take_tail(tail); }};
+            membership_.agent(),
+            [this](const mesh_state& state) {
+                rollouts_.on_configuration(state);
+                membership_.agent().set_head(state.version());
+            },
+            [this](const mesh_state& state) { publisher_.on_configuration(state); },
+            [this](const log_tail& tail, const std::deque<commit>& accepted) {
+                rollouts_.on_rewritten(tail.rewritten, accepted);
+            }};
 }
 
 rollout_service::environment control_plane::rollout_environment()
@@ -160,8 +131,7 @@
         documents_->start();
     }
     else {
-        floors_.keeper().start();
-        relay_.start();
+        ordered_log_.start();
     }
     rollouts_.start();
 }
@@ -172,8 +142,7 @@
         documents_->stop();
     }
     else {
-        floors_.keeper().stop();
-        relay_.stop();
+        ordered_log_.stop();
     }
     rollouts_.stop();
     membership_.agent().leave();
@@ -193,12 +162,7 @@
         node_state_dump state;
         state.node = settings_.name;
         state.domain = settings_.domain;
-        state.version = floors_.keeper().usable();
-        state.known_version = distributor_.log().state().version();
-        state.floor = floors_.keeper().floor();
-        state.floor_known = floors_.keeper().settled();
-        state.store_reachable = relay_.store_reachable();
-        state.relay = relay_.held();
+        ordered_log_.describe(state);
         state.running = environment_.backend_gate.running();
         state.waiting = environment_.backend_gate.waiting();
         state.members = membership_.agent().table().all();
@@ -209,13 +173,13 @@
 outcome<mesh_state> control_plane::configuration()
 {
     return query_control<mesh_state>(environment_.loop,
-                                     [this] { return distributor_.log().state(); });
+                                     [this] { return ordered_log_.log().state(); });
 }
 
 outcome<std::deque<commit>> control_plane::history()
 {
     return query_control<std::deque<commit>>(environment_.loop,
-                                             [this] { return distributor_.log().commits(); });
+                                             [this] { return ordered_log_.log().commits(); });
 }
 
 outcome<std::vector<domain_status>> control_plane::domains()
@@ -275,83 +239,12 @@
         documents_->on_head_seen(peer, head);
         return;
     }
-    distributor_.peer_has(peer, head);
+    ordered_log_.distribution().peer_has(peer, head);
 }
 
 void control_plane::committed(const commit& change)
 {
-    environment_.loop.post([this, change] {
-        distributor_.take_from_store({std::nullopt, {change}, false});
-    });
-}
-
-void control_plane::on_configuration(const mesh_state& state)
-{
-    rollouts_.on_configuration(state);
-    membership_.agent().set_head(state.version());
-    accepted_.insert_or_assign(state.version(), state);
-    std::erase_if(accepted_, [this, &state](const auto& item) {
-        return item.first != state.version() && item.first != floors_.keeper().putting();
-    });
-    floors_.keeper().on_log_version(state.version());
-    relay_.on_advanced();
-}
-
-void control_plane::on_bad_commit(const failure& reason)
-{
-    relay_.on_bad_commit(reason);
-}
-
-void control_plane::on_floor_settled(config_version floor)
-{
-    environment_.log.write(event_id::floor_known, fmt::format("version {}", floor.number));
-}
-
-void control_plane::on_version_usable(config_version version)
-{
-    const auto found = accepted_.find(version);
-    if (found == accepted_.end()) {
-        return;
-    }
-    publisher_.on_configuration(found->second);
-    accepted_.erase(accepted_.begin(), found);
-    environment_.log.write(event_id::configuration_in_force,
-                           fmt::format("version {}", version.number));
-}
-
-void control_plane::on_floor_delayed(config_version version)
-{
-    environment_.log.write(event_id::floor_delayed, fmt::format("version {}", version.number));
-}
-
-void control_plane::on_floor_skipped(config_version version)
-{
-    environment_.log.write(event_id::floor_skipped, fmt::format("version {}", version.number));
-}
-
-void control_plane::read_store()
-{
-    environment_.worker.submit(
-        [this, after = distributor_.log().state().version()](object_store& store) {
-            auto tail = commit_reader{store}.read_after(after);
-            environment_.loop.post([this, item = std::move(tail)] {
-                relay_.on_store_health(static_cast<bool>(item));
-                if (item) {
-                    distributor_.take_quietly(item->batch);
-                    floors_.keeper().on_store_head(item->head);
-                }
-            });
-        });
-}
-
-void control_plane::take_tail(const log_tail& tail)
-{
-    distributor_.take_from_store(tail.batch);
-    rollouts_.on_rewritten(tail.rewritten, distributor_.log().commits());
-    if (tail.fault) {
-        relay_.on_bad_commit(*tail.fault);
-    }
-    floors_.keeper().on_store_head(tail.head);
+    environment_.loop.post([this, change] { ordered_log_.take_committed(change); });
 }
 
 void control_plane::on_backend(const std::optional<backend_server>& backend)
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -4,15 +4,13 @@
 #include <savorywheel/admin/node_view.hpp>
 #include <savorywheel/core/control_loop.hpp>
 #include <savorywheel/core/event_quota.hpp>
-#include <savorywheel/distribution/distributor.hpp>
-#include <savorywheel/distribution/floor_service.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/backend_monitor.hpp>
 #include <savorywheel/node/document_plane.hpp>
 #include <savorywheel/node/head_service.hpp>
+#include <savorywheel/node/log_plane.hpp>
 #include <savorywheel/node/membership_service.hpp>
-#include <savorywheel/node/relay_role.hpp>
 #include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/node/table_publisher.hpp>
 #include <savorywheel/rollout/commit_appender.hpp>
@@ -20,17 +18,13 @@
 #include <savorywheel/traffic/gate.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
-#include <map>
 #include <memory>
 #include <optional>
 
 namespace savorywheel {
 
 /** @brief The control state of a node, which belongs to the control thread. */
-class control_plane final : public node_view,
-                            public membership_listener,
-                            public configuration_listener,
-                            public floor_listener {
+class control_plane final : public node_view, public membership_listener {
 public:
     /** @brief What the control plane works with; all must outlive it. */
     struct environment {
@@ -90,10 +84,10 @@
     [[nodiscard]] membership_service& membership() noexcept { return membership_; }
 
     /** @return Distribution, for the network's threads. */
-    [[nodiscard]] distributor& distribution() noexcept { return distributor_; }
+    [[nodiscard]] distributor& distribution() noexcept { return ordered_log_.distribution(); }
 
     /** @return Floors, for the network's threads. */
-    [[nodiscard]] floor_service& floors() noexcept { return floors_; }
+    [[nodiscard]] floor_service& floors() noexcept { return ordered_log_.floors(); }
 
     /** @return Moves of traffic, for the network's threads. */
     [[nodiscard]] rollout_service& rollouts() noexcept { return rollouts_; }
@@ -115,25 +109,14 @@
     void on_member_changed(const member_update& update) override;
     void on_head_seen(const network_endpoint& peer, config_version head) override;
     void committed(const commit& change) override;
-    void on_configuration(const mesh_state& state) override;
-    void on_bad_commit(const failure& reason) override;
-    void on_floor_settled(config_version floor) override;
-    void on_version_usable(config_version version) override;
-    void on_floor_delayed(config_version version) override;
-    void on_floor_skipped(config_version version) override;
 
 private:
     [[nodiscard]] membership_service::environment membership_environment();
-    [[nodiscard]] distributor::environment distribution_environment();
-    [[nodiscard]] floor_service::environment floor_environment();
-    [[nodiscard]] relay_role::environment relay_environment();
+    [[nodiscard]] log_plane::environment log_environment();
     [[nodiscard]] std::unique_ptr<document_plane> make_documents();
     [[nodiscard]] std::unique_ptr<commit_appender> make_appender();
     [[nodiscard]] rollout_service::environment rollout_environment();
     void route_by(const mesh_state& state);
-    /** Reads the log in the store, so that this node learns its floor without buddies. */
-    void read_store();
-    void take_tail(const log_tail& tail);
     void on_backend(const std::optional<backend_server>& backend);
 
     node_settings settings_;
@@ -143,15 +126,12 @@
     bool started_{};
     table_publisher publisher_;
     membership_service membership_;
-    distributor distributor_;
-    floor_service floors_;
-    relay_role relay_;
+    log_plane ordered_log_;
     backend_monitor backend_;
     std::unique_ptr<commit_appender> appender_;
     rollout_service rollouts_;
     head_service heads_;
     std::unique_ptr<document_plane> documents_;
-    std::map<config_version, mesh_state> accepted_;
 };
 
 } // namespace savorywheel
