Share the fixtures of new tests

Cause: the tests of leases and of the list of nodes had the same loop, worker and passing of time; those of the watch for silence, the gate and the proxy repeated their set-up. Change: test/support/control_world, a fixture for the watch, controlled_gate::fill and one maker of tables.

--- a/test/platform/member_directory_test.cpp
+++ b/test/platform/member_directory_test.cpp
@@ -1,20 +1,16 @@
-#include <savorywheel/core/control_loop.hpp>
-#include <savorywheel/core/seeded_random.hpp>
 #include <savorywheel/node/member_directory.hpp>
 
 #include <gtest/gtest.h>
 #include <platform/object_api_store.hpp>
 #include <platform/store_standin.hpp>
-#include <support/manual_clock.hpp>
+#include <support/control_world.hpp>
 #include <support/recording_event_log.hpp>
 
-#include <future>
-
 namespace savorywheel::platform::test {
 
 namespace {
 
-using savorywheel::test::manual_clock;
+using savorywheel::test::control_world;
 using savorywheel::test::recording_event_log;
 using std::chrono::milliseconds;
 
@@ -31,38 +27,18 @@
 protected:
     member_directory make_directory(const member_record& self)
     {
-        return {self, member_directory::environment{
-                          loop_, worker_, random_, log_, [this] { return !found_.empty(); },
-                          [this](std::span<const network_endpoint> peers) {
-                              found_.assign(peers.begin(), peers.end());
-                          }}};
-    }
-
-    void pass(milliseconds length)
-    {
-        constexpr milliseconds step{100};
-        for (milliseconds passed{}; passed < length; passed += step) {
-            time_.advance(step);
-            loop_.run_pending();
-            finish_store_calls();
-            loop_.run_pending();
-        }
-    }
-
-    void finish_store_calls()
-    {
-        std::promise<void> done;
-        worker_.submit([&done](object_store& /*store*/) { done.set_value(); });
-        done.get_future().wait();
+        return {self,
+                member_directory::environment{world_.loop(), world_.worker(), world_.random(), log_,
+                                              [this] { return !found_.empty(); },
+                                              [this](std::span<const network_endpoint> peers) {
+                                                  found_.assign(peers.begin(), peers.end());
+                                              }}};
     }
 
-    manual_clock time_;
-    control_loop loop_{time_};
-    seeded_random random_{1};
     recording_event_log log_;
     store_standin standin_;
     object_api_store store_{standin_, network_endpoint{"127.0.0.1", 1}};
-    store_worker worker_{store_};
+    control_world world_{store_};
     std::vector<network_endpoint> found_;
 };
 
@@ -72,11 +48,11 @@
 {
     auto first = make_directory(make_record("a", 1001));
     first.start();
-    pass(milliseconds{100});
+    world_.pass(milliseconds{100});
     EXPECT_TRUE(found_.empty());
     auto second = make_directory(make_record("b", 1002));
     second.start();
-    pass(milliseconds{100});
+    world_.pass(milliseconds{100});
     ASSERT_EQ(found_.size(), 1U);
     EXPECT_EQ(found_.front().port, 1001);
 }
@@ -86,9 +62,9 @@
     standin_.fail_next(std::vector<store_fault>(2, store_fault::refused));
     auto subject = make_directory(make_record("a", 1001));
     subject.start();
-    pass(milliseconds{100});
+    world_.pass(milliseconds{100});
     EXPECT_EQ(log_.count(event_id::directory_unreachable), 1U);
-    pass(milliseconds{2000});
+    world_.pass(milliseconds{2000});
     EXPECT_TRUE(store_.get("nodes/a"));
 }
 
@@ -97,7 +73,7 @@
     standin_.fail_next({store_fault::lost_answer});
     auto subject = make_directory(make_record("a", 1001));
     subject.start();
-    pass(milliseconds{2000});
+    world_.pass(milliseconds{2000});
     EXPECT_TRUE(store_.get("nodes/a"));
 }
 
@@ -106,10 +82,10 @@
     standin_.put("nodes", "x", {{"spec", "no record"}});
     auto other = make_directory(make_record("b", 1002));
     other.start();
-    pass(milliseconds{100});
+    world_.pass(milliseconds{100});
     auto subject = make_directory(make_record("a", 1001));
     subject.start();
-    pass(milliseconds{100});
+    world_.pass(milliseconds{100});
     EXPECT_EQ(found_.size(), 1U);
     EXPECT_GE(log_.count(event_id::directory_entry_unreadable), 1U);
 }
@@ -118,14 +94,14 @@
 {
     auto subject = make_directory(make_record("a", 1001));
     subject.start();
-    pass(milliseconds{100});
+    world_.pass(milliseconds{100});
     subject.stop();
-    finish_store_calls();
+    world_.finish_store_calls();
     EXPECT_EQ(store_.get("nodes/a").reason().code, failure_code::not_found);
     const auto before = log_.count(event_id::directory_unreachable);
     standin_.fail_next({store_fault::too_many});
     subject.stop();
-    finish_store_calls();
+    world_.finish_store_calls();
     EXPECT_EQ(log_.count(event_id::directory_unreachable), before + 1);
 }
 
--- a/test/savorywheel/traffic/gate_test.cpp
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -57,6 +57,16 @@
         submit(id, remaining, to_peer_time(time.now() + remaining));
     }
 
+    /** Submits a call for each slot, some time after the start; false if they do not all run. */
+    [[nodiscard]] bool fill(std::uint32_t slots, milliseconds remaining)
+    {
+        time.advance(milliseconds{5000});
+        for (std::uint64_t id = 1; id <= slots; ++id) {
+            submit(id, remaining);
+        }
+        return wait_until([this, slots] { return client.started().size() == slots; });
+    }
+
     manual_clock time;
     blocking_http_client client;
     std::shared_ptr<recording_sink> sink = std::make_shared<recording_sink>();
@@ -90,11 +100,7 @@
     constexpr std::uint32_t slots = 3;
     constexpr milliseconds allowed{10'000};
     controlled_gate mesh{slots};
-    mesh.time.advance(milliseconds{5000});
-    for (std::uint64_t id = 1; id <= slots; ++id) {
-        mesh.submit(id, allowed);
-    }
-    ASSERT_TRUE(wait_until([&mesh] { return mesh.client.started().size() == slots; }));
+    ASSERT_TRUE(mesh.fill(slots, allowed));
     mesh.time.advance(milliseconds{2000});
     mesh.submit(4, allowed);
     ASSERT_TRUE(wait_until([&mesh] { return mesh.sink->response(4).has_value(); }));
@@ -112,11 +118,7 @@
     constexpr std::uint32_t slots = 3;
     constexpr milliseconds allowed{10'000};
     controlled_gate mesh{slots};
-    mesh.time.advance(milliseconds{5000});
-    for (std::uint64_t id = 1; id <= slots; ++id) {
-        mesh.submit(id, allowed);
-    }
-    ASSERT_TRUE(wait_until([&mesh] { return mesh.client.started().size() == slots; }));
+    ASSERT_TRUE(mesh.fill(slots, allowed));
     mesh.subject.set_backend(std::nullopt);
     mesh.time.advance(milliseconds{2000});
     mesh.submit(4, allowed);
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -39,25 +39,43 @@
     manual_clock& time_;
 };
 
-std::shared_ptr<const routing_table> make_table(bool idempotent, std::size_t endpoints)
+/** Adds backend servers of a version. */
+void add_endpoints(service_routes& routes, const version_name& version, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        route_endpoint endpoint;
+        endpoint.node = node_id{version.str() + std::to_string(i)};
+        endpoint.version = version;
+        endpoint.slots = 12;
+        routes.endpoints.push_back(std::move(endpoint));
+    }
+}
+
+std::shared_ptr<service_state> make_service(const version_name& version, bool idempotent)
 {
     auto state = std::make_shared<service_state>();
     state->spec.name = service_name{"bookdesk"};
     state->spec.routes = {{"/", idempotent, std::chrono::milliseconds{1000}, {}}};
-    state->weights = {{version_name{"v1"}, weight_sum_permille}};
+    state->weights = {{version, weight_sum_permille}};
+    return state;
+}
+
+std::shared_ptr<const routing_table> make_table(const std::shared_ptr<service_routes>& routes)
+{
+    const auto& name = routes->state->spec.name;
+    const auto hosts =
+        std::make_shared<const host_table>(mesh_state::service_map{{name, routes->state}});
+    return std::make_shared<const routing_table>(config_version{1},
+                                                 routing_table::route_map{{name, routes}}, hosts);
+}
+
+std::shared_ptr<const routing_table> make_table(bool idempotent, std::size_t endpoints)
+{
+    const version_name version{"v1"};
     auto routes = std::make_shared<service_routes>();
-    routes->state = state;
-    for (std::size_t i = 0; i < endpoints; ++i) {
-        route_endpoint endpoint;
-        endpoint.node = node_id{"n" + std::to_string(i)};
-        endpoint.version = version_name{"v1"};
-        endpoint.slots = 12;
-        routes->endpoints.push_back(std::move(endpoint));
-    }
-    const auto hosts = std::make_shared<const host_table>(
-        mesh_state::service_map{{service_name{"bookdesk"}, state}});
-    return std::make_shared<const routing_table>(
-        config_version{1}, routing_table::route_map{{service_name{"bookdesk"}, routes}}, hosts);
+    routes->state = make_service(version, idempotent);
+    add_endpoints(*routes, version, endpoints);
+    return make_table(routes);
 }
 
 /** A proxy of one node, with all that it works with. */
@@ -128,12 +146,10 @@
 /** A service with three backend servers of each of two versions, of which the new one gets all. */
 std::shared_ptr<const routing_table> make_moving_table(bool in_progress)
 {
+    constexpr std::size_t servers = 3;
     const version_name old_version{"v1"};
     const version_name new_version{"v2"};
-    auto state = std::make_shared<service_state>();
-    state->spec.name = service_name{"bookdesk"};
-    state->spec.routes = {{"/", false, std::chrono::milliseconds{1000}, {}}};
-    state->weights = {{new_version, weight_sum_permille}};
+    const auto state = make_service(new_version, false);
     if (in_progress) {
         rollout_move move;
         move.from = {{old_version, weight_sum_permille}};
@@ -142,19 +158,9 @@
     }
     auto routes = std::make_shared<service_routes>();
     routes->state = state;
-    for (const auto& version : {old_version, new_version}) {
-        for (int i = 0; i < 3; ++i) {
-            route_endpoint endpoint;
-            endpoint.node = node_id{version.str() + std::to_string(i)};
-            endpoint.version = version;
-            endpoint.slots = 12;
-            routes->endpoints.push_back(std::move(endpoint));
-        }
-    }
-    const auto hosts = std::make_shared<const host_table>(
-        mesh_state::service_map{{service_name{"bookdesk"}, state}});
-    return std::make_shared<const routing_table>(
-        config_version{1}, routing_table::route_map{{service_name{"bookdesk"}, routes}}, hosts);
+    add_endpoints(*routes, old_version, servers);
+    add_endpoints(*routes, new_version, servers);
+    return make_table(routes);
 }
 
 /** One hop of a chain: its backend server passes each request on to the next hop's proxy. */
--- a/test/savorywheel/traffic/silence_watch_test.cpp
+++ b/test/savorywheel/traffic/silence_watch_test.cpp
@@ -13,57 +13,59 @@
 
 constexpr milliseconds service_time{100};
 
+/** A watch some time after the start, and calls that start then. */
+class silence_watch_test : public testing::Test {
+protected:
+    silence_watch_test() { time_.advance(std::chrono::seconds{10}); }
+
+    [[nodiscard]] std::vector<monotonic_time> calls(std::size_t count) const
+    {
+        return std::vector<monotonic_time>(count, time_.now());
+    }
+
+    manual_clock time_;
+    silence_watch subject_;
+};
+
 } // namespace
 
-TEST(silence_watch, finds_a_backend_server_that_answers_none_of_several_calls)
+TEST_F(silence_watch_test, finds_a_backend_server_that_answers_none_of_several_calls)
 {
-    manual_clock time;
-    time.advance(std::chrono::seconds{10});
-    silence_watch subject;
-    subject.answered(time.now());
-    const std::vector<monotonic_time> started(3, time.now());
-    time.advance(milliseconds{400});
-    EXPECT_FALSE(subject.look(started, service_time, time.now()));
-    time.advance(milliseconds{1});
-    EXPECT_TRUE(subject.look(started, service_time, time.now()));
+    subject_.answered(time_.now());
+    const auto started = calls(3);
+    time_.advance(milliseconds{400});
+    EXPECT_FALSE(subject_.look(started, service_time, time_.now()));
+    time_.advance(milliseconds{1});
+    EXPECT_TRUE(subject_.look(started, service_time, time_.now()));
 }
 
-TEST(silence_watch, a_slow_backend_server_that_answers_is_not_silent)
+TEST_F(silence_watch_test, a_slow_backend_server_that_answers_is_not_silent)
 {
-    manual_clock time;
-    time.advance(std::chrono::seconds{10});
-    silence_watch subject;
-    const std::vector<monotonic_time> started(8, time.now());
-    time.advance(milliseconds{900});
-    subject.answered(time.now());
-    time.advance(milliseconds{50});
-    EXPECT_FALSE(subject.look(started, service_time, time.now()));
+    const auto started = calls(8);
+    time_.advance(milliseconds{900});
+    subject_.answered(time_.now());
+    time_.advance(milliseconds{50});
+    EXPECT_FALSE(subject_.look(started, service_time, time_.now()));
 }
 
-TEST(silence_watch, one_long_call_is_no_silence)
+TEST_F(silence_watch_test, one_long_call_is_no_silence)
 {
-    manual_clock time;
-    time.advance(std::chrono::seconds{10});
-    silence_watch subject;
-    const std::vector<monotonic_time> started(2, time.now());
-    time.advance(std::chrono::seconds{2});
-    EXPECT_FALSE(subject.look(started, service_time, time.now()));
+    const auto started = calls(2);
+    time_.advance(std::chrono::seconds{2});
+    EXPECT_FALSE(subject_.look(started, service_time, time_.now()));
 }
 
-TEST(silence_watch, lets_one_call_through_each_period_until_an_answer_comes)
+TEST_F(silence_watch_test, lets_one_call_through_each_period_until_an_answer_comes)
 {
-    manual_clock time;
-    time.advance(std::chrono::seconds{10});
-    silence_watch subject;
-    const std::vector<monotonic_time> started(3, time.now());
-    time.advance(std::chrono::seconds{1});
-    ASSERT_TRUE(subject.look(started, service_time, time.now()));
-    EXPECT_FALSE(subject.take_probe(time.now()));
-    time.advance(milliseconds{500});
-    EXPECT_TRUE(subject.take_probe(time.now()));
-    EXPECT_FALSE(subject.take_probe(time.now()));
-    subject.answered(time.now());
-    EXPECT_FALSE(subject.silent());
+    const auto started = calls(3);
+    time_.advance(std::chrono::seconds{1});
+    ASSERT_TRUE(subject_.look(started, service_time, time_.now()));
+    EXPECT_FALSE(subject_.take_probe(time_.now()));
+    time_.advance(milliseconds{500});
+    EXPECT_TRUE(subject_.take_probe(time_.now()));
+    EXPECT_FALSE(subject_.take_probe(time_.now()));
+    subject_.answered(time_.now());
+    EXPECT_FALSE(subject_.silent());
 }
 
 } // namespace savorywheel::test
