Tell the mesh's own statuses apart in logs and metrics

Cause: nothing showed whether a 3xx or 4xx was the mesh's own. Change: rejections counted by cause; a 404's line has the host and the number of its routes beside the table's version; SW4012 for responses other than 2xx, with the request they name and whether they are signed, and counters by class; SW4013 and SW4014 for the HTTP server and its library. No decision changes.

--- a/src/savorywheel/explain/request_trace.cpp
+++ b/src/savorywheel/explain/request_trace.cpp
@@ -90,15 +90,18 @@
 std::string request_trace::describe_backend(std::string_view id) const
 {
     const auto* line = find_last(id, event_id::gate_no_response);
+    if (line == nullptr) {
+        line = find_last(id, event_id::gate_failure);
+    }
     if (line == nullptr) {
         line = find_last(id, event_id::gate_response);
     }
     if (line == nullptr) {
         return {};
     }
-    const auto result = line->event == event_id::gate_response
-                            ? fmt::format("status {}", line->field("status"))
-                            : std::string{line->field("detail")};
+    const auto result = line->event == event_id::gate_no_response
+                            ? std::string{line->field("detail")}
+                            : fmt::format("status {}", line->field("status"));
     return fmt::format(" At {} it waited {} ms and ran {} ms at backend server {}: {}.",
                        line->field("process"), line->field("waited_ms"), line->field("ran_ms"),
                        line->field("backend"), result);
--- a/src/savorywheel/http/fwd.hpp
+++ b/src/savorywheel/http/fwd.hpp
@@ -8,6 +8,7 @@
 class http_client;
 class http_handler;
 class http_server;
+class http_server_listener;
 struct http_header;
 struct http_request;
 struct http_response;
--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -4,20 +4,26 @@
 #include <savorywheel/http/http_status.hpp>
 
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <ulfius.h>
 
 #include <array>
 #include <atomic>
 #include <charconv>
+#include <cstdarg>
+#include <cstdio>
 #include <string>
+#include <string_view>
 
 namespace savorywheel {
 
 namespace {
 
 constexpr unsigned port_bits = 16;
-constexpr unsigned server_flags =
-    MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_AUTO;
+constexpr unsigned server_flags = MHD_USE_ERROR_LOG | MHD_USE_THREAD_PER_CONNECTION |
+                                  MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_AUTO;
+
+constexpr std::size_t max_message_bytes = 512;
 
 /** Undecoded target of the request that the thread of this connection reads. */
 thread_local std::string raw_target;
@@ -28,6 +34,21 @@
     return ulfius_uri_logger(self, target);
 }
 
+/** The library's messages end with a line feed. */
+void on_library_message(void* listener, const char* format, va_list values)
+{
+    std::array<char, max_message_bytes> buffer{};
+    if (listener == nullptr) {
+        return;
+    }
+    if (std::vsnprintf(buffer.data(), buffer.size(), format, values) <= 0) {
+        return;
+    }
+    std::string_view message{buffer.data()};
+    message = message.substr(0, message.find('\n'));
+    static_cast<http_server_listener*>(listener)->on_library_error(message);
+}
+
 connection_table::key key_of(const sockaddr& address)
 {
     const auto& caller = reinterpret_cast<const sockaddr_in&>(address);
@@ -104,7 +125,10 @@
 /** Keeps the ulfius types out of the header. */
 class http_server::impl {
 public:
-    impl(http_handler& handler, http_server_limits limits) : handler_{handler}, limits_{limits} {}
+    impl(http_handler& handler, http_server_limits limits, http_server_listener* listener)
+        : handler_{handler}, limits_{limits}, listener_{listener}
+    {
+    }
 
     outcome<bool> start(const network_endpoint& local)
     {
@@ -149,7 +173,10 @@
         const auto to_option_value = [](auto* pointer) {
             return reinterpret_cast<intptr_t>(pointer);
         };
+        // The option for messages comes first, so that it applies to errors in the others.
         std::array options{
+            MHD_OptionItem{MHD_OPTION_EXTERNAL_LOGGER, to_option_value(&on_library_message),
+                           listener_},
             MHD_OptionItem{MHD_OPTION_NOTIFY_COMPLETED, to_option_value(&mhd_request_completed),
                            nullptr},
             MHD_OptionItem{MHD_OPTION_URI_LOG_CALLBACK, to_option_value(&on_target), nullptr},
@@ -185,6 +212,7 @@
         connections_.adjust_request_count(1);
         const auto request = make_request(source);
         if (request.body.size() > limits_.max_body_bytes || !body_complete(request)) {
+            report_rejection(request);
             write_response(target, {status_payload_too_large, {}, "request body too large\n"},
                            closing_);
         }
@@ -195,6 +223,17 @@
         return U_CALLBACK_COMPLETE;
     }
 
+    void report_rejection(const http_request& request)
+    {
+        if (listener_ != nullptr) {
+            listener_->on_rejected(
+                status_payload_too_large, request.target,
+                fmt::format("{} bytes of the body received, announced {}, allowed {}",
+                            request.body.size(), find_header(request.headers, "Content-Length"),
+                            limits_.max_body_bytes));
+        }
+    }
+
     [[nodiscard]] http_response handle(const http_request& request, connection_table::key caller)
     {
         cancellation cancel_signal;
@@ -210,6 +249,7 @@
 
     http_handler& handler_;
     http_server_limits limits_;
+    http_server_listener* listener_;
     _u_instance instance_{};
     bool initialized_{};
     bool running_{};
@@ -218,8 +258,9 @@
     hangup_watcher hangup_watcher_;
 };
 
-http_server::http_server(http_handler& handler, http_server_limits limits)
-    : impl_{std::make_unique<impl>(handler, limits)}
+http_server::http_server(http_handler& handler, http_server_limits limits,
+                         http_server_listener* listener)
+    : impl_{std::make_unique<impl>(handler, limits, listener)}
 {
 }
 
--- a/src/savorywheel/http/http_server.hpp
+++ b/src/savorywheel/http/http_server.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/core/outcome.hpp>
 #include <savorywheel/http/http_handler.hpp>
 #include <savorywheel/http/http_server_limits.hpp>
+#include <savorywheel/http/http_server_listener.hpp>
 
 #include <memory>
 
@@ -15,8 +16,11 @@
 public:
     /**
      * @param handler Called for each request; must outlive the server.
+     * @param limits Limits on callers, and on a graceful stop.
+     * @param listener Receives what does not reach the handler; must outlive the server if set.
      */
-    explicit http_server(http_handler& handler, http_server_limits limits = {});
+    explicit http_server(http_handler& handler, http_server_limits limits = {},
+                         http_server_listener* listener = nullptr);
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
     http_server(http_server&&) = delete;
--- a/src/savorywheel/http/http_status.hpp
+++ b/src/savorywheel/http/http_status.hpp
@@ -22,6 +22,12 @@
 inline constexpr int status_unavailable = 503;
 inline constexpr int status_gateway_timeout = 504;
 
+/** @return True for the status codes 200 to 299. */
+[[nodiscard]] constexpr bool is_success(int status) noexcept
+{
+    return status >= status_ok && status < 300;
+}
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -15,6 +15,7 @@
 #include <savorywheel/routing/locality_endpoint_selector.hpp>
 #include <savorywheel/routing/weighted_version_selector.hpp>
 #include <savorywheel/store/metered_object_store.hpp>
+#include <savorywheel/traffic/http_rejection_log.hpp>
 #include <savorywheel/traffic/peer_call_transport.hpp>
 #include <savorywheel/traffic/peer_crash_reporter.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
@@ -221,7 +222,8 @@
         admin_handler::environment{control_, changes_, operators_, metrics_, log_}};
     readiness_handler readiness_{tables_, time_};
     std::unique_ptr<http_handler> announcements_{front_.make_announcement_handler(control_)};
-    http_server proxy_server_{proxy_, traffic_limits(settings_)};
+    http_rejection_log rejection_log_{log_, time_, metrics_};
+    http_server proxy_server_{proxy_, traffic_limits(settings_), &rejection_log_};
     http_server admin_server_{admin_, http_server_limits{.max_body_bytes = max_admin_body_bytes}};
     http_server readiness_server_{readiness_, short_request_limits()};
     std::unique_ptr<http_server> announcement_server_{
--- a/src/savorywheel/node/node_metric_source.cpp
+++ b/src/savorywheel/node/node_metric_source.cpp
@@ -49,6 +49,11 @@
         registry.count({"gate_refusals", "reason", std::string{label_of(reason)}}) =
             gate.refusals(reason);
     }
+    for (std::size_t i = 0; i < response_class_count; ++i) {
+        const auto kind = static_cast<response_class>(i);
+        registry.count({"backend_responses", "class", std::string{label_of(kind)}}) =
+            gate.responses(kind);
+    }
 }
 
 void node_metric_source::collect_routing(metric_registry& registry)
--- a/src/savorywheel/routing/host_table.cpp
+++ b/src/savorywheel/routing/host_table.cpp
@@ -57,13 +57,25 @@
 
 const host_route* host_table::match(std::string_view host, std::string_view target) const
 {
-    const auto found = routes_.find(host.substr(0, host.find(':')));
-    if (found == routes_.end()) {
+    const auto* routes = find(host);
+    if (routes == nullptr) {
         return nullptr;
     }
     const auto route = std::ranges::find_if(
-        found->second, [target](const host_route& item) { return matches(item.path, target); });
-    return route == found->second.end() ? nullptr : &*route;
+        *routes, [target](const host_route& item) { return matches(item.path, target); });
+    return route == routes->end() ? nullptr : &*route;
+}
+
+std::size_t host_table::routes_of(std::string_view host) const
+{
+    const auto* routes = find(host);
+    return routes == nullptr ? 0 : routes->size();
+}
+
+const std::vector<host_route>* host_table::find(std::string_view host) const
+{
+    const auto found = routes_.find(host.substr(0, host.find(':')));
+    return found == routes_.end() ? nullptr : &found->second;
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/host_table.hpp
+++ b/src/savorywheel/routing/host_table.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/config/mesh_state.hpp>
 
+#include <cstddef>
 #include <map>
 #include <span>
 #include <string>
@@ -30,7 +31,15 @@
      */
     [[nodiscard]] const host_route* match(std::string_view host, std::string_view target) const;
 
+    /**
+     * @param host Value of the Host header field, with or without a port.
+     * @return Number of routes of the host; 0 if the host is unknown.
+     */
+    [[nodiscard]] std::size_t routes_of(std::string_view host) const;
+
 private:
+    [[nodiscard]] const std::vector<host_route>* find(std::string_view host) const;
+
     std::map<std::string, std::vector<host_route>, std::less<>> routes_;
 };
 
--- a/src/savorywheel/routing/routing_table.hpp
+++ b/src/savorywheel/routing/routing_table.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/routing/host_table.hpp>
 #include <savorywheel/routing/service_routes.hpp>
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <utility>
@@ -50,6 +51,12 @@
         return hosts_->match(host, target);
     }
 
+    /** @copydoc host_table::routes_of */
+    [[nodiscard]] std::size_t routes_of(std::string_view host) const
+    {
+        return hosts_->routes_of(host);
+    }
+
 private:
     config_version version_;
     route_map routes_;
--- a/src/savorywheel/traffic/backend_client.cpp
+++ b/src/savorywheel/traffic/backend_client.cpp
@@ -31,7 +31,7 @@
     if (!answer) {
         return handle_failure(item, backend, answer.reason());
     }
-    auto response = accept_response(request, backend, std::move(*answer));
+    auto response = accept_response(item, backend, std::move(*answer));
     if (response.result == call_result::answered) {
         const std::scoped_lock lock{mutex_};
         crashing_requests_.clear(item.digest);
@@ -39,10 +39,15 @@
     return response;
 }
 
-call_response backend_client::accept_response(const http_request& request,
-                                              const backend_server& backend, http_response answer)
+call_response backend_client::accept_response(gate_call& item, const backend_server& backend,
+                                              http_response answer)
 {
-    switch (environment_.header_codec.verify(request, answer)) {
+    const auto& request = item.call.request;
+    const auto verdict = environment_.header_codec.verify(request, answer);
+    item.received = {answer.status, environment_.header_codec.origin_of(request, answer)};
+    ++responses_.at(
+        static_cast<std::size_t>(classify(verdict, answer.status, item.received->origin)));
+    switch (verdict) {
     case response_verdict::complete:
         return {call_result::answered, call_refusal::none, {}, std::move(answer), true};
     case response_verdict::not_run: {
--- a/src/savorywheel/traffic/backend_client.hpp
+++ b/src/savorywheel/traffic/backend_client.hpp
@@ -9,8 +9,11 @@
 #include <savorywheel/traffic/crash_reporter.hpp>
 #include <savorywheel/traffic/crashing_request_tracker.hpp>
 #include <savorywheel/traffic/gate_call.hpp>
+#include <savorywheel/traffic/response_class.hpp>
 #include <savorywheel/traffic/server_header_codec.hpp>
 
+#include <array>
+#include <atomic>
 #include <mutex>
 
 namespace savorywheel {
@@ -51,9 +54,14 @@
     /** @return True if the request must be refused because it crashes backend servers. */
     [[nodiscard]] bool is_blocked(request_digest digest) const;
 
+    /** @return Number of responses of the class since the start. */
+    [[nodiscard]] std::uint64_t responses(response_class kind) const
+    {
+        return responses_.at(static_cast<std::size_t>(kind));
+    }
+
 private:
-    [[nodiscard]] call_response accept_response(const http_request& request,
-                                                const backend_server& backend,
+    [[nodiscard]] call_response accept_response(gate_call& item, const backend_server& backend,
                                                 http_response answer);
     [[nodiscard]] call_response handle_failure(const gate_call& item, const backend_server& backend,
                                                const failure& reason);
@@ -64,6 +72,7 @@
     crashing_request_tracker crashing_requests_;
     monotonic_time last_crash_;
     std::uint64_t crashes_{};
+    std::array<std::atomic<std::uint64_t>, response_class_count> responses_{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/default_server_header_codec.cpp
+++ b/src/savorywheel/traffic/default_server_header_codec.cpp
@@ -17,4 +17,10 @@
     return response_verdict::complete;
 }
 
+response_origin default_server_header_codec::origin_of(const http_request& /*request*/,
+                                                       const http_response& /*response*/) const
+{
+    return {named_request::own, true};
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/traffic/default_server_header_codec.hpp
+++ b/src/savorywheel/traffic/default_server_header_codec.hpp
@@ -12,6 +12,9 @@
                      std::chrono::milliseconds remaining) const override;
     [[nodiscard]] response_verdict verify(const http_request& request,
                                           const http_response& response) const override;
+    /** These backend servers sign nothing and name no request; a connection is enough. */
+    [[nodiscard]] response_origin origin_of(const http_request& request,
+                                            const http_response& response) const override;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/fwd.hpp
+++ b/src/savorywheel/traffic/fwd.hpp
@@ -9,6 +9,7 @@
 class gate;
 class gate_call_log;
 class gate_state;
+class http_rejection_log;
 class peer_call_transport;
 class proxy_handler;
 class proxy_call_log;
@@ -18,6 +19,8 @@
 struct call_context;
 struct call_request;
 struct call_response;
+struct received_response;
+struct response_origin;
 
 } // namespace savorywheel
 
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -68,6 +68,12 @@
         return refusals_.at(static_cast<std::size_t>(reason));
     }
 
+    /** @copydoc backend_client::responses */
+    [[nodiscard]] std::uint64_t responses(response_class kind) const
+    {
+        return backend_client_.responses(kind);
+    }
+
     void on_frame(const std::shared_ptr<frame_sink>& connection, frame_kind kind,
                   std::uint64_t correlation, std::span<const std::byte> payload) override;
     void on_closed(const frame_sink& connection, bool established) override;
--- a/src/savorywheel/traffic/gate_call.hpp
+++ b/src/savorywheel/traffic/gate_call.hpp
@@ -4,10 +4,12 @@
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/traffic/call_request.hpp>
+#include <savorywheel/traffic/received_response.hpp>
 #include <savorywheel/traffic/request_digest.hpp>
 #include <savorywheel/transport/frame_sink.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace savorywheel {
 
@@ -24,6 +26,8 @@
     request_digest digest{};
     /** @brief When it started to run; unset while queued. */
     monotonic_time started;
+    /** @brief What the backend server sent; nothing if there was no response. */
+    std::optional<received_response> received;
     /** @brief Cancels the call. */
     cancellation cancel_signal;
 };
--- a/src/savorywheel/traffic/gate_call_log.cpp
+++ b/src/savorywheel/traffic/gate_call_log.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/http/http_status.hpp>
 #include <savorywheel/traffic/gate_call_log.hpp>
 
 #include <string>
@@ -28,18 +29,28 @@
                                  const call_response& response)
 {
     const auto fields = [&] {
-        return std::vector<log_field>{
+        std::vector<log_field> result{
             {"request", item.call.request_id},
             {"backend", backend.identity},
             {"waited_ms", format_milliseconds(item.started - item.arrived)},
             {"ran_ms", format_milliseconds(time_.now() - item.started)},
-            {"status", std::to_string(response.response.status)},
+            {"status", std::to_string(item.received ? item.received->status : 0)},
             {"result", std::string{to_string(response.result)}}};
+        if (item.received) {
+            const auto& origin = item.received->origin;
+            result.push_back({"names", std::string{to_string(origin.request)}});
+            result.push_back({"signed", origin.is_signed ? "yes" : "no"});
+        }
+        return result;
     };
     if (response.result == call_result::unknown) {
         call_log_.write(event_id::gate_no_response, response.reason, fields);
         return;
     }
+    if (item.received && !is_success(item.received->status)) {
+        call_log_.write(event_id::gate_failure, backend.service.str(), fields);
+        return;
+    }
     call_log_.write_sampled(event_id::gate_response, item.call.request_id, backend.service.str(),
                             fields);
 }
--- a/src/savorywheel/traffic/proxy_call_log.cpp
+++ b/src/savorywheel/traffic/proxy_call_log.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/http/http_header.hpp>
 #include <savorywheel/traffic/proxy_call_log.hpp>
 
 #include <string>
@@ -21,6 +22,12 @@
     call_log_.write(event, cause.reason, [&] {
         auto fields = fields_of(context);
         fields.push_back({"status", std::to_string(cause.status())});
+        fields.push_back({"cause", std::string{label_of(cause.kind)}});
+        if (cause.kind == rejection_kind::no_route) {
+            const auto host = find_header(context.call.request.headers, "Host");
+            fields.push_back({"host", std::string{host}});
+            fields.push_back({"host_routes", std::to_string(context.table->routes_of(host))});
+        }
         if (cause.retry_after) {
             fields.push_back({"retry_after_ms", std::to_string(cause.retry_after->count())});
         }
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -32,11 +32,6 @@
            refusal == call_refusal::absent;
 }
 
-rejection not_run(std::string reason)
-{
-    return {rejection_kind::not_run, std::move(reason), std::nullopt};
-}
-
 } // namespace
 
 proxy_handler::proxy_handler(environment env)
@@ -45,6 +40,10 @@
                                                               "calls_unknown")},
       latency_{env.metrics.latency("call")}, call_log_{env.log, env.time}
 {
+    for (std::size_t i = 0; i < rejection_kind_count; ++i) {
+        const std::string cause{label_of(static_cast<rejection_kind>(i))};
+        rejections_.at(i) = &env.metrics.count({"rejections", "cause", cause});
+    }
 }
 
 http_response proxy_handler::handle(const http_request& request)
@@ -81,15 +80,12 @@
                                                    call_context& context)
 {
     if (draining_) {
-        auto cause = not_run("this node stops");
-        cause.retry_after = restart_retry_after;
-        return cause;
+        return rejection{rejection_kind::stopping, "this node stops", restart_retry_after};
     }
     context.table = environment_.tables.current();
     if (context.table->version() == config_version{}) {
-        auto cause = not_run("this node has no configuration yet");
-        cause.retry_after = configuration_retry_after;
-        return cause;
+        return rejection{rejection_kind::no_configuration, "this node has no configuration yet",
+                         configuration_retry_after};
     }
     const auto host = find_header(request.headers, "Host");
     context.route = context.table->match(host, request.target);
@@ -100,7 +96,8 @@
     const auto* service = select_service_by_weight(context.route->shares, environment_.random);
     context.routes = service == nullptr ? nullptr : context.table->find(*service);
     if (!context.routes) {
-        return not_run("the route leads to no known service");
+        return rejection{rejection_kind::no_service, "the route leads to no known service",
+                         std::nullopt};
     }
     context.call.service = *service;
     return std::nullopt;
@@ -263,6 +260,7 @@
 http_response proxy_handler::reject(const call_context& context, const rejection& cause)
 {
     ++(cause.may_have_run() ? calls_unknown_ : calls_not_run_);
+    ++*rejections_.at(static_cast<std::size_t>(cause.kind));
     call_log_.log_rejected(context, cause);
     return environment_.header_codec.reject(cause);
 }
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -16,8 +16,10 @@
 #include <savorywheel/traffic/call_transport.hpp>
 #include <savorywheel/traffic/caller_header_codec.hpp>
 #include <savorywheel/traffic/proxy_call_log.hpp>
+#include <savorywheel/traffic/rejection.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
+#include <array>
 #include <atomic>
 #include <optional>
 
@@ -82,6 +84,7 @@
     counter& retries_;
     counter& calls_not_run_;
     counter& calls_unknown_;
+    std::array<counter*, rejection_kind_count> rejections_{};
     latency_recorder& latency_;
     proxy_call_log call_log_;
     std::atomic<bool> draining_{};
--- a/src/savorywheel/traffic/rejection.cpp
+++ b/src/savorywheel/traffic/rejection.cpp
@@ -3,11 +3,35 @@
 
 namespace savorywheel {
 
+std::string_view label_of(rejection_kind kind) noexcept
+{
+    switch (kind) {
+    case rejection_kind::no_route:
+        return "no_route";
+    case rejection_kind::stopping:
+        return "stopping";
+    case rejection_kind::no_configuration:
+        return "no_configuration";
+    case rejection_kind::no_service:
+        return "no_service";
+    case rejection_kind::not_run:
+        return "not_run";
+    case rejection_kind::expired:
+        return "expired";
+    case rejection_kind::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 int rejection::status() const noexcept
 {
     switch (kind) {
     case rejection_kind::no_route:
         return status_not_found;
+    case rejection_kind::stopping:
+    case rejection_kind::no_configuration:
+    case rejection_kind::no_service:
     case rejection_kind::not_run:
         return status_unavailable;
     case rejection_kind::expired:
--- a/src/savorywheel/traffic/server_header_codec.hpp
+++ b/src/savorywheel/traffic/server_header_codec.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/http/http_response.hpp>
 #include <savorywheel/http/response_framing.hpp>
 #include <savorywheel/traffic/backend_server.hpp>
+#include <savorywheel/traffic/response_origin.hpp>
 #include <savorywheel/traffic/response_verdict.hpp>
 
 #include <chrono>
@@ -34,6 +35,10 @@
     [[nodiscard]] virtual response_verdict verify(const http_request& request,
                                                   const http_response& response) const = 0;
 
+    /** @return What the response shows about where it comes from. */
+    [[nodiscard]] virtual response_origin origin_of(const http_request& request,
+                                                    const http_response& response) const = 0;
+
     /** @return How the end of a complete response of a backend server is recognized. */
     [[nodiscard]] virtual response_framing completeness_rule() const noexcept
     {
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -56,6 +56,20 @@
               response_verdict::untrusted);
 }
 
+TEST(platform_server_header_codec, origin_shows_the_named_request_and_the_signature)
+{
+    const platform_server_header_codec subject;
+    const auto own = subject.origin_of(make_request(), make_response(404, {echo}));
+    EXPECT_EQ(own.request, named_request::own);
+    EXPECT_FALSE(own.is_signed);
+    const http_header other{std::string{request_id_header}, "id-2"};
+    EXPECT_EQ(subject.origin_of(make_request(), make_response(404, {other})).request,
+              named_request::other);
+    const auto unnamed = subject.origin_of(make_request(), make_response(404, {signature}));
+    EXPECT_EQ(unnamed.request, named_request::none);
+    EXPECT_TRUE(unnamed.is_signed);
+}
+
 TEST(platform_server_header_codec, adds_expected_instance_and_remaining_time)
 {
     auto request = make_request();
--- a/test/savorywheel/http/http_server_test.cpp
+++ b/test/savorywheel/http/http_server_test.cpp
@@ -7,9 +7,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <condition_variable>
+#include <mutex>
 #include <thread>
 
 namespace savorywheel::test {
@@ -72,6 +74,48 @@
     }
 }
 
+/** Records what does not reach the handler. */
+class recording_listener final : public http_server_listener {
+public:
+    void on_rejected(int status, std::string_view /*target*/, std::string_view reason) override
+    {
+        const std::scoped_lock lock{mutex_};
+        statuses.push_back(status);
+        reasons.emplace_back(reason);
+    }
+
+    void on_library_error(std::string_view message) override
+    {
+        const std::scoped_lock lock{mutex_};
+        messages.emplace_back(message);
+    }
+
+    std::vector<int> statuses;
+    std::vector<std::string> reasons;
+    std::vector<std::string> messages;
+
+private:
+    std::mutex mutex_;
+};
+
+/** Sends raw bytes on a new connection and returns the response up to the end of its header. */
+std::string exchange(const network_endpoint& server, std::string_view bytes)
+{
+    const int connection = connect_to(server);
+    static_cast<void>(::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+    std::string response;
+    std::array<char, 4096> buffer{};
+    while (response.find("\r\n\r\n") == std::string::npos) {
+        const auto size = ::recv(connection, buffer.data(), buffer.size(), 0);
+        if (size <= 0) {
+            break;
+        }
+        response.append(buffer.data(), static_cast<std::size_t>(size));
+    }
+    ::close(connection);
+    return response;
+}
+
 /** Responds with an error status and no body. */
 class failing_handler final : public http_handler {
 public:
@@ -152,4 +196,24 @@
     EXPECT_EQ(over_limit->status, 413);
 }
 
+TEST(http_server, reports_requests_that_do_not_reach_the_handler)
+{
+    slow_handler handler{{}};
+    recording_listener listener;
+    http_server server{handler, {.max_body_bytes = 1000}, &listener};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(server.start(endpoint));
+    curl_http_client client;
+    ASSERT_TRUE(client.send(endpoint, {"POST", "/", {}, std::string(1001, 'x')}, timeout));
+    const auto malformed = exchange(endpoint, "GET / HTTP/1.1\r\nHost: a\r\nHost\r\n\r\n");
+    EXPECT_TRUE(malformed.starts_with("HTTP/1.1 400")) << malformed;
+    server.stop();
+    EXPECT_EQ(listener.statuses, std::vector<int>{413});
+    EXPECT_EQ(listener.reasons.front(),
+              "1001 bytes of the body received, announced 1001, allowed 1000");
+    EXPECT_TRUE(std::ranges::any_of(listener.messages, [](const std::string& message) {
+        return message.find("400") != std::string::npos;
+    }));
+}
+
 } // namespace savorywheel::test
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -254,6 +254,18 @@
     EXPECT_EQ(transport.versions, tried);
 }
 
+TEST(proxy_handler, counts_its_own_responses_by_cause)
+{
+    manual_clock time;
+    generated_transport transport{time};
+    proxy_fixture fixture{transport, time, false, 0};
+    EXPECT_EQ(fixture.proxy.handle({"GET", "/", {{"Host", "unknown"}}, {}}).status, 404);
+    EXPECT_EQ(fixture.metrics.count({"rejections", "cause", "no_route"}), 1U);
+    fixture.proxy.stop_accepting();
+    EXPECT_EQ(fixture.proxy.handle({"GET", "/", {{"Host", "bookdesk"}}, {}}).status, 503);
+    EXPECT_EQ(fixture.metrics.count({"rejections", "cause", "stopping"}), 1U);
+}
+
 TEST(proof_retry_budget, retries_do_not_multiply_over_27_hops)
 {
     constexpr int depth = 27;
