Forward only signed failures that name the request

Cause: platform_server_header_codec::verify called each 3xx, 4xx or 5xx without "not executed" complete, whether or not it was signed or named the request; only a 2xx was checked. Callers saw bytes of a faulty backend server as a 302, 404 or 413 without a signature, which is a status of the mesh's own to them and is never retried. Change: a response is forwarded if it has the signature and names this request. A 400 with "not executed" is the answer to a request without an id, which no response can name, and means "not run" for others. unsigned_failure keeps counting responses without a signature. Why: a failure that anything on the connection could have written proves neither that the request ran nor that it did not, and callers do not retry after a 4xx.

--- a/src/savorywheel/traffic/response_class.cpp
+++ b/src/savorywheel/traffic/response_class.cpp
@@ -11,14 +11,15 @@
         if (is_success(status)) {
             return response_class::success;
         }
-        return origin.is_signed ? response_class::failure : response_class::unsigned_failure;
+        return response_class::failure;
     case response_verdict::not_run:
         return origin.request == named_request::own ? response_class::refusal
                                                     : response_class::unnamed_refusal;
     case response_verdict::untrusted:
         break;
     }
-    return response_class::untrusted;
+    return origin.is_signed || is_success(status) ? response_class::untrusted
+                                                  : response_class::unsigned_failure;
 }
 
 std::string_view label_of(response_class kind) noexcept
--- a/src/savorywheel/traffic/response_class.hpp
+++ b/src/savorywheel/traffic/response_class.hpp
@@ -13,11 +13,11 @@
 /** @brief Kinds of responses of a backend server that are counted separately. */
 enum class response_class : std::uint8_t {
     success,          /**< Complete, with a status of 200 to 299. */
-    failure,          /**< Complete and signed, with another status. */
-    unsigned_failure, /**< Complete without a signature, with another status. */
+    failure,          /**< Complete, with another status. */
+    unsigned_failure, /**< Not forwarded; without a signature, with another status. */
     refusal,          /**< States that the named request was not run. */
     unnamed_refusal,  /**< States that a request was not run, without naming one. */
-    untrusted,        /**< Not forwarded. */
+    untrusted,        /**< Not forwarded for another reason. */
     last_class = untrusted
 };
 
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -20,6 +20,7 @@
 }
 
 const http_header echo{std::string{request_id_header}, "id-1"};
+const http_header other_id{std::string{request_id_header}, "id-2"};
 const http_header signature{std::string{signature_header}, "3e1b.07"};
 const http_header not_executed{std::string{not_executed_header}, "1"};
 
@@ -34,13 +35,41 @@
               response_verdict::untrusted);
     EXPECT_EQ(subject.verify(make_request(), make_response(200, {signature})),
               response_verdict::untrusted);
-    const http_header other{std::string{request_id_header}, "id-2"};
-    EXPECT_EQ(subject.verify(make_request(), make_response(200, {other, signature})),
+    EXPECT_EQ(subject.verify(make_request(), make_response(200, {other_id, signature})),
               response_verdict::untrusted);
     EXPECT_EQ(subject.verify(make_request(), make_response(500, {echo, signature})),
               response_verdict::complete);
 }
 
+TEST(platform_server_header_codec, failure_requires_signature_and_matching_request_id)
+{
+    const platform_server_header_codec subject;
+    for (const int status : {302, 400, 404, 413, 500, 502, 504}) {
+        EXPECT_EQ(subject.verify(make_request(), make_response(status, {echo, signature})),
+                  response_verdict::complete)
+            << status;
+        for (const auto& headers : std::vector<std::vector<http_header>>{
+                 {}, {echo}, {signature}, {other_id, signature}}) {
+            EXPECT_EQ(subject.verify(make_request(), make_response(status, headers)),
+                      response_verdict::untrusted)
+                << status;
+        }
+    }
+}
+
+TEST(platform_server_header_codec, bad_request_that_was_not_executed_answers_a_request_without_id)
+{
+    const platform_server_header_codec subject;
+    const auto response = make_response(400, {not_executed});
+    EXPECT_EQ(subject.verify({"GET", "/x/1", {}, {}}, response), response_verdict::complete);
+    EXPECT_EQ(subject.verify({"GET", "/x/1", {}, {}}, make_response(400, {})),
+              response_verdict::untrusted);
+    EXPECT_EQ(subject.verify(make_request(), make_response(400, {echo, not_executed})),
+              response_verdict::not_run);
+    EXPECT_EQ(subject.verify(make_request(), make_response(400, {other_id, not_executed})),
+              response_verdict::untrusted);
+}
+
 TEST(platform_server_header_codec, not_run_requires_not_executed_header_or_status_421)
 {
     const platform_server_header_codec subject;
@@ -51,8 +80,7 @@
         EXPECT_EQ(subject.verify(make_request(), make_response(status, {echo, signature})),
                   response_verdict::untrusted);
     }
-    const http_header other{std::string{request_id_header}, "id-2"};
-    EXPECT_EQ(subject.verify(make_request(), make_response(503, {other, not_executed})),
+    EXPECT_EQ(subject.verify(make_request(), make_response(503, {other_id, not_executed})),
               response_verdict::untrusted);
 }
 
@@ -62,8 +90,7 @@
     const auto own = subject.origin_of(make_request(), make_response(404, {echo}));
     EXPECT_EQ(own.request, named_request::own);
     EXPECT_FALSE(own.is_signed);
-    const http_header other{std::string{request_id_header}, "id-2"};
-    EXPECT_EQ(subject.origin_of(make_request(), make_response(404, {other})).request,
+    EXPECT_EQ(subject.origin_of(make_request(), make_response(404, {other_id})).request,
               named_request::other);
     const auto unnamed = subject.origin_of(make_request(), make_response(404, {signature}));
     EXPECT_EQ(unnamed.request, named_request::none);
