Keep trailer fields out of a response's header

Cause: curl_transfer::on_header appended each line that libcurl reports to the header fields, also trailer fields after the body. Callers saw: a trailer could add the id, the signature or "not executed" to a response that lacked it, so that a body without proof was forwarded, or a request that had run was called "not run". Evidence, failing before: trailer_fields_and_fields_of_interim_responses_are_not_header_fields ("C: 3" of the trailer was found), switching_protocols_is_not_a_response, and through the gate trailer_fields_prove_nothing (`answered` with a signature from the trailer; `not_run` for a signed 200). Change: response_head reads the header line by line and holds the fields of the final response only.

--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -22,15 +22,6 @@
 constexpr int close_wait_milliseconds = 50;
 constexpr int max_poll_milliseconds = 60'000;
 
-std::string_view trim(std::string_view text)
-{
-    const auto first = text.find_first_not_of(" \t\r\n");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
-}
-
 } // namespace
 
 curl_transfer::curl_transfer(response_framing framing)
@@ -52,7 +43,7 @@
     response_ = {};
     request_sent_ = false;
     head_request_ = request.method == "HEAD";
-    headers_ended_ = false;
+    head_ = {};
     curl_easy_reset(handle_);
     const auto url = "http://" + to_string(server) + request.target;
     set_connection();
@@ -159,6 +150,7 @@
         long status{};
         curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
         response_.status = static_cast<int>(status);
+        response_.headers = head_.take_fields();
         if (!is_complete()) {
             return failure{failure_code::unknown_outcome,
                            "the answer may be cut: its length is not given"};
@@ -177,7 +169,7 @@
 
 bool curl_transfer::is_complete() const
 {
-    if (!headers_ended_) {
+    if (!head_.complete()) {
         return false;
     }
     return framing_ == response_framing::allow_close_delimited || head_request_ ||
@@ -208,20 +200,7 @@
 
 std::size_t curl_transfer::on_header(char* data, std::size_t size, std::size_t count, void* self)
 {
-    const std::string_view line{data, size * count};
-    auto& headers = static_cast<curl_transfer*>(self)->response_.headers;
-    const auto colon = line.find(':');
-    if (line.starts_with("HTTP/")) {
-        headers.clear();
-        static_cast<curl_transfer*>(self)->headers_ended_ = false;
-    }
-    else if (trim(line).empty()) {
-        static_cast<curl_transfer*>(self)->headers_ended_ = true;
-    }
-    else if (colon != std::string_view::npos) {
-        headers.push_back(
-            {std::string{trim(line.substr(0, colon))}, std::string{trim(line.substr(colon + 1))}});
-    }
+    static_cast<curl_transfer*>(self)->head_.add_line({data, size * count});
     return size * count;
 }
 
--- a/src/savorywheel/http/curl_transfer.hpp
+++ b/src/savorywheel/http/curl_transfer.hpp
@@ -7,6 +7,7 @@
 #include <savorywheel/http/http_request.hpp>
 #include <savorywheel/http/http_response.hpp>
 #include <savorywheel/http/response_framing.hpp>
+#include <savorywheel/http/response_head.hpp>
 
 #include <curl/curl.h>
 
@@ -57,9 +58,9 @@
     CURL* handle_;
     CURLM* multi_;
     http_response response_;
+    response_head head_;
     bool request_sent_{};
     bool head_request_{};
-    bool headers_ended_{};
 };
 
 } // namespace savorywheel
--- a/test/platform/backend_response_test.cpp
+++ b/test/platform/backend_response_test.cpp
@@ -60,4 +60,20 @@
     EXPECT_EQ(outcome.response.status, 400);
 }
 
+TEST(backend_response, trailer_fields_prove_nothing)
+{
+    const auto chunked = [](std::string_view fields, std::string_view trailer) {
+        return fmt::format("HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n{}\r\n"
+                           "5\r\nhello\r\n0\r\n{}\r\n",
+                           fields, trailer);
+    };
+    const auto proof = names("id-1") + signature;
+    EXPECT_EQ(gate_with_server{{{chunked(proof, "")}}}.call("id-1").result, call_result::answered);
+    EXPECT_EQ(gate_with_server{{{chunked("", proof)}}}.call("id-1").result, call_result::unknown);
+    const auto outcome =
+        gate_with_server{{{chunked(proof, not_executed + "A: 1\r\n")}}}.call("id-1");
+    EXPECT_EQ(outcome.result, call_result::answered);
+    EXPECT_EQ(find_header(outcome.response.headers, "A"), "");
+}
+
 } // namespace savorywheel::test
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -117,6 +117,29 @@
     EXPECT_TRUE(!second || second->body == "hello");
 }
 
+TEST(curl_http_client, trailer_fields_and_fields_of_interim_responses_are_not_header_fields)
+{
+    scripted_server server{
+        {{"HTTP/1.1 103 Early Hints\r\nA: 1\r\n\r\nHTTP/1.1 200 OK\r\n"
+          "Transfer-Encoding: chunked\r\nB: 2\r\n\r\n5\r\nhello\r\n0\r\nC: 3\r\n\r\n"}}};
+    curl_http_client client;
+    const auto response = client.send(server.endpoint(), post_request, timeout);
+    ASSERT_TRUE(response);
+    EXPECT_EQ(response->body, "hello");
+    EXPECT_EQ(find_header(response->headers, "A"), "");
+    EXPECT_EQ(find_header(response->headers, "B"), "2");
+    EXPECT_EQ(find_header(response->headers, "C"), "");
+}
+
+TEST(curl_http_client, switching_protocols_is_not_a_response)
+{
+    scripted_server server{{{"HTTP/1.1 101 Switching Protocols\r\n\r\nhello"}}};
+    curl_http_client client{response_framing::allow_close_delimited};
+    const auto response = client.send(server.endpoint(), post_request, timeout);
+    ASSERT_FALSE(response);
+    EXPECT_EQ(response.reason().code, failure_code::unknown_outcome);
+}
+
 TEST(curl_http_client, abort_cancels_requests_in_flight_and_rejects_later_ones)
 {
     scripted_server server{{{"", false}}};
