Believe a refusal only if it can belong to this request

Cause: a 503 with "not executed" and a 421 counted as "not run" also where they named no request. On a kept connection they may be an earlier refusal that a faulty backend server wrote once more. Callers were told "not run, try again" for a request that the backend server had run or was running, and the mesh sent such requests to a second backend server. Change: a refusal is believed if it names this request, or if it names none and is the first response on a new connection (CURLINFO_NUM_CONNECTS, in http_response::first_on_connection, which is not encoded). After one without an id the idle connections to that backend server are closed. A response with two different ids names another request. Why: before the first response on a connection nothing can have been written that it could repeat. Test changed: headers_test expected `not_run` of refusals without an id on any connection, which is the fault; the case is checked in both states of the connection now.

--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -151,6 +151,9 @@
         curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
         response_.status = static_cast<int>(status);
         response_.headers = head_.take_fields();
+        long new_connections{};
+        curl_easy_getinfo(handle_, CURLINFO_NUM_CONNECTS, &new_connections);
+        response_.first_on_connection = new_connections > 0;
         if (!is_complete()) {
             return failure{failure_code::unknown_outcome,
                            "the answer may be cut: its length is not given"};
--- a/src/savorywheel/traffic/backend_client.cpp
+++ b/src/savorywheel/traffic/backend_client.cpp
@@ -51,6 +51,10 @@
     case response_verdict::complete:
         return {call_result::answered, call_refusal::none, {}, std::move(answer), true};
     case response_verdict::not_run: {
+        if (item.received->origin.request != named_request::own) {
+            // A later response on the connection could not be told from this one.
+            environment_.client.close_idle(backend.endpoint);
+        }
         auto refusal = call_response::not_run(call_refusal::overload,
                                               "the backend server has not run the request");
         refusal.reached_server = true;
--- a/test/platform/backend_response_test.cpp
+++ b/test/platform/backend_response_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 #include <platform/header_names.hpp>
 #include <support/gate_with_server.hpp>
+#include <support/wait_until.hpp>
 
 namespace savorywheel::test {
 
@@ -25,6 +26,11 @@
     return fmt::format("HTTP/1.1 {} x\r\nContent-Length: 5\r\n{}\r\nhello", status, fields);
 }
 
+std::string answer_to(std::string_view id)
+{
+    return response(200, names(id) + signature);
+}
+
 } // namespace
 
 TEST(backend_response, failure_without_signature_or_id_is_an_unknown_outcome)
@@ -60,6 +66,47 @@
     EXPECT_EQ(outcome.response.status, 400);
 }
 
+TEST(backend_response, refusal_that_names_the_request_is_believed_and_keeps_the_connection)
+{
+    gate_with_server mesh{{{answer_to("id-1"), false},
+                           {response(503, names("id-2") + not_executed), false},
+                           {response(421, names("id-3")), false},
+                           {answer_to("id-4"), false}}};
+    EXPECT_EQ(mesh.call("id-1").result, call_result::answered);
+    EXPECT_EQ(mesh.call("id-2").result, call_result::not_run);
+    EXPECT_EQ(mesh.call("id-3").result, call_result::not_run);
+    EXPECT_EQ(mesh.call("id-4").result, call_result::answered);
+    EXPECT_EQ(mesh.server().closed_connections(), 0U);
+}
+
+TEST(backend_response, refusal_without_an_id_is_believed_only_as_the_first_on_its_connection)
+{
+    for (const auto& refusal : {response(503, not_executed), response(421, "")}) {
+        gate_with_server mesh{{{answer_to("id-1"), false},
+                               {refusal, false},
+                               {refusal, false},
+                               {answer_to("id-4"), false}}};
+        EXPECT_EQ(mesh.call("id-1").result, call_result::answered);
+        EXPECT_EQ(mesh.call("id-2").result, call_result::unknown);
+        EXPECT_TRUE(wait_until([&mesh] { return mesh.server().closed_connections() == 1; }));
+        EXPECT_EQ(mesh.call("id-3").result, call_result::not_run);
+        EXPECT_EQ(mesh.call("id-4").result, call_result::answered);
+        EXPECT_TRUE(wait_until([&mesh] { return mesh.server().closed_connections() == 2; }));
+    }
+}
+
+TEST(backend_response, repeated_refusal_does_not_end_the_next_request)
+{
+    for (const auto& fields : {names("id-1"), std::string{}}) {
+        gate_with_server mesh{{{response(503, fields + not_executed), false},
+                               {response(503, fields + not_executed) + answer_to("id-2"), false}}};
+        EXPECT_EQ(mesh.call("id-1").result, call_result::not_run);
+        // Without an id the second request goes out on a connection of its own.
+        EXPECT_EQ(mesh.call("id-2").result,
+                  fields.empty() ? call_result::not_run : call_result::unknown);
+    }
+}
+
 TEST(backend_response, trailer_fields_prove_nothing)
 {
     const auto chunked = [](std::string_view fields, std::string_view trailer) {
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -73,15 +73,28 @@
 TEST(platform_server_header_codec, not_run_requires_not_executed_header_or_status_421)
 {
     const platform_server_header_codec subject;
-    EXPECT_EQ(subject.verify(make_request(), make_response(503, {not_executed})),
+    EXPECT_EQ(subject.verify(make_request(), make_response(503, {echo, not_executed})),
+              response_verdict::not_run);
+    EXPECT_EQ(subject.verify(make_request(), make_response(421, {echo})),
               response_verdict::not_run);
-    EXPECT_EQ(subject.verify(make_request(), make_response(421, {})), response_verdict::not_run);
     for (const int status : {408, 429, 503}) {
         EXPECT_EQ(subject.verify(make_request(), make_response(status, {echo, signature})),
                   response_verdict::untrusted);
     }
-    EXPECT_EQ(subject.verify(make_request(), make_response(503, {other_id, not_executed})),
-              response_verdict::untrusted);
+}
+
+TEST(platform_server_header_codec, not_run_requires_matching_id_or_first_on_connection)
+{
+    const platform_server_header_codec subject;
+    for (auto response : {make_response(503, {not_executed}), make_response(421, {})}) {
+        EXPECT_EQ(subject.verify(make_request(), response), response_verdict::untrusted);
+        response.first_on_connection = true;
+        EXPECT_EQ(subject.verify(make_request(), response), response_verdict::not_run);
+        response.headers.push_back(other_id);
+        EXPECT_EQ(subject.verify(make_request(), response), response_verdict::untrusted);
+        response.headers.push_back(echo);
+        EXPECT_EQ(subject.verify(make_request(), response), response_verdict::untrusted);
+    }
 }
 
 TEST(platform_server_header_codec, origin_shows_the_named_request_and_the_signature)
@@ -92,6 +105,8 @@
     EXPECT_FALSE(own.is_signed);
     EXPECT_EQ(subject.origin_of(make_request(), make_response(404, {other_id})).request,
               named_request::other);
+    EXPECT_EQ(subject.origin_of(make_request(), make_response(404, {echo, other_id})).request,
+              named_request::other);
     const auto unnamed = subject.origin_of(make_request(), make_response(404, {signature}));
     EXPECT_EQ(unnamed.request, named_request::none);
     EXPECT_TRUE(unnamed.is_signed);
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -140,6 +140,21 @@
     EXPECT_EQ(response.reason().code, failure_code::unknown_outcome);
 }
 
+TEST(curl_http_client, shows_whether_a_response_is_the_first_on_its_connection)
+{
+    scripted_server server{{{complete_response(false), false},
+                            {complete_response(false), true},
+                            {complete_response(false), false}}};
+    curl_http_client client;
+    for (const bool first : {true, false, true}) {
+        const auto response = client.send(server.endpoint(), post_request, timeout);
+        ASSERT_TRUE(response);
+        EXPECT_EQ(response->first_on_connection, first);
+        static_cast<void>(wait_until([&server] { return server.closed_connections() == 1; },
+                                     std::chrono::milliseconds{200}));
+    }
+}
+
 TEST(curl_http_client, abort_cancels_requests_in_flight_and_rejects_later_ones)
 {
     scripted_server server{{{"", false}}};
