--- a/test/platform/foreign_entries_test.cpp
+++ b/test/platform/foreign_entries_test.cpp
@@ -129,6 +129,30 @@
     }
 }
 
+TEST(foreign_entries, list_without_progress_is_an_error)
+{
+    raw_metadata_store fake_store;
+    fake_store.set_page_size(1);
+    fake_store.add_spec("a", R"("first")");
+    fake_store.add("odd", R"({"metadata":{"name":7}})");
+    fake_store.add_spec("z", R"("last")");
+    object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}};
+    EXPECT_EQ(subject.list("nodes/", {}).reason().code, failure_code::malformed);
+}
+
+TEST(foreign_entries, list_escapes_the_name_from_which_it_continues)
+{
+    raw_metadata_store fake_store;
+    fake_store.set_page_size(1);
+    fake_store.add("a%26b%20%C3%A9", R"({"metadata":{"name":"a&b é","revision":1},"spec":"x"})");
+    fake_store.add_spec("z", R"("last")");
+    object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}};
+    const auto list = subject.list("nodes/", {});
+    ASSERT_TRUE(list);
+    ASSERT_EQ(list->objects.size(), 2U);
+    EXPECT_EQ(list->objects.back().value, "last");
+}
+
 RC_GTEST_PROP(foreign_entries, mutated_entry_does_not_hide_the_others, ())
 {
     const std::string entry =
