Reject JSON numbers beyond the range of their field

Cause: cereal's JSON archive casts a number to the type of its field: a port of 77002 becomes 11466, a state of 256 becomes 0. The check of the enumerations saw the number after the cast. Seen: a directory entry of another writer with a port out of range is taken as the entry of a node at another port of the same VM, which then gets this node's membership messages. Evidence: test failure below. Why this works: archive_number reads such a field from JSON as 64 bits and rejects what does not fit. The binary format is unchanged. Test failed before: decoder_input.json_number_beyond_the_range_of_its_field_is_malformed (65536, 77002 and state 256 accepted). accepted_mutated_json_round_trips passed before as well.

--- a/src/savorywheel/encoding/core_archive.hpp
+++ b/src/savorywheel/encoding/core_archive.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/core/named.hpp>
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/encoding/enum_archive.hpp>
+#include <savorywheel/encoding/number_archive.hpp>
 
 #include <cereal/cereal.hpp>
 
@@ -42,7 +43,8 @@
 template<typename Archive>
 void serialize(Archive& archive, network_endpoint& endpoint)
 {
-    archive(cereal::make_nvp("address", endpoint.address), cereal::make_nvp("port", endpoint.port));
+    archive(cereal::make_nvp("address", endpoint.address));
+    archive_number(archive, "port", endpoint.port);
 }
 
 template<typename Archive>
--- a/src/savorywheel/encoding/enum_archive.hpp
+++ b/src/savorywheel/encoding/enum_archive.hpp
@@ -1,6 +1,8 @@
 #ifndef SAVORYWHEEL_ENCODING_ENUM_ARCHIVE_HPP
 #define SAVORYWHEEL_ENCODING_ENUM_ARCHIVE_HPP
 
+#include <savorywheel/encoding/number_archive.hpp>
+
 #include <cereal/cereal.hpp>
 
 #include <type_traits>
@@ -18,7 +20,7 @@
 void archive_enum(Archive& archive, const char* name, Enum& value, Enum last)
 {
     auto number = static_cast<std::underlying_type_t<Enum>>(value);
-    archive(cereal::make_nvp(name, number));
+    archive_number(archive, name, number);
     if constexpr (Archive::is_loading::value) {
         if (number > static_cast<std::underlying_type_t<Enum>>(last)) {
             throw cereal::Exception{"a value that does not exist"};
--- a/src/savorywheel/encoding/rollout_archive.hpp
+++ b/src/savorywheel/encoding/rollout_archive.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ENCODING_ROLLOUT_ARCHIVE_HPP
 
 #include <savorywheel/encoding/core_archive.hpp>
+#include <savorywheel/encoding/number_archive.hpp>
 #include <savorywheel/rollout/evidence_report.hpp>
 #include <savorywheel/rollout/move_evidence.hpp>
 #include <savorywheel/rollout/withdrawal_notice.hpp>
@@ -28,7 +29,8 @@
 {
     std::uint8_t empty{};
     std::vector<std::uint32_t> counts;
-    archive(cereal::make_nvp("empty", empty), cereal::make_nvp("counts", counts));
+    archive_number(archive, "empty", empty);
+    archive(cereal::make_nvp("counts", counts));
     counts.insert(counts.begin(), empty, 0);
     histogram = latency_histogram{counts};
 }
--- a/test/savorywheel/encoding/decoder_input_test.cpp
+++ b/test/savorywheel/encoding/decoder_input_test.cpp
@@ -30,6 +30,25 @@
     return message;
 }
 
+member_record sample_record()
+{
+    member_record record;
+    record.id = node_id{"plug-2"};
+    record.peer = {"127.0.0.1", 7002};
+    record.service = service_name{"plugboard"};
+    record.state = server_state::serving;
+    record.slots = 9;
+    record.incarnation = 12;
+    return record;
+}
+
+std::string replaced(std::string text, std::string_view part, std::string_view replacement)
+{
+    const auto position = text.find(part);
+    EXPECT_NE(position, std::string::npos) << part;
+    return text.replace(position, part.size(), replacement);
+}
+
 /** Whatever decode() accepts must survive another round trip through encode() and decode(). */
 template<typename Message>
 void check_round_trip(std::span<const std::byte> bytes)
@@ -74,6 +93,38 @@
     }
 }
 
+TEST(decoder_input, json_number_beyond_the_range_of_its_field_is_malformed)
+{
+    const auto text = encode_json(sample_record());
+    ASSERT_TRUE(decode_json<member_record>(text));
+    for (const auto* number : {"65536", "77002", "-1", "1e999", "7002.5", "18446744073709551616"}) {
+        EXPECT_FALSE(decode_json<member_record>(replaced(text, "7002", number))) << number;
+    }
+    const auto state = R"("state": )" + std::to_string(static_cast<int>(server_state::serving));
+    EXPECT_FALSE(decode_json<member_record>(replaced(text, state, R"("state": 256)")));
+    EXPECT_FALSE(
+        decode_json<member_record>(replaced(text, R"("slots": 9)", R"("slots": 4294967296)")));
+}
+
+RC_GTEST_PROP(decoder_input, accepted_mutated_json_round_trips, ())
+{
+    auto text = encode_json(sample_record());
+    const auto mutations = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < mutations; ++i) {
+        const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
+        const auto removed = *rc::gen::inRange<std::size_t>(0, 8);
+        text.replace(position, removed,
+                     *rc::gen::element<std::string>("", "9", "e9", "-", "{}", "[", "]", "[[]]",
+                                                    "null", "\"", ",", "\xff", "\"\\udc00\""));
+    }
+    static_cast<void>(decode_json<lease_record>(text));
+    static_cast<void>(decode_json<commit>(text));
+    if (const auto record = decode_json<member_record>(text)) {
+        RC_ASSERT(record->state <= server_state::last_state);
+        RC_ASSERT(static_cast<bool>(decode_json<member_record>(encode_json(*record))));
+    }
+}
+
 RC_GTEST_PROP(decoder_input, decode_json_does_not_crash_on_random_text, (const std::string& text))
 {
     static_cast<void>(decode_json<commit>(text));
