Skip directory entries with an unusable endpoint

Cause: member_directory passed on the endpoint of every entry that decodes, also with port 0 or with text that is no IPv4 address. Seen: an entry of another writer becomes a seed to which the node sends, in vain, for as long as it stands; nothing in the log names the entry. Evidence: test failure below. Why this works: is_usable() is now the one check of an endpoint, for announcements and for the directory; SW2016 names the entry. Test failed before: member_directory_test.entry_with_an_unusable_endpoint_is_logged_and_skipped (five endpoints discovered, no line).

--- a/src/savorywheel/admin/announcement_rules.cpp
+++ b/src/savorywheel/admin/announcement_rules.cpp
@@ -22,7 +22,7 @@
     if (!is_key_segment(backend.version.str())) {
         return invalid("version", key_segment_rule);
     }
-    if (!parse_endpoint(to_string(backend.endpoint)) || backend.endpoint.port == 0) {
+    if (!is_usable(backend.endpoint)) {
         return invalid("endpoint", "an IP number and a port");
     }
     if (backend.state > server_state::draining) {
--- a/src/savorywheel/core/network_endpoint.cpp
+++ b/src/savorywheel/core/network_endpoint.cpp
@@ -6,11 +6,27 @@
 
 namespace savorywheel {
 
+namespace {
+
+bool is_address(const std::string& text)
+{
+    in_addr number{};
+    // Text after an embedded zero byte would be ignored.
+    return text.find('\0') == std::string::npos && inet_pton(AF_INET, text.c_str(), &number) == 1;
+}
+
+} // namespace
+
 std::string to_string(const network_endpoint& endpoint)
 {
     return endpoint.address + ":" + std::to_string(endpoint.port);
 }
 
+bool is_usable(const network_endpoint& endpoint)
+{
+    return endpoint.port != 0 && is_address(endpoint.address);
+}
+
 std::optional<network_endpoint> parse_endpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
@@ -24,8 +40,7 @@
         return std::nullopt;
     }
     network_endpoint endpoint{std::string{text.substr(0, colon)}, port};
-    in_addr number{};
-    if (inet_pton(AF_INET, endpoint.address.c_str(), &number) != 1) {
+    if (!is_address(endpoint.address)) {
         return std::nullopt;
     }
     return endpoint;
--- a/src/savorywheel/core/network_endpoint.hpp
+++ b/src/savorywheel/core/network_endpoint.hpp
@@ -24,6 +24,9 @@
 /** @return The endpoint as "address:port". */
 [[nodiscard]] std::string to_string(const network_endpoint& endpoint);
 
+/** @return True if the address is an IPv4 address and the port is not zero. */
+[[nodiscard]] bool is_usable(const network_endpoint& endpoint);
+
 /** @return The endpoint parsed from "address:port"; std::nullopt if the text is malformed. */
 [[nodiscard]] std::optional<network_endpoint> parse_endpoint(std::string_view text);
 
--- a/src/savorywheel/node/member_directory.cpp
+++ b/src/savorywheel/node/member_directory.cpp
@@ -72,6 +72,9 @@
         if (!record) {
             unreadable.push_back(fmt::format("{}: {}", object.key, record.reason().message));
         }
+        else if (!is_usable(record->peer)) {
+            unreadable.push_back(fmt::format("{}: unusable endpoint", object.key));
+        }
         else if (record->id != self) {
             peers.push_back(record->peer);
         }
--- a/test/platform/member_directory_test.cpp
+++ b/test/platform/member_directory_test.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/node/member_directory.hpp>
 
 #include <gtest/gtest.h>
@@ -90,6 +91,22 @@
     EXPECT_GE(log_.count(event_id::directory_entry_unreadable), 1U);
 }
 
+TEST_F(member_directory_test, entry_with_an_unusable_endpoint_is_logged_and_skipped)
+{
+    const std::vector<network_endpoint> endpoints{
+        {"127.0.0.1", 0}, {"", 1001}, {"nowhere", 1001}, {"::1", 1001}, {"300.1.1.1", 1001}};
+    for (const auto& endpoint : endpoints) {
+        auto record = make_record("x" + std::to_string(fake_store_.calls().size()), 1001);
+        record.peer = endpoint;
+        ASSERT_TRUE(store_.create("nodes/" + record.id.str(), encode_json(record)));
+    }
+    auto other = make_directory(make_record("b", 1002));
+    other.start();
+    fixture_.advance_time(milliseconds{100});
+    EXPECT_TRUE(discovered_.empty());
+    EXPECT_EQ(log_.count(event_id::directory_entry_unreadable), endpoints.size());
+}
+
 TEST_F(member_directory_test, stopping_node_removes_its_entry_or_logs_the_failure)
 {
     auto subject = make_directory(make_record("a", 1001));
