Serve request headers of the size that operators allow

Cause: libmicrohttpd keeps the text of a header and a record of 64 bytes for each field, argument and cookie in the memory of its connection, 32 KB by default. A header of 16,384 bytes, which operators allow, does not fit once its fields are shorter than about 100 bytes.

What callers saw: status 431 from the library (256 fields of 64 bytes, 512 of 32, 127 cookies), or a connection closed without a response (512 arguments of 32 bytes). No call reached the handler.

Why the fix works: 64 KiB hold 16 KiB of text, 512 records and the response. All of it becomes resident after the first request (the library clears it), so that the limit on connections goes from 1000 to 600: 600 x 81 kB is what 1000 x 49 kB was before.

Open: more than 512 fields, arguments or cookies within 16,384 bytes can still be rejected; 1024 fields of 16 bytes get 431, and pass at 128 KB.

--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -185,6 +185,8 @@
             MHD_OptionItem{MHD_OPTION_SOCK_ADDR, 0, &address},
             MHD_OptionItem{MHD_OPTION_CONNECTION_TIMEOUT,
                            static_cast<intptr_t>(limits_.idle_timeout.count()), nullptr},
+            MHD_OptionItem{MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                           static_cast<intptr_t>(limits_.connection_memory_bytes), nullptr},
             MHD_OptionItem{MHD_OPTION_CONNECTION_LIMIT,
                            static_cast<intptr_t>(limits_.max_connections), nullptr},
             MHD_OptionItem{MHD_OPTION_END, 0, nullptr}};
--- a/src/savorywheel/http/http_server_limits.hpp
+++ b/src/savorywheel/http/http_server_limits.hpp
@@ -9,6 +9,14 @@
 struct http_server_limits {
     /** @brief Maximum request body, in bytes; larger ones are rejected with status 413. */
     std::size_t max_body_bytes{8UL * 1024UL * 1024UL};
+    /**
+     * @brief Memory for the header of a request and of its response, in bytes per connection; a
+     * header that needs more is rejected with status 431.
+     *
+     * Holds 16 KiB of text and the library's records of 512 fields, of 64 bytes each, with 16 KiB
+     * for the response. The library touches all of it after the first request.
+     */
+    std::size_t connection_memory_bytes{64UL * 1024UL};
     /** @brief Maximum of open connections; further ones are closed immediately. */
     unsigned max_connections{512};
     /** @brief Idle time after which a persistent connection is closed. */
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -33,8 +33,9 @@
 
 namespace {
 
-/** A connection takes about 40 kB, and callers that retry during an overload open new ones. */
-constexpr unsigned max_caller_connections = 1000;
+/** A connection takes about 80 kB, and callers that retry during an overload open new ones; the
+ * limit keeps their memory below 50 MB. */
+constexpr unsigned max_caller_connections = 600;
 constexpr std::chrono::milliseconds short_request_drain_limit{200};
 constexpr std::chrono::milliseconds short_request_drain_idle{50};
 
