Forward multipart bodies without parsing them

Cause: ulfius runs the form parser of libmicrohttpd on bodies of forms, and closes the connection if the parser rejects the body or its Content-Type.

What callers saw: no response to any POST with Content-Type multipart/form-data, with or without a boundary; the connection closed. No call reached the handler.

Why the fix works: the handler uses only the body's bytes; without the parser nothing rejects them, and ulfius keeps no second copy of a form's fields.

The library does not trim Content-Length and Transfer-Encoding; "Content-Length: 3 " gets 400, "Transfer-Encoding: chunked " no response.

--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -145,6 +145,9 @@
         instance_.max_post_body_size = limits_.max_body_bytes + 1;
         instance_.timeout = static_cast<unsigned>(limits_.idle_timeout.count());
         instance_.check_utf8 = 0;
+        // Bodies are forwarded as they are; the library closes connections over forms it cannot
+        // parse.
+        instance_.allowed_post_processor = U_POST_PROCESS_NONE;
         ulfius_add_endpoint_by_val(&instance_, "*", "", "/*", 0, &impl::dispatch, this);
         ulfius_set_default_endpoint(&instance_, &impl::dispatch, this);
         if (!listen(address)) {
--- /dev/null
+++ b/test/savorywheel/http/http_request_shapes_test.cpp
@@ -0,0 +1,203 @@
+#include <savorywheel/http/http_server.hpp>
+
+#include <gtest/gtest.h>
+#include <support/loopback_socket.hpp>
+#include <support/raw_http_connection.hpp>
+#include <support/recording_http_handler.hpp>
+#include <unistd.h>
+
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace savorywheel::test {
+
+namespace {
+
+/** A proper request and what the handler must receive. */
+struct request_shape {
+    std::string name;
+    std::string bytes;
+    http_request expected;
+
+    friend std::ostream& operator<<(std::ostream& output, const request_shape& shape)
+    {
+        return output << shape.name;
+    }
+};
+
+std::string text_of(const http_request& request)
+{
+    std::string text = request.method + " " + request.target + "\n";
+    for (const auto& header : request.headers) {
+        text += header.name + ": " + header.value + "\n";
+    }
+    return text + "\n" + request.body;
+}
+
+std::vector<request_shape> body_shapes()
+{
+    const std::string bytes{"\0\r\n\xff\r\n\r\nz", 9};
+    return {
+        {"GET with length 0",
+         "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n",
+         {"GET", "/", {{"Host", "a"}, {"Content-Length", "0"}}, {}}},
+        {"GET with a body",
+         "GET / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+         {"GET", "/", {{"Host", "a"}, {"Content-Length", "3"}}, "abc"}},
+        {"DELETE with a body",
+         "DELETE / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+         {"DELETE", "/", {{"Host", "a"}, {"Content-Length", "3"}}, "abc"}},
+        {"POST without a body",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n",
+         {"POST", "/", {{"Host", "a"}, {"Content-Length", "0"}}, {}}},
+        {"length with leading zeros",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 003\r\n\r\nabc",
+         {"POST", "/", {{"Host", "a"}, {"Content-Length", "003"}}, "abc"}},
+        {"binary body",
+         "PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n" + bytes,
+         {"PUT", "/", {{"Host", "a"}, {"Content-Length", "9"}}, bytes}},
+        {"chunks",
+         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "3\r\nabc\r\n0A\r\n0123456789\r\n0\r\n\r\n",
+         {"POST", "/", {{"Host", "a"}, {"Transfer-Encoding", "chunked"}}, "abc0123456789"}},
+        {"chunks with extensions and trailers",
+         "POST / HTTP/1.1\r\nHost: a\r\ntransfer-encoding: Chunked\r\nTrailer: T\r\n\r\n"
+         "3;n=v\r\nabc\r\n2;n=\"q\"\r\nde\r\n0;last\r\nT: u\r\n\r\n",
+         {"POST",
+          "/",
+          {{"Host", "a"}, {"transfer-encoding", "Chunked"}, {"Trailer", "T"}},
+          "abcde"}},
+        {"no chunk",
+         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         {"POST", "/", {{"Host", "a"}, {"Transfer-Encoding", "chunked"}}, {}}},
+        {"expectation",
+         "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\nabc",
+         {"POST",
+          "/",
+          {{"Host", "a"}, {"Expect", "100-continue"}, {"Content-Length", "3"}},
+          "abc"}},
+    };
+}
+
+std::vector<request_shape> form_shapes()
+{
+    const std::string form = "application/x-www-form-urlencoded";
+    const std::string multipart = "multipart/form-data; boundary=x";
+    const std::string parts = "--x\r\nContent-Disposition: form-data; name=\"f\"; filename=\"g\""
+                              "\r\n\r\nbytes\r\n--x--\r\n";
+    const std::string bytes{"\0\r\n\xff\r\n\r\nz", 9};
+    return {
+        {"form",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Type: " + form +
+             "\r\nContent-Length: 9\r\n\r\na=b&c=%zz",
+         {"POST",
+          "/",
+          {{"Host", "a"}, {"Content-Type", form}, {"Content-Length", "9"}},
+          "a=b&c=%zz"}},
+        {"form that is none",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Type: " + form + "\r\nContent-Length: 9\r\n\r\n" +
+             bytes,
+         {"POST", "/", {{"Host", "a"}, {"Content-Type", form}, {"Content-Length", "9"}}, bytes}},
+        {"multipart",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Type: " + multipart +
+             "\r\nContent-Length: " + std::to_string(parts.size()) + "\r\n\r\n" + parts,
+         {"POST",
+          "/",
+          {{"Host", "a"},
+           {"Content-Type", multipart},
+           {"Content-Length", std::to_string(parts.size())}},
+          parts}},
+        {"multipart that is none",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Type: " + multipart +
+             "\r\nContent-Length: 9\r\n\r\n" + bytes,
+         {"POST",
+          "/",
+          {{"Host", "a"}, {"Content-Type", multipart}, {"Content-Length", "9"}},
+          bytes}},
+        {"multipart without boundary",
+         "POST / HTTP/1.1\r\nHost: a\r\nContent-Type: multipart/form-data\r\n"
+         "Content-Length: 3\r\n\r\nabc",
+         {"POST",
+          "/",
+          {{"Host", "a"}, {"Content-Type", "multipart/form-data"}, {"Content-Length", "3"}},
+          "abc"}},
+    };
+}
+
+class http_request_shapes : public testing::TestWithParam<request_shape> {
+protected:
+    http_request_shapes() { ::close(listen_on_loopback(endpoint_)); }
+
+    network_endpoint endpoint_;
+    recording_http_handler handler_;
+    http_server server_{handler_};
+};
+
+void expect_requests(const std::vector<http_request>& requests, const http_request& expected,
+                     std::size_t count)
+{
+    EXPECT_EQ(requests.size(), count);
+    for (const auto& request : requests) {
+        EXPECT_EQ(text_of(request), text_of(expected));
+    }
+}
+
+} // namespace
+
+TEST_P(http_request_shapes, reach_the_handler_unchanged_on_a_kept_connection)
+{
+    ASSERT_TRUE(server_.start(endpoint_));
+    raw_http_connection connection{endpoint_};
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_TRUE(connection.send(GetParam().bytes));
+        EXPECT_EQ(connection.read_status(), 200) << "request " << i;
+    }
+    expect_requests(handler_.take(), GetParam().expected, 3);
+}
+
+TEST_P(http_request_shapes, reach_the_handler_unchanged_when_pipelined)
+{
+    ASSERT_TRUE(server_.start(endpoint_));
+    raw_http_connection connection{endpoint_};
+    EXPECT_TRUE(connection.send(GetParam().bytes + GetParam().bytes));
+    EXPECT_EQ(connection.read_status(), 200);
+    EXPECT_EQ(connection.read_status(), 200);
+    expect_requests(handler_.take(), GetParam().expected, 2);
+}
+
+TEST_P(http_request_shapes, reach_the_handler_unchanged_when_split)
+{
+    ASSERT_TRUE(server_.start(endpoint_));
+    raw_http_connection connection{endpoint_};
+    const std::string_view bytes = GetParam().bytes;
+    const auto half = bytes.size() / 2;
+    EXPECT_TRUE(connection.send(bytes.substr(0, half)));
+    std::this_thread::sleep_for(std::chrono::milliseconds{5});
+    EXPECT_TRUE(connection.send(bytes.substr(half)));
+    EXPECT_EQ(connection.read_status(), 200);
+    expect_requests(handler_.take(), GetParam().expected, 1);
+}
+
+TEST(http_framing_fields, accept_trailing_space)
+{
+    network_endpoint endpoint;
+    ::close(listen_on_loopback(endpoint));
+    recording_http_handler handler;
+    http_server server{handler};
+    ASSERT_TRUE(server.start(endpoint));
+    raw_http_connection with_length{endpoint};
+    EXPECT_TRUE(with_length.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3 \r\n\r\nabc"));
+    EXPECT_EQ(with_length.read_status(), 200);
+    raw_http_connection in_chunks{endpoint};
+    EXPECT_TRUE(in_chunks.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked \r\n\r\n"
+                               "3\r\nabc\r\n0\r\n\r\n"));
+    EXPECT_EQ(in_chunks.read_status(), 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(forms, http_request_shapes, testing::ValuesIn(form_shapes()));
+INSTANTIATE_TEST_SUITE_P(bodies, http_request_shapes, testing::ValuesIn(body_shapes()));
+
+} // namespace savorywheel::test
