Forward repeated header fields as they were received

Cause: ulfius keeps header fields in a map: it merges fields of one name into one field, in the place of the first, and the library keeps spaces behind a value.

What callers saw: nothing directly. The backend server received "X: 1,1" for two fields "X: 1", and a value with its trailing spaces; two fields Cookie, whose values must not be joined by a comma, likewise.

Why the fix works: the fields are read from the connection in their order, each with its size.

Test: http_request_shapes, suite fields: repeated name and no space and trailing space failed before ("X: 1,1"; "X: b c \t"), and pass.

--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -14,6 +14,7 @@
 #include <cstdio>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace savorywheel {
 
@@ -25,12 +26,19 @@
 
 constexpr std::size_t max_message_bytes = 512;
 
-/** Undecoded target of the request that the thread of this connection reads. */
-thread_local std::string raw_target;
+/** What ulfius does not pass on of a request. */
+struct request_source {
+    /** Target as received, without decoding. */
+    std::string target;
+    MHD_Connection* connection{};
+};
+
+/** Request that the thread of this connection reads. */
+thread_local request_source current_source;
 
-void* on_target(void* self, const char* target)
+void* on_target(void* self, const char* target, MHD_Connection* connection)
 {
-    raw_target = target;
+    current_source = {target, connection};
     return ulfius_uri_logger(self, target);
 }
 
@@ -69,14 +77,24 @@
               MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
 }
 
-std::vector<http_header> headers_of(const _u_request& request)
+std::string_view trim_trailing_space(std::string_view value)
+{
+    return value.substr(0, value.find_last_not_of(" \t") + 1);
+}
+
+MHD_Result add_header(void* headers, MHD_ValueKind /*kind*/, const char* name,
+                      std::size_t name_size, const char* value, std::size_t value_size)
+{
+    static_cast<std::vector<http_header>*>(headers)->push_back(
+        {{name, name_size}, std::string{trim_trailing_space({value, value_size})}});
+    return MHD_YES;
+}
+
+/** Reads the fields in their order, also repeated ones, which ulfius merges. */
+std::vector<http_header> headers_of(MHD_Connection* connection)
 {
     std::vector<http_header> headers;
-    const char** keys = u_map_enum_keys(request.map_header);
-    for (std::size_t i = 0; keys != nullptr && keys[i] != nullptr; ++i) {
-        const char* value = u_map_get(request.map_header, keys[i]);
-        headers.push_back({keys[i], value != nullptr ? value : ""});
-    }
+    MHD_get_connection_values_n(connection, MHD_HEADER_KIND, &add_header, &headers);
     return headers;
 }
 
@@ -84,8 +102,8 @@
 {
     http_request request;
     request.method = source.http_verb != nullptr ? source.http_verb : "";
-    request.target = raw_target;
-    request.headers = headers_of(source);
+    request.target = current_source.target;
+    request.headers = headers_of(current_source.connection);
     if (source.binary_body != nullptr) {
         request.body.assign(static_cast<const char*>(source.binary_body),
                             source.binary_body_length);
--- a/test/savorywheel/http/http_request_shapes_test.cpp
+++ b/test/savorywheel/http/http_request_shapes_test.cpp
@@ -37,6 +37,39 @@
     return text + "\n" + request.body;
 }
 
+std::vector<request_shape> field_shapes()
+{
+    return {
+        {"lower-case names",
+         "GET / HTTP/1.1\r\nhost: a\r\nx-b: c\r\n\r\n",
+         {"GET", "/", {{"host", "a"}, {"x-b", "c"}}, {}}},
+        {"no space and trailing space",
+         "GET / HTTP/1.1\r\nHost:a\r\nX: \t b c \t\r\n\r\n",
+         {"GET", "/", {{"Host", "a"}, {"X", "b c"}}, {}}},
+        {"empty value",
+         "GET / HTTP/1.1\r\nHost: a\r\nX:\r\nY: \r\n\r\n",
+         {"GET", "/", {{"Host", "a"}, {"X", ""}, {"Y", ""}}, {}}},
+        {"repeated name",
+         "GET / HTTP/1.1\r\nHost: a\r\nX: 1\r\nY: 2\r\nx: 3\r\nX: 1\r\n\r\n",
+         {"GET", "/", {{"Host", "a"}, {"X", "1"}, {"Y", "2"}, {"x", "3"}, {"X", "1"}}, {}}},
+        {"values with separators",
+         "GET / HTTP/1.1\r\nHost: a\r\nX: a:b, \"c;d\"=e%20\\f\r\nCookie: p=q; r=\"s t\"\r\n\r\n",
+         {"GET",
+          "/",
+          {{"Host", "a"}, {"X", "a:b, \"c;d\"=e%20\\f"}, {"Cookie", "p=q; r=\"s t\""}},
+          {}}},
+        {"bytes that are not UTF-8",
+         "GET / HTTP/1.1\r\nHost: a\r\nX: \xff\xe9 b\r\n\r\n",
+         {"GET", "/", {{"Host", "a"}, {"X", "\xff\xe9 b"}}, {}}},
+        {"token characters in a name",
+         "GET / HTTP/1.1\r\nHost: a\r\n!#$%&'*+-.^_`|~1: b\r\n\r\n",
+         {"GET", "/", {{"Host", "a"}, {"!#$%&'*+-.^_`|~1", "b"}}, {}}},
+        {"authorization",
+         "GET / HTTP/1.1\r\nHost: a\r\nAuthorization: Basic !!!\r\n\r\n",
+         {"GET", "/", {{"Host", "a"}, {"Authorization", "Basic !!!"}}, {}}},
+    };
+}
+
 std::vector<request_shape> body_shapes()
 {
     const std::string bytes{"\0\r\n\xff\r\n\r\nz", 9};
@@ -197,6 +230,7 @@
     EXPECT_EQ(in_chunks.read_status(), 200);
 }
 
+INSTANTIATE_TEST_SUITE_P(fields, http_request_shapes, testing::ValuesIn(field_shapes()));
 INSTANTIATE_TEST_SUITE_P(forms, http_request_shapes, testing::ValuesIn(form_shapes()));
 INSTANTIATE_TEST_SUITE_P(bodies, http_request_shapes, testing::ValuesIn(body_shapes()));
 
