Route absolute request targets by their path

Cause: the request target was passed on as received. For the absolute form (RFC 9112, 3.2.2), which servers must accept, the target begins with the scheme, and no path prefix begins it.

What callers saw: 404 for any request in absolute form. The URL that the node sent to a backend server would have had the scheme in its path.

Why the fix works: the server splits the absolute form once, where requests are read, into the authority, which replaces Host, and path and query. All code behind it sees the origin form.

Test: http_request_shapes, suite targets: the four rows with an absolute form failed before (target "http://a/b/c?d=e" instead of "/b/c?d=e"), and pass.

--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -2,6 +2,7 @@
 #include <savorywheel/http/hangup_watcher.hpp>
 #include <savorywheel/http/http_server.hpp>
 #include <savorywheel/http/http_status.hpp>
+#include <savorywheel/http/request_target.hpp>
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
@@ -14,6 +15,7 @@
 #include <cstdio>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace savorywheel {
@@ -98,12 +100,28 @@
     return headers;
 }
 
+/** The authority of an absolute target takes precedence over the field Host (RFC 9112, 3.2.2). */
+void set_host(std::vector<http_header>& headers, const std::string& authority)
+{
+    for (auto& header : headers) {
+        if (equal_ignoring_case(header.name, "Host")) {
+            header.value = authority;
+            return;
+        }
+    }
+    headers.push_back({"Host", authority});
+}
+
 http_request make_request(const _u_request& source)
 {
     http_request request;
     request.method = source.http_verb != nullptr ? source.http_verb : "";
-    request.target = current_source.target;
+    auto target = parse_request_target(current_source.target);
+    request.target = std::move(target.origin_form);
     request.headers = headers_of(current_source.connection);
+    if (!target.authority.empty()) {
+        set_host(request.headers, target.authority);
+    }
     if (source.binary_body != nullptr) {
         request.body.assign(static_cast<const char*>(source.binary_body),
                             source.binary_body_length);
--- a/test/savorywheel/http/http_request_shapes_test.cpp
+++ b/test/savorywheel/http/http_request_shapes_test.cpp
@@ -37,6 +37,46 @@
     return text + "\n" + request.body;
 }
 
+std::vector<request_shape> target_shapes()
+{
+    const std::vector<http_header> host{{"Host", "a"}};
+    return {
+        {"escapes",
+         "GET /a%2Fb%20c/%zz%?x=%41&y=1+2&&=z HTTP/1.1\r\nHost: a\r\n\r\n",
+         {"GET", "/a%2Fb%20c/%zz%?x=%41&y=1+2&&=z", host, {}}},
+        {"escaped NUL", "GET /a%00b HTTP/1.1\r\nHost: a\r\n\r\n", {"GET", "/a%00b", host, {}}},
+        {"bytes that are not UTF-8",
+         "GET /a\xff\xfe/b?\xe9 HTTP/1.1\r\nHost: a\r\n\r\n",
+         {"GET", "/a\xff\xfe/b?\xe9", host, {}}},
+        {"dots and slashes",
+         "GET //a/../b/./c// HTTP/1.1\r\nHost: a\r\n\r\n",
+         {"GET", "//a/../b/./c//", host, {}}},
+        {"empty query", "GET /a? HTTP/1.1\r\nHost: a\r\n\r\n", {"GET", "/a?", host, {}}},
+        {"absolute form",
+         "GET http://a/b/c?d=e HTTP/1.1\r\nHost: a\r\n\r\n",
+         {"GET", "/b/c?d=e", host, {}}},
+        {"absolute form without path",
+         "GET HTTP://a HTTP/1.1\r\nHost: a\r\n\r\n",
+         {"GET", "/", host, {}}},
+        {"absolute form with query only",
+         "GET http://a?b HTTP/1.1\r\nHost: a\r\n\r\n",
+         {"GET", "/?b", host, {}}},
+        {"absolute form overrides Host",
+         "GET http://a:80/b HTTP/1.1\r\nHost: c\r\n\r\n",
+         {"GET", "/b", {{"Host", "a:80"}}, {}}},
+        {"URL in the query",
+         "GET /a?u=http://b/c HTTP/1.1\r\nHost: a\r\n\r\n",
+         {"GET", "/a?u=http://b/c", host, {}}},
+        {"HTTP/1.0",
+         "GET /a HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n",
+         {"GET", "/a", {{"Host", "a"}, {"Connection", "keep-alive"}}, {}}},
+        {"empty line before the request",
+         "\r\nGET /a HTTP/1.1\r\nHost: a\r\n\r\n",
+         {"GET", "/a", host, {}}},
+        {"other method", "PROPFIND /a HTTP/1.1\r\nHost: a\r\n\r\n", {"PROPFIND", "/a", host, {}}},
+    };
+}
+
 std::vector<request_shape> field_shapes()
 {
     return {
@@ -230,6 +270,7 @@
     EXPECT_EQ(in_chunks.read_status(), 200);
 }
 
+INSTANTIATE_TEST_SUITE_P(targets, http_request_shapes, testing::ValuesIn(target_shapes()));
 INSTANTIATE_TEST_SUITE_P(fields, http_request_shapes, testing::ValuesIn(field_shapes()));
 INSTANTIATE_TEST_SUITE_P(forms, http_request_shapes, testing::ValuesIn(form_shapes()));
 INSTANTIATE_TEST_SUITE_P(bodies, http_request_shapes, testing::ValuesIn(body_shapes()));
