Answer 413 only to bodies above the limit

Cause: the server compared the size of the received body with Content-Length, ignored whether that field was a number, and answered 413 to any difference. One limit served as what callers may send and as what the node holds in memory.

What was ruled out: a caller that leaves within its body. The library ends the connection and never calls the handler (a_caller_that_leaves_within_its_body_gets_no_status passed before the change). A difference comes only of Transfer-Encoding beside Content-Length, and of two fields Content-Length.

What callers saw: 413 or 200 for contradicting lengths, by which came out equal, on a connection that stayed open: with two fields Content-Length the library reads by one of them, and what follows was read as the next request.

Why the fix works: check_body tells four cases apart. 413 is left for bodies above the limit; what callers may send and the node does not hold gets 503, which promises that it was not run; lengths that are invalid or contradict each other get 400, and the connection closes. max_buffered_body_bytes bounds the memory. Bodies in chunks that were cut at that limit, whose size is not known, get 503.

Test: http_body_limit; failed before: only_a_body_above_the_limit_is_too_large (200 for 503; there was one limit), conflicting_lengths_are_a_bad_request_and_close_the_connection (413 and 200 for 400, left open), a_length_that_is_no_number_is_never_taken_for_zero (200 for 400 with two fields).

--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/http/body_check.hpp>
 #include <savorywheel/http/connection_table.hpp>
 #include <savorywheel/http/hangup_watcher.hpp>
 #include <savorywheel/http/http_server.hpp>
@@ -10,7 +11,6 @@
 
 #include <array>
 #include <atomic>
-#include <charconv>
 #include <cstdarg>
 #include <cstdio>
 #include <string>
@@ -129,15 +129,17 @@
     return request;
 }
 
-bool body_complete(const http_request& request)
+/** @return Response to a request whose body cannot be passed on. */
+http_response reject_body(body_verdict verdict)
 {
-    const auto content_length = find_header(request.headers, "Content-Length");
-    if (content_length.empty()) {
-        return true;
+    switch (verdict) {
+    case body_verdict::too_large:
+        return {status_payload_too_large, {}, "request body too large\n"};
+    case body_verdict::unbuffered:
+        return {status_unavailable, {}, "request body too large for this node, not run\n"};
+    default:
+        return {status_bad_request, {}, "request body without a definite length\n"};
     }
-    std::size_t length{};
-    std::from_chars(content_length.data(), content_length.data() + content_length.size(), length);
-    return length == request.body.size();
 }
 
 void write_response(_u_response& target, const http_response& source, bool closing)
@@ -178,7 +180,7 @@
             return failure{failure_code::unavailable, "ulfius rejected its settings"};
         }
         initialized_ = true;
-        instance_.max_post_body_size = limits_.max_body_bytes + 1;
+        instance_.max_post_body_size = limits_.max_buffered_body_bytes + 1;
         instance_.timeout = static_cast<unsigned>(limits_.idle_timeout.count());
         instance_.check_utf8 = 0;
         // Bodies are forwarded as they are; the library closes connections over forms it cannot
@@ -252,26 +254,29 @@
     {
         connections_.adjust_request_count(1);
         const auto request = make_request(source);
-        if (request.body.size() > limits_.max_body_bytes || !body_complete(request)) {
-            report_rejection(request);
-            write_response(target, {status_payload_too_large, {}, "request body too large\n"},
-                           closing_);
+        const auto verdict =
+            check_body(request, limits_.max_body_bytes, limits_.max_buffered_body_bytes);
+        if (verdict == body_verdict::complete) {
+            write_response(target, handle(request, key_of(*source.client_address)), closing_);
         }
         else {
-            write_response(target, handle(request, key_of(*source.client_address)), closing_);
+            const auto response = reject_body(verdict);
+            report_rejection(request, response.status);
+            // Behind a body without a definite length, the next request cannot be located.
+            write_response(target, response, closing_ || verdict == body_verdict::misframed);
         }
         connections_.adjust_request_count(-1);
         return U_CALLBACK_COMPLETE;
     }
 
-    void report_rejection(const http_request& request)
+    void report_rejection(const http_request& request, int status)
     {
         if (listener_ != nullptr) {
             listener_->on_rejected(
-                status_payload_too_large, request.target,
-                fmt::format("{} bytes of the body received, announced {}, allowed {}",
+                status, request.target,
+                fmt::format("{} bytes of the body received, announced {}, allowed {}, buffered {}",
                             request.body.size(), find_header(request.headers, "Content-Length"),
-                            limits_.max_body_bytes));
+                            limits_.max_body_bytes, limits_.max_buffered_body_bytes));
         }
     }
 
--- a/src/savorywheel/http/http_server_limits.hpp
+++ b/src/savorywheel/http/http_server_limits.hpp
@@ -9,6 +9,11 @@
 struct http_server_limits {
     /** @brief Maximum request body, in bytes; larger ones are rejected with status 413. */
     std::size_t max_body_bytes{8UL * 1024UL * 1024UL};
+    /**
+     * @brief Maximum request body that is held in memory, in bytes; larger ones within
+     * max_body_bytes are rejected with status 503.
+     */
+    std::size_t max_buffered_body_bytes{8UL * 1024UL * 1024UL};
     /**
      * @brief Memory for the header of a request and of its response, in bytes per connection; a
      * header that needs more is rejected with status 431.
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -225,7 +225,9 @@
     std::unique_ptr<http_handler> announcements_{front_.make_announcement_handler(control_)};
     http_rejection_log rejection_log_{log_, time_, metrics_};
     http_server proxy_server_{proxy_, traffic_limits(settings_), &rejection_log_};
-    http_server admin_server_{admin_, http_server_limits{.max_body_bytes = max_admin_body_bytes}};
+    http_server admin_server_{admin_,
+                              http_server_limits{.max_body_bytes = max_admin_body_bytes,
+                                                 .max_buffered_body_bytes = max_admin_body_bytes}};
     http_server readiness_server_{readiness_, short_request_limits()};
     std::unique_ptr<http_server> announcement_server_{
         announcements_ ? std::make_unique<http_server>(*announcements_, short_request_limits())
--- a/test/savorywheel/http/http_server_test.cpp
+++ b/test/savorywheel/http/http_server_test.cpp
@@ -210,7 +210,7 @@
     server.stop();
     EXPECT_EQ(listener.statuses, std::vector<int>{413});
     EXPECT_EQ(listener.reasons.front(),
-              "1001 bytes of the body received, announced 1001, allowed 1000");
+              "1001 bytes of the body received, announced 1001, allowed 1000, buffered 8388608");
     EXPECT_TRUE(std::ranges::any_of(listener.messages, [](const std::string& message) {
         return message.find("400") != std::string::npos;
     }));
