--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -1,7 +1,9 @@
+#include <savorywheel/http/body_check.hpp>
 #include <savorywheel/http/connection_table.hpp>
 #include <savorywheel/http/hangup_watcher.hpp>
 #include <savorywheel/http/http_server.hpp>
 #include <savorywheel/http/http_status.hpp>
+#include <savorywheel/http/request_target.hpp>
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
@@ -9,11 +11,12 @@
 
 #include <array>
 #include <atomic>
-#include <charconv>
 #include <cstdarg>
 #include <cstdio>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace savorywheel {
 
@@ -25,12 +28,19 @@
 
 constexpr std::size_t max_message_bytes = 512;
 
-/** Undecoded target of the request that the thread of this connection reads. */
-thread_local std::string raw_target;
+/** What ulfius does not pass on of a request. */
+struct request_source {
+    /** Target as received, without decoding. */
+    std::string target;
+    MHD_Connection* connection{};
+};
+
+/** Request that the thread of this connection reads. */
+thread_local request_source current_source;
 
-void* on_target(void* self, const char* target)
+void* on_target(void* self, const char* target, MHD_Connection* connection)
 {
-    raw_target = target;
+    current_source = {target, connection};
     return ulfius_uri_logger(self, target);
 }
 
@@ -69,23 +79,49 @@
               MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
 }
 
-std::vector<http_header> headers_of(const _u_request& request)
+std::string_view trim_trailing_space(std::string_view value)
+{
+    return value.substr(0, value.find_last_not_of(" \t") + 1);
+}
+
+MHD_Result add_header(void* headers, MHD_ValueKind /*kind*/, const char* name,
+                      std::size_t name_size, const char* value, std::size_t value_size)
+{
+    static_cast<std::vector<http_header>*>(headers)->push_back(
+        {{name, name_size}, std::string{trim_trailing_space({value, value_size})}});
+    return MHD_YES;
+}
+
+/** Reads the fields in their order, also repeated ones, which ulfius merges. */
+std::vector<http_header> headers_of(MHD_Connection* connection)
 {
     std::vector<http_header> headers;
-    const char** keys = u_map_enum_keys(request.map_header);
-    for (std::size_t i = 0; keys != nullptr && keys[i] != nullptr; ++i) {
-        const char* value = u_map_get(request.map_header, keys[i]);
-        headers.push_back({keys[i], value != nullptr ? value : ""});
-    }
+    MHD_get_connection_values_n(connection, MHD_HEADER_KIND, &add_header, &headers);
     return headers;
 }
 
+/** The authority of an absolute target takes precedence over the field Host (RFC 9112, 3.2.2). */
+void set_host(std::vector<http_header>& headers, const std::string& authority)
+{
+    for (auto& header : headers) {
+        if (equal_ignoring_case(header.name, "Host")) {
+            header.value = authority;
+            return;
+        }
+    }
+    headers.push_back({"Host", authority});
+}
+
 http_request make_request(const _u_request& source)
 {
     http_request request;
     request.method = source.http_verb != nullptr ? source.http_verb : "";
-    request.target = raw_target;
-    request.headers = headers_of(source);
+    auto target = parse_request_target(current_source.target);
+    request.target = std::move(target.origin_form);
+    request.headers = headers_of(current_source.connection);
+    if (!target.authority.empty()) {
+        set_host(request.headers, target.authority);
+    }
     if (source.binary_body != nullptr) {
         request.body.assign(static_cast<const char*>(source.binary_body),
                             source.binary_body_length);
@@ -93,15 +129,17 @@
     return request;
 }
 
-bool body_complete(const http_request& request)
+/** @return Response to a request whose body cannot be passed on. */
+http_response reject_body(body_verdict verdict)
 {
-    const auto content_length = find_header(request.headers, "Content-Length");
-    if (content_length.empty()) {
-        return true;
+    switch (verdict) {
+    case body_verdict::too_large:
+        return {status_payload_too_large, {}, "request body too large\n"};
+    case body_verdict::unbuffered:
+        return {status_unavailable, {}, "request body too large for this node, not run\n"};
+    default:
+        return {status_bad_request, {}, "request body without a definite length\n"};
     }
-    std::size_t length{};
-    std::from_chars(content_length.data(), content_length.data() + content_length.size(), length);
-    return length == request.body.size();
 }
 
 void write_response(_u_response& target, const http_response& source, bool closing)
@@ -142,9 +180,12 @@
             return failure{failure_code::unavailable, "ulfius rejected its settings"};
         }
         initialized_ = true;
-        instance_.max_post_body_size = limits_.max_body_bytes + 1;
+        instance_.max_post_body_size = limits_.max_buffered_body_bytes + 1;
         instance_.timeout = static_cast<unsigned>(limits_.idle_timeout.count());
         instance_.check_utf8 = 0;
+        // Bodies are forwarded as they are; the library closes connections over forms it cannot
+        // parse.
+        instance_.allowed_post_processor = U_POST_PROCESS_NONE;
         ulfius_add_endpoint_by_val(&instance_, "*", "", "/*", 0, &impl::dispatch, this);
         ulfius_set_default_endpoint(&instance_, &impl::dispatch, this);
         if (!listen(address)) {
@@ -185,6 +226,8 @@
             MHD_OptionItem{MHD_OPTION_SOCK_ADDR, 0, &address},
             MHD_OptionItem{MHD_OPTION_CONNECTION_TIMEOUT,
                            static_cast<intptr_t>(limits_.idle_timeout.count()), nullptr},
+            MHD_OptionItem{MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                           static_cast<intptr_t>(limits_.connection_memory_bytes), nullptr},
             MHD_OptionItem{MHD_OPTION_CONNECTION_LIMIT,
                            static_cast<intptr_t>(limits_.max_connections), nullptr},
             MHD_OptionItem{MHD_OPTION_END, 0, nullptr}};
@@ -211,26 +254,29 @@
     {
         connections_.adjust_request_count(1);
         const auto request = make_request(source);
-        if (request.body.size() > limits_.max_body_bytes || !body_complete(request)) {
-            report_rejection(request);
-            write_response(target, {status_payload_too_large, {}, "request body too large\n"},
-                           closing_);
+        const auto verdict =
+            check_body(request, limits_.max_body_bytes, limits_.max_buffered_body_bytes);
+        if (verdict == body_verdict::complete) {
+            write_response(target, handle(request, key_of(*source.client_address)), closing_);
         }
         else {
-            write_response(target, handle(request, key_of(*source.client_address)), closing_);
+            const auto response = reject_body(verdict);
+            report_rejection(request, response.status);
+            // Behind a body without a definite length, the next request cannot be located.
+            write_response(target, response, closing_ || verdict == body_verdict::misframed);
         }
         connections_.adjust_request_count(-1);
         return U_CALLBACK_COMPLETE;
     }
 
-    void report_rejection(const http_request& request)
+    void report_rejection(const http_request& request, int status)
     {
         if (listener_ != nullptr) {
             listener_->on_rejected(
-                status_payload_too_large, request.target,
-                fmt::format("{} bytes of the body received, announced {}, allowed {}",
+                status, request.target,
+                fmt::format("{} bytes of the body received, announced {}, allowed {}, buffered {}",
                             request.body.size(), find_header(request.headers, "Content-Length"),
-                            limits_.max_body_bytes));
+                            limits_.max_body_bytes, limits_.max_buffered_body_bytes));
         }
     }
 
