Tell different documents of equal revision sums apart

Cause: a node asked a peer for the operators' documents only if the peer's sum of revisions was greater. Different documents can have equal sums (configuration 100 and order 5 against 90 and 15): then neither node asked. A node with a newer order could not be told of a newer configuration until its own order had gone the other way, and a node with orders but without a configuration (sum 500 against 100) never asked.

What callers would see: 404 for routes of an acknowledged configuration, or 503 from a node that never gets one, as long as that node's watch of the store does not work.

Change: a head has the state's version (as before), the operators' version and a digest of the revisions of all documents. A node asks if the digests differ, and the peer's operators' version is newer or its sum is not smaller. A request names the configuration that the node has; the answer leaves it out unless it is newer, so that a changed order does not cost a configuration of up to 1 MB. The configuration is ordered by version, then revision: a total order, so that all nodes choose the same one. Heads are announced also before a configuration is known.

Why it works: of two nodes with different documents the one with the older configuration, or with the sum that is not greater, asks and gains at least one document; each merge raises the sum, so it ends, with equal documents.

Weighed: revisions of all documents in each datagram (1,200 orders do not fit), and asking whenever digests differ (both sides of each difference would ask).

Bytes on a running fleet: not measured.

--- a/src/savorywheel/distribution/operator_documents.hpp
+++ b/src/savorywheel/distribution/operator_documents.hpp
@@ -4,6 +4,8 @@
 #include <savorywheel/config/operator_configuration.hpp>
 #include <savorywheel/config/rollout_order.hpp>
 #include <savorywheel/core/config_version.hpp>
+#include <savorywheel/core/configuration_head.hpp>
+#include <savorywheel/distribution/document_request.hpp>
 
 #include <cstdint>
 #include <vector>
@@ -14,8 +16,9 @@
  * @brief A node's copy of the documents that operators write to the object store.
  *
  * The documents are the configuration and the rollout orders.
- * Each document has its own revision and is merged last-writer-wins. The sum of the revisions grows
- * with every update, so two nodes with equal sums have the same documents.
+ * Each document has its own revision and is merged last-writer-wins. Nodes with different documents
+ * have different heads; each pair of them becomes equal once the nodes that lack documents of the
+ * other have fetched them.
  */
 struct operator_documents {
     operator_configuration configuration;
@@ -27,8 +30,21 @@
     /** @return Sum of the revisions of all documents. */
     [[nodiscard]] config_version revision_sum() const noexcept;
 
+    /** @return Summary of the documents; independent of the order in which they arrived. */
+    [[nodiscard]] configuration_head head() const;
+
     /**
-     * @brief Replaces the configuration if the candidate is newer.
+     * @brief Determines whether a peer may have documents that are newer than these.
+     *
+     * Of two nodes with different documents, one lacks some of the other's at least. Merging them
+     * raises the sum, so an exchange between nodes ends when all documents are equal.
+     * @param remote Head of the peer's documents.
+     */
+    [[nodiscard]] bool lacks_any_of(const configuration_head& remote) const;
+
+    /**
+     * @brief Replaces the configuration if the candidate has a newer version, or a newer revision
+     * of the same version.
      * @return False if the candidate is not newer.
      */
     bool merge(const operator_configuration& candidate, std::uint64_t candidate_revision);
@@ -39,6 +55,18 @@
      */
     bool merge(const rollout_order& candidate);
 
+    /**
+     * @brief Merges a peer's documents.
+     * @return False if none of them is newer.
+     */
+    bool merge(const operator_documents& candidates);
+
+    /** @return Request for the documents of a peer. */
+    [[nodiscard]] document_request request() const noexcept;
+
+    /** @return All orders, and the configuration if it is newer than that of the requester. */
+    [[nodiscard]] operator_documents answer(const document_request& request) const;
+
     /** @return The order for a service; nullptr if there is none. */
     [[nodiscard]] const rollout_order* find_order(const service_name& service) const noexcept;
 };
--- a/src/savorywheel/encoding/core_archive.hpp
+++ b/src/savorywheel/encoding/core_archive.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ENCODING_CORE_ARCHIVE_HPP
 
 #include <savorywheel/core/config_version.hpp>
+#include <savorywheel/core/configuration_head.hpp>
 #include <savorywheel/core/finding.hpp>
 #include <savorywheel/core/named.hpp>
 #include <savorywheel/core/network_endpoint.hpp>
@@ -39,6 +40,14 @@
     version.number = number;
 }
 
+template<typename Archive>
+void serialize(Archive& archive, configuration_head& head)
+{
+    archive(cereal::make_nvp("version", head.version),
+            cereal::make_nvp("operator_version", head.operator_version),
+            cereal::make_nvp("digest", head.digest));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, network_endpoint& endpoint)
 {
--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/distribution/commit_batch_message.hpp>
 #include <savorywheel/distribution/commit_fetch_message.hpp>
 #include <savorywheel/distribution/commit_push_message.hpp>
+#include <savorywheel/distribution/document_request.hpp>
 #include <savorywheel/distribution/floor_message.hpp>
 #include <savorywheel/distribution/head_message.hpp>
 #include <savorywheel/distribution/lease_record.hpp>
@@ -68,6 +69,13 @@
             cereal::make_nvp("note", lease.note));
 }
 
+template<typename Archive>
+void serialize(Archive& archive, document_request& request)
+{
+    archive(cereal::make_nvp("version", request.version),
+            cereal::make_nvp("revision", request.revision));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, operator_documents& item)
 {
--- a/src/savorywheel/membership/membership_listener.hpp
+++ b/src/savorywheel/membership/membership_listener.hpp
@@ -1,7 +1,7 @@
 #ifndef SAVORYWHEEL_MEMBERSHIP_MEMBERSHIP_LISTENER_HPP
 #define SAVORYWHEEL_MEMBERSHIP_MEMBERSHIP_LISTENER_HPP
 
-#include <savorywheel/core/config_version.hpp>
+#include <savorywheel/core/configuration_head.hpp>
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/membership/member_update.hpp>
 
@@ -20,8 +20,8 @@
     /** @brief Called after a member's record or status has changed. */
     virtual void on_member_changed(const member_update& update) = 0;
 
-    /** @brief Called with the configuration version of a peer, for each accepted datagram. */
-    virtual void on_head_received(const network_endpoint& peer, config_version head) = 0;
+    /** @brief Called with the summary of a peer's configuration, for each accepted datagram. */
+    virtual void on_head_received(const network_endpoint& peer, const configuration_head& head) = 0;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/membership/membership_message.hpp
+++ b/src/savorywheel/membership/membership_message.hpp
@@ -1,7 +1,7 @@
 #ifndef SAVORYWHEEL_MEMBERSHIP_MEMBERSHIP_MESSAGE_HPP
 #define SAVORYWHEEL_MEMBERSHIP_MEMBERSHIP_MESSAGE_HPP
 
-#include <savorywheel/core/config_version.hpp>
+#include <savorywheel/core/configuration_head.hpp>
 #include <savorywheel/core/names.hpp>
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/membership/member_update.hpp>
@@ -31,8 +31,8 @@
     network_endpoint sender_peer;
     /** @brief Endpoint to probe; only set in a ping_request. */
     network_endpoint target;
-    /** @brief Configuration version at the sender. */
-    config_version head;
+    /** @brief Summary of the sender's configuration. */
+    configuration_head head;
     /** @brief Digest of the sender's member table, for detection of lost updates. */
     std::uint64_t table_digest{};
     /** @brief Gossiped member updates. */
--- a/src/savorywheel/membership/swim_agent.hpp
+++ b/src/savorywheel/membership/swim_agent.hpp
@@ -88,8 +88,8 @@
     /** @brief Publishes a new record of this node with the next incarnation. */
     void update_self(member_record record);
 
-    /** @brief Sets the configuration version announced in messages. */
-    void set_head(config_version head) noexcept { head_ = head; }
+    /** @brief Sets the summary of the configuration that messages announce. */
+    void set_head(const configuration_head& head) noexcept { head_ = head; }
 
     [[nodiscard]] const member_table& table() const noexcept { return table_; }
 
@@ -138,7 +138,7 @@
     membership_settings settings_;
     environment environment_;
     member_table table_;
-    config_version head_;
+    configuration_head head_;
     std::uint64_t last_sequence_{};
     std::optional<probe> probe_;
     std::map<std::uint64_t, relayed_probe> relayed_;
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -73,7 +73,7 @@
             membership_.agent(),
             [this](const mesh_state& state) {
                 rollouts_.on_configuration(state);
-                membership_.agent().set_head(state.version());
+                membership_.agent().set_head({state.version(), {}, 0});
             },
             [this](const mesh_state& state) { publisher_.on_configuration(state); },
             [this](const log_tail& tail, const std::deque<commit>& accepted) {
@@ -148,7 +148,6 @@
 {
     rollouts_.on_configuration(state);
     publisher_.on_configuration(state);
-    membership_.agent().set_head(state.version());
 }
 
 outcome<node_state_dump> control_plane::dump()
@@ -228,13 +227,13 @@
     publisher_.on_members_changed();
 }
 
-void control_plane::on_head_received(const network_endpoint& peer, config_version head)
+void control_plane::on_head_received(const network_endpoint& peer, const configuration_head& head)
 {
     if (documents_) {
         documents_->on_head_received(peer, head);
         return;
     }
-    ordered_log_.distribution().on_peer_version(peer, head);
+    ordered_log_.distribution().on_peer_version(peer, head.version);
 }
 
 void control_plane::publish_commit(const commit& change)
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -104,7 +104,7 @@
     apply_announcement(const backend_announcement& announcement) override;
     [[nodiscard]] outcome<bool> deregister_backend(std::string_view identity) override;
     void on_member_changed(const member_update& update) override;
-    void on_head_received(const network_endpoint& peer, config_version head) override;
+    void on_head_received(const network_endpoint& peer, const configuration_head& head) override;
     void publish_commit(const commit& change) override;
 
 private:
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -56,7 +56,8 @@
     }
 }
 
-void document_config_provider::on_head_received(const network_endpoint& peer, config_version head)
+void document_config_provider::on_head_received(const network_endpoint& peer,
+                                                const configuration_head& head)
 {
     documents_.on_head_received(peer, head);
 }
@@ -64,6 +65,8 @@
 void document_config_provider::apply()
 {
     const auto& known = documents_.documents();
+    // Peers may lack the orders of a node that has no configuration yet.
+    environment_.members.set_head(known.head());
     if (known.revision == 0) {
         return;
     }
--- a/src/savorywheel/node/document_config_provider.hpp
+++ b/src/savorywheel/node/document_config_provider.hpp
@@ -62,8 +62,8 @@
     /** @brief Recomputes the state if it depends on the members. */
     void on_members_changed();
 
-    /** @brief Processes the version that a peer has reported. */
-    void on_head_received(const network_endpoint& peer, config_version head);
+    /** @brief Processes the summary of documents that a peer has reported. */
+    void on_head_received(const network_endpoint& peer, const configuration_head& head);
 
     /** @return Frame handler for configuration requests. */
     [[nodiscard]] document_service& documents() noexcept { return documents_; }
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -97,15 +97,15 @@
 }
 
 void document_service::on_head_received(const network_endpoint& peer,
-                                        config_version remote_revision_sum)
+                                        const configuration_head& remote)
 {
-    if (remote_revision_sum <= documents_.revision_sum() || fetching_) {
+    if (fetching_ || !documents_.lacks_any_of(remote)) {
         return;
     }
     fetching_ = true;
     const auto delay = store_reachable_.value_or(false) ? watch_grace_period : duration::zero();
-    fetch_timer_ = environment_.loop.timers().after(delay, [this, peer, remote_revision_sum] {
-        if (remote_revision_sum <= documents_.revision_sum()) {
+    fetch_timer_ = environment_.loop.timers().after(delay, [this, peer, remote] {
+        if (!documents_.lacks_any_of(remote)) {
             fetching_ = false;
             return;
         }
@@ -116,8 +116,8 @@
 void document_service::fetch(const network_endpoint& peer)
 {
     environment_.requests.submit(
-        environment_.network.connection_to(peer), frame_kind::configuration_get, {},
-        [this](request_client::response answer) {
+        environment_.network.connection_to(peer), frame_kind::configuration_get,
+        encode(documents_.request()), [this](request_client::response answer) {
             environment_.loop.post([this, item = std::move(answer)] { on_fetched(item); });
         });
 }
@@ -131,11 +131,7 @@
         environment_.log.write(event_id::configuration_fetch_failed, remote.reason().message);
         return;
     }
-    bool changed = documents_.merge(remote->configuration, remote->revision);
-    for (const auto& order : remote->orders) {
-        changed = documents_.merge(order) || changed;
-    }
-    if (changed) {
+    if (documents_.merge(*remote)) {
         environment_.changed();
     }
 }
@@ -143,8 +139,14 @@
 void document_service::on_frame(const std::shared_ptr<frame_sink>& connection, frame_kind /*kind*/,
                                 std::uint64_t correlation, std::span<const std::byte> payload)
 {
-    environment_.quota.post(payload.size(), [this, connection, correlation] {
-        connection->send(frame_kind::configuration_value, correlation, encode(documents_));
+    const auto request = decode<document_request>(payload);
+    if (!request) {
+        connection->close_malformed(request.reason());
+        return;
+    }
+    environment_.quota.post(payload.size(), [this, connection, correlation, item = *request] {
+        connection->send(frame_kind::configuration_value, correlation,
+                         encode(documents_.answer(item)));
     });
 }
 
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -66,12 +66,11 @@
     void stop();
 
     /**
-     * @brief Schedules a fetch if a peer has newer documents.
+     * @brief Schedules a fetch if a peer may have newer documents.
      * @param peer Peer to fetch from.
-     * @param remote_revision_sum Version that the peer reported: operator_documents::revision_sum()
-     * of its copy.
+     * @param remote Summary that the peer reported: operator_documents::head() of its copy.
      */
-    void on_head_received(const network_endpoint& peer, config_version remote_revision_sum);
+    void on_head_received(const network_endpoint& peer, const configuration_head& remote);
 
     /** @return This node's copy of the documents. */
     [[nodiscard]] const operator_documents& documents() const noexcept { return documents_; }
--- a/src/savorywheel/transport/frame_kind.hpp
+++ b/src/savorywheel/transport/frame_kind.hpp
@@ -26,7 +26,7 @@
     crash_acknowledged,  /**< Response to crash_report. */
     head_get,            /**< Empty; requests the version in force at the receiver. */
     head_value,          /**< Response to head_get. */
-    configuration_get,   /**< Empty; requests the newest configuration of operators. */
+    configuration_get,   /**< Requests the documents of operators. */
     configuration_value, /**< Response to configuration_get. */
     last_kind = configuration_value
 };
--- a/test/measure/membership_cost.cpp
+++ b/test/measure/membership_cost.cpp
@@ -57,7 +57,10 @@
 
 struct null_listener final : membership_listener {
     void on_member_changed(const member_update& /*update*/) override {}
-    void on_head_received(const network_endpoint& /*peer*/, config_version /*head*/) override {}
+    void on_head_received(const network_endpoint& /*peer*/,
+                          const configuration_head& /*head*/) override
+    {
+    }
 };
 
 struct mesh {
--- a/test/savorywheel/membership/proof_partition_test.cpp
+++ b/test/savorywheel/membership/proof_partition_test.cpp
@@ -22,7 +22,10 @@
 
 struct null_listener final : membership_listener {
     void on_member_changed(const member_update& /*update*/) override {}
-    void on_head_received(const network_endpoint& /*peer*/, config_version /*head*/) override {}
+    void on_head_received(const network_endpoint& /*peer*/,
+                          const configuration_head& /*head*/) override
+    {
+    }
 };
 
 /** Two regions of six nodes each, on a network that can be partitioned between them. */
--- /dev/null
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -0,0 +1,193 @@
+#include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/node/document_service.hpp>
+
+#include <gtest/gtest.h>
+#include <support/fixed_object_store.hpp>
+#include <support/manual_clock.hpp>
+#include <support/recording_event_log.hpp>
+#include <support/wait_until.hpp>
+
+#include <memory>
+#include <vector>
+
+namespace savorywheel::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Decodes a configuration without routes whose version is ten times the document's number. */
+struct number_decoder final : configuration_decoder {
+    [[nodiscard]] std::string_view key() const noexcept override { return "config/main"; }
+    [[nodiscard]] outcome<operator_configuration> decode(std::string_view document) const override
+    {
+        operator_configuration configuration;
+        configuration.version = config_version{std::stoull(std::string{document}) * 10};
+        return configuration;
+    }
+};
+
+/** Decodes an order of the service that the document names. */
+struct name_codec final : order_codec {
+    [[nodiscard]] std::string_view prefix() const noexcept override { return "rollouts/"; }
+    [[nodiscard]] outcome<rollout_order> decode(const stored_object& object) const override
+    {
+        rollout_order order;
+        order.service = service_name{object.value};
+        order.revision = object.revision;
+        return order;
+    }
+    [[nodiscard]] std::string status_key(const service_name& service) const override
+    {
+        return service.str();
+    }
+    [[nodiscard]] std::string encode_status(const rollout_order& /*order*/,
+                                            move_status /*status*/) const override
+    {
+        return {};
+    }
+};
+
+/** Connection that records the requests for documents. */
+struct request_sink final : frame_sink {
+    bool send(frame_kind kind, std::uint64_t correlation,
+              std::span<const std::byte> /*payload*/) override
+    {
+        EXPECT_EQ(kind, frame_kind::configuration_get);
+        correlations.push_back(correlation);
+        return true;
+    }
+    void close() override {}
+
+    std::vector<std::uint64_t> correlations;
+};
+
+/** Network with a single connection. */
+struct single_peer_network final : peer_network {
+    [[nodiscard]] std::shared_ptr<frame_sink>
+    connection_to(const network_endpoint& /*peer*/) override
+    {
+        return connection;
+    }
+
+    std::shared_ptr<request_sink> connection{std::make_shared<request_sink>()};
+};
+
+/** Document service that has read the given objects, with a peer whose responses a test sends. */
+class document_fixture {
+public:
+    explicit document_fixture(std::vector<stored_object> objects)
+        : expected_{objects.size()}, store_{std::move(objects)}
+    {
+        service_.start();
+        EXPECT_TRUE(wait_until([this] {
+            loop_.run_pending();
+            return healthy_ && documents_known() == expected_;
+        }));
+    }
+
+    document_fixture(const document_fixture&) = delete;
+    document_fixture& operator=(const document_fixture&) = delete;
+    document_fixture(document_fixture&&) = delete;
+    document_fixture& operator=(document_fixture&&) = delete;
+
+    ~document_fixture() { service_.stop(); }
+
+    void advance_time(duration step)
+    {
+        time_.advance(step);
+        loop_.run_pending();
+    }
+
+    /** Reports the head of the peer and waits longer than the delay before a fetch. */
+    void report_head(const operator_documents& remote)
+    {
+        service_.on_head_received(peer_, remote.head());
+        advance_time(500ms);
+    }
+
+    void answer(std::uint64_t correlation, const operator_documents& remote)
+    {
+        requests_.on_frame(network_.connection, frame_kind::configuration_value, correlation,
+                           encode(remote));
+        loop_.run_pending();
+    }
+
+    [[nodiscard]] const std::vector<std::uint64_t>& requests() const noexcept
+    {
+        return network_.connection->correlations;
+    }
+
+    [[nodiscard]] const operator_documents& documents() const { return service_.documents(); }
+
+private:
+    [[nodiscard]] std::size_t documents_known() const
+    {
+        return (documents().revision == 0 ? 0 : 1) + documents().orders.size();
+    }
+
+    std::size_t expected_;
+    fixed_object_store store_;
+    manual_clock time_;
+    control_loop loop_{time_};
+    event_quota quota_{loop_, 100, 1'000'000};
+    seeded_random random_{1};
+    single_peer_network network_;
+    request_client requests_;
+    recording_event_log log_;
+    number_decoder decoder_;
+    name_codec codec_;
+    network_endpoint peer_{"10.0.0.2", 7000};
+    bool healthy_{};
+    document_service service_{decoder_,
+                              codec_,
+                              {loop_, quota_, random_, store_, network_, requests_, log_, [] {},
+                               [this](bool reachable) { healthy_ = reachable; }}};
+};
+
+operator_documents make_documents(std::uint64_t configuration_revision,
+                                  std::uint64_t order_revision)
+{
+    operator_documents documents;
+    operator_configuration configuration;
+    configuration.version = config_version{configuration_revision * 10};
+    documents.merge(configuration, configuration_revision);
+    rollout_order order;
+    order.service = service_name{"bookdesk"};
+    order.revision = order_revision;
+    documents.merge(order);
+    return documents;
+}
+
+} // namespace
+
+TEST(document_service, fetches_from_a_peer_with_an_equal_revision_sum)
+{
+    document_fixture fixture{{{"config/main", "90", 90}, {"rollouts/bookdesk", "bookdesk", 15}}};
+    const auto remote = make_documents(100, 5);
+    fixture.report_head(remote);
+    ASSERT_EQ(fixture.requests().size(), 1);
+    fixture.answer(fixture.requests().front(), remote);
+    EXPECT_EQ(fixture.documents().revision, 100);
+    EXPECT_EQ(fixture.documents().orders.front().revision, 15);
+    fixture.report_head(remote);
+    EXPECT_EQ(fixture.requests().size(), 1);
+}
+
+TEST(document_service, fetches_a_newer_configuration_from_a_peer_with_older_orders)
+{
+    document_fixture fixture{{{"config/main", "90", 90}, {"rollouts/bookdesk", "bookdesk", 500}}};
+    fixture.report_head(make_documents(100, 5));
+    EXPECT_EQ(fixture.requests().size(), 1);
+}
+
+TEST(document_service, does_not_fetch_the_same_documents)
+{
+    document_fixture fixture{{{"config/main", "90", 90}, {"rollouts/bookdesk", "bookdesk", 15}}};
+    fixture.report_head(make_documents(90, 15));
+    fixture.report_head(make_documents(80, 5));
+    EXPECT_TRUE(fixture.requests().empty());
+}
+
+} // namespace savorywheel::test
