Ask for documents again if a peer does not answer

Cause: a node has one request for documents in flight. request_client has no timeout, and a peer whose event queue is full drops the request while its connection stays open. The node then never asked any peer again until that connection closed.

What callers would see: 404 for routes of newer configurations at a node that cannot reach the store, after one dropped request.

Change: after 2 s without a response, the next head of any peer may start another fetch. A late response is merged until then, and the request is discarded when the next one is sent, so that requests do not accumulate.

Test failed before the fix: document_service. fetches_again_if_a_response_does_not_arrive: 1 request instead of 2.

--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -11,6 +11,8 @@
 
 /** Delay before a fetch from a peer, in which a working watch usually delivers the change. */
 constexpr std::chrono::milliseconds watch_grace_period{400};
+/** After this time without a response, another peer may be asked. */
+constexpr std::chrono::milliseconds fetch_timeout{2000};
 
 } // namespace
 
@@ -115,7 +117,10 @@
 
 void document_service::fetch(const network_endpoint& peer)
 {
-    environment_.requests.submit(
+    // Until then, a late response to the previous request is merged, too.
+    environment_.requests.discard(fetch_request_);
+    fetch_timer_ = environment_.loop.timers().after(fetch_timeout, [this] { fetching_ = false; });
+    fetch_request_ = environment_.requests.submit(
         environment_.network.connection_to(peer), frame_kind::configuration_get,
         encode(documents_.request()), [this](request_client::response answer) {
             environment_.loop.post([this, item = std::move(answer)] { on_fetched(item); });
@@ -125,6 +130,7 @@
 void document_service::on_fetched(const request_client::response& answer)
 {
     fetching_ = false;
+    fetch_timer_.reset();
     const auto remote =
         answer ? decode<operator_documents>(*answer) : outcome<operator_documents>{answer.reason()};
     if (!remote) {
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -97,7 +97,10 @@
     environment environment_;
     operator_documents documents_;
     std::optional<bool> store_reachable_;
+    /** Ends the delay before a fetch, and then the wait for the response. */
     subscription fetch_timer_;
+    /** Request of the last fetch. */
+    std::uint64_t fetch_request_{};
     bool fetching_{};
     document_watcher configuration_watcher_;
     document_watcher order_watcher_;
--- a/test/savorywheel/node/document_service_test.cpp
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -190,4 +190,21 @@
     EXPECT_TRUE(fixture.requests().empty());
 }
 
+TEST(document_service, fetches_again_if_a_response_does_not_arrive)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const auto remote = make_documents(100, 101);
+    fixture.report_head(remote);
+    ASSERT_EQ(fixture.requests().size(), 1);
+    fixture.report_head(remote);
+    EXPECT_EQ(fixture.requests().size(), 1);
+    fixture.advance_time(2s);
+    fixture.report_head(remote);
+    ASSERT_EQ(fixture.requests().size(), 2);
+    fixture.answer(fixture.requests().front(), make_documents(95, 96));
+    EXPECT_EQ(fixture.documents().revision, 90);
+    fixture.answer(fixture.requests().back(), remote);
+    EXPECT_EQ(fixture.documents().revision, 100);
+}
+
 } // namespace savorywheel::test
