Keep the state's version from decreasing when a configuration is replaced

Cause: configurations are ordered by version, then revision. One with a newer version and a smaller revision lowers the sum of the revisions, which is the state's version; routing_table_holder refuses a table whose version is smaller, so the newer configuration would not come into force.

What callers would see: 404 for the routes of the newer configuration. The users' store raises both numbers together, so this was not seen there.

Change: the builder never lowers the version. Equal versions are published.

Test failed before the fix: mesh_state_builder. table_of_a_newer_configuration_is_published_at_any_revision: publish() returned false.

--- a/src/savorywheel/rollout/mesh_state_builder.cpp
+++ b/src/savorywheel/rollout/mesh_state_builder.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/rollout/mesh_state_builder.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -39,7 +40,8 @@
                                      const member_table& members, calendar_time now)
 {
     has_unrecorded_orders_ = false;
-    mesh_state state{documents.configuration, documents.revision_sum()};
+    last_version_ = std::max(last_version_, documents.revision_sum());
+    mesh_state state{documents.configuration, last_version_};
     for (const auto& order : documents.orders) {
         const auto known = state.find(order.service);
         if (!known) {
--- a/src/savorywheel/rollout/mesh_state_builder.hpp
+++ b/src/savorywheel/rollout/mesh_state_builder.hpp
@@ -19,7 +19,8 @@
 class mesh_state_builder {
 public:
     /**
-     * @brief Builds the state.
+     * @brief Builds the state. Its version is the sum of the documents' revisions, and at least
+     * that of the last state, so that proxies do not refuse its table.
      * @param documents Configuration and orders.
      * @param members Members, which determine the running versions.
      * @param now Calendar time; the first call with an order sets the start of its move.
@@ -40,6 +41,7 @@
                                           calendar_time now);
 
     std::map<service_name, first_observation> first_seen_;
+    config_version last_version_;
     bool has_unrecorded_orders_{};
 };
 
--- a/test/savorywheel/rollout/mesh_state_builder_test.cpp
+++ b/test/savorywheel/rollout/mesh_state_builder_test.cpp
@@ -1,5 +1,7 @@
 #include <savorywheel/rollout/mesh_state_builder.hpp>
 #include <savorywheel/rollout/step_schedule.hpp>
+#include <savorywheel/routing/routing_table_builder.hpp>
+#include <savorywheel/routing/routing_table_holder.hpp>
 
 #include <gtest/gtest.h>
 #include <support/manual_clock.hpp>
@@ -114,4 +116,29 @@
     }
 }
 
+TEST(mesh_state_builder, table_of_a_newer_configuration_is_published_at_any_revision)
+{
+    manual_clock time;
+    const member_table members;
+    operator_documents documents;
+    operator_configuration configuration;
+    configuration.version = config_version{7};
+    ASSERT_TRUE(documents.merge(configuration, 21));
+    mesh_state_builder subject;
+    routing_table_builder tables;
+    routing_table_holder published;
+    tables.set_state(subject.build(documents, members, time.calendar_now()));
+    ASSERT_TRUE(published.publish(tables.build(members)));
+
+    configuration.version = config_version{9};
+    host_route route;
+    route.path = "/x/";
+    route.shares = {{service, 1}};
+    configuration.hosts = {{"a.example", {route}}};
+    ASSERT_TRUE(documents.merge(configuration, 20));
+    tables.set_state(subject.build(documents, members, time.calendar_now()));
+    EXPECT_TRUE(published.publish(tables.build(members)));
+    EXPECT_NE(published.current()->match("a.example", "/x/"), nullptr);
+}
+
 } // namespace savorywheel::test
