Keep publishing tables after an older state

Cause: table_publisher compiled whatever state it was given. The holder refuses a table of an older state, but the builder kept that state, so all later tables were refused, too, and members no longer changed in the table in force. An older state can come from the product's own log (its admin API, or a peer's push) at a node whose documents are in force.

What callers would see: no 404, but calls to backend servers that are gone, until the next change of the documents. Found by reading; not seen in a run.

Change: an older state is ignored.

Test failed before the fix: table_publisher.ignores_an_older_configuration: the table was the same after a member change.

--- a/src/savorywheel/node/table_publisher.cpp
+++ b/src/savorywheel/node/table_publisher.cpp
@@ -16,6 +16,9 @@
 
 void table_publisher::on_configuration(const mesh_state& state)
 {
+    if (state.version() < environment_.tables.current()->version()) {
+        return;
+    }
     builder_.set_state(state);
     publish();
 }
--- a/src/savorywheel/node/table_publisher.hpp
+++ b/src/savorywheel/node/table_publisher.hpp
@@ -32,7 +32,8 @@
     explicit table_publisher(environment env);
 
     /**
-     * @brief Publishes a routing table for a new configuration.
+     * @brief Publishes a routing table for a new configuration; ignores an older one, whose tables
+     * would be refused.
      * @param state Configuration in force; with the ordered log, only once the version floor is
      * replicated.
      */
--- a/test/savorywheel/node/table_publisher_test.cpp
+++ b/test/savorywheel/node/table_publisher_test.cpp
@@ -61,4 +61,24 @@
     EXPECT_LE(published, 11);
 }
 
+TEST(table_publisher, ignores_an_older_configuration)
+{
+    publisher_fixture fixture;
+    operator_configuration configuration;
+    host_route route;
+    route.path = "/x/";
+    route.shares = {{service_name{"bookdesk"}, 1}};
+    configuration.hosts = {{"a.example", {route}}};
+    fixture.publisher.on_configuration(mesh_state{configuration, {30}});
+    fixture.publisher.on_configuration(mesh_state{{1}, {}, {}});
+    fixture.advance_time(1s);
+    const auto before = fixture.tables.current();
+    fixture.publisher.on_members_changed();
+    fixture.advance_time(20ms);
+    const auto current = fixture.tables.current();
+    EXPECT_NE(current, before);
+    EXPECT_EQ(current->version(), config_version{30});
+    EXPECT_NE(current->match("a.example", "/x/"), nullptr);
+}
+
 } // namespace savorywheel::test
