--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -11,6 +11,8 @@
 
 /** Delay before a fetch from a peer, in which a working watch usually delivers the change. */
 constexpr std::chrono::milliseconds watch_grace_period{400};
+/** After this time without a response, another peer may be asked. */
+constexpr std::chrono::milliseconds fetch_timeout{2000};
 
 } // namespace
 
@@ -97,15 +99,15 @@
 }
 
 void document_service::on_head_received(const network_endpoint& peer,
-                                        config_version remote_revision_sum)
+                                        const configuration_head& remote)
 {
-    if (remote_revision_sum <= documents_.revision_sum() || fetching_) {
+    if (fetching_ || !documents_.lacks_any_of(remote)) {
         return;
     }
     fetching_ = true;
     const auto delay = store_reachable_.value_or(false) ? watch_grace_period : duration::zero();
-    fetch_timer_ = environment_.loop.timers().after(delay, [this, peer, remote_revision_sum] {
-        if (remote_revision_sum <= documents_.revision_sum()) {
+    fetch_timer_ = environment_.loop.timers().after(delay, [this, peer, remote] {
+        if (!documents_.lacks_any_of(remote)) {
             fetching_ = false;
             return;
         }
@@ -115,9 +117,12 @@
 
 void document_service::fetch(const network_endpoint& peer)
 {
-    environment_.requests.submit(
-        environment_.network.connection_to(peer), frame_kind::configuration_get, {},
-        [this](request_client::response answer) {
+    // Until then, a late response to the previous request is merged, too.
+    environment_.requests.discard(fetch_request_);
+    fetch_timer_ = environment_.loop.timers().after(fetch_timeout, [this] { fetching_ = false; });
+    fetch_request_ = environment_.requests.submit(
+        environment_.network.connection_to(peer), frame_kind::configuration_get,
+        encode(documents_.request()), [this](request_client::response answer) {
             environment_.loop.post([this, item = std::move(answer)] { on_fetched(item); });
         });
 }
@@ -125,17 +130,14 @@
 void document_service::on_fetched(const request_client::response& answer)
 {
     fetching_ = false;
+    fetch_timer_.reset();
     const auto remote =
         answer ? decode<operator_documents>(*answer) : outcome<operator_documents>{answer.reason()};
     if (!remote) {
         environment_.log.write(event_id::configuration_fetch_failed, remote.reason().message);
         return;
     }
-    bool changed = documents_.merge(remote->configuration, remote->revision);
-    for (const auto& order : remote->orders) {
-        changed = documents_.merge(order) || changed;
-    }
-    if (changed) {
+    if (documents_.merge(*remote)) {
         environment_.changed();
     }
 }
@@ -143,8 +145,14 @@
 void document_service::on_frame(const std::shared_ptr<frame_sink>& connection, frame_kind /*kind*/,
                                 std::uint64_t correlation, std::span<const std::byte> payload)
 {
-    environment_.quota.post(payload.size(), [this, connection, correlation] {
-        connection->send(frame_kind::configuration_value, correlation, encode(documents_));
+    const auto request = decode<document_request>(payload);
+    if (!request) {
+        connection->close_malformed(request.reason());
+        return;
+    }
+    environment_.quota.post(payload.size(), [this, connection, correlation, item = *request] {
+        connection->send(frame_kind::configuration_value, correlation,
+                         encode(documents_.answer(item)));
     });
 }
 
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -66,12 +66,11 @@
     void stop();
 
     /**
-     * @brief Schedules a fetch if a peer has newer documents.
+     * @brief Schedules a fetch if a peer may have newer documents.
      * @param peer Peer to fetch from.
-     * @param remote_revision_sum Version that the peer reported: operator_documents::revision_sum()
-     * of its copy.
+     * @param remote Summary that the peer reported: operator_documents::head() of its copy.
      */
-    void on_head_received(const network_endpoint& peer, config_version remote_revision_sum);
+    void on_head_received(const network_endpoint& peer, const configuration_head& remote);
 
     /** @return This node's copy of the documents. */
     [[nodiscard]] const operator_documents& documents() const noexcept { return documents_; }
@@ -98,7 +97,10 @@
     environment environment_;
     operator_documents documents_;
     std::optional<bool> store_reachable_;
+    /** Ends the delay before a fetch, and then the wait for the response. */
     subscription fetch_timer_;
+    /** Request of the last fetch. */
+    std::uint64_t fetch_request_{};
     bool fetching_{};
     document_watcher configuration_watcher_;
     document_watcher order_watcher_;
