Bound the size of a response that the HTTP client reads

Cause: curl_transfer collected header fields and body without a limit, and read any number of interim responses; only the deadline ended a response without end. Callers saw: a node has 88 MB, so one such response within its deadline could end the process and all its calls. Change: http_client_limits for header and trailer fields (64 KiB), body and interim responses. A backend server's body may have half of a frame (8 MiB), as it travels to the caller's node in one; the store's responses 16 MiB.

--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-curl_http_client::curl_http_client(response_framing framing) : framing_{framing}
+curl_http_client::curl_http_client(response_framing framing, http_client_limits limits)
+    : framing_{framing}, limits_{limits}
 {
     initialize_library();
 }
@@ -79,7 +80,7 @@
     const std::scoped_lock lock{mutex_};
     auto& idle = idle_[server];
     if (idle.empty()) {
-        return std::make_unique<curl_transfer>(framing_);
+        return std::make_unique<curl_transfer>(framing_, limits_);
     }
     auto handle = std::move(idle.back());
     idle.pop_back();
--- a/src/savorywheel/http/curl_http_client.hpp
+++ b/src/savorywheel/http/curl_http_client.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_HTTP_CURL_HTTP_CLIENT_HPP
 
 #include <savorywheel/http/http_client.hpp>
+#include <savorywheel/http/http_client_limits.hpp>
 #include <savorywheel/http/response_framing.hpp>
 
 #include <map>
@@ -17,8 +18,12 @@
 /** @brief HTTP client on libcurl with a pool of persistent connections per server. */
 class curl_http_client final : public http_client {
 public:
-    /** @param framing How the end of a response must be marked. */
-    explicit curl_http_client(response_framing framing = response_framing::explicit_only);
+    /**
+     * @param framing How the end of a response must be marked.
+     * @param limits Limits of each response.
+     */
+    explicit curl_http_client(response_framing framing = response_framing::explicit_only,
+                              http_client_limits limits = {});
     curl_http_client(const curl_http_client&) = delete;
     curl_http_client& operator=(const curl_http_client&) = delete;
     curl_http_client(curl_http_client&&) = delete;
@@ -44,6 +49,7 @@
     void release(const network_endpoint& server, std::unique_ptr<curl_transfer> handle);
 
     response_framing framing_;
+    http_client_limits limits_;
     std::mutex mutex_;
     std::map<network_endpoint, std::vector<std::unique_ptr<curl_transfer>>> idle_;
     std::set<cancellation*> in_flight_;
--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -1,6 +1,7 @@
 #include <savorywheel/http/curl_transfer.hpp>
 #include <savorywheel/http/http_status.hpp>
 
+#include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -24,8 +25,9 @@
 
 } // namespace
 
-curl_transfer::curl_transfer(response_framing framing)
-    : framing_{framing}, handle_{curl_easy_init()}, multi_{curl_multi_init()}
+curl_transfer::curl_transfer(response_framing framing, const http_client_limits& limits)
+    : framing_{framing}, limits_{limits}, handle_{curl_easy_init()}, multi_{curl_multi_init()},
+      head_{limits}
 {
 }
 
@@ -43,7 +45,8 @@
     response_ = {};
     request_sent_ = false;
     head_request_ = request.method == "HEAD";
-    head_ = {};
+    head_ = response_head{limits_};
+    violation_.clear();
     curl_easy_reset(handle_);
     const auto url = "http://" + to_string(server) + request.target;
     set_connection();
@@ -164,6 +167,9 @@
     if (!request_sent_) {
         return failure{failure_code::unavailable, message};
     }
+    if (!violation_.empty()) {
+        return failure{failure_code::unknown_outcome, violation_};
+    }
     if (result == CURLE_OPERATION_TIMEDOUT) {
         return failure{failure_code::timeout, message};
     }
@@ -195,16 +201,36 @@
     return CURL_SOCKOPT_OK;
 }
 
+bool curl_transfer::add_body(std::string_view bytes)
+{
+    if (!head_.complete()) {
+        violation_ = "the response has no final header";
+    }
+    else if (response_.body.size() + bytes.size() > limits_.max_body_bytes) {
+        violation_ = fmt::format("the response's body exceeds {} bytes", limits_.max_body_bytes);
+    }
+    else {
+        response_.body.append(bytes);
+    }
+    return violation_.empty();
+}
+
 std::size_t curl_transfer::on_body(char* data, std::size_t size, std::size_t count, void* self)
 {
-    static_cast<curl_transfer*>(self)->response_.body.append(data, size * count);
-    return size * count;
+    // libcurl ends the transfer and closes its connection if less than all bytes are accepted.
+    return static_cast<curl_transfer*>(self)->add_body({data, size * count}) ? size * count : 0;
 }
 
 std::size_t curl_transfer::on_header(char* data, std::size_t size, std::size_t count, void* self)
 {
-    static_cast<curl_transfer*>(self)->head_.add_line({data, size * count});
-    return size * count;
+    auto& transfer = *static_cast<curl_transfer*>(self);
+    if (transfer.head_.add_line({data, size * count})) {
+        return size * count;
+    }
+    transfer.violation_ =
+        fmt::format("the response's header exceeds {} bytes or {} interim responses",
+                    transfer.limits_.max_header_bytes, transfer.limits_.max_interim_responses);
+    return 0;
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/http/curl_transfer.hpp
+++ b/src/savorywheel/http/curl_transfer.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/core/outcome.hpp>
 #include <savorywheel/http/cancellation.hpp>
+#include <savorywheel/http/http_client_limits.hpp>
 #include <savorywheel/http/http_request.hpp>
 #include <savorywheel/http/http_response.hpp>
 #include <savorywheel/http/response_framing.hpp>
@@ -13,14 +14,18 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 
 namespace savorywheel {
 
 /** @brief A libcurl handle with its persistent connection; not thread-safe. */
 class curl_transfer {
 public:
-    /** @param framing How the end of a response must be marked. */
-    explicit curl_transfer(response_framing framing);
+    /**
+     * @param framing How the end of a response must be marked.
+     * @param limits Limits of each response.
+     */
+    curl_transfer(response_framing framing, const http_client_limits& limits);
     curl_transfer(const curl_transfer&) = delete;
     curl_transfer& operator=(const curl_transfer&) = delete;
     curl_transfer(curl_transfer&&) = delete;
@@ -51,14 +56,19 @@
                               int local_port);
     /** Sets TCP_USER_TIMEOUT, which closes a connection whose data stays unacknowledged. */
     static int on_socket(void* self, curl_socket_t socket, curlsocktype purpose);
+    /** @return False if the body exceeds its limit or follows no final header. */
+    [[nodiscard]] bool add_body(std::string_view bytes);
     static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self);
     static std::size_t on_header(char* data, std::size_t size, std::size_t count, void* self);
 
     response_framing framing_;
+    http_client_limits limits_;
     CURL* handle_;
     CURLM* multi_;
     http_response response_;
     response_head head_;
+    /** Why the response was not read to its end; empty if it was. */
+    std::string violation_;
     bool request_sent_{};
     bool head_request_{};
 };
--- a/src/savorywheel/http/response_head.cpp
+++ b/src/savorywheel/http/response_head.cpp
@@ -17,10 +17,14 @@
 
 } // namespace
 
-void response_head::add_line(std::string_view line)
+bool response_head::add_line(std::string_view line)
 {
+    bytes_ += line.size();
+    if (bytes_ > limits_.max_header_bytes) {
+        return false;
+    }
     if (complete_) {
-        return;
+        return true;
     }
     if (!started_) {
         start(line);
@@ -32,12 +36,14 @@
     else {
         add_field(line);
     }
+    return interim_responses_ <= limits_.max_interim_responses;
 }
 
 void response_head::start(std::string_view status_line)
 {
     const auto space = status_line.find(' ');
     interim_ = space != std::string_view::npos && trim(status_line.substr(space)).starts_with('1');
+    interim_responses_ += interim_ ? 1 : 0;
     started_ = true;
     fields_.clear();
 }
--- a/src/savorywheel/http/response_head.hpp
+++ b/src/savorywheel/http/response_head.hpp
@@ -1,9 +1,11 @@
 #ifndef SAVORYWHEEL_HTTP_RESPONSE_HEAD_HPP
 #define SAVORYWHEEL_HTTP_RESPONSE_HEAD_HPP
 
+#include <savorywheel/http/http_client_limits.hpp>
 #include <savorywheel/http/http_header.hpp>
 
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace savorywheel {
@@ -16,8 +18,14 @@
  */
 class response_head {
 public:
-    /** @brief Reads the next line; it may end with CRLF. */
-    void add_line(std::string_view line);
+    /** @param limits Limits of the header. */
+    explicit response_head(const http_client_limits& limits) : limits_{limits} {}
+
+    /**
+     * @brief Reads the next line; it may end with CRLF.
+     * @return False if the header exceeds its limits.
+     */
+    [[nodiscard]] bool add_line(std::string_view line);
 
     /** @return True after the empty line that ends the header of the final response. */
     [[nodiscard]] bool complete() const noexcept { return complete_; }
@@ -31,7 +39,11 @@
     void start(std::string_view status_line);
     void add_field(std::string_view line);
 
+    http_client_limits limits_;
     std::vector<http_header> fields_;
+    /** Size of all lines, including those of interim responses and trailers. */
+    std::size_t bytes_{};
+    std::size_t interim_responses_{};
     /** A header has been started by its status line and has not ended. */
     bool started_{};
     bool interim_{};
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -21,6 +21,7 @@
 #include <savorywheel/traffic/proxy_handler.hpp>
 #include <savorywheel/transport/asio_datagram_channel.hpp>
 #include <savorywheel/transport/asio_peer_network.hpp>
+#include <savorywheel/transport/frame_header.hpp>
 #include <savorywheel/transport/frame_router.hpp>
 #include <savorywheel/transport/protocol_error_logger.hpp>
 
@@ -56,6 +57,14 @@
     return limits;
 }
 
+/** A response travels to the caller's node in one frame, with its header fields. */
+http_client_limits backend_response_limits()
+{
+    http_client_limits limits;
+    limits.max_body_bytes = max_frame_bytes / 2;
+    return limits;
+}
+
 std::uint64_t random_seed()
 {
     std::random_device device;
@@ -180,7 +189,7 @@
     system_clock_source time_;
     seeded_random random_{random_seed()};
     control_loop loop_{time_};
-    curl_http_client http_{front_.servers().completeness_rule()};
+    curl_http_client http_{front_.servers().completeness_rule(), backend_response_limits()};
     curl_http_client store_http_;
     metric_registry metrics_;
     process_metric_source process_metrics_;
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <support/blackhole_proxy.hpp>
+#include <support/endless_server.hpp>
 #include <support/loopback_socket.hpp>
 #include <support/scripted_server.hpp>
 #include <support/wait_until.hpp>
@@ -155,6 +156,51 @@
     }
 }
 
+TEST(curl_http_client, endless_response_is_ended_long_before_the_deadline)
+{
+    constexpr std::chrono::seconds deadline{60};
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> responses{
+        {"", "x"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {head, "A: 1\r\n"},
+        {head + "A: ", "x"},
+        {head + "\r\n", "x"},
+        {head + "Content-Length: 1000000000000\r\n\r\n", "x"},
+        {chunked, "8\r\n12345678\r\n"},
+        {chunked + "0\r\n", "A: 1\r\n"},
+        {"HTTP/1.1 101 Switching Protocols\r\n\r\n", "x"}};
+    for (const auto& [start, repeated] : responses) {
+        endless_server server{start, repeated};
+        curl_http_client client{response_framing::allow_close_delimited};
+        const auto started = std::chrono::steady_clock::now();
+        const auto response = client.send(server.endpoint(), post_request, deadline);
+        EXPECT_LT(std::chrono::steady_clock::now() - started, deadline / 4) << start << repeated;
+        ASSERT_FALSE(response) << start << repeated;
+        EXPECT_EQ(response.reason().code, failure_code::unknown_outcome) << start << repeated;
+        EXPECT_TRUE(wait_until([&server] { return server.closed_connections() == 1; }));
+    }
+}
+
+TEST(curl_http_client, response_is_limited_to_its_settings)
+{
+    http_client_limits limits;
+    limits.max_body_bytes = 5;
+    limits.max_interim_responses = 1;
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const std::string long_body = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello!";
+    scripted_server server{{{complete_response(false)},
+                            {complete_response(true)},
+                            {interim + complete_response(false)},
+                            {interim + interim + complete_response(false)},
+                            {long_body}}};
+    curl_http_client client{response_framing::explicit_only, limits};
+    for (const bool within : {true, true, true, false, false}) {
+        EXPECT_EQ(static_cast<bool>(client.send(server.endpoint(), post_request, timeout)), within);
+    }
+}
+
 TEST(curl_http_client, abort_cancels_requests_in_flight_and_rejects_later_ones)
 {
     scripted_server server{{{"", false}}};
--- a/test/savorywheel/http/response_head_test.cpp
+++ b/test/savorywheel/http/response_head_test.cpp
@@ -10,9 +10,9 @@
 
 response_head read(std::initializer_list<std::string_view> lines)
 {
-    response_head head;
+    response_head head{http_client_limits{}};
     for (const auto line : lines) {
-        head.add_line(line);
+        EXPECT_TRUE(head.add_line(line));
     }
     return head;
 }
@@ -61,4 +61,21 @@
     EXPECT_EQ(head.fields(), (fields{{"A", "1 B: 2"}}));
 }
 
+TEST(response_head, header_and_trailer_fields_count_towards_the_limit)
+{
+    response_head head{{.max_header_bytes = 30}};
+    EXPECT_TRUE(head.add_line("HTTP/1.1 200 OK\r\n"));
+    EXPECT_TRUE(head.add_line("\r\n"));
+    EXPECT_TRUE(head.add_line("A: 1\r\n"));
+    EXPECT_FALSE(head.add_line("A: 123\r\n"));
+}
+
+TEST(response_head, number_of_interim_responses_is_limited)
+{
+    response_head head{{.max_interim_responses = 1}};
+    EXPECT_TRUE(head.add_line("HTTP/1.1 100 Continue\r\n"));
+    EXPECT_TRUE(head.add_line("\r\n"));
+    EXPECT_FALSE(head.add_line("HTTP/1.1 100 Continue\r\n"));
+}
+
 } // namespace savorywheel::test
