Deliver an early response if the rest of the body cannot be sent

Cause: a backend server may respond before it has read a long body. libcurl goes on sending after a 2xx, and reports an error if that fails (the server closes, or reads nothing for the 1.5 s of TCP_USER_TIMEOUT); the complete response was dropped with it. Callers saw a 502 in place of the backend server's response; the node took the error for a crash and probed the server with a connection. Evidence, failing before: is_delivered_if_sending_the_rest_of_the_body_fails ("Failed sending data to the peer" after 1.7 s, for a 200 with its whole body; a 413 was delivered). Change: a response whose body has the length that its header states is delivered if the upload fails or the time is up. libcurl has closed the connection by then. A chunked one is still dropped: libcurl does not show its end. Not the cause of another rule: no byte of a later request arrived in place of the rest of a body, for 200 and 413, with a length and in chunks (rest_of_a_body_is_never_replaced_by_another_request passed before the change too): after a 2xx libcurl sends the whole body first, after an error it closes the connection.

--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -149,7 +149,9 @@
 
 outcome<http_response> curl_transfer::make_result(CURLcode result)
 {
-    if (result == CURLE_OK) {
+    const bool upload_failed = result == CURLE_SEND_ERROR || result == CURLE_OPERATION_TIMEDOUT;
+    // A server may respond before it has read the whole request; libcurl closes the connection.
+    if (result == CURLE_OK || (upload_failed && has_whole_body())) {
         long status{};
         curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
         response_.status = static_cast<int>(status);
@@ -187,6 +189,13 @@
            !find_header(response_.headers, "Transfer-Encoding").empty();
 }
 
+bool curl_transfer::has_whole_body() const
+{
+    return head_.complete() && !head_request_ &&
+           find_header(head_.fields(), "Transfer-Encoding").empty() &&
+           find_header(head_.fields(), "Content-Length") == std::to_string(response_.body.size());
+}
+
 int curl_transfer::before_request(void* self, char* /*remote*/, char* /*local*/,
                                   int /*remote_port*/, int /*local_port*/)
 {
--- a/src/savorywheel/http/curl_transfer.hpp
+++ b/src/savorywheel/http/curl_transfer.hpp
@@ -51,6 +51,8 @@
     [[nodiscard]] outcome<http_response> make_result(CURLcode result);
     /** True if the response ended in the way that its framing requires. */
     [[nodiscard]] bool is_complete() const;
+    /** True if the body has the length that the header states. */
+    [[nodiscard]] bool has_whole_body() const;
     /** Prevents libcurl from retrying a request whose reused connection was closed. */
     static int before_request(void* self, char* remote, char* local, int remote_port,
                               int local_port);
