--- a/src/savorywheel/encoding/json_fields.cpp
+++ b/src/savorywheel/encoding/json_fields.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/encoding/json_depth.hpp>
 #include <savorywheel/encoding/json_fields.hpp>
 
 namespace savorywheel {
@@ -17,6 +18,9 @@
 
 std::optional<json> parse_json(std::string_view text)
 {
+    if (json_depth(text) > max_json_depth) {
+        return std::nullopt;
+    }
     auto value = json::parse(text, nullptr, false);
     if (value.is_discarded()) {
         return std::nullopt;
--- a/src/savorywheel/encoding/json_fields.hpp
+++ b/src/savorywheel/encoding/json_fields.hpp
@@ -3,16 +3,21 @@
 
 #include <nlohmann/json.hpp>
 
+#include <concepts>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace savorywheel {
 
 using json = nlohmann::json;
 
-/** @return The parsed value; nothing if the text is not valid JSON. */
+/**
+ * @return The parsed value; nothing if the text is not valid JSON or nested deeper than
+ * max_json_depth, because copies, comparisons and output of a value recurse once per level.
+ */
 [[nodiscard]] std::optional<json> parse_json(std::string_view text);
 
 /** @return The string field with the given key; nothing if absent or of another type. */
@@ -21,6 +26,15 @@
 /** @return The unsigned integer field with the given key; nothing if absent or of another type. */
 [[nodiscard]] std::optional<std::uint64_t> number_field(const json& object, const char* key);
 
+/** @return The unsigned integer field; nothing if absent, of another type or beyond the range. */
+template<std::unsigned_integral Number>
+[[nodiscard]] std::optional<Number> number_field_as(const json& object, const char* key)
+{
+    const auto number = number_field(object, key);
+    return number && std::in_range<Number>(*number) ? std::optional{static_cast<Number>(*number)}
+                                                    : std::nullopt;
+}
+
 /** @return The array field with the given key; nullptr if absent or of another type. */
 [[nodiscard]] const json* list_field(const json& object, const char* key);
 
