--- a/test/platform/main_configuration_decoder_test.cpp
+++ b/test/platform/main_configuration_decoder_test.cpp
@@ -34,6 +34,22 @@
     EXPECT_EQ(routes[1].shares, (std::vector<service_share>{{service_name{"b"}, 1}}));
 }
 
+TEST(main_configuration_decoder, weight_beyond_its_range_is_malformed)
+{
+    for (const auto* weight : {"4294967296", "18446744073709551616", "1e999", "-1", "null"}) {
+        std::string text{document};
+        text.replace(text.find(":90}") + 1, 2, weight);
+        EXPECT_FALSE(main_configuration_decoder{}.decode(text)) << weight;
+    }
+}
+
+TEST(main_configuration_decoder, configuration_holds_beside_members_that_cannot_be_parsed)
+{
+    std::string text{document};
+    text.insert(text.size() - 1, R"(,"status":{"a":1e999})");
+    EXPECT_TRUE(main_configuration_decoder{}.decode(text));
+}
+
 TEST(main_configuration_decoder, accepted_mutated_document_has_shares_on_every_route)
 {
     EXPECT_TRUE(rc::check([] {
