Validate the recorded progress of a rollout order

Cause: rollout_order_codec used a stored record without a check of its weights and versions, took an unreadable one for none without a log line, parsed "status" together with "spec", and took an object under any name as the order of the service that its spec names. An odd status hides the order. An object rollouts/odd replaces the order of another service, whose status is then written at the other object. Why this works: check_record() accepts only partitions of 1000 between valid version names. An order with an invalid status or record holds without a record, and SW2013 names the object.

--- a/src/savorywheel/distribution/order_codec.hpp
+++ b/src/savorywheel/distribution/order_codec.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/config/move_status.hpp>
 #include <savorywheel/config/rollout_order.hpp>
 #include <savorywheel/core/outcome.hpp>
+#include <savorywheel/distribution/decoded_order.hpp>
 #include <savorywheel/store/stored_object.hpp>
 
 #include <string>
@@ -24,8 +25,11 @@
     /** @return Key prefix of the orders. */
     [[nodiscard]] virtual std::string_view prefix() const noexcept = 0;
 
-    /** @return The order; a failure with code `malformed` if the object is not an order. */
-    [[nodiscard]] virtual outcome<rollout_order> decode(const stored_object& object) const = 0;
+    /**
+     * @return The order, without a record if the stored one is invalid; a failure with code
+     * `malformed` if the object is not an order.
+     */
+    [[nodiscard]] virtual outcome<decoded_order> decode(const stored_object& object) const = 0;
 
     /** @return Key of the object that stores the status of a service's order. */
     [[nodiscard]] virtual std::string status_key(const service_name& service) const = 0;
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -73,7 +73,10 @@
         log_invalid_object(object, candidate.reason());
         return false;
     }
-    return documents_.merge(*candidate);
+    if (candidate->record_failure.code != failure_code::none) {
+        log_invalid_object(object, candidate->record_failure);
+    }
+    return documents_.merge(candidate->order);
 }
 
 void document_service::log_invalid_object(const stored_object& object, const failure& reason)
