--- a/src/savorywheel/encoding/json_fields.cpp
+++ b/src/savorywheel/encoding/json_fields.cpp
@@ -28,6 +28,12 @@
     return value;
 }
 
+std::string json_output(const json& value)
+{
+    constexpr int no_indent = -1;
+    return value.dump(no_indent, ' ', false, json::error_handler_t::replace);
+}
+
 std::optional<std::string> text_field(const json& object, const char* key)
 {
     const auto* value = find(object, key);
--- a/src/savorywheel/encoding/json_fields.hpp
+++ b/src/savorywheel/encoding/json_fields.hpp
@@ -20,6 +20,9 @@
  */
 [[nodiscard]] std::optional<json> parse_json(std::string_view text);
 
+/** @return The value as JSON text; bytes that are not valid UTF-8 are replaced by U+FFFD. */
+[[nodiscard]] std::string json_output(const json& value);
+
 /** @return The string field with the given key; nothing if absent or of another type. */
 [[nodiscard]] std::optional<std::string> text_field(const json& object, const char* key);
 
