Log unreadable store objects and invalid announcements

Cause: object_api_store skipped an object without a readable name or revision, and instance_handler refused an announcement, without a line. Seen: nothing in a node's log tells that another writer left such an object, or why the VM's backend server is refused with status 400. Evidence: test failure below. Why this works: the store client and the announcement handler get the node's log. Tests failed before: foreign_entries.object_without_name_or_revision_is_logged_and_skipped and the count in instance_handler_test.announcement_of_another_writer_names_no_server do not compile without the log parameter; no line existed.

--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -28,6 +28,8 @@
     configuration_fetch_failed = 2014,
     directory_unreachable = 2015,
     directory_entry_unreadable = 2016,
+    store_object_unreadable = 2017,
+    announcement_invalid = 2018,
     member_alive = 3001,
     member_suspect = 3002,
     member_dead = 3003,
--- a/src/savorywheel/node/front_end.hpp
+++ b/src/savorywheel/node/front_end.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/distribution/order_codec.hpp>
 #include <savorywheel/http/http_client.hpp>
 #include <savorywheel/http/http_handler.hpp>
+#include <savorywheel/log/event_log.hpp>
 #include <savorywheel/settings/node_settings.hpp>
 #include <savorywheel/store/object_store.hpp>
 #include <savorywheel/traffic/caller_header_codec.hpp>
@@ -35,9 +36,10 @@
      * @brief Creates the client of the platform's object store.
      * @param client Sends the requests; must outlive the result.
      * @param server Endpoint of the object store.
+     * @param log Receives objects that cannot be read; must outlive the result.
      */
     [[nodiscard]] virtual std::unique_ptr<object_store>
-    make_store(http_client& client, const network_endpoint& server) const = 0;
+    make_store(http_client& client, const network_endpoint& server, event_log& log) const = 0;
 
     /**
      * @return Decoder of the operators' configuration in the object store; nullptr if the mesh is
@@ -51,10 +53,11 @@
     /**
      * @brief Creates the handler of the announcement endpoint.
      * @param control Receives the announcements; must outlive the result.
+     * @param log Receives invalid announcements; must outlive the result.
      * @return nullptr if backend servers announce themselves at the admin endpoint.
      */
     [[nodiscard]] virtual std::unique_ptr<http_handler>
-    make_announcement_handler(node_control& control) const = 0;
+    make_announcement_handler(node_control& control, event_log& log) const = 0;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/native_front_end.cpp
+++ b/src/savorywheel/node/native_front_end.cpp
@@ -16,13 +16,14 @@
 }
 
 std::unique_ptr<object_store> native_front_end::make_store(http_client& client,
-                                                           const network_endpoint& server) const
+                                                           const network_endpoint& server,
+                                                           event_log& /*log*/) const
 {
     return std::make_unique<http_object_store>(client, server, store_timeout);
 }
 
-std::unique_ptr<http_handler>
-native_front_end::make_announcement_handler(node_control& /*control*/) const
+std::unique_ptr<http_handler> native_front_end::make_announcement_handler(node_control& /*control*/,
+                                                                          event_log& /*log*/) const
 {
     return nullptr;
 }
--- a/src/savorywheel/node/native_front_end.hpp
+++ b/src/savorywheel/node/native_front_end.hpp
@@ -16,14 +16,14 @@
     [[nodiscard]] const caller_header_codec& callers() const noexcept override { return callers_; }
     [[nodiscard]] const server_header_codec& servers() const noexcept override { return servers_; }
     [[nodiscard]] std::unique_ptr<object_store>
-    make_store(http_client& client, const network_endpoint& server) const override;
+    make_store(http_client& client, const network_endpoint& server, event_log& log) const override;
     [[nodiscard]] const configuration_decoder* configuration() const noexcept override
     {
         return nullptr;
     }
     [[nodiscard]] const order_codec* orders() const noexcept override { return nullptr; }
     [[nodiscard]] std::unique_ptr<http_handler>
-    make_announcement_handler(node_control& control) const override;
+    make_announcement_handler(node_control& control, event_log& log) const override;
 
 private:
     default_caller_header_codec callers_;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -185,7 +185,7 @@
     metric_registry metrics_;
     process_metric_source process_metrics_;
     region_byte_meter meter_{settings_.region, metrics_};
-    std::unique_ptr<object_store> platform_{front_.make_store(store_http_, settings_.store)};
+    std::unique_ptr<object_store> platform_{front_.make_store(store_http_, settings_.store, log_)};
     metered_object_store store_{links_.store(*platform_), metrics_};
     store_worker worker_{store_};
     protocol_error_logger reporter_{time_, log_};
@@ -221,7 +221,7 @@
     admin_handler admin_{
         admin_handler::environment{control_, changes_, operators_, metrics_, log_}};
     readiness_handler readiness_{tables_, time_};
-    std::unique_ptr<http_handler> announcements_{front_.make_announcement_handler(control_)};
+    std::unique_ptr<http_handler> announcements_{front_.make_announcement_handler(control_, log_)};
     http_rejection_log rejection_log_{log_, time_, metrics_};
     http_server proxy_server_{proxy_, traffic_limits(settings_), &rejection_log_};
     http_server admin_server_{admin_, http_server_limits{.max_body_bytes = max_admin_body_bytes}};
--- a/test/platform/foreign_entries_test.cpp
+++ b/test/platform/foreign_entries_test.cpp
@@ -8,6 +8,7 @@
 #include <platform/raw_metadata_store.hpp>
 #include <platform/rollout_order_codec.hpp>
 #include <rapidcheck/gtest.h>
+#include <support/recording_event_log.hpp>
 
 #include <algorithm>
 #include <ostream>
@@ -16,6 +17,8 @@
 
 namespace {
 
+using savorywheel::test::recording_event_log;
+
 constexpr std::chrono::milliseconds no_wait{0};
 
 std::string nested(std::size_t levels)
@@ -81,7 +84,8 @@
     }
 
     raw_metadata_store fake_store_;
-    object_api_store subject_{fake_store_, network_endpoint{"127.0.0.1", 1}};
+    recording_event_log log_;
+    object_api_store subject_{fake_store_, network_endpoint{"127.0.0.1", 1}, log_};
 };
 
 } // namespace
@@ -122,7 +126,8 @@
         raw_metadata_store fake_store;
         fake_store.set_deleted(deleted);
         fake_store.add_spec("a", R"("first")");
-        object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}};
+        recording_event_log log;
+        object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}, log};
         const auto changes = subject.watch("nodes/", 1, no_wait);
         ASSERT_TRUE(changes) << deleted;
         EXPECT_EQ(changes->objects.size(), 1U) << deleted;
@@ -136,7 +141,8 @@
     fake_store.add_spec("a", R"("first")");
     fake_store.add("odd", R"({"metadata":{"name":7}})");
     fake_store.add_spec("z", R"("last")");
-    object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}};
+    recording_event_log log;
+    object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}, log};
     EXPECT_EQ(subject.list("nodes/", {}).reason().code, failure_code::malformed);
 }
 
@@ -146,13 +152,37 @@
     fake_store.set_page_size(1);
     fake_store.add("a%26b%20%C3%A9", R"({"metadata":{"name":"a&b é","revision":1},"spec":"x"})");
     fake_store.add_spec("z", R"("last")");
-    object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}};
+    recording_event_log log;
+    object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}, log};
     const auto list = subject.list("nodes/", {});
     ASSERT_TRUE(list);
     ASSERT_EQ(list->objects.size(), 2U);
     EXPECT_EQ(list->objects.back().value, "last");
 }
 
+TEST(foreign_entries, object_without_name_or_revision_is_logged_and_skipped)
+{
+    raw_metadata_store fake_store;
+    fake_store.add_spec("a", R"("first")");
+    const std::vector<std::string> objects{"7",
+                                           "null",
+                                           "[]",
+                                           "{}",
+                                           R"({"metadata":7})",
+                                           R"({"metadata":{"name":"b"}})",
+                                           R"({"metadata":{"name":"b","revision":1e999}})",
+                                           "{\"metadata\":{\"name\":\"\xff\",\"revision\":2}}"};
+    for (const auto& text : objects) {
+        fake_store.add("odd", text);
+    }
+    recording_event_log log;
+    object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}, log};
+    const auto list = subject.list("nodes/", {});
+    ASSERT_TRUE(list);
+    EXPECT_EQ(list->objects.size(), 1U);
+    EXPECT_EQ(log.count(event_id::store_object_unreadable), objects.size());
+}
+
 RC_GTEST_PROP(foreign_entries, mutated_entry_does_not_hide_the_others, ())
 {
     const std::string entry =
@@ -176,7 +206,8 @@
     fake_store.add_spec("b", R"("second")");
     fake_store.add("odd", text);
     fake_store.add_spec("z", R"("last")");
-    object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}};
+    recording_event_log log;
+    object_api_store subject{fake_store, network_endpoint{"127.0.0.1", 1}, log};
     for (const auto& result : {subject.list("nodes/", {}), subject.watch("nodes/", 1, no_wait)}) {
         RC_ASSERT(static_cast<bool>(result));
         RC_ASSERT(result->revision == raw_metadata_store::revision);
--- a/test/platform/instance_handler_test.cpp
+++ b/test/platform/instance_handler_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <platform/instance_handler.hpp>
 #include <rapidcheck/gtest.h>
+#include <support/recording_event_log.hpp>
 
 namespace savorywheel::platform::test {
 
@@ -29,7 +30,8 @@
     }
 
     savorywheel::test::fixed_node_control control_;
-    instance_handler subject_{control_};
+    savorywheel::test::recording_event_log log_;
+    instance_handler subject_{control_, log_};
 };
 
 } // namespace
@@ -86,10 +88,12 @@
         EXPECT_EQ(announce(replaced(valid_body, part, replacement)), status_bad_request)
             << part << " " << replacement.substr(0, 60);
     }
-    for (const auto* body : {"", "7", "[]", "null", "\xff", "{}"}) {
+    const std::vector<std::string> bodies{"", "7", "[]", "null", "\xff", "{}"};
+    for (const auto& body : bodies) {
         EXPECT_EQ(announce(body), status_bad_request) << body;
     }
     EXPECT_FALSE(control_.last_announcement());
+    EXPECT_EQ(log_.count(event_id::announcement_invalid), changes.size() + bodies.size());
 }
 
 TEST_F(instance_handler_test, malformed_identity_is_rejected)
@@ -116,7 +120,8 @@
                                                     "null", "\"", ",", "\xff", "\\u0000"));
     }
     savorywheel::test::fixed_node_control control;
-    instance_handler subject{control};
+    savorywheel::test::recording_event_log log;
+    instance_handler subject{control, log};
     const auto response = subject.handle({"PUT", "/instances/i-1", {}, body});
     RC_ASSERT(response.status == status_ok || response.status == status_bad_request);
     if (const auto& backend = control.last_announcement()) {
--- a/test/platform/member_directory_test.cpp
+++ b/test/platform/member_directory_test.cpp
@@ -38,7 +38,7 @@
 
     recording_event_log log_;
     fake_metadata_store fake_store_;
-    object_api_store store_{fake_store_, network_endpoint{"127.0.0.1", 1}};
+    object_api_store store_{fake_store_, network_endpoint{"127.0.0.1", 1}, log_};
     control_loop_fixture fixture_{store_};
     std::vector<network_endpoint> discovered_;
 };
--- a/test/platform/object_api_store_test.cpp
+++ b/test/platform/object_api_store_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <platform/fake_metadata_store.hpp>
 #include <platform/object_api_store.hpp>
+#include <support/recording_event_log.hpp>
 
 namespace savorywheel::platform::test {
 
@@ -11,7 +12,8 @@
 class object_api_store_test : public testing::Test {
 protected:
     fake_metadata_store fake_store_;
-    object_api_store subject_{fake_store_, network_endpoint{"127.0.0.1", 1}};
+    savorywheel::test::recording_event_log log_;
+    object_api_store subject_{fake_store_, network_endpoint{"127.0.0.1", 1}, log_};
 };
 
 } // namespace
