Apply the operators' limits on callers

Cause: the configuration's limits were not decoded. The body limit was 8 MiB and the idle timeout a setting, whatever operators configured.

What callers saw: 413 for bodies of 8 to 64 MiB that the configuration allows; and once operators raise idle-timeout above the setting, a connection that closes while they reuse it within four fifths of the new limit.

Change: the adapter decodes the limits into caller_limits, which go with the configuration through mesh_state into the routing table. caller_limit_publisher, a routing_table_listener, applies them to the traffic server when a table with other limits is published. Above the operators' body limit 413; within it and above half of the largest frame between nodes (8 MiB, as before) 503, not run. Connections are closed after the larger of idle and header timeout plus 5 s; the library's timeout of each open connection is replaced too (MHD_CONNECTION_OPTION_TIMEOUT), and of connections that were never used.

The format of operator_documents between nodes changes: four optional fields behind the hosts. A node of an older build rejects it as too long, and a newer one rejects the older as too short; both log it, and fetch the documents from the store. The header limit is decoded but not applied: the memory of a connection is fixed when the server starts.

--- a/src/savorywheel/config/fwd.hpp
+++ b/src/savorywheel/config/fwd.hpp
@@ -8,6 +8,7 @@
 class mesh_spec_parser;
 class mesh_validator;
 class position_index;
+struct caller_limits;
 struct commit;
 struct domain_spec;
 struct host_route;
--- a/src/savorywheel/config/mesh_state.hpp
+++ b/src/savorywheel/config/mesh_state.hpp
@@ -61,6 +61,9 @@
         return hosts_;
     }
 
+    /** @return What operators allow callers. */
+    [[nodiscard]] const caller_limits& limits() const noexcept { return limits_; }
+
     /** @return State of the service; nullptr if it does not exist. */
     [[nodiscard]] std::shared_ptr<const service_state> find(const service_name& name) const;
 
@@ -74,6 +77,7 @@
     std::vector<domain_spec> domains_;
     service_map services_;
     std::shared_ptr<const std::vector<virtual_host>> hosts_;
+    caller_limits limits_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/config/operator_configuration.hpp
+++ b/src/savorywheel/config/operator_configuration.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_CONFIG_OPERATOR_CONFIGURATION_HPP
 #define SAVORYWHEEL_CONFIG_OPERATOR_CONFIGURATION_HPP
 
+#include <savorywheel/config/caller_limits.hpp>
 #include <savorywheel/config/virtual_host.hpp>
 #include <savorywheel/core/config_version.hpp>
 
@@ -15,6 +16,7 @@
     std::vector<service_name> services;
     /** @brief Virtual hosts with their routes. */
     std::vector<virtual_host> hosts;
+    caller_limits limits;
 
     [[nodiscard]] friend bool operator==(const operator_configuration&,
                                          const operator_configuration&) = default;
--- a/src/savorywheel/encoding/config_archive.hpp
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -106,11 +106,20 @@
     archive(cereal::make_nvp("host", item.host), cereal::make_nvp("routes", item.routes));
 }
 
+template<typename Archive>
+void serialize(Archive& archive, caller_limits& limits)
+{
+    archive(cereal::make_nvp("max_header_bytes", limits.max_header_bytes),
+            cereal::make_nvp("max_body_bytes", limits.max_body_bytes),
+            cereal::make_nvp("header_timeout_ms", limits.header_timeout),
+            cereal::make_nvp("idle_timeout_ms", limits.idle_timeout));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, operator_configuration& item)
 {
     archive(cereal::make_nvp("version", item.version), cereal::make_nvp("services", item.services),
-            cereal::make_nvp("hosts", item.hosts));
+            cereal::make_nvp("hosts", item.hosts), cereal::make_nvp("limits", item.limits));
 }
 
 template<typename Archive>
--- a/src/savorywheel/http/connection_table.cpp
+++ b/src/savorywheel/http/connection_table.cpp
@@ -1,19 +1,41 @@
 #include <savorywheel/http/connection_table.hpp>
 
+#include <microhttpd.h>
+
 #include <algorithm>
 
 namespace savorywheel {
 
-void connection_table::add(key caller, int socket)
+namespace {
+
+void set_timeout(MHD_Connection& connection, std::chrono::seconds timeout)
+{
+    MHD_set_connection_option(&connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                              static_cast<unsigned>(timeout.count()));
+}
+
+} // namespace
+
+void connection_table::add(key caller, MHD_Connection& connection, int socket)
 {
     const std::scoped_lock lock{mutex_};
-    sockets_.insert_or_assign(caller, socket);
+    connections_.insert_or_assign(caller, entry{&connection, socket});
+    set_timeout(connection, idle_timeout_);
+}
+
+void connection_table::set_idle_timeout(std::chrono::seconds timeout)
+{
+    const std::scoped_lock lock{mutex_};
+    idle_timeout_ = timeout;
+    for (const auto& [caller, open] : connections_) {
+        set_timeout(*open.connection, timeout);
+    }
 }
 
 void connection_table::remove(key caller)
 {
     const std::scoped_lock lock{mutex_};
-    sockets_.erase(caller);
+    connections_.erase(caller);
     ++change_count_;
     changed_.notify_all();
 }
@@ -29,8 +51,8 @@
 std::optional<int> connection_table::socket_of(key caller) const
 {
     const std::scoped_lock lock{mutex_};
-    const auto found = sockets_.find(caller);
-    return found == sockets_.end() ? std::nullopt : std::optional{found->second};
+    const auto found = connections_.find(caller);
+    return found == connections_.end() ? std::nullopt : std::optional{found->second.socket};
 }
 
 bool connection_table::wait_until_idle(std::chrono::milliseconds limit,
@@ -38,7 +60,7 @@
 {
     const auto end = std::chrono::steady_clock::now() + limit;
     std::unique_lock lock{mutex_};
-    while (!sockets_.empty()) {
+    while (!connections_.empty()) {
         const auto previous_count = change_count_;
         const auto wait_end = std::min(std::chrono::steady_clock::now() + idle, end);
         const bool changed = changed_.wait_until(
--- a/src/savorywheel/http/connection_table.hpp
+++ b/src/savorywheel/http/connection_table.hpp
@@ -8,6 +8,8 @@
 #include <mutex>
 #include <optional>
 
+struct MHD_Connection;
+
 namespace savorywheel {
 
 /** @brief Open connections and requests in flight of an HTTP server; thread-safe. */
@@ -16,10 +18,14 @@
     /** @brief Caller's IPv4 address and port, packed into one number. */
     using key = std::uint64_t;
 
-    void add(key caller, int socket);
+    /** @brief Adds a connection and sets its idle timeout. */
+    void add(key caller, MHD_Connection& connection, int socket);
 
     void remove(key caller);
 
+    /** @brief Sets the idle timeout of open and later connections. */
+    void set_idle_timeout(std::chrono::seconds timeout);
+
     /** @brief Adjusts the number of requests in flight: 1 at the start of one, -1 at its end. */
     void adjust_request_count(int delta);
 
@@ -36,9 +42,15 @@
                                        std::chrono::milliseconds idle);
 
 private:
+    struct entry {
+        MHD_Connection* connection{};
+        int socket{};
+    };
+
     mutable std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<key, int> sockets_;
+    std::map<key, entry> connections_;
+    std::chrono::seconds idle_timeout_{};
     int requests_in_flight_{};
     std::uint64_t change_count_{};
 };
--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -75,7 +75,7 @@
         table.remove(key_of(*caller));
         return;
     }
-    table.add(key_of(*caller),
+    table.add(key_of(*caller), *connection,
               MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
 }
 
@@ -164,8 +164,16 @@
 class http_server::impl {
 public:
     impl(http_handler& handler, http_server_limits limits, http_server_listener* listener)
-        : handler_{handler}, limits_{limits}, listener_{listener}
+        : handler_{handler}, limits_{limits}, listener_{listener}, max_body_bytes_{
+                                                                       limits.max_body_bytes}
     {
+        connections_.set_idle_timeout(limits.idle_timeout);
+    }
+
+    void set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout)
+    {
+        max_body_bytes_ = max_body_bytes;
+        connections_.set_idle_timeout(idle_timeout);
     }
 
     outcome<bool> start(const network_endpoint& local)
@@ -254,14 +262,14 @@
     {
         connections_.adjust_request_count(1);
         const auto request = make_request(source);
-        const auto verdict =
-            check_body(request, limits_.max_body_bytes, limits_.max_buffered_body_bytes);
+        const std::size_t max_body_bytes = max_body_bytes_;
+        const auto verdict = check_body(request, max_body_bytes, limits_.max_buffered_body_bytes);
         if (verdict == body_verdict::complete) {
             write_response(target, handle(request, key_of(*source.client_address)), closing_);
         }
         else {
             const auto response = reject_body(verdict);
-            report_rejection(request, response.status);
+            report_rejection(request, response.status, max_body_bytes);
             // Behind a body without a definite length, the next request cannot be located.
             write_response(target, response, closing_ || verdict == body_verdict::misframed);
         }
@@ -269,14 +277,14 @@
         return U_CALLBACK_COMPLETE;
     }
 
-    void report_rejection(const http_request& request, int status)
+    void report_rejection(const http_request& request, int status, std::size_t max_body_bytes)
     {
         if (listener_ != nullptr) {
             listener_->on_rejected(
                 status, request.target,
                 fmt::format("{} bytes of the body received, announced {}, allowed {}, buffered {}",
                             request.body.size(), find_header(request.headers, "Content-Length"),
-                            limits_.max_body_bytes, limits_.max_buffered_body_bytes));
+                            max_body_bytes, limits_.max_buffered_body_bytes));
         }
     }
 
@@ -296,6 +304,7 @@
     http_handler& handler_;
     http_server_limits limits_;
     http_server_listener* listener_;
+    std::atomic<std::size_t> max_body_bytes_;
     _u_instance instance_{};
     bool initialized_{};
     bool running_{};
@@ -315,6 +324,11 @@
     stop();
 }
 
+void http_server::set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout)
+{
+    impl_->set_caller_limits(max_body_bytes, idle_timeout);
+}
+
 outcome<bool> http_server::start(const network_endpoint& local)
 {
     return impl_->start(local);
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -7,6 +7,7 @@
 #include <savorywheel/http/http_server.hpp>
 #include <savorywheel/metrics/process_metric_source.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
+#include <savorywheel/node/caller_limit_publisher.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/node.hpp>
 #include <savorywheel/node/node_metric_source.hpp>
@@ -21,6 +22,7 @@
 #include <savorywheel/traffic/proxy_handler.hpp>
 #include <savorywheel/transport/asio_datagram_channel.hpp>
 #include <savorywheel/transport/asio_peer_network.hpp>
+#include <savorywheel/transport/frame_header.hpp>
 #include <savorywheel/transport/frame_router.hpp>
 #include <savorywheel/transport/protocol_error_logger.hpp>
 
@@ -39,12 +41,18 @@
 constexpr std::chrono::milliseconds short_request_drain_limit{200};
 constexpr std::chrono::milliseconds short_request_drain_idle{50};
 
+/** Half of the largest frame to another node, 8 MiB: while a call is sent, the server, the call and
+ * the frame hold its body at once. */
+constexpr std::size_t max_call_body_bytes = max_frame_bytes / 2;
+
 http_server_limits traffic_limits(const node_settings& settings)
 {
     http_server_limits limits;
     limits.drain_limit = settings.stop_limit;
     limits.idle_timeout = settings.idle_timeout;
     limits.max_connections = max_caller_connections;
+    limits.max_body_bytes = max_call_body_bytes;
+    limits.max_buffered_body_bytes = max_call_body_bytes;
     return limits;
 }
 
@@ -72,6 +80,7 @@
                const front_end& front)
         : settings_{std::move(settings)}, log_{log}, links_{links}, front_{front}
     {
+        tables_.set_listener(caller_limits_);
         metrics_.add_source(process_metrics_);
         metrics_.add_source(state_metrics_);
         router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_report},
@@ -225,6 +234,7 @@
     std::unique_ptr<http_handler> announcements_{front_.make_announcement_handler(control_)};
     http_rejection_log rejection_log_{log_, time_, metrics_};
     http_server proxy_server_{proxy_, traffic_limits(settings_), &rejection_log_};
+    caller_limit_publisher caller_limits_{proxy_server_, traffic_limits(settings_)};
     http_server admin_server_{admin_,
                               http_server_limits{.max_body_bytes = max_admin_body_bytes,
                                                  .max_buffered_body_bytes = max_admin_body_bytes}};
--- a/src/savorywheel/routing/fwd.hpp
+++ b/src/savorywheel/routing/fwd.hpp
@@ -11,6 +11,7 @@
 class routing_table;
 class routing_table_builder;
 class routing_table_holder;
+class routing_table_listener;
 class weighted_version_selector;
 class version_selector;
 class version_ejections;
--- a/src/savorywheel/routing/routing_table.hpp
+++ b/src/savorywheel/routing/routing_table.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_ROUTING_ROUTING_TABLE_HPP
 #define SAVORYWHEEL_ROUTING_ROUTING_TABLE_HPP
 
+#include <savorywheel/config/caller_limits.hpp>
 #include <savorywheel/core/config_version.hpp>
 #include <savorywheel/routing/host_table.hpp>
 #include <savorywheel/routing/service_routes.hpp>
@@ -25,16 +26,20 @@
      * @param version Configuration version.
      * @param routes Routes by service.
      * @param hosts Routes by host.
+     * @param limits What operators allow callers.
      */
-    routing_table(config_version version, route_map routes,
-                  std::shared_ptr<const host_table> hosts) noexcept
-        : version_{version}, routes_{std::move(routes)}, hosts_{std::move(hosts)}
+    routing_table(config_version version, route_map routes, std::shared_ptr<const host_table> hosts,
+                  const caller_limits& limits = {}) noexcept
+        : version_{version}, routes_{std::move(routes)}, hosts_{std::move(hosts)}, limits_{limits}
     {
     }
 
     /** @return Configuration version that the table was compiled from. */
     [[nodiscard]] config_version version() const noexcept { return version_; }
 
+    /** @return What operators allow callers. */
+    [[nodiscard]] const caller_limits& limits() const noexcept { return limits_; }
+
     /** @return Routes by service. */
     [[nodiscard]] const route_map& routes() const noexcept { return routes_; }
 
@@ -61,6 +66,7 @@
     config_version version_;
     route_map routes_;
     std::shared_ptr<const host_table> hosts_{std::make_shared<const host_table>()};
+    caller_limits limits_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/routing_table_holder.hpp
+++ b/src/savorywheel/routing/routing_table_holder.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ROUTING_ROUTING_TABLE_HOLDER_HPP
 
 #include <savorywheel/routing/routing_table.hpp>
+#include <savorywheel/routing/routing_table_listener.hpp>
 
 #include <memory>
 #include <mutex>
@@ -19,16 +20,24 @@
      * @brief Replaces the current table, unless the new one has an older version.
      * @return True if the table was replaced.
      */
-    bool publish(std::shared_ptr<const routing_table> table)
+    bool publish(const std::shared_ptr<const routing_table>& table)
     {
-        const std::scoped_lock lock{mutex_};
-        if (table->version() < table_->version()) {
-            return false;
+        {
+            const std::scoped_lock lock{mutex_};
+            if (table->version() < table_->version()) {
+                return false;
+            }
+            table_ = table;
+        }
+        if (listener_ != nullptr) {
+            listener_->on_table(*table);
         }
-        table_ = std::move(table);
         return true;
     }
 
+    /** @brief Sets the receiver of later tables; call before the control thread starts. */
+    void set_listener(routing_table_listener& listener) noexcept { listener_ = &listener; }
+
     /** @return The current table; never nullptr. */
     [[nodiscard]] std::shared_ptr<const routing_table> current() const
     {
@@ -38,6 +47,7 @@
 
 private:
     mutable std::mutex mutex_;
+    routing_table_listener* listener_{};
     std::shared_ptr<const routing_table> table_{std::make_shared<const routing_table>()};
 };
 
--- a/test/platform/main_configuration_decoder_test.cpp
+++ b/test/platform/main_configuration_decoder_test.cpp
@@ -34,6 +34,28 @@
     EXPECT_EQ(routes[1].shares, (std::vector<service_share>{{service_name{"b"}, 1}}));
 }
 
+TEST(main_configuration_decoder, decodes_the_limits_on_callers)
+{
+    const auto result = main_configuration_decoder{}.decode(
+        R"({"spec":{"version":1,"services":[],"virtual-hosts":[],"limits":{"max-header-bytes":16384,
+"max-body-bytes":67108864,"header-timeout":"3000ms","idle-timeout":"15.5s"}}})");
+    ASSERT_TRUE(result) << result.reason().message;
+    EXPECT_EQ(result->limits, (caller_limits{16'384, 67'108'864, std::chrono::milliseconds{3000},
+                                             std::chrono::milliseconds{15'500}}));
+}
+
+TEST(main_configuration_decoder, limits_that_are_missing_or_invalid_are_not_configured)
+{
+    for (const char* limits : {R"({})", R"(7)", R"({"max-body-bytes":"x","idle-timeout":15,
+"header-timeout":"-1s","max-header-bytes":-1})"}) {
+        const auto result = main_configuration_decoder{}.decode(
+            std::string{R"({"spec":{"version":1,"services":[],"virtual-hosts":[],"limits":)"} +
+            limits + "}}");
+        ASSERT_TRUE(result) << limits;
+        EXPECT_EQ(result->limits, caller_limits{}) << limits;
+    }
+}
+
 TEST(main_configuration_decoder, accepted_mutated_document_has_shares_on_every_route)
 {
     EXPECT_TRUE(rc::check([] {
--- a/test/savorywheel/encoding/codec_test.cpp
+++ b/test/savorywheel/encoding/codec_test.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/distribution/commit_push_message.hpp>
+#include <savorywheel/distribution/operator_documents.hpp>
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/membership/membership_message.hpp>
 
@@ -39,6 +40,15 @@
     EXPECT_EQ(*json, item);
 }
 
+TEST(codec, limits_on_callers_round_trip_between_nodes)
+{
+    operator_documents documents;
+    documents.configuration.limits = {16'384, 67'108'864, {}, std::chrono::milliseconds{15'000}};
+    const auto decoded = decode<operator_documents>(encode(documents));
+    ASSERT_TRUE(decoded) << decoded.reason().message;
+    EXPECT_EQ(decoded->configuration, documents.configuration);
+}
+
 RC_GTEST_PROP(codec, decode_does_not_crash_on_random_bytes,
               (const std::vector<std::uint8_t>& bytes))
 {
--- a/test/savorywheel/rollout/mesh_state_builder_test.cpp
+++ b/test/savorywheel/rollout/mesh_state_builder_test.cpp
@@ -45,6 +45,20 @@
 
 } // namespace
 
+TEST(mesh_state_builder, a_change_of_the_limits_on_callers_is_a_change_of_the_state)
+{
+    manual_clock time;
+    const member_table members;
+    auto documents = documents_with(make_order());
+    mesh_state_builder subject;
+    const auto before = subject.build(documents, members, time.calendar_now());
+    EXPECT_EQ(subject.build(documents, members, time.calendar_now()), before);
+    documents.configuration.limits.idle_timeout = std::chrono::milliseconds{30'000};
+    const auto after = subject.build(documents, members, time.calendar_now());
+    EXPECT_EQ(after.limits().idle_timeout, std::chrono::milliseconds{30'000});
+    EXPECT_FALSE(after == before);
+}
+
 TEST(mesh_state_builder, target_version_has_no_traffic_before_the_first_step)
 {
     manual_clock time;
