Test long requests on short idle timeouts, and connections beyond the limit

Both passed on the code before: a handler may take longer than the idle timeout, and a connection beyond the limit is closed without a byte while the others are served.

--- a/test/savorywheel/http/http_server_test.cpp
+++ b/test/savorywheel/http/http_server_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <support/loopback_socket.hpp>
+#include <support/raw_http_connection.hpp>
 #include <support/wait_until.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -176,6 +177,44 @@
         wait_until([&handler] { return handler.cancelled.load(); }, std::chrono::seconds{10}));
 }
 
+TEST(http_server, a_request_may_run_longer_than_the_idle_timeout)
+{
+    slow_handler handler{std::chrono::milliseconds{2500}};
+    http_server server{handler, {.idle_timeout = std::chrono::seconds{1}}};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(server.start(endpoint));
+    raw_http_connection connection{endpoint};
+    for (int i = 0; i < 2; ++i) {
+        EXPECT_TRUE(connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n"));
+        EXPECT_EQ(connection.read_status(), 200);
+    }
+}
+
+TEST(http_server, a_connection_beyond_the_limit_is_closed_and_leaves_the_others_open)
+{
+    slow_handler handler{{}};
+    http_server server{handler, {.max_connections = 2}};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(server.start(endpoint));
+    const auto status_of_request = [](raw_http_connection& connection) {
+        return connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n") ? connection.read_status() : 0;
+    };
+    raw_http_connection first{endpoint};
+    EXPECT_EQ(status_of_request(first), 200);
+    {
+        raw_http_connection second{endpoint};
+        EXPECT_EQ(status_of_request(second), 200);
+        raw_http_connection beyond{endpoint};
+        EXPECT_TRUE(beyond.closed_within(timeout));
+        EXPECT_EQ(status_of_request(first), 200);
+        EXPECT_EQ(status_of_request(second), 200);
+    }
+    EXPECT_TRUE(wait_until([&] {
+        raw_http_connection later{endpoint};
+        return status_of_request(later) == 200;
+    }));
+}
+
 TEST(http_server, passes_the_target_unchanged_and_rejects_large_bodies)
 {
     slow_handler handler{{}};
