Send backend servers the caller's header fields and no others

Cause: libcurl removes a field with an empty value, adds "Accept: */*", and acts on Expect: with a body it waits for an interim response, up to a second, though the node had met the expectation already.

What callers saw: nothing directly; backend servers lacked fields or had one more. The wait is known from libcurl's documentation (CURLOPT_EXPECT_100_TIMEOUT_MS, 1000 ms); it was not measured here.

Why the fix works: an empty value is passed in libcurl's form for it, the field Accept is switched off where the caller has none, and Expect concerns only the connection on which the body was sent.

Test: curl_http_client.sends_the_header_fields_of_the_request_and_no_others failed before for six methods (Accept added, X-Empty missing, Expect sent).

--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -6,6 +6,9 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <span>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -31,6 +34,20 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
+/** An expectation is met before the request is forwarded, since its body is complete. */
+bool set_by_transfer(const http_header& header)
+{
+    return equal_ignoring_case(header.name, "Content-Length") ||
+           equal_ignoring_case(header.name, "Expect");
+}
+
+bool contains(std::span<const http_header> headers, std::string_view name)
+{
+    return std::ranges::any_of(headers, [name](const http_header& header) {
+        return equal_ignoring_case(header.name, name);
+    });
+}
+
 } // namespace
 
 curl_transfer::curl_transfer(response_framing framing)
@@ -142,13 +159,18 @@
 {
     curl_slist* fields = nullptr;
     for (const auto& header : request.headers) {
-        if (!equal_ignoring_case(header.name, "Content-Length")) {
-            fields = curl_slist_append(fields, (header.name + ": " + header.value).c_str());
+        if (!set_by_transfer(header)) {
+            // The library removes a field with an empty value unless a semicolon ends its name.
+            const auto field =
+                header.value.empty() ? header.name + ";" : header.name + ": " + header.value;
+            fields = curl_slist_append(fields, field.c_str());
         }
     }
     fields = curl_slist_append(fields, "Expect:");
-    if (find_header(request.headers, "Content-Type").empty()) {
-        fields = curl_slist_append(fields, "Content-Type:");
+    for (const std::string name : {"Accept", "Content-Type"}) {
+        if (!contains(request.headers, name)) {
+            fields = curl_slist_append(fields, (name + ":").c_str());
+        }
     }
     return fields;
 }
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -5,11 +5,14 @@
 #include <rapidcheck.h>
 #include <support/blackhole_proxy.hpp>
 #include <support/loopback_socket.hpp>
+#include <support/recording_http_handler.hpp>
 #include <support/scripted_server.hpp>
 #include <support/wait_until.hpp>
 #include <unistd.h>
 
 #include <latch>
+#include <span>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -37,6 +40,15 @@
     std::latch latch_;
 };
 
+std::string lines_of(std::span<const http_header> headers)
+{
+    std::string lines;
+    for (const auto& header : headers) {
+        lines += header.name + ": " + header.value + "\n";
+    }
+    return lines;
+}
+
 std::string complete_response(bool chunked)
 {
     if (chunked) {
@@ -78,6 +90,34 @@
     EXPECT_EQ(response->body, "hello");
 }
 
+TEST(curl_http_client, sends_the_header_fields_of_the_request_and_no_others)
+{
+    network_endpoint endpoint;
+    ::close(listen_on_loopback(endpoint));
+    recording_http_handler handler;
+    http_server server{handler};
+    ASSERT_TRUE(server.start(endpoint));
+    const std::vector<http_header> fields{
+        {"Host", "a"},    {"X-Empty", ""},      {"X-Twice", "1"},          {"x-twice", "2"},
+        {"X-Twice", "1"}, {"Cookie", "a=b; c"}, {"X-Bytes", "\xff; \"q\""}};
+    curl_http_client client;
+    for (const std::string method : {"GET", "POST", "PUT", "DELETE", "HEAD", "OPTIONS"}) {
+        SCOPED_TRACE(method);
+        auto request_fields = fields;
+        request_fields.push_back({"Expect", "100-continue"});
+        const auto sent = client.send(endpoint, {method, "/a", request_fields, {}}, timeout);
+        ASSERT_TRUE(sent) << sent.reason().message;
+        const auto requests = handler.take();
+        ASSERT_EQ(requests.size(), 1U);
+        auto received = requests.front().headers;
+        std::erase_if(received, [](const http_header& header) {
+            return header == http_header{"Content-Length", "0"};
+        });
+        EXPECT_EQ(requests.front().method, method);
+        EXPECT_EQ(lines_of(received), lines_of(fields));
+    }
+}
+
 TEST(curl_http_client, reset_or_truncated_response_is_never_complete)
 {
     const std::vector<scripted_exchange> truncated_exchanges{
