Match hosts without regard to case, trailing dot and port

Cause: host_table compared the Host field byte for byte after cutting it at the first colon. Hosts compare without case (RFC 9110, 4.2.3), a trailing dot names the same host, and an IPv6 literal contains colons. Two entries of one host in different spelling were two hosts.

What callers would see: 404 for requests that the configuration allows.

Change: the host is cut to its name without allocation, and the map ignores the case of ASCII letters. Paths stay compared as written: a server may treat percent-encoded characters differently, and a decoded path would not be the one that is forwarded. Tests now also hold that the query does not match, that duplicate hosts are merged, and the longest prefix among them.

Tests failed before the fix: host_table.hosts_match_without_case_port_and_trailing_dot ("a.example" of "A.example": no route), host_table.address_literals_match_with_and_without_port and host_table.entries_of_the_same_host_are_merged.

--- a/src/savorywheel/routing/host_table.cpp
+++ b/src/savorywheel/routing/host_table.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/routing/host_name.hpp>
 #include <savorywheel/routing/host_table.hpp>
 
 #include <algorithm>
@@ -38,7 +39,7 @@
 host_table::host_table(std::span<const virtual_host> hosts)
 {
     for (const auto& item : hosts) {
-        auto& routes = routes_[item.host];
+        auto& routes = routes_[std::string{host_name_of(item.host)}];
         routes.insert(routes.end(), item.routes.begin(), item.routes.end());
         sort_by_path(routes);
     }
@@ -74,7 +75,7 @@
 
 const std::vector<host_route>* host_table::find(std::string_view host) const
 {
-    const auto found = routes_.find(host.substr(0, host.find(':')));
+    const auto found = routes_.find(host_name_of(host));
     return found == routes_.end() ? nullptr : &found->second;
 }
 
--- a/src/savorywheel/routing/host_table.hpp
+++ b/src/savorywheel/routing/host_table.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ROUTING_HOST_TABLE_HPP
 
 #include <savorywheel/config/mesh_state.hpp>
+#include <savorywheel/routing/host_name_less.hpp>
 
 #include <cstddef>
 #include <map>
@@ -12,7 +13,13 @@
 
 namespace savorywheel {
 
-/** @brief Matches requests to routes by host and path prefix; immutable. */
+/**
+ * @brief Matches requests to routes by host and path prefix; immutable.
+ *
+ * Hosts match without regard to case, port and a trailing dot (RFC 9110, section 4.2.3). Paths are
+ * compared as written: a server may treat percent-encoded characters differently, and a node that
+ * decoded them would route by another path than the one it forwards.
+ */
 class host_table {
 public:
     /** @brief Creates a table without routes. */
@@ -40,7 +47,7 @@
 private:
     [[nodiscard]] const std::vector<host_route>* find(std::string_view host) const;
 
-    std::map<std::string, std::vector<host_route>, std::less<>> routes_;
+    std::map<std::string, std::vector<host_route>, host_name_less> routes_;
 };
 
 } // namespace savorywheel
--- a/test/savorywheel/routing/host_table_test.cpp
+++ b/test/savorywheel/routing/host_table_test.cpp
@@ -64,4 +64,60 @@
     }));
 }
 
+TEST(host_table, hosts_match_without_case_port_and_trailing_dot)
+{
+    const host_table table{std::vector<virtual_host>{{"A.example", {make_route("/x/")}},
+                                                     {"c.example.", {make_route("/x/")}}}};
+    for (const auto* host : {"A.example", "a.example", "a.EXAMPLE:8080", "a.example.",
+                             "a.example.:80", "a.example:", "c.example", "C.example."}) {
+        EXPECT_NE(table.match(host, "/x/"), nullptr) << host;
+        EXPECT_EQ(table.routes_of(host), 1U) << host;
+    }
+    for (const auto* host : {"", ".", ":80", "example", "a.example..", "xa.example", "a.exampl",
+                             "a.example.com", "a-example"}) {
+        EXPECT_EQ(table.match(host, "/x/"), nullptr) << host;
+    }
+}
+
+TEST(host_table, address_literals_match_with_and_without_port)
+{
+    const host_table table{std::vector<virtual_host>{{"[fd00::1]", {make_route("/x/")}},
+                                                     {"10.0.0.1", {make_route("/x/")}}}};
+    for (const auto* host : {"[fd00::1]", "[FD00::1]:8080", "10.0.0.1", "10.0.0.1:80"}) {
+        EXPECT_NE(table.match(host, "/x/"), nullptr) << host;
+    }
+    for (const auto* host : {"[fd00::2]", "[fd00::1", "[", "[]", "fd00"}) {
+        EXPECT_EQ(table.match(host, "/x/"), nullptr) << host;
+    }
+}
+
+TEST(host_table, entries_of_the_same_host_are_merged)
+{
+    const host_table table{std::vector<virtual_host>{
+        {"a.example", {make_route("/x/"), make_route("/y/")}},
+        {"b.example", {make_route("/z/")}},
+        {"A.Example.", {make_route("/x/w/"), make_route("/")}},
+    }};
+    EXPECT_EQ(table.routes_of("a.example"), 4U);
+    EXPECT_EQ(table.match("a.example", "/x/w/1")->path, "/x/w/");
+    EXPECT_EQ(table.match("a.example", "/x/1")->path, "/x/");
+    EXPECT_EQ(table.match("a.example", "/y/1")->path, "/y/");
+    EXPECT_EQ(table.match("a.example", "/z/1")->path, "/");
+}
+
+TEST(host_table, path_is_compared_as_written_and_without_the_query)
+{
+    const host_table table{
+        std::vector<virtual_host>{{"a.example", {make_route("/x/"), make_route("/x/y/")}}}};
+    EXPECT_EQ(table.match("a.example", "/x/?p=/x/y/")->path, "/x/");
+    EXPECT_EQ(table.match("a.example", "/x/y/?")->path, "/x/y/");
+    EXPECT_EQ(table.match("a.example", "/x?/y/"), nullptr);
+    EXPECT_EQ(table.match("a.example", "/X/"), nullptr);
+    EXPECT_EQ(table.match("a.example", "/%78/"), nullptr);
+    EXPECT_EQ(table.match("a.example", "/x%2Fy/"), nullptr);
+    EXPECT_EQ(table.match("a.example", "/x//y/")->path, "/x/");
+    EXPECT_EQ(table.match("a.example", ""), nullptr);
+    EXPECT_EQ(table.match("a.example", "*"), nullptr);
+}
+
 } // namespace savorywheel::test
