Send request targets byte for byte

Cause: the target was part of the URL that libcurl parses. It dropped what follows a '#' and percent-encoded bytes above 127; a target in absolute form made an invalid URL.

Change: the URL names the server only, and CURLOPT_REQUEST_TARGET carries the target. CURLOPT_PATH_AS_IS has no path to act on and is gone; the test holds "/x/../y/./".

Test failed before the fix: curl_http_client.sends_the_target_as_it_is: "/x" for "/x#y", "/x?y" for "/x?y#z", "/%c3%a9" for the same two bytes.

--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -54,7 +54,7 @@
     head_request_ = request.method == "HEAD";
     headers_ended_ = false;
     curl_easy_reset(handle_);
-    const auto url = "http://" + to_string(server) + request.target;
+    const auto url = "http://" + to_string(server);
     set_connection();
     set_request(request, url, timeout);
     auto* fields = make_fields(request);
@@ -106,6 +106,8 @@
                                 std::chrono::milliseconds timeout)
 {
     curl_easy_setopt(handle_, CURLOPT_URL, url.c_str());
+    // As part of a URL, the target would lose its fragment, and other bytes would be encoded.
+    curl_easy_setopt(handle_, CURLOPT_REQUEST_TARGET, request.target.c_str());
     curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST, request.method.c_str());
     curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
     curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &curl_transfer::on_body);
@@ -129,7 +131,6 @@
     curl_easy_setopt(handle_, CURLOPT_TCP_KEEPALIVE, 1L);
     curl_easy_setopt(handle_, CURLOPT_TCP_KEEPIDLE, tcp_keepalive_seconds);
     curl_easy_setopt(handle_, CURLOPT_TCP_KEEPINTVL, tcp_keepalive_seconds);
-    curl_easy_setopt(handle_, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(handle_, CURLOPT_PROXY, "");
     curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS, max_connect_milliseconds);
     curl_easy_setopt(handle_, CURLOPT_SOCKOPTFUNCTION, &curl_transfer::on_socket);
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -37,6 +37,11 @@
     std::latch latch_;
 };
 
+/** Responds with the target of the request. */
+struct echo_handler final : http_handler {
+    http_response handle(const http_request& request) override { return {200, {}, request.target}; }
+};
+
 std::string complete_response(bool chunked)
 {
     if (chunked) {
@@ -117,6 +122,23 @@
     EXPECT_TRUE(!second || second->body == "hello");
 }
 
+TEST(curl_http_client, sends_the_target_as_it_is)
+{
+    echo_handler handler;
+    network_endpoint endpoint;
+    ::close(listen_on_loopback(endpoint));
+    http_server server{handler, {}};
+    ASSERT_TRUE(server.start(endpoint));
+    curl_http_client client;
+    for (const auto* target : {"/x?", "/x/?", "/x#y", "/x?y#z", "/x/../y/./", "//x", "/%zz%2f",
+                               "/x?u=http://b.example/?", "/x?{a}[1-3]|^`\"<>\\", "/\xc3\xa9",
+                               "/x?\xc3\xa9", "/@b.example:1/"}) {
+        const auto response = client.send(endpoint, {"GET", target, {}, {}}, timeout);
+        ASSERT_TRUE(response) << target << ": " << response.reason().message;
+        EXPECT_EQ(response->body, target);
+    }
+}
+
 TEST(curl_http_client, abort_cancels_requests_in_flight_and_rejects_later_ones)
 {
     scripted_server server{{{"", false}}};
