Route requests in absolute form by their authority

Cause: the request target "http://a.example/x" was compared with path prefixes as a whole, and the Host field chose the host.

What callers would see: 404, and for a route that matched, an invalid URL towards the backend server. The users' clients are not known to send it.

Change: the proxy turns the target into path and query, as written, and sets the Host field to its authority, whatever that field was (RFC 9112, 3.2.2). A backend server gets the origin form, which section 3.2.1 asks for and which leaves method, path, query and body unchanged. Other forms stay as they are.

Tests failed before the fix: proxy_handler. absolute_target_is_routed_by_its_authority: 404 instead of 200. http_server.passes_a_target_in_absolute_form passed before: the library hands such a target on.

--- a/src/savorywheel/http/http_request.hpp
+++ b/src/savorywheel/http/http_request.hpp
@@ -11,7 +11,7 @@
 struct http_request {
     /** @brief Method, such as "GET". */
     std::string method;
-    /** @brief Path and query as sent, without decoding. */
+    /** @brief Request target as sent, without decoding; usually path and query. */
     std::string target;
     std::vector<http_header> headers;
     std::string body;
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/http/hop_by_hop.hpp>
+#include <savorywheel/http/request_target.hpp>
 #include <savorywheel/routing/spillover_version.hpp>
 #include <savorywheel/routing/weighted_service_selection.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
@@ -61,7 +62,8 @@
     context.call.request_id = options.request_id;
     context.cancel_signal = &cancel_signal;
     context.call.request = request;
-    if (const auto cause = find_route(request, context)) {
+    make_origin_form(context.call.request);
+    if (const auto cause = find_route(context)) {
         return reject(context, *cause);
     }
     context.call.idempotent = context.route->kind == route_kind::idempotent;
@@ -76,9 +78,9 @@
     return response;
 }
 
-std::optional<rejection> proxy_handler::find_route(const http_request& request,
-                                                   call_context& context)
+std::optional<rejection> proxy_handler::find_route(call_context& context)
 {
+    const auto& request = context.call.request;
     if (draining_) {
         return rejection{rejection_kind::stopping, "this node stops", restart_retry_after};
     }
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -64,8 +64,7 @@
 private:
     using counter = metric_registry::counter;
 
-    [[nodiscard]] std::optional<rejection> find_route(const http_request& request,
-                                                      call_context& context);
+    [[nodiscard]] std::optional<rejection> find_route(call_context& context);
     [[nodiscard]] http_response execute(call_context& context);
     [[nodiscard]] const route_endpoint* next_endpoint(call_context& context);
     /** @return An endpoint of the old version during a rollout move; nullptr if there is none. */
--- a/test/savorywheel/http/http_server_test.cpp
+++ b/test/savorywheel/http/http_server_test.cpp
@@ -196,6 +196,18 @@
     EXPECT_EQ(over_limit->status, 413);
 }
 
+TEST(http_server, passes_a_target_in_absolute_form)
+{
+    slow_handler handler{{}};
+    http_server server{handler, {}};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(server.start(endpoint));
+    const auto response =
+        exchange(endpoint, "GET http://a.example/x?y HTTP/1.1\r\nHost: b\r\n\r\n");
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 200")) << response;
+    EXPECT_NE(response.find("http://a.example/x?y"), std::string::npos) << response;
+}
+
 TEST(http_server, reports_requests_that_do_not_reach_the_handler)
 {
     slow_handler handler{{}};
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -120,6 +120,18 @@
     proxy_fixture fixture;
 };
 
+/** Responds to each call and records its request. */
+struct recording_transport final : call_transport {
+    call_response call(const network_endpoint& /*peer*/, const call_request& call,
+                       monotonic_time /*deadline*/) override
+    {
+        last = call.request;
+        return {call_result::answered, call_refusal::none, {}, {200, {}, "whole"}};
+    }
+
+    http_request last;
+};
+
 /** Refuses calls to one version for lack of capacity, and responds to the others. */
 class overloaded_version_transport final : public call_transport {
 public:
@@ -254,6 +266,19 @@
     EXPECT_EQ(transport.versions, tried);
 }
 
+TEST(proxy_handler, absolute_target_is_routed_by_its_authority)
+{
+    manual_clock time;
+    recording_transport transport;
+    proxy_fixture fixture{transport, time, false, 1};
+    const http_request request{"GET", "http://bookdesk/x?y", {{"Host", "unknown"}}, {}};
+    EXPECT_EQ(fixture.proxy.handle(request).status, 200);
+    EXPECT_EQ(transport.last.target, "/x?y");
+    EXPECT_EQ(find_header(transport.last.headers, "Host"), "bookdesk");
+    EXPECT_EQ(fixture.proxy.handle({"GET", "http://unknown/", {{"Host", "bookdesk"}}, {}}).status,
+              404);
+}
+
 TEST(proxy_handler, counts_its_own_responses_by_cause)
 {
     manual_clock time;
