Give a retry time with a 503 for a route without a known service

Cause: this 503 alone had no Retry-After. With documents of operators it cannot come of a service that the list lacks: the state takes services from routes, too, and orders only replace known services (mesh_state_builder. every_service_of_a_route_is_in_the_table holds this, and passed before). It remains for a split whose weights are all zero.

Test failed before the fix: proxy_handler. route_without_a_known_service_is_refused_with_a_retry_time: no Retry-After. proxy_handler.node_without_a_configuration_answers_503 passed before.

--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -15,7 +15,8 @@
 
 /** A missing response to a call with less time is not counted as a failure of the endpoint. */
 constexpr std::chrono::milliseconds min_time_to_count_failure{100};
-/** A node that has just started usually has a configuration after this time. */
+/** A node that has just started usually has a configuration after this time, and a node whose
+ * configuration leads nowhere may get a newer one. */
 constexpr std::chrono::milliseconds configuration_retry_after{300};
 /** A stopping node has usually been replaced or restarted after this time. */
 constexpr std::chrono::milliseconds restart_retry_after{500};
@@ -99,7 +100,7 @@
     context.routes = service == nullptr ? nullptr : context.table->find(*service);
     if (!context.routes) {
         return rejection{rejection_kind::no_service, "the route leads to no known service",
-                         std::nullopt};
+                         configuration_retry_after};
     }
     context.call.service = *service;
     return std::nullopt;
--- a/test/savorywheel/rollout/mesh_state_builder_test.cpp
+++ b/test/savorywheel/rollout/mesh_state_builder_test.cpp
@@ -141,4 +141,25 @@
     EXPECT_NE(published.current()->match("a.example", "/x/"), nullptr);
 }
 
+TEST(mesh_state_builder, every_service_of_a_route_is_in_the_table)
+{
+    manual_clock time;
+    const member_table members;
+    auto documents = documents_with(make_order());
+    host_route route;
+    route.path = "/x/";
+    route.shares = {{service_name{"unlisted"}, 1}, {service, 1}};
+    auto configuration = documents.configuration;
+    configuration.version = config_version{2};
+    configuration.services = {};
+    configuration.hosts = {{"a.example", {route}}};
+    ASSERT_TRUE(documents.merge(configuration, 6));
+    mesh_state_builder subject;
+    routing_table_builder tables;
+    tables.set_state(subject.build(documents, members, time.calendar_now()));
+    const auto table = tables.build(members);
+    EXPECT_NE(table->find(service_name{"unlisted"}), nullptr);
+    EXPECT_NE(table->find(service), nullptr);
+}
+
 } // namespace savorywheel::test
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -78,6 +78,23 @@
     return make_table(routes);
 }
 
+/** Writes the time after which a caller should retry, in milliseconds. */
+struct retry_after_codec final : caller_header_codec {
+    [[nodiscard]] request_options read(const http_request& /*request*/) const override
+    {
+        return {};
+    }
+    void rewrite_headers(http_request& /*request*/) const override {}
+    [[nodiscard]] http_response reject(const rejection& cause) const override
+    {
+        http_response response{cause.status(), {}, {}};
+        if (cause.retry_after) {
+            response.headers.push_back({"Retry-After", std::to_string(cause.retry_after->count())});
+        }
+        return response;
+    }
+};
+
 /** Proxy with its dependencies. */
 struct proxy_fixture {
     proxy_fixture(call_transport& transport, manual_clock& clock, bool idempotent, std::size_t size)
@@ -86,6 +103,19 @@
         tables.publish(make_table(idempotent, size));
     }
 
+    proxy_fixture(call_transport& transport, manual_clock& clock,
+                  std::shared_ptr<const routing_table> table)
+        : time{clock}, outbound{transport}
+    {
+        tables.publish(std::move(table));
+    }
+
+    [[nodiscard]] proxy_handler::environment environment(const caller_header_codec& codec)
+    {
+        return {time,     tables,   versions, endpoints, loads,  health, retries,
+                outbound, observer, metrics,  log,       random, codec};
+    }
+
     manual_clock& time;
     call_transport& outbound;
     seeded_random random{1};
@@ -100,8 +130,7 @@
     metric_registry metrics;
     recording_event_log log;
     default_caller_header_codec header_codec;
-    proxy_handler proxy{{time, tables, versions, endpoints, loads, health, retries, outbound,
-                         observer, metrics, log, random, header_codec}};
+    proxy_handler proxy{environment(header_codec)};
 };
 
 /** Proxy with a transport that returns generated results. */
@@ -279,6 +308,36 @@
               404);
 }
 
+TEST(proxy_handler, route_without_a_known_service_is_refused_with_a_retry_time)
+{
+    manual_clock time;
+    recording_transport transport;
+    proxy_fixture fixture{transport, time, false, 1};
+    host_route route;
+    route.path = "/x/";
+    route.shares = {{service_name{"missing"}, 1}};
+    const auto hosts =
+        std::make_shared<const host_table>(std::vector<virtual_host>{{"a.example", {route}}});
+    fixture.tables.publish(std::make_shared<const routing_table>(
+        config_version{2}, routing_table::route_map{}, hosts));
+    const retry_after_codec codec;
+    proxy_handler proxy{fixture.environment(codec)};
+    const auto answer = proxy.handle({"GET", "/x/", {{"Host", "a.example"}}, {}});
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(find_header(answer.headers, "Retry-After"), "300");
+    EXPECT_EQ(fixture.metrics.count({"rejections", "cause", "no_service"}), 1U);
+}
+
+TEST(proxy_handler, node_without_a_configuration_answers_503)
+{
+    manual_clock time;
+    recording_transport transport;
+    proxy_fixture fixture{transport, time, std::make_shared<const routing_table>()};
+    const auto answer = fixture.proxy.handle({"GET", "/", {{"Host", "bookdesk"}}, {}});
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(fixture.metrics.count({"rejections", "cause", "no_configuration"}), 1U);
+}
+
 TEST(proxy_handler, counts_its_own_responses_by_cause)
 {
     manual_clock time;
