--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -100,28 +100,13 @@
     return headers;
 }
 
-/** The authority of an absolute target takes precedence over the field Host (RFC 9112, 3.2.2). */
-void set_host(std::vector<http_header>& headers, const std::string& authority)
-{
-    for (auto& header : headers) {
-        if (equal_ignoring_case(header.name, "Host")) {
-            header.value = authority;
-            return;
-        }
-    }
-    headers.push_back({"Host", authority});
-}
-
 http_request make_request(const _u_request& source)
 {
     http_request request;
     request.method = source.http_verb != nullptr ? source.http_verb : "";
-    auto target = parse_request_target(current_source.target);
-    request.target = std::move(target.origin_form);
+    request.target = current_source.target;
     request.headers = headers_of(current_source.connection);
-    if (!target.authority.empty()) {
-        set_host(request.headers, target.authority);
-    }
+    make_origin_form(request);
     if (source.binary_body != nullptr) {
         request.body.assign(static_cast<const char*>(source.binary_body),
                             source.binary_body_length);
--- a/src/savorywheel/http/request_target.hpp
+++ b/src/savorywheel/http/request_target.hpp
@@ -1,24 +1,18 @@
 #ifndef SAVORYWHEEL_HTTP_REQUEST_TARGET_HPP
 #define SAVORYWHEEL_HTTP_REQUEST_TARGET_HPP
 
-#include <string>
-#include <string_view>
+#include <savorywheel/http/http_request.hpp>
 
 namespace savorywheel {
 
-/** @brief Target of a request in origin form, with the authority of an absolute form. */
-struct request_target {
-    /** @brief Host and port of an absolute form; empty for the other forms. */
-    std::string authority;
-    /** @brief Path and query, without decoding. */
-    std::string origin_form;
-};
-
 /**
- * @brief Converts the absolute form of a target (RFC 9112, 3.2.2); keeps other forms as they are.
- * @param target Target of the request line.
+ * @brief Replaces a target in absolute form, such as "http://a.example/x", by path and query.
+ *
+ * The authority of the target becomes the Host field, whatever that field was (RFC 9112, section
+ * 3.2.2). Backend servers are sent the origin form, which is due to them (section 3.2.1). Targets
+ * in any other form are left unchanged.
  */
-[[nodiscard]] request_target parse_request_target(std::string_view target);
+void make_origin_form(http_request& request);
 
 } // namespace savorywheel
 
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -14,7 +14,8 @@
 
 /** A missing response to a call with less time is not counted as a failure of the endpoint. */
 constexpr std::chrono::milliseconds min_time_to_count_failure{100};
-/** A node that has just started usually has a configuration after this time. */
+/** A node that has just started usually has a configuration after this time, and a node whose
+ * configuration leads nowhere may get a newer one. */
 constexpr std::chrono::milliseconds configuration_retry_after{300};
 /** A stopping node has usually been replaced or restarted after this time. */
 constexpr std::chrono::milliseconds restart_retry_after{500};
@@ -61,7 +62,7 @@
     context.call.request_id = options.request_id;
     context.cancel_signal = &cancel_signal;
     context.call.request = request;
-    if (const auto cause = find_route(request, context)) {
+    if (const auto cause = find_route(context)) {
         return reject(context, *cause);
     }
     context.call.idempotent = context.route->kind == route_kind::idempotent;
@@ -76,9 +77,9 @@
     return response;
 }
 
-std::optional<rejection> proxy_handler::find_route(const http_request& request,
-                                                   call_context& context)
+std::optional<rejection> proxy_handler::find_route(call_context& context)
 {
+    const auto& request = context.call.request;
     if (draining_) {
         return rejection{rejection_kind::stopping, "this node stops", restart_retry_after};
     }
@@ -97,7 +98,7 @@
     context.routes = service == nullptr ? nullptr : context.table->find(*service);
     if (!context.routes) {
         return rejection{rejection_kind::no_service, "the route leads to no known service",
-                         std::nullopt};
+                         configuration_retry_after};
     }
     context.call.service = *service;
     return std::nullopt;
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -50,6 +50,11 @@
     return lines;
 }
 
+/** Responds with the target of the request. */
+struct echo_handler final : http_handler {
+    http_response handle(const http_request& request) override { return {200, {}, request.target}; }
+};
+
 std::string complete_response(bool chunked)
 {
     if (chunked) {
@@ -238,6 +243,21 @@
     curl_http_client client{response_framing::explicit_only, limits};
     for (const bool within : {true, true, true, false, false}) {
         EXPECT_EQ(static_cast<bool>(client.send(server.endpoint(), post_request, timeout)), within);
+
+TEST(curl_http_client, sends_the_target_as_it_is)
+{
+    echo_handler handler;
+    network_endpoint endpoint;
+    ::close(listen_on_loopback(endpoint));
+    http_server server{handler, {}};
+    ASSERT_TRUE(server.start(endpoint));
+    curl_http_client client;
+    for (const auto* target : {"/x?", "/x/?", "/x#y", "/x?y#z", "/x/../y/./", "//x", "/%zz%2f",
+                               "/x?u=http://b.example/?", "/x?{a}[1-3]|^`\"<>\\", "/\xc3\xa9",
+                               "/x?\xc3\xa9", "/@b.example:1/"}) {
+        const auto response = client.send(endpoint, {"GET", target, {}, {}}, timeout);
+        ASSERT_TRUE(response) << target << ": " << response.reason().message;
+        EXPECT_EQ(response->body, target);
     }
 }
 
