Bound the lease that another writer can leave

Cause: lease_manager waited for the lifetime that a lease object states, whatever it is, and began at term 1 again after a lease that cannot be decoded. After an undecodable lease the terms run a second time. Evidence: test failures below. Why this works: a lease with a lifetime beyond a minute, below zero, or with the last term counts as malformed, as one that does not decode. The next term continues from the last one that was seen. Tests failed before: lease_manager_pair.lease_of_another_writer_does_not_block_the_nodes (lifetime of 24 h) and term_grows_after_the_lease_was_overwritten (term 2 after 3).

--- a/src/savorywheel/distribution/lease_manager.cpp
+++ b/src/savorywheel/distribution/lease_manager.cpp
@@ -2,6 +2,7 @@
 #include <savorywheel/encoding/codec.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace savorywheel {
@@ -11,6 +12,23 @@
 /** Limits the backoff, so that a lease is acquired soon after a store outage. */
 constexpr unsigned max_backoff_doublings = 1;
 
+/** Leases of nodes last seconds; a longer one was written by something else. */
+constexpr std::chrono::milliseconds max_lifetime = std::chrono::minutes{1};
+
+/** Decodes a lease; fails for one that no node writes, so that it does not block the nodes. */
+outcome<lease_record> decode_lease(const stored_object& object)
+{
+    auto record = decode_json<lease_record>(object.value);
+    if (!record) {
+        return record;
+    }
+    const bool valid = record->lifetime >= std::chrono::milliseconds::zero() &&
+                       record->lifetime <= max_lifetime &&
+                       record->term < std::numeric_limits<std::uint64_t>::max();
+    return valid ? record
+                 : failure{failure_code::malformed, "lease with an invalid lifetime or term"};
+}
+
 } // namespace
 
 lease_manager::lease_manager(std::string key, lease_record self, environment env,
@@ -71,7 +89,7 @@
     }
     consecutive_failures_ = 0;
     const auto now = environment_.loop.time().now();
-    const auto present = decode_json<lease_record>(object->value);
+    const auto present = decode_lease(*object);
     if (present &&
         (!observed_ || observed_->term != present->term || observed_->holder != present->holder)) {
         observed_ = *present;
@@ -83,7 +101,8 @@
     }
     const bool expired = !present || now - observed_at_ >= observed_->lifetime;
     if (own || expired) {
-        acquire_or_renew(present ? present->term + 1 : 1, object->revision);
+        const auto last_term = present ? present->term : observed_ ? observed_->term : 0;
+        acquire_or_renew(last_term + 1, object->revision);
         return;
     }
     schedule(renewal_period());
--- a/test/savorywheel/distribution/lease_manager_test.cpp
+++ b/test/savorywheel/distribution/lease_manager_test.cpp
@@ -1,9 +1,14 @@
 #include <savorywheel/distribution/lease_manager.hpp>
+#include <savorywheel/encoding/codec.hpp>
 
 #include <gtest/gtest.h>
 #include <standin/platform/in_memory_object_store.hpp>
 #include <support/control_loop_fixture.hpp>
 
+#include <limits>
+#include <utility>
+#include <vector>
+
 namespace savorywheel::test {
 
 namespace {
@@ -63,4 +68,44 @@
     EXPECT_EQ(second.predecessor()->note, "seen so far");
 }
 
+TEST_F(lease_manager_pair, lease_of_another_writer_does_not_block_the_nodes)
+{
+    lease_record odd;
+    odd.holder = node_id{"odd"};
+    const auto unbounded = std::chrono::milliseconds::max();
+    for (const auto& [term, odd_lifetime] : std::vector<std::pair<std::uint64_t, milliseconds>>{
+             {1, std::chrono::hours{24}},
+             {1, unbounded},
+             {1, milliseconds{-1}},
+             {std::numeric_limits<std::uint64_t>::max(), lifetime}}) {
+        odd.term = term;
+        odd.lifetime = odd_lifetime;
+        const auto known = store_.get("leases/test");
+        ASSERT_TRUE(known ? store_.update("leases/test", encode_json(odd), known->revision)
+                          : store_.create("leases/test", encode_json(odd)));
+        auto subject = make_manager("a");
+        subject.start();
+        fixture_.advance_time(2 * lifetime);
+        EXPECT_TRUE(subject.held()) << term << ' ' << odd_lifetime.count();
+        subject.stop();
+        fixture_.finish_store_calls();
+    }
+}
+
+TEST_F(lease_manager_pair, term_grows_after_the_lease_was_overwritten)
+{
+    auto subject = make_manager("a");
+    subject.start();
+    fixture_.advance_time(lifetime);
+    ASSERT_TRUE(subject.held());
+    const auto term = subject.observed()->term;
+    const auto known = store_.get("leases/test");
+    ASSERT_TRUE(store_.update("leases/test", "[[[[", known->revision));
+    fixture_.advance_time(lifetime / 2);
+    ASSERT_TRUE(subject.held());
+    EXPECT_GT(subject.observed()->term, term);
+    subject.stop();
+    fixture_.finish_store_calls();
+}
+
 } // namespace savorywheel::test
