Take only the configuration's own object for the configuration

Cause: the watch of "config/main" covers all keys that begin so, and document_service did not compare the key. Seen: an object config/main-odd of another writer with a greater version replaces the operators' configuration.

--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -58,6 +58,11 @@
 
 bool document_service::merge_configuration(const stored_object& object)
 {
+    // The watch covers all keys that begin with the configuration's.
+    if (object.key != decoder_.key()) {
+        log_invalid_object(object, {failure_code::malformed, "not the configuration"});
+        return false;
+    }
     const auto candidate = decoder_.decode(object.value);
     if (!candidate) {
         log_invalid_object(object, candidate.reason());
--- a/test/platform/raw_metadata_store.hpp
+++ b/test/platform/raw_metadata_store.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/http/http_client.hpp>
 
+#include <atomic>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -51,7 +52,7 @@
     std::vector<object> objects_;
     std::size_t page_size_{500};
     std::string deleted_{"false"};
-    std::size_t calls_{};
+    std::atomic<std::size_t> calls_{};
 };
 
 } // namespace savorywheel::platform::test
