--- a/src/savorywheel/encoding/json_slices.cpp
+++ b/src/savorywheel/encoding/json_slices.cpp
@@ -21,12 +21,15 @@
 /** @return Position after the string that begins at `start`; npos if it does not end. */
 std::size_t end_of_string(std::string_view text, std::size_t start)
 {
-    for (auto i = start + 1; i < text.size(); ++i) {
-        if (text[i] == '\\') {
-            ++i;
-        }
-        else if (text[i] == '"') {
-            return i + 1;
+    for (auto quote = text.find('"', start + 1); quote != std::string_view::npos;
+         quote = text.find('"', quote + 1)) {
+        // An odd number of backslashes escapes the quote.
+        const auto before = text.substr(start + 1, quote - start - 1);
+        const auto last = before.find_last_not_of('\\');
+        const auto backslashes =
+            last == std::string_view::npos ? before.size() : before.size() - last - 1;
+        if (backslashes % 2 == 0) {
+            return quote + 1;
         }
     }
     return std::string_view::npos;
@@ -35,10 +38,10 @@
 using slices = std::vector<std::string_view>;
 
 /**
- * Splits a text at each `delimiter` outside of strings and brackets; nothing if a string does not
- * end or the brackets are not balanced.
+ * Splits a text at each comma outside of strings and brackets; nothing if a string does not end or
+ * the brackets are not balanced.
  */
-std::optional<slices> split(std::string_view text, char delimiter)
+std::optional<slices> split(std::string_view text)
 {
     slices parts;
     std::size_t depth{};
@@ -52,7 +55,7 @@
             }
             continue;
         }
-        if (c == delimiter && depth == 0) {
+        if (c == ',' && depth == 0) {
             parts.push_back(trimmed(text.substr(start, i - start)));
             start = i + 1;
         }
@@ -79,7 +82,7 @@
         return std::nullopt;
     }
     text = trimmed(text.substr(1, text.size() - 2));
-    return text.empty() ? slices{} : split(text, ',');
+    return text.empty() ? slices{} : split(text);
 }
 
 /** Keys with escape sequences are rare and are decoded by the parser. */
@@ -102,9 +105,14 @@
 {
     std::optional<std::string_view> value;
     for (const auto member : split_content(text, '{', '}').value_or(slices{})) {
-        const auto parts = split(member, ':');
-        if (parts && parts->size() == 2 && is_key(parts->front(), key)) {
-            value = parts->back();
+        const auto key_end =
+            member.starts_with('"') ? end_of_string(member, 0) : std::string_view::npos;
+        if (key_end == std::string_view::npos || !is_key(member.substr(0, key_end), key)) {
+            continue;
+        }
+        const auto rest = trimmed(member.substr(key_end));
+        if (rest.starts_with(':')) {
+            value = trimmed(rest.substr(1));
         }
     }
     return value;
@@ -115,8 +123,8 @@
     if (!text.starts_with('"')) {
         return std::nullopt;
     }
-    const auto value = parse_json(text);
-    return value && value->is_string() ? std::optional{value->get<std::string>()} : std::nullopt;
+    const auto value = json::parse(text, nullptr, false);
+    return value.is_string() ? std::optional{value.get<std::string>()} : std::nullopt;
 }
 
 std::optional<std::uint64_t> json_number(std::string_view text)
--- a/test/savorywheel/encoding/json_slices_test.cpp
+++ b/test/savorywheel/encoding/json_slices_test.cpp
@@ -14,6 +14,8 @@
 {
     EXPECT_EQ(json_elements(R"( [1, {"a":[2,3]} ,"x,]\"", 1e999] )"),
               (slices{"1", R"({"a":[2,3]})", R"("x,]\"")", "1e999"}));
+    EXPECT_EQ(json_elements(R"(["\\","\\\",","a\""])"),
+              (slices{R"("\\")", R"("\\\",")", R"("a\"")"}));
     EXPECT_EQ(json_elements("[]"), slices{});
     EXPECT_EQ(json_elements("[ \n]"), slices{});
 }
