Name the operators' version in force in own statuses and metrics

Cause: the SW4001 line of a 404 had only the state's version, a sum of revisions. On-call engineers could not compare it with the number that the operator wrote; only SW2001 lines had both.

Change: mesh_state and routing_table carry the operators' version. Lines of proxied calls have it as operator_version (left out where there is none), and the gauge operator_version_in_force has it for each node.

--- a/src/savorywheel/config/mesh_state.cpp
+++ b/src/savorywheel/config/mesh_state.cpp
@@ -28,7 +28,8 @@
 }
 
 mesh_state::mesh_state(const operator_configuration& source, config_version version)
-    : version_{version}, hosts_{std::make_shared<const std::vector<virtual_host>>(source.hosts)}
+    : version_{version}, operator_version_{source.version},
+      hosts_{std::make_shared<const std::vector<virtual_host>>(source.hosts)}
 {
     std::map<service_name, service_state> services;
     for (const auto& name : source.services) {
@@ -95,8 +96,8 @@
     const auto equal_service = [](const auto& one, const auto& other) {
         return one.first == other.first && equal_values(one.second, other.second);
     };
-    return left.version_ == right.version_ && left.domains_ == right.domains_ &&
-           equal_values(left.hosts_, right.hosts_) &&
+    return left.version_ == right.version_ && left.operator_version_ == right.operator_version_ &&
+           left.domains_ == right.domains_ && equal_values(left.hosts_, right.hosts_) &&
            std::ranges::equal(left.services_, right.services_, equal_service);
 }
 
--- a/src/savorywheel/config/mesh_state.hpp
+++ b/src/savorywheel/config/mesh_state.hpp
@@ -51,6 +51,9 @@
     /** @return Version of the last commit. */
     [[nodiscard]] config_version version() const noexcept { return version_; }
 
+    /** @return Version that operators gave the configuration; zero if it is not a single object. */
+    [[nodiscard]] config_version operator_version() const noexcept { return operator_version_; }
+
     [[nodiscard]] const service_map& services() const noexcept { return services_; }
 
     [[nodiscard]] std::span<const domain_spec> domains() const noexcept { return domains_; }
@@ -71,6 +74,7 @@
     [[nodiscard]] outcome<bool> check_references() const;
 
     config_version version_;
+    config_version operator_version_;
     std::vector<domain_spec> domains_;
     service_map services_;
     std::shared_ptr<const std::vector<virtual_host>> hosts_;
--- a/src/savorywheel/node/node_metric_source.cpp
+++ b/src/savorywheel/node/node_metric_source.cpp
@@ -60,6 +60,7 @@
 {
     const auto table = environment_.tables.current();
     registry.gauge({"state_in_force"}) = table->version().number;
+    registry.gauge({"operator_version_in_force"}) = table->operator_version().number;
     for (const auto& [service, routes] : table->routes()) {
         registry.gauge({"backend_servers", "service", service.str()}) = routes->endpoints.size();
         registry.gauge({"retries_saved", "service", service.str()}) =
--- a/src/savorywheel/routing/routing_table.hpp
+++ b/src/savorywheel/routing/routing_table.hpp
@@ -25,16 +25,21 @@
      * @param version Configuration version.
      * @param routes Routes by service.
      * @param hosts Routes by host.
+     * @param operator_version Version that operators gave the configuration; zero if none.
      */
-    routing_table(config_version version, route_map routes,
-                  std::shared_ptr<const host_table> hosts) noexcept
-        : version_{version}, routes_{std::move(routes)}, hosts_{std::move(hosts)}
+    routing_table(config_version version, route_map routes, std::shared_ptr<const host_table> hosts,
+                  config_version operator_version = {}) noexcept
+        : version_{version},
+          operator_version_{operator_version}, routes_{std::move(routes)}, hosts_{std::move(hosts)}
     {
     }
 
     /** @return Configuration version that the table was compiled from. */
     [[nodiscard]] config_version version() const noexcept { return version_; }
 
+    /** @copydoc mesh_state::operator_version */
+    [[nodiscard]] config_version operator_version() const noexcept { return operator_version_; }
+
     /** @return Routes by service. */
     [[nodiscard]] const route_map& routes() const noexcept { return routes_; }
 
@@ -59,6 +64,7 @@
 
 private:
     config_version version_;
+    config_version operator_version_;
     route_map routes_;
     std::shared_ptr<const host_table> hosts_{std::make_shared<const host_table>()};
 };
--- a/src/savorywheel/routing/routing_table_builder.cpp
+++ b/src/savorywheel/routing/routing_table_builder.cpp
@@ -34,7 +34,8 @@
     for (const auto& [name, service] : state_.services()) {
         routes.emplace_hint(routes.end(), name, routes_of(name, service, members));
     }
-    return std::make_shared<const routing_table>(state_.version(), std::move(routes), hosts_);
+    return std::make_shared<const routing_table>(state_.version(), std::move(routes), hosts_,
+                                                 state_.operator_version());
 }
 
 std::shared_ptr<const service_routes>
--- a/src/savorywheel/traffic/proxy_call_log.cpp
+++ b/src/savorywheel/traffic/proxy_call_log.cpp
@@ -50,6 +50,10 @@
                                   {"target", context.call.request.target}};
     if (context.table) {
         fields.push_back({"state", std::to_string(context.table->version().number)});
+        const auto operator_version = context.table->operator_version();
+        if (operator_version != config_version{}) {
+            fields.push_back({"operator_version", std::to_string(operator_version.number)});
+        }
     }
     if (context.route == nullptr) {
         return fields;
--- a/test/savorywheel/node/table_publisher_test.cpp
+++ b/test/savorywheel/node/table_publisher_test.cpp
@@ -65,6 +65,7 @@
 {
     publisher_fixture fixture;
     operator_configuration configuration;
+    configuration.version = config_version{12};
     host_route route;
     route.path = "/x/";
     route.shares = {{service_name{"bookdesk"}, 1}};
@@ -78,6 +79,7 @@
     const auto current = fixture.tables.current();
     EXPECT_NE(current, before);
     EXPECT_EQ(current->version(), config_version{30});
+    EXPECT_EQ(current->operator_version(), config_version{12});
     EXPECT_NE(current->match("a.example", "/x/"), nullptr);
 }
 
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -338,6 +338,20 @@
     EXPECT_EQ(fixture.metrics.count({"rejections", "cause", "no_configuration"}), 1U);
 }
 
+TEST(proxy_handler, unknown_route_is_logged_with_the_versions_in_force)
+{
+    manual_clock time;
+    recording_transport transport;
+    const auto table = std::make_shared<const routing_table>(
+        config_version{130}, routing_table::route_map{}, std::make_shared<const host_table>(),
+        config_version{17});
+    proxy_fixture fixture{transport, time, table};
+    EXPECT_EQ(fixture.proxy.handle({"GET", "/x", {{"Host", "a.example"}}, {}}).status, 404);
+    EXPECT_EQ(fixture.log.last_field("state"), "130");
+    EXPECT_EQ(fixture.log.last_field("operator_version"), "17");
+    EXPECT_EQ(fixture.log.last_field("host_routes"), "0");
+}
+
 TEST(proxy_handler, counts_its_own_responses_by_cause)
 {
     manual_clock time;
