--- a/test/platform/fake_metadata_store.cpp
+++ b/test/platform/fake_metadata_store.cpp
@@ -36,6 +36,9 @@
 {
     const std::scoped_lock lock{mutex_};
     calls_.push_back(request.method + ' ' + request.target);
+    if (const auto action = actions_.extract(calls_.size())) {
+        action.mapped()();
+    }
     if (faults_.empty()) {
         return handle(request);
     }
@@ -64,6 +67,12 @@
     faults_.assign(faults.begin(), faults.end());
 }
 
+void fake_metadata_store::before_call(std::size_t number, std::function<void()> action)
+{
+    const std::scoped_lock lock{mutex_};
+    actions_[calls_.size() + number] = std::move(action);
+}
+
 void fake_metadata_store::truncate_history(std::uint64_t revision)
 {
     const std::scoped_lock lock{mutex_};
--- a/test/platform/fake_metadata_store.hpp
+++ b/test/platform/fake_metadata_store.hpp
@@ -7,6 +7,8 @@
 #include <standin/platform/in_memory_object_store.hpp>
 
 #include <deque>
+#include <functional>
+#include <map>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -36,6 +38,9 @@
     /** @brief Injects faults into the next calls, one per call. */
     void fail_next(std::vector<store_fault> faults);
 
+    /** @brief Runs an action before a later call; 1 is the next one. */
+    void before_call(std::size_t number, std::function<void()> action);
+
     /** @brief Discards history before a revision; watches from earlier ones fail with 410. */
     void truncate_history(std::uint64_t revision);
 
@@ -69,6 +74,7 @@
     standin::in_memory_object_store store_;
     std::deque<store_fault> faults_;
     std::vector<std::string> calls_;
+    std::map<std::size_t, std::function<void()>> actions_;
     std::uint64_t oldest_revision_{};
 };
 
--- a/test/platform/object_api_store_test.cpp
+++ b/test/platform/object_api_store_test.cpp
@@ -56,6 +56,24 @@
     EXPECT_EQ(all->objects.back().value, "nodes/e");
 }
 
+TEST_F(object_api_store_test, change_between_two_pages_is_watched)
+{
+    for (const auto* name : {"a", "b", "c", "d", "e"}) {
+        fake_store_.put("rollouts", name, json::object());
+    }
+    fake_store_.before_call(2, [this] { fake_store_.put("rollouts", "a", json::object()); });
+    const auto all = subject_.list("rollouts/", {});
+    ASSERT_TRUE(all);
+    ASSERT_EQ(all->objects.size(), 5U);
+    const auto changed = subject_.get("rollouts/a");
+    ASSERT_TRUE(changed);
+    ASSERT_LT(all->objects.front().revision, changed->revision);
+    const auto later = subject_.watch("rollouts/", all->revision, no_wait);
+    ASSERT_TRUE(later);
+    ASSERT_EQ(later->objects.size(), 1U);
+    EXPECT_EQ(later->objects.front().revision, changed->revision);
+}
+
 TEST_F(object_api_store_test, status_update_preserves_the_spec)
 {
     const auto created =
