--- a/src/savorywheel/routing/routing_table.hpp
+++ b/src/savorywheel/routing/routing_table.hpp
@@ -26,17 +26,22 @@
      * @param version Configuration version.
      * @param routes Routes by service.
      * @param hosts Routes by host.
+     * @param operator_version Version that operators gave the configuration; zero if none.
      * @param limits What operators allow callers.
      */
     routing_table(config_version version, route_map routes, std::shared_ptr<const host_table> hosts,
-                  const caller_limits& limits = {}) noexcept
-        : version_{version}, routes_{std::move(routes)}, hosts_{std::move(hosts)}, limits_{limits}
+                  config_version operator_version = {}, const caller_limits& limits = {}) noexcept
+        : version_{version}, operator_version_{operator_version}, routes_{std::move(routes)},
+          hosts_{std::move(hosts)}, limits_{limits}
     {
     }
 
     /** @return Configuration version that the table was compiled from. */
     [[nodiscard]] config_version version() const noexcept { return version_; }
 
+    /** @copydoc mesh_state::operator_version */
+    [[nodiscard]] config_version operator_version() const noexcept { return operator_version_; }
+
     /** @return What operators allow callers. */
     [[nodiscard]] const caller_limits& limits() const noexcept { return limits_; }
 
@@ -64,6 +69,7 @@
 
 private:
     config_version version_;
+    config_version operator_version_;
     route_map routes_;
     std::shared_ptr<const host_table> hosts_{std::make_shared<const host_table>()};
     caller_limits limits_;
--- a/src/savorywheel/routing/routing_table_builder.cpp
+++ b/src/savorywheel/routing/routing_table_builder.cpp
@@ -35,7 +35,7 @@
         routes.emplace_hint(routes.end(), name, routes_of(name, service, members));
     }
     return std::make_shared<const routing_table>(state_.version(), std::move(routes), hosts_,
-                                                 state_.limits());
+                                                 state_.operator_version(), state_.limits());
 }
 
 std::shared_ptr<const service_routes>
