Close a test that a merge left open

Cause: the merge of two parts joined the tests of curl_http_client without the end of one. Change: its closing braces. Measured: the file compiled only with them.

--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -243,6 +243,8 @@
     curl_http_client client{response_framing::explicit_only, limits};
     for (const bool within : {true, true, true, false, false}) {
         EXPECT_EQ(static_cast<bool>(client.send(server.endpoint(), post_request, timeout)), within);
+    }
+}
 
 TEST(curl_http_client, sends_the_target_as_it_is)
 {
