Bound the memory of all responses being received

Cause: the limit of one body (8 MiB from a backend server) does not bound those of all slots: each may receive a response without end at the same time. Callers saw: a node with 88 MB could be ended by a few of them. Change: byte_budget, shared by the transfers of a client, holds the memory of two bodies of the maximum size. New test: long_responses_share_a_limit_and_short_ones_are_not_affected, which needs the new limit to compile. Open: the allocator keeps freed bodies.

--- a/src/savorywheel/http/curl_http_client.cpp
+++ b/src/savorywheel/http/curl_http_client.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 curl_http_client::curl_http_client(response_framing framing, http_client_limits limits)
-    : framing_{framing}, limits_{limits}
+    : framing_{framing}, limits_{limits}, buffered_{limits.max_buffered_bytes}
 {
     initialize_library();
 }
@@ -80,7 +80,7 @@
     const std::scoped_lock lock{mutex_};
     auto& idle = idle_[server];
     if (idle.empty()) {
-        return std::make_unique<curl_transfer>(framing_, limits_);
+        return std::make_unique<curl_transfer>(framing_, limits_, buffered_);
     }
     auto handle = std::move(idle.back());
     idle.pop_back();
--- a/src/savorywheel/http/curl_http_client.hpp
+++ b/src/savorywheel/http/curl_http_client.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_HTTP_CURL_HTTP_CLIENT_HPP
 #define SAVORYWHEEL_HTTP_CURL_HTTP_CLIENT_HPP
 
+#include <savorywheel/http/byte_budget.hpp>
 #include <savorywheel/http/http_client.hpp>
 #include <savorywheel/http/http_client_limits.hpp>
 #include <savorywheel/http/response_framing.hpp>
@@ -50,6 +51,7 @@
 
     response_framing framing_;
     http_client_limits limits_;
+    byte_budget buffered_;
     std::mutex mutex_;
     std::map<network_endpoint, std::vector<std::unique_ptr<curl_transfer>>> idle_;
     std::set<cancellation*> in_flight_;
--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -42,9 +42,10 @@
 
 } // namespace
 
-curl_transfer::curl_transfer(response_framing framing, const http_client_limits& limits)
-    : framing_{framing}, limits_{limits}, handle_{curl_easy_init()}, multi_{curl_multi_init()},
-      head_{limits}
+curl_transfer::curl_transfer(response_framing framing, const http_client_limits& limits,
+                             byte_budget& buffered)
+    : framing_{framing}, limits_{limits}, buffered_{buffered}, handle_{curl_easy_init()},
+      multi_{curl_multi_init()}, head_{limits}
 {
 }
 
@@ -72,6 +73,7 @@
     curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, fields);
     const auto result = run(cancel_signal);
     curl_slist_free_all(fields);
+    buffered_.give_back(std::exchange(taken_, 0));
     return make_result(result);
 }
 
@@ -238,6 +240,10 @@
     if (!head_.complete()) {
         violation_ = "the response has no final header";
     }
+    else if (!reserve_body(bytes.size())) {
+        violation_ =
+            fmt::format("the responses being received exceed {} bytes", limits_.max_buffered_bytes);
+    }
     else if (response_.body.size() + bytes.size() > limits_.max_body_bytes) {
         violation_ = fmt::format("the response's body exceeds {} bytes", limits_.max_body_bytes);
     }
@@ -247,6 +253,24 @@
     return violation_.empty();
 }
 
+bool curl_transfer::reserve_body(std::size_t bytes)
+{
+    auto& body = response_.body;
+    const auto needed = std::min(body.size() + bytes, limits_.max_body_bytes);
+    if (needed <= body.capacity()) {
+        return true;
+    }
+    const auto capacity = std::min(std::max(needed, 2 * body.capacity()), limits_.max_body_bytes);
+    if (capacity > limits_.unbudgeted_body_bytes) {
+        if (!buffered_.try_take(capacity - taken_)) {
+            return false;
+        }
+        taken_ = capacity;
+    }
+    body.reserve(capacity);
+    return true;
+}
+
 std::size_t curl_transfer::on_body(char* data, std::size_t size, std::size_t count, void* self)
 {
     // libcurl ends the transfer and closes its connection if less than all bytes are accepted.
--- a/src/savorywheel/http/curl_transfer.hpp
+++ b/src/savorywheel/http/curl_transfer.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/core/outcome.hpp>
+#include <savorywheel/http/byte_budget.hpp>
 #include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/http/http_client_limits.hpp>
 #include <savorywheel/http/http_request.hpp>
@@ -24,8 +25,10 @@
     /**
      * @param framing How the end of a response must be marked.
      * @param limits Limits of each response.
+     * @param buffered Memory for bodies; must outlive the transfer.
      */
-    curl_transfer(response_framing framing, const http_client_limits& limits);
+    curl_transfer(response_framing framing, const http_client_limits& limits,
+                  byte_budget& buffered);
     curl_transfer(const curl_transfer&) = delete;
     curl_transfer& operator=(const curl_transfer&) = delete;
     curl_transfer(curl_transfer&&) = delete;
@@ -63,8 +66,14 @@
     static std::size_t on_body(char* data, std::size_t size, std::size_t count, void* self);
     static std::size_t on_header(char* data, std::size_t size, std::size_t count, void* self);
 
+    /** Makes room for more bytes of the body; returns false if the memory for bodies is used up. */
+    [[nodiscard]] bool reserve_body(std::size_t bytes);
+
     response_framing framing_;
     http_client_limits limits_;
+    byte_budget& buffered_;
+    /** Bytes taken from buffered_ by the current response. */
+    std::size_t taken_{};
     CURL* handle_;
     CURLM* multi_;
     http_response response_;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -70,6 +70,7 @@
 {
     http_client_limits limits;
     limits.max_body_bytes = max_frame_bytes / 2;
+    limits.max_buffered_bytes = 2 * limits.max_body_bytes;
     return limits;
 }
 
--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -263,6 +263,35 @@
     }
 }
 
+TEST(curl_http_client, long_responses_share_a_limit_and_short_ones_are_not_affected)
+{
+    constexpr std::size_t long_bytes = 900'000;
+    http_client_limits limits;
+    limits.max_body_bytes = 1'000'000;
+    limits.max_buffered_bytes = 1'500'000;
+    const auto long_response = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}",
+                                           long_bytes, std::string(long_bytes, 'x'));
+    // The first response stays incomplete, so that it holds its memory.
+    scripted_server holder{{{long_response.substr(0, long_bytes), false}}};
+    scripted_server other{{{long_response}, {complete_response(false)}, {long_response}}};
+    curl_http_client client{response_framing::explicit_only, limits};
+    cancellation cancel_signal;
+    std::thread waiting{[&] {
+        EXPECT_FALSE(client.send_until_cancelled(holder.endpoint(), post_request,
+                                                 default_wait_timeout, cancel_signal));
+    }};
+    const auto is_received = [&] {
+        return static_cast<bool>(client.send(other.endpoint(), post_request, timeout));
+    };
+    ASSERT_TRUE(wait_until([&holder] { return holder.requests() == 1; }));
+    static_cast<void>(wait_until([] { return false; }, std::chrono::milliseconds{200}));
+    EXPECT_FALSE(is_received());
+    EXPECT_TRUE(is_received());
+    cancel_signal.cancel();
+    waiting.join();
+    EXPECT_TRUE(is_received());
+}
+
 TEST(curl_http_client, abort_cancels_requests_in_flight_and_rejects_later_ones)
 {
     scripted_server server{{{"", false}}};
