--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -1,6 +1,7 @@
 #include <savorywheel/http/curl_http_client.hpp>
 #include <savorywheel/http/http_server.hpp>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <support/blackhole_proxy.hpp>
