Adapt a test's codec to the decoded order

Cause: one part changed what an order codec returns, another added a test with a codec of its own. Change: the test's codec returns a decoded order.

--- a/test/savorywheel/node/document_service_test.cpp
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -31,12 +31,12 @@
 /** Decodes an order of the service that the document names. */
 struct name_codec final : order_codec {
     [[nodiscard]] std::string_view prefix() const noexcept override { return "rollouts/"; }
-    [[nodiscard]] outcome<rollout_order> decode(const stored_object& object) const override
+    [[nodiscard]] outcome<decoded_order> decode(const stored_object& object) const override
     {
         rollout_order order;
         order.service = service_name{object.value};
         order.revision = object.revision;
-        return order;
+        return decoded_order{std::move(order), {}};
     }
     [[nodiscard]] std::string status_key(const service_name& service) const override
     {
