Take from the byte budget only what fits

Cause: a taker added its bytes before it compared the sum, and gave them back if it did not fit. In between, a taker that fits was refused, and its caller got a 502 after the backend server had run. Change: compare and exchange; nothing is taken that does not fit. Found by the review, by reading; no test shows the race. Measured: the tests of curl_http_client pass.

--- a/src/savorywheel/http/byte_budget.hpp
+++ b/src/savorywheel/http/byte_budget.hpp
@@ -14,11 +14,13 @@
     /** @return False, without taking any, if fewer bytes are left. */
     [[nodiscard]] bool try_take(std::size_t bytes) noexcept
     {
-        if (taken_.fetch_add(bytes) + bytes <= limit_) {
-            return true;
-        }
-        give_back(bytes);
-        return false;
+        auto taken = taken_.load();
+        do {
+            if (bytes > limit_ - taken) {
+                return false;
+            }
+        } while (!taken_.compare_exchange_weak(taken, taken + bytes));
+        return true;
     }
 
     /** @brief Returns bytes that were taken. */
