Refuse a long body as not run while no limit is configured

Cause: until a configuration with a body limit is in force, the traffic server answered 413 to bodies above what it can buffer, 8 MiB, although the operators may allow more. Callers do not retry a 413. Change: without a configured limit no body is too large; one beyond the buffer is refused with 503. The limits of the traffic server have a file of their own.

--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -12,6 +12,7 @@
 #include <savorywheel/node/node.hpp>
 #include <savorywheel/node/node_metric_source.hpp>
 #include <savorywheel/node/readiness_handler.hpp>
+#include <savorywheel/node/traffic_server_limits.hpp>
 #include <savorywheel/routing/ejection_aware_version_selector.hpp>
 #include <savorywheel/routing/locality_endpoint_selector.hpp>
 #include <savorywheel/routing/weighted_version_selector.hpp>
@@ -35,27 +36,9 @@
 
 namespace {
 
-/** A connection takes about 100 kB, and callers that retry during an overload open new ones; the
- * limit keeps their memory at 50 MB. */
-constexpr unsigned max_caller_connections = 500;
 constexpr std::chrono::milliseconds short_request_drain_limit{200};
 constexpr std::chrono::milliseconds short_request_drain_idle{50};
 
-/** Half of the largest frame to another node, 8 MiB: while a call is sent, the server, the call and
- * the frame hold its body at once. */
-constexpr std::size_t max_call_body_bytes = max_frame_bytes / 2;
-
-http_server_limits traffic_limits(const node_settings& settings)
-{
-    http_server_limits limits;
-    limits.drain_limit = settings.stop_limit;
-    limits.idle_timeout = settings.idle_timeout;
-    limits.max_connections = max_caller_connections;
-    limits.max_body_bytes = max_call_body_bytes;
-    limits.max_buffered_body_bytes = max_call_body_bytes;
-    return limits;
-}
-
 /** For servers of short requests, which clients repeat later or at another node. */
 http_server_limits short_request_limits()
 {
@@ -242,8 +225,8 @@
     readiness_handler readiness_{tables_, time_};
     std::unique_ptr<http_handler> announcements_{front_.make_announcement_handler(control_, log_)};
     http_rejection_log rejection_log_{log_, time_, metrics_};
-    http_server proxy_server_{proxy_, traffic_limits(settings_), &rejection_log_};
-    caller_limit_publisher caller_limits_{proxy_server_, traffic_limits(settings_)};
+    http_server proxy_server_{proxy_, traffic_server_limits(settings_), &rejection_log_};
+    caller_limit_publisher caller_limits_{proxy_server_, traffic_server_limits(settings_)};
     http_server admin_server_{admin_,
                               http_server_limits{.max_body_bytes = max_admin_body_bytes,
                                                  .max_buffered_body_bytes = max_admin_body_bytes}};
--- /dev/null
+++ b/src/savorywheel/node/traffic_server_limits.cpp
@@ -0,0 +1,31 @@
+#include <savorywheel/node/traffic_server_limits.hpp>
+#include <savorywheel/transport/frame_header.hpp>
+
+#include <limits>
+
+namespace savorywheel {
+
+namespace {
+
+/** A connection takes about 100 kB, and callers that retry during an overload open new ones; the
+ * limit keeps their memory at 50 MB. */
+constexpr unsigned max_caller_connections = 500;
+
+/** Half of the largest frame to another node, 8 MiB: while a call is sent, the server, the call and
+ * the frame hold its body at once. */
+constexpr std::size_t max_call_body_bytes = max_frame_bytes / 2;
+
+} // namespace
+
+http_server_limits traffic_server_limits(const node_settings& settings)
+{
+    http_server_limits limits;
+    limits.drain_limit = settings.stop_limit;
+    limits.idle_timeout = settings.idle_timeout;
+    limits.max_connections = max_caller_connections;
+    limits.max_body_bytes = std::numeric_limits<std::size_t>::max();
+    limits.max_buffered_body_bytes = max_call_body_bytes;
+    return limits;
+}
+
+} // namespace savorywheel
--- a/test/savorywheel/http/http_server_test.cpp
+++ b/test/savorywheel/http/http_server_test.cpp
@@ -187,6 +187,11 @@
     for (int i = 0; i < 2; ++i) {
         EXPECT_TRUE(connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n"));
         EXPECT_EQ(connection.read_status(), 200);
+        EXPECT_TRUE(
+            connection.send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n"));
+        std::this_thread::sleep_for(std::chrono::milliseconds{300});
+        EXPECT_TRUE(connection.send(std::string(100'000, 'x')));
+        EXPECT_EQ(connection.read_status(), 200);
     }
 }
 
