--- a/src/savorywheel/http/fwd.hpp
+++ b/src/savorywheel/http/fwd.hpp
@@ -9,6 +9,7 @@
 class http_handler;
 class http_server;
 class http_server_listener;
+class request_reader;
 struct http_header;
 struct http_request;
 struct http_response;
--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -3,7 +3,7 @@
 #include <savorywheel/http/hangup_watcher.hpp>
 #include <savorywheel/http/http_server.hpp>
 #include <savorywheel/http/http_status.hpp>
-#include <savorywheel/http/request_target.hpp>
+#include <savorywheel/http/request_reader.hpp>
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
@@ -28,22 +28,6 @@
 
 constexpr std::size_t max_message_bytes = 512;
 
-/** What ulfius does not pass on of a request. */
-struct request_source {
-    /** Target as received, without decoding. */
-    std::string target;
-    MHD_Connection* connection{};
-};
-
-/** Request that the thread of this connection reads. */
-thread_local request_source current_source;
-
-void* on_target(void* self, const char* target, MHD_Connection* connection)
-{
-    current_source = {target, connection};
-    return ulfius_uri_logger(self, target);
-}
-
 /** The library's messages end with a line feed. */
 void on_library_message(void* listener, const char* format, va_list values)
 {
@@ -79,41 +63,6 @@
               MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
 }
 
-std::string_view trim_trailing_space(std::string_view value)
-{
-    return value.substr(0, value.find_last_not_of(" \t") + 1);
-}
-
-MHD_Result add_header(void* headers, MHD_ValueKind /*kind*/, const char* name,
-                      std::size_t name_size, const char* value, std::size_t value_size)
-{
-    static_cast<std::vector<http_header>*>(headers)->push_back(
-        {{name, name_size}, std::string{trim_trailing_space({value, value_size})}});
-    return MHD_YES;
-}
-
-/** Reads the fields in their order, also repeated ones, which ulfius merges. */
-std::vector<http_header> headers_of(MHD_Connection* connection)
-{
-    std::vector<http_header> headers;
-    MHD_get_connection_values_n(connection, MHD_HEADER_KIND, &add_header, &headers);
-    return headers;
-}
-
-http_request make_request(const _u_request& source)
-{
-    http_request request;
-    request.method = source.http_verb != nullptr ? source.http_verb : "";
-    request.target = current_source.target;
-    request.headers = headers_of(current_source.connection);
-    make_origin_form(request);
-    if (source.binary_body != nullptr) {
-        request.body.assign(static_cast<const char*>(source.binary_body),
-                            source.binary_body_length);
-    }
-    return request;
-}
-
 /** @return Response to a request whose body cannot be passed on. */
 http_response reject_body(body_verdict verdict)
 {
@@ -213,7 +162,8 @@
                            listener_},
             MHD_OptionItem{MHD_OPTION_NOTIFY_COMPLETED, to_option_value(&mhd_request_completed),
                            nullptr},
-            MHD_OptionItem{MHD_OPTION_URI_LOG_CALLBACK, to_option_value(&on_target), nullptr},
+            MHD_OptionItem{MHD_OPTION_URI_LOG_CALLBACK, to_option_value(&request_reader::on_target),
+                           nullptr},
             MHD_OptionItem{MHD_OPTION_NOTIFY_CONNECTION, to_option_value(&on_connection),
                            &connections_},
             MHD_OptionItem{MHD_OPTION_SOCK_ADDR, 0, &address},
@@ -246,7 +196,7 @@
     int serve(const _u_request& source, _u_response& target)
     {
         connections_.adjust_request_count(1);
-        const auto request = make_request(source);
+        const auto request = request_reader::read(source);
         const std::size_t max_body_bytes = max_body_bytes_;
         const auto verdict = check_body(request, max_body_bytes, limits_.max_buffered_body_bytes);
         if (verdict == body_verdict::complete) {
