Satisfy the linter in the request reader and a test fixture

Cause: a forward declaration of ulfius' request type uses a reserved identifier, and a fixture copied a shared pointer for each call. The script stopped at its lint step (388 files looked at, these two). Change: the header includes ulfius; the fixture takes a reference.

--- a/src/savorywheel/http/request_reader.cpp
+++ b/src/savorywheel/http/request_reader.cpp
@@ -1,8 +1,6 @@
 #include <savorywheel/http/request_reader.hpp>
 #include <savorywheel/http/request_target.hpp>
 
-#include <ulfius.h>
-
 #include <string>
 #include <string_view>
 #include <vector>
--- a/src/savorywheel/http/request_reader.hpp
+++ b/src/savorywheel/http/request_reader.hpp
@@ -3,8 +3,7 @@
 
 #include <savorywheel/http/http_request.hpp>
 
-struct MHD_Connection;
-struct _u_request;
+#include <ulfius.h>
 
 namespace savorywheel {
 
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -104,10 +104,10 @@
     }
 
     proxy_fixture(call_transport& transport, manual_clock& clock,
-                  std::shared_ptr<const routing_table> table)
+                  const std::shared_ptr<const routing_table>& table)
         : time{clock}, outbound{transport}
     {
-        tables.publish(std::move(table));
+        tables.publish(table);
     }
 
     [[nodiscard]] proxy_handler::environment environment(const caller_header_codec& codec)
