Use a new client for each response in the limits test

Cause: the script's server closes each connection without announcing it, and the client could reuse one before it noticed; its request failed and the script moved by one. Change: each response is read by a client of its own; the expectations are the same five.

--- a/test/savorywheel/http/curl_http_client_test.cpp
+++ b/test/savorywheel/http/curl_http_client_test.cpp
@@ -241,8 +241,9 @@
                             {interim + complete_response(false)},
                             {interim + interim + complete_response(false)},
                             {long_body}}};
-    curl_http_client client{response_framing::explicit_only, limits};
     for (const bool within : {true, true, true, false, false}) {
+        // The server closes each connection, which a client may not have noticed before it sends.
+        curl_http_client client{response_framing::explicit_only, limits};
         EXPECT_EQ(static_cast<bool>(client.send(server.endpoint(), post_request, timeout)), within);
     }
 }
