Serve routes of kind download, and of unknown kinds as non-idempotent

Change: downloads are idempotent; a route of any other unknown kind is in force as non-idempotent, which no kind forbids, and each node that decodes it logs SW2019 with the route and its kind.

--- a/src/savorywheel/config/mesh_state.cpp
+++ b/src/savorywheel/config/mesh_state.cpp
@@ -41,8 +41,7 @@
             for (const auto& share : route.shares) {
                 auto& spec = services[share.service].spec;
                 spec.name = share.service;
-                spec.routes.push_back(
-                    {route.path, route.kind == route_kind::idempotent, route.timeout, {}});
+                spec.routes.push_back({route.path, is_idempotent(route.kind), route.timeout, {}});
             }
         }
     }
--- a/src/savorywheel/config/operator_configuration.hpp
+++ b/src/savorywheel/config/operator_configuration.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/config/virtual_host.hpp>
 #include <savorywheel/core/config_version.hpp>
 
+#include <string>
 #include <vector>
 
 namespace savorywheel {
@@ -17,6 +18,11 @@
     /** @brief Virtual hosts with their routes. */
     std::vector<virtual_host> hosts;
     caller_limits limits;
+    /**
+     * @brief Routes of a kind that this release does not know, with their place; they are served as
+     * non-idempotent. Not sent to other nodes.
+     */
+    std::vector<std::string> unknown_kinds;
 
     [[nodiscard]] friend bool operator==(const operator_configuration&,
                                          const operator_configuration&) = default;
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -19,6 +19,8 @@
     event_description{event_id::settings_rejected, error,
                       "The settings are invalid and were rejected."},
     event_description{event_id::settings_reloaded, info, "The settings were reloaded."},
+    event_description{event_id::traffic_task_failed, error,
+                      "An unexpected error ended a task of a thread; the process goes on."},
     event_description{event_id::configuration_in_force, info,
                       "A newer configuration version is in force at this node."},
     event_description{event_id::relay_lease_gained, info,
@@ -59,6 +61,9 @@
                       "An object in the store has no readable name or revision and is skipped."},
     event_description{event_id::announcement_invalid, warning,
                       "An announcement of a backend server is invalid and was rejected."},
+    event_description{event_id::route_kind_unknown, warning,
+                      "A route is of a kind unknown to this release and is served as "
+                      "non-idempotent."},
     event_description{event_id::member_alive, info, "A node joined or responds again."},
     event_description{event_id::member_suspect, info, "A node did not respond to a probe."},
     event_description{event_id::member_dead, warning, "A node failed or left."},
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -70,7 +70,14 @@
         log_invalid_object(object, candidate.reason());
         return false;
     }
-    return documents_.merge(*candidate, object.revision);
+    if (!documents_.merge(*candidate, object.revision)) {
+        return false;
+    }
+    for (const auto& route : candidate->unknown_kinds) {
+        environment_.log.write(event_id::route_kind_unknown,
+                               fmt::format("version {}, {}", candidate->version.number, route));
+    }
+    return true;
 }
 
 bool document_service::merge_order(const stored_object& object)
--- a/test/platform/main_configuration_decoder_test.cpp
+++ b/test/platform/main_configuration_decoder_test.cpp
@@ -34,6 +34,32 @@
     EXPECT_EQ(routes[1].shares, (std::vector<service_share>{{service_name{"b"}, 1}}));
 }
 
+TEST(main_configuration_decoder, decodes_downloads_as_idempotent)
+{
+    std::string text{document};
+    text.replace(text.find("upload"), 6, "download");
+    const auto result = main_configuration_decoder{}.decode(text);
+    ASSERT_TRUE(result) << result.reason().message;
+    EXPECT_EQ(result->hosts.front().routes[1].kind, route_kind::download);
+    EXPECT_TRUE(is_idempotent(route_kind::download));
+    EXPECT_TRUE(result->unknown_kinds.empty());
+}
+
+TEST(main_configuration_decoder,
+     route_of_an_unknown_kind_costs_no_other_route_and_is_never_repeated)
+{
+    std::string text{document};
+    text.replace(text.find("\"upload\""), 8, "\"stream\"");
+    const auto result = main_configuration_decoder{}.decode(text);
+    ASSERT_TRUE(result) << result.reason().message;
+    const auto& routes = result->hosts.front().routes;
+    ASSERT_EQ(routes.size(), 2U);
+    EXPECT_EQ(routes[0].kind, route_kind::idempotent);
+    EXPECT_FALSE(is_idempotent(routes[1].kind));
+    EXPECT_EQ(result->unknown_kinds,
+              std::vector<std::string>{"host h.example, route /y/: kind stream"});
+}
+
 TEST(main_configuration_decoder, weight_beyond_its_range_is_malformed)
 {
     for (const auto* weight : {"4294967296", "18446744073709551616", "1e999", "-1", "null"}) {
