Serve callers on an event loop, without a thread per connection

Pipelined requests ran one after the other. Change: callers are served on Boost.Beast by the loop that already serves the streams between nodes; the proxy and the call transport report outcomes by callbacks, and deadlines are timers of the loop. Safe requests of one connection run concurrently and are answered in order; any other request waits for the responses before it, so that it has not run if the connection ends there. A stopping node answers new connections until its end, and refuses a call whose deadline is later than that. Ulfius keeps the administration API and the announcements. Ruled out: suspended connections of libmicrohttpd, which keep the pipeline sequential and need the library's own loop beside the one of the streams.

--- a/src/savorywheel/core/fwd.hpp
+++ b/src/savorywheel/core/fwd.hpp
@@ -7,6 +7,7 @@
 class control_loop;
 class findings;
 class random_source;
+class scheduler;
 class seeded_random;
 class subscription;
 class system_clock_source;
--- a/src/savorywheel/core/timer_service.cpp
+++ b/src/savorywheel/core/timer_service.cpp
@@ -38,9 +38,13 @@
 
 subscription timer_service::add(duration delay, entry item)
 {
-    const auto id = ++last_id_;
-    entries_.emplace(key{clock_.now() + delay, id}, std::move(item));
-    return subscription{[this, id] { cancel(id); }};
+    const key added{clock_.now() + delay, ++last_id_};
+    const bool periodic = item.period.has_value();
+    entries_.emplace(added, std::move(item));
+    if (periodic) {
+        return subscription{[this, id = added.second] { cancel(id); }};
+    }
+    return subscription{[this, added] { entries_.erase(added); }};
 }
 
 void timer_service::cancel(std::uint64_t id)
--- a/src/savorywheel/core/timer_service.hpp
+++ b/src/savorywheel/core/timer_service.hpp
@@ -53,6 +53,7 @@
     using key = std::pair<monotonic_time, std::uint64_t>;
 
     subscription add(duration delay, entry item);
+    /** Cancels a periodic timer, whose key changes with each call. */
     void cancel(std::uint64_t id);
 
     const clock& clock_;
--- a/src/savorywheel/http/http_handler.hpp
+++ b/src/savorywheel/http/http_handler.hpp
@@ -1,7 +1,6 @@
 #ifndef SAVORYWHEEL_HTTP_HTTP_HANDLER_HPP
 #define SAVORYWHEEL_HTTP_HTTP_HANDLER_HPP
 
-#include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/http/http_request.hpp>
 #include <savorywheel/http/http_response.hpp>
 
@@ -18,20 +17,6 @@
     virtual ~http_handler() = default;
 
     [[nodiscard]] virtual http_response handle(const http_request& request) = 0;
-
-    /**
-     * @brief Handles a request and may return early once it is cancelled.
-     *
-     * The default implementation ignores the cancellation.
-     * @param cancel_signal Cancelled when the caller closes its connection.
-     * @return The response; discarded after cancellation.
-     */
-    [[nodiscard]] virtual http_response handle_until_cancelled(const http_request& request,
-                                                               cancellation& cancel_signal)
-    {
-        static_cast<void>(cancel_signal);
-        return handle(request);
-    }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/http/http_server.cpp
+++ b/src/savorywheel/http/http_server.cpp
@@ -1,6 +1,5 @@
 #include <savorywheel/http/body_check.hpp>
-#include <savorywheel/http/connection_table.hpp>
-#include <savorywheel/http/hangup_watcher.hpp>
+#include <savorywheel/http/drain_monitor.hpp>
 #include <savorywheel/http/http_server.hpp>
 #include <savorywheel/http/http_status.hpp>
 #include <savorywheel/http/request_reader.hpp>
@@ -22,7 +21,6 @@
 
 namespace {
 
-constexpr unsigned port_bits = 16;
 constexpr unsigned server_flags = MHD_USE_ERROR_LOG | MHD_USE_THREAD_PER_CONNECTION |
                                   MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_AUTO;
 
@@ -43,24 +41,11 @@
     static_cast<http_server_listener*>(listener)->on_library_error(message);
 }
 
-connection_table::key key_of(const sockaddr& address)
-{
-    const auto& caller = reinterpret_cast<const sockaddr_in&>(address);
-    return (std::uint64_t{caller.sin_addr.s_addr} << port_bits) | caller.sin_port;
-}
-
-void on_connection(void* self, MHD_Connection* connection, void** /*context*/,
+void on_connection(void* self, MHD_Connection* /*connection*/, void** /*context*/,
                    MHD_ConnectionNotificationCode code)
 {
-    auto& table = *static_cast<connection_table*>(self);
-    const auto* caller =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS)->client_addr;
-    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-        table.remove(key_of(*caller));
-        return;
-    }
-    table.add(key_of(*caller), *connection,
-              MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+    static_cast<drain_monitor*>(self)->adjust_connection_count(
+        code == MHD_CONNECTION_NOTIFY_CLOSED ? -1 : 1);
 }
 
 /** @return Response to a request whose body cannot be passed on. */
@@ -98,16 +83,8 @@
 class http_server::impl {
 public:
     impl(http_handler& handler, http_server_limits limits, http_server_listener* listener)
-        : handler_{handler}, limits_{limits}, listener_{listener}, max_body_bytes_{
-                                                                       limits.max_body_bytes}
-    {
-        connections_.set_idle_timeout(limits.idle_timeout);
-    }
-
-    void set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout)
+        : handler_{handler}, limits_{limits}, listener_{listener}
     {
-        max_body_bytes_ = max_body_bytes;
-        connections_.set_idle_timeout(idle_timeout);
     }
 
     outcome<bool> start(const network_endpoint& local)
@@ -165,12 +142,13 @@
             MHD_OptionItem{MHD_OPTION_URI_LOG_CALLBACK, to_option_value(&request_reader::on_target),
                            nullptr},
             MHD_OptionItem{MHD_OPTION_NOTIFY_CONNECTION, to_option_value(&on_connection),
-                           &connections_},
+                           &monitor_},
             MHD_OptionItem{MHD_OPTION_SOCK_ADDR, 0, &address},
             MHD_OptionItem{MHD_OPTION_CONNECTION_TIMEOUT,
                            static_cast<intptr_t>(limits_.idle_timeout.count()), nullptr},
+            // The library reads into half of it; the rest holds its records of the fields.
             MHD_OptionItem{MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-                           static_cast<intptr_t>(limits_.connection_memory_bytes), nullptr},
+                           static_cast<intptr_t>(2 * limits_.max_header_bytes), nullptr},
             MHD_OptionItem{MHD_OPTION_CONNECTION_LIMIT,
                            static_cast<intptr_t>(limits_.max_connections), nullptr},
             MHD_OptionItem{MHD_OPTION_END, 0, nullptr}};
@@ -182,7 +160,7 @@
     {
         closing_ = true;
         const auto socket = MHD_quiesce_daemon(instance_.mhd_daemon);
-        static_cast<void>(connections_.wait_until_idle(limits_.drain_limit, limits_.drain_idle));
+        static_cast<void>(monitor_.wait_until_idle(limits_.drain_limit, limits_.drain_idle));
         if (socket != MHD_INVALID_SOCKET) {
             ::close(socket);
         }
@@ -195,57 +173,42 @@
 
     int serve(const _u_request& source, _u_response& target)
     {
-        connections_.adjust_request_count(1);
+        monitor_.adjust_request_count(1);
         const auto request = request_reader::read(source);
-        const std::size_t max_body_bytes = max_body_bytes_;
-        const auto verdict = check_body(request, max_body_bytes, limits_.max_buffered_body_bytes);
+        const auto verdict =
+            check_body(request, limits_.max_body_bytes, limits_.max_buffered_body_bytes);
         if (verdict == body_verdict::complete) {
-            write_response(target, handle(request, key_of(*source.client_address)), closing_);
+            write_response(target, handler_.handle(request), closing_);
         }
         else {
             const auto response = reject_body(verdict);
-            report_rejection(request, response.status, max_body_bytes);
+            report_rejection(request, response.status);
             // Behind a body without a definite length, the next request cannot be located.
             write_response(target, response, closing_ || verdict == body_verdict::misframed);
         }
-        connections_.adjust_request_count(-1);
+        monitor_.adjust_request_count(-1);
         return U_CALLBACK_COMPLETE;
     }
 
-    void report_rejection(const http_request& request, int status, std::size_t max_body_bytes)
+    void report_rejection(const http_request& request, int status)
     {
         if (listener_ != nullptr) {
             listener_->on_rejected(
                 status, request.target,
                 fmt::format("{} bytes of the body received, announced {}, allowed {}, buffered {}",
                             request.body.size(), find_header(request.headers, "Content-Length"),
-                            max_body_bytes, limits_.max_buffered_body_bytes));
+                            limits_.max_body_bytes, limits_.max_buffered_body_bytes));
         }
     }
 
-    [[nodiscard]] http_response handle(const http_request& request, connection_table::key caller)
-    {
-        cancellation cancel_signal;
-        const auto socket = connections_.socket_of(caller);
-        if (!socket) {
-            return handler_.handle(request);
-        }
-        hangup_watcher_.watch(*socket, cancel_signal);
-        auto response = handler_.handle_until_cancelled(request, cancel_signal);
-        hangup_watcher_.unwatch(*socket);
-        return response;
-    }
-
     http_handler& handler_;
     http_server_limits limits_;
     http_server_listener* listener_;
-    std::atomic<std::size_t> max_body_bytes_;
     _u_instance instance_{};
     bool initialized_{};
     bool running_{};
     std::atomic<bool> closing_{};
-    connection_table connections_;
-    hangup_watcher hangup_watcher_;
+    drain_monitor monitor_;
 };
 
 http_server::http_server(http_handler& handler, http_server_limits limits,
@@ -259,11 +222,6 @@
     stop();
 }
 
-void http_server::set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout)
-{
-    impl_->set_caller_limits(max_body_bytes, idle_timeout);
-}
-
 outcome<bool> http_server::start(const network_endpoint& local)
 {
     return impl_->start(local);
--- a/src/savorywheel/http/http_server.hpp
+++ b/src/savorywheel/http/http_server.hpp
@@ -7,13 +7,11 @@
 #include <savorywheel/http/http_server_limits.hpp>
 #include <savorywheel/http/http_server_listener.hpp>
 
-#include <chrono>
-#include <cstddef>
 #include <memory>
 
 namespace savorywheel {
 
-/** @brief HTTP server on ulfius, with one thread per connection. */
+/** @brief HTTP server on ulfius, with one thread per connection; for few connections. */
 class http_server {
 public:
     /**
@@ -37,14 +35,6 @@
      */
     [[nodiscard]] outcome<bool> start(const network_endpoint& local);
 
-    /**
-     * @brief Replaces the limits on callers that may change while the server runs; thread-safe.
-     * @param max_body_bytes Maximum request body, in bytes.
-     * @param idle_timeout Idle time after which persistent connections are closed, also those that
-     * are open.
-     */
-    void set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout);
-
     /** @brief Stops listening, drains the open connections within the limits, then shuts down. */
     void stop();
 
--- a/src/savorywheel/http/http_server_limits.hpp
+++ b/src/savorywheel/http/http_server_limits.hpp
@@ -14,15 +14,13 @@
      * max_body_bytes are rejected with status 503.
      */
     std::size_t max_buffered_body_bytes{8UL * 1024UL * 1024UL};
+    /** @brief Maximum memory for the bodies of all requests, in bytes: two of the maximum size. */
+    std::size_t max_buffered_total_bytes{2 * max_buffered_body_bytes};
     /**
-     * @brief Memory for the header of a request and of its response, in bytes per connection; a
-     * header that needs more is rejected with status 431.
-     *
-     * The library reads into half of it, also the body that follows a header. The other half holds
-     * its records of 512 fields, of 64 bytes each, and 8 KiB for the response. All of it is
-     * resident after the first request.
+     * @brief Maximum size of a request's header, in bytes; a larger one is rejected with status
+     * 431.
      */
-    std::size_t connection_memory_bytes{80UL * 1024UL};
+    std::size_t max_header_bytes{40UL * 1024UL};
     /** @brief Maximum of open connections; further ones are closed immediately. */
     unsigned max_connections{512};
     /** @brief Idle time after which a persistent connection is closed. */
--- a/src/savorywheel/http/http_status.hpp
+++ b/src/savorywheel/http/http_status.hpp
@@ -17,6 +17,7 @@
 inline constexpr int status_payload_too_large = 413;
 inline constexpr int status_misdirected = 421;
 inline constexpr int status_too_many_requests = 429;
+inline constexpr int status_header_too_large = 431;
 inline constexpr int status_internal_error = 500;
 inline constexpr int status_bad_gateway = 502;
 inline constexpr int status_unavailable = 503;
--- a/src/savorywheel/node/caller_limit_publisher.hpp
+++ b/src/savorywheel/node/caller_limit_publisher.hpp
@@ -2,7 +2,7 @@
 #define SAVORYWHEEL_NODE_CALLER_LIMIT_PUBLISHER_HPP
 
 #include <savorywheel/config/caller_limits.hpp>
-#include <savorywheel/http/http_server.hpp>
+#include <savorywheel/http/caller_limit_target.hpp>
 #include <savorywheel/http/http_server_limits.hpp>
 #include <savorywheel/routing/routing_table_listener.hpp>
 
@@ -15,7 +15,7 @@
      * @param server Server to apply the limits to; must outlive this object.
      * @param defaults Limits in force where the configuration has none.
      */
-    caller_limit_publisher(http_server& server, const http_server_limits& defaults) noexcept
+    caller_limit_publisher(caller_limit_target& server, const http_server_limits& defaults) noexcept
         : server_{server}, defaults_{defaults}
     {
     }
@@ -23,7 +23,7 @@
     void on_table(const routing_table& table) override;
 
 private:
-    http_server& server_;
+    caller_limit_target& server_;
     http_server_limits defaults_;
     /** Limits last applied. */
     caller_limits applied_;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -3,8 +3,11 @@
 #include <savorywheel/core/seeded_random.hpp>
 #include <savorywheel/core/system_clock_source.hpp>
 #include <savorywheel/core/thread_name.hpp>
+#include <savorywheel/http/async_http_server.hpp>
 #include <savorywheel/http/curl_http_client.hpp>
 #include <savorywheel/http/http_server.hpp>
+#include <savorywheel/http/immediate_http_handler.hpp>
+#include <savorywheel/io/io_loop.hpp>
 #include <savorywheel/metrics/process_metric_source.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/caller_limit_publisher.hpp>
@@ -27,6 +30,7 @@
 #include <savorywheel/transport/frame_router.hpp>
 #include <savorywheel/transport/protocol_error_logger.hpp>
 
+#include <algorithm>
 #include <future>
 #include <random>
 #include <thread>
@@ -96,6 +100,7 @@
 
     outcome<bool> start()
     {
+        traffic_loop_.start("traffic");
         auto started = network_.start(settings_.peer);
         if (started) {
             started = datagrams_.start(
@@ -127,6 +132,9 @@
             }};
             log_.write(event_id::process_started, settings_.name.str());
         }
+        else {
+            stop_traffic();
+        }
         return started;
     }
 
@@ -142,13 +150,16 @@
             return;
         }
         log_.write(event_id::process_stopping, settings_.name.str());
+        const auto interruption = time_.now() + settings_.stop_notice + settings_.stop_limit;
         readiness_.set_stopping();
+        proxy_.reject_deadlines_after(interruption);
+        gate_.reject_deadlines_after(interruption);
         leave();
         proxy_.stop_accepting();
+        gate_.stop_accepting();
         proxy_server_.stop();
-        gate_.stop();
+        gate_.stop(std::max(interruption - time_.now(), duration::zero()));
         admin_server_.stop();
-        readiness_server_.stop();
         if (announcement_server_) {
             announcement_server_->stop();
         }
@@ -156,13 +167,22 @@
         worker_.stop();
         loop_.stop();
         control_thread_.join();
-        network_.stop();
+        stop_traffic();
         datagrams_.stop();
         links_.stop();
         log_.write(event_id::process_stopped, settings_.name.str());
     }
 
 private:
+    /** Closes all connections, then ends the thread that serves them. */
+    void stop_traffic()
+    {
+        proxy_server_.stop();
+        readiness_server_.stop();
+        network_.stop();
+        traffic_loop_.stop();
+    }
+
     /** Leaves the mesh, and waits for the change to reach callers and other nodes. */
     void leave()
     {
@@ -193,7 +213,10 @@
     protocol_error_logger reporter_{time_, log_};
     frame_router router_;
     request_client requests_;
-    asio_peer_network network_{links_.frames(router_), meter_};
+    io_loop traffic_loop_{time_, [this](std::string_view error) {
+                              log_.write(event_id::traffic_task_failed, error);
+                          }};
+    asio_peer_network network_{links_.frames(router_), meter_, traffic_loop_};
     asio_datagram_channel datagrams_{meter_};
     routing_table_holder tables_;
     peer_crash_reporter crashes_{tables_, network_, requests_};
@@ -214,7 +237,8 @@
     locality_endpoint_selector endpoints_{
         settings_.domain, settings_.region,
         locality_endpoint_selector::environment{loads_, health_, random_, time_}};
-    peer_call_transport transport_{network_, requests_, time_};
+    peer_call_transport transport_{
+        peer_call_transport::environment{network_, requests_, time_, traffic_loop_}};
     proxy_handler proxy_{proxy_handler::environment{time_, tables_, versions_, endpoints_, loads_,
                                                     health_, retries_, transport_, evidence_,
                                                     metrics_, log_, random_, front_.callers()}};
@@ -225,12 +249,15 @@
     readiness_handler readiness_{tables_, time_};
     std::unique_ptr<http_handler> announcements_{front_.make_announcement_handler(control_, log_)};
     http_rejection_log rejection_log_{log_, time_, metrics_};
-    http_server proxy_server_{proxy_, traffic_server_limits(settings_), &rejection_log_};
+    async_http_server proxy_server_{proxy_, traffic_loop_, traffic_server_limits(settings_),
+                                    &rejection_log_};
     caller_limit_publisher caller_limits_{proxy_server_, traffic_server_limits(settings_)};
     http_server admin_server_{admin_,
                               http_server_limits{.max_body_bytes = max_admin_body_bytes,
                                                  .max_buffered_body_bytes = max_admin_body_bytes}};
-    http_server readiness_server_{readiness_, short_request_limits()};
+    immediate_http_handler readiness_responses_{readiness_};
+    async_http_server readiness_server_{readiness_responses_, traffic_loop_,
+                                        short_request_limits()};
     std::unique_ptr<http_server> announcement_server_{
         announcements_ ? std::make_unique<http_server>(*announcements_, short_request_limits())
                        : nullptr};
--- a/src/savorywheel/traffic/call_context.hpp
+++ b/src/savorywheel/traffic/call_context.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/config/host_route.hpp>
 #include <savorywheel/core/clock.hpp>
+#include <savorywheel/http/async_http_handler.hpp>
 #include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/routing/routing_table.hpp>
 #include <savorywheel/traffic/call_request.hpp>
@@ -28,13 +29,17 @@
     /** @brief When the response must be complete. */
     monotonic_time deadline;
     /** @brief Cancelled when the caller closes its connection. */
-    cancellation* cancel_signal{};
+    std::shared_ptr<cancellation> cancel_signal;
+    /** @brief Sends the response to the caller. */
+    async_http_handler::responder respond;
     /** @brief Nodes the call was sent to, in order. */
     std::vector<node_id> tried_nodes;
     /** @brief Number of attempts that reached a backend server. */
     std::size_t servers_reached{};
     /** @brief Number of attempts that were refused for lack of capacity. */
     std::size_t capacity_refusals{};
+    /** @brief True if a backend server may have run the call in an earlier attempt. */
+    bool may_have_run{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/call_transport.hpp
+++ b/src/savorywheel/traffic/call_transport.hpp
@@ -7,9 +7,12 @@
 #include <savorywheel/traffic/call_request.hpp>
 #include <savorywheel/traffic/call_response.hpp>
 
+#include <functional>
+#include <memory>
+
 namespace savorywheel {
 
-/** @brief Sends calls to the nodes co-located with backend servers; thread-safe. */
+/** @brief Sends calls to the nodes co-located with backend servers; used on a traffic thread. */
 class call_transport {
 public:
     call_transport() = default;
@@ -19,29 +22,19 @@
     call_transport& operator=(call_transport&&) = delete;
     virtual ~call_transport() = default;
 
-    /**
-     * @brief Sends a call and blocks until its outcome.
-     * @param peer Address of the node co-located with the backend server.
-     * @param call Call to send.
-     * @param deadline When to stop waiting.
-     * @return The outcome; unknown if the deadline passed.
-     */
-    [[nodiscard]] virtual call_response call(const network_endpoint& peer, const call_request& call,
-                                             monotonic_time deadline) = 0;
+    /** @brief Receives the outcome of a call; called once, on the traffic thread. */
+    using callback = std::function<void(call_response)>;
 
     /**
-     * @brief Sends a call and blocks until its outcome or cancellation.
-     * @param cancel_signal Cancels the call, on the remote node, too.
-     * @return As call(); unknown after cancellation.
+     * @brief Sends a call.
+     * @param peer Address of the node co-located with the backend server.
+     * @param call Call to send; its expiry is set. Must stay valid until the outcome.
+     * @param deadline When to stop waiting; the outcome is then unknown.
+     * @param cancel_signal Cancels the call, on the remote node, too; the outcome is then unknown.
+     * @param done Receives the outcome, possibly before this function returns.
      */
-    [[nodiscard]] virtual call_response call_until_cancelled(const network_endpoint& peer,
-                                                             const call_request& call,
-                                                             monotonic_time deadline,
-                                                             cancellation& cancel_signal)
-    {
-        static_cast<void>(cancel_signal);
-        return this->call(peer, call, deadline);
-    }
+    virtual void call(const network_endpoint& peer, call_request& call, monotonic_time deadline,
+                      const std::shared_ptr<cancellation>& cancel_signal, callback done) = 0;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -41,13 +41,31 @@
     work_available_.notify_all();
 }
 
-void gate::stop()
+void gate::stop_accepting()
 {
     {
         const std::scoped_lock lock{mutex_};
         stopping_ = true;
     }
     work_available_.notify_all();
+}
+
+void gate::reject_deadlines_after(monotonic_time limit)
+{
+    const std::scoped_lock lock{mutex_};
+    latest_deadline_ = limit;
+}
+
+void gate::stop(duration limit)
+{
+    stop_accepting();
+    if (limit != duration::max()) {
+        std::unique_lock lock{mutex_};
+        call_ended_.wait_for(lock, limit,
+                             [this] { return state_.running() == 0 && state_.waiting() == 0; });
+        state_.cancel_if([](const gate_call& /*item*/) { return true; });
+    }
+    work_available_.notify_all();
     for (auto& thread : threads_) {
         if (thread.joinable()) {
             thread.join();
@@ -161,7 +179,7 @@
     std::unique_lock lock{mutex_};
     const auto now = environment_.time.now();
     const auto removed = remove_queued_if_silent(now);
-    const auto reason = stopping_
+    const auto reason = stopping_ || item->deadline > latest_deadline_
                             ? call_refusal::leaving
                             : state_.decide(*item, backend_client_.is_blocked(item->digest), now);
     if (reason != call_refusal::none) {
@@ -255,6 +273,7 @@
     }
     work_available_.notify_one();
     respond(*item->connection, item->correlation, response);
+    call_ended_.notify_all();
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -47,8 +47,20 @@
     /** @brief Sets the announced state of the backend server; std::nullopt if there is none. */
     void set_backend(std::optional<backend_server> backend);
 
-    /** @brief Refuses new calls, finishes those in flight and joins the threads. */
-    void stop();
+    /** @brief Refuses new calls from now on; finishes those in flight. */
+    void stop_accepting();
+
+    /**
+     * @brief Refuses new calls whose deadline is later, since this node stops before it.
+     * @param limit When calls in progress are interrupted.
+     */
+    void reject_deadlines_after(monotonic_time limit);
+
+    /**
+     * @brief Refuses new calls, finishes those in flight and joins the threads.
+     * @param limit Time after which the calls in flight are cancelled.
+     */
+    void stop(duration limit = duration::max());
 
     /** @return Number of running calls. */
     [[nodiscard]] std::uint32_t running() const;
@@ -98,9 +110,11 @@
     backend_client backend_client_;
     mutable std::mutex mutex_;
     std::condition_variable work_available_;
+    std::condition_variable call_ended_;
     gate_state state_;
     std::array<std::atomic<std::uint64_t>, call_refusal_count> refusals_{};
     bool stopping_{};
+    monotonic_time latest_deadline_{monotonic_time::max()};
     std::vector<std::thread> threads_;
 };
 
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -47,34 +47,32 @@
     }
 }
 
-http_response proxy_handler::handle(const http_request& request)
+void proxy_handler::start(http_request request, const std::shared_ptr<cancellation>& cancel_signal,
+                          responder respond)
 {
-    cancellation never;
-    return handle_until_cancelled(request, never);
-}
-
-http_response proxy_handler::handle_until_cancelled(const http_request& request,
-                                                    cancellation& cancel_signal)
-{
-    const auto started = environment_.time.now();
+    const auto context = std::make_shared<call_context>();
     const auto options = environment_.header_codec.read(request);
-    call_context context;
-    context.call.request_id = options.request_id;
-    context.cancel_signal = &cancel_signal;
-    context.call.request = request;
-    if (const auto cause = find_route(context)) {
-        return reject(context, *cause);
+    context->started = environment_.time.now();
+    context->respond = std::move(respond);
+    context->cancel_signal = cancel_signal;
+    context->call.request_id = options.request_id;
+    context->call.request = std::move(request);
+    if (const auto cause = find_route(*context)) {
+        reject(*context, *cause);
+        return;
     }
-    context.call.idempotent = context.route->kind == route_kind::idempotent;
-    remove_hop_by_hop_headers(context.call.request.headers);
-    environment_.header_codec.rewrite_headers(context.call.request);
-    context.call.priority = context.route->priority;
-    context.started = started;
-    context.deadline = started + deadline_of(options, *context.route);
+    context->deadline = context->started + deadline_of(options, *context->route);
+    if (context->deadline > latest_deadline_.load()) {
+        reject(*context, {rejection_kind::stopping, "this node stops before the deadline",
+                          restart_retry_after});
+        return;
+    }
+    context->call.idempotent = is_idempotent(context->route->kind);
+    remove_hop_by_hop_headers(context->call.request.headers);
+    environment_.header_codec.rewrite_headers(context->call.request);
+    context->call.priority = context->route->priority;
     ++calls_;
-    auto response = execute(context);
-    latency_.record(environment_.time.now() - started);
-    return response;
+    execute(context);
 }
 
 std::optional<rejection> proxy_handler::find_route(call_context& context)
@@ -104,30 +102,35 @@
     return std::nullopt;
 }
 
-http_response proxy_handler::execute(call_context& context)
+void proxy_handler::execute(const context_pointer& context)
 {
-    environment_.retries.deposit(context.call.service);
-    const auto* endpoint = next_endpoint(context);
+    environment_.retries.deposit(context->call.service);
+    const auto* endpoint = next_endpoint(*context);
     if (endpoint == nullptr) {
         auto none = call_response::not_run(call_refusal::absent, "no backend server is known");
         none.retry_after = configuration_retry_after;
-        return finish(context, std::move(none));
+        finish(*context, std::move(none));
+        return;
     }
-    bool may_have_run = false;
-    while (true) {
-        auto outcome = attempt(context, *endpoint);
-        may_have_run = may_have_run || outcome.result == call_result::unknown;
-        context.capacity_refusals += lacks_capacity(outcome.refusal) ? 1 : 0;
-        endpoint = outcome.result == call_result::answered ? nullptr : next_endpoint(context);
-        if (endpoint == nullptr || !may_retry(context, outcome)) {
-            if (may_have_run && outcome.result == call_result::not_run) {
-                outcome.result = call_result::unknown;
-            }
-            return finish(context, std::move(outcome));
+    attempt(context, *endpoint);
+}
+
+void proxy_handler::complete_attempt(const context_pointer& context, call_response outcome)
+{
+    context->may_have_run = context->may_have_run || outcome.result == call_result::unknown;
+    context->capacity_refusals += lacks_capacity(outcome.refusal) ? 1 : 0;
+    const auto* endpoint =
+        outcome.result == call_result::answered ? nullptr : next_endpoint(*context);
+    if (endpoint == nullptr || !may_retry(*context, outcome)) {
+        if (context->may_have_run && outcome.result == call_result::not_run) {
+            outcome.result = call_result::unknown;
         }
-        ++retries_;
-        call_log_.log_retried(context, outcome);
+        finish(*context, std::move(outcome));
+        return;
     }
+    ++retries_;
+    call_log_.log_retried(*context, outcome);
+    attempt(context, *endpoint);
 }
 
 /** Returns the next endpoint to try; nullptr if none remains. */
@@ -182,34 +185,44 @@
     return context.servers_reached == 0 || environment_.retries.try_withdraw(context.call.service);
 }
 
-call_response proxy_handler::attempt(call_context& context, const route_endpoint& endpoint)
+void proxy_handler::attempt(const context_pointer& context, const route_endpoint& endpoint)
 {
-    const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-        context.deadline - environment_.time.now());
+    const auto sent_at = environment_.time.now();
+    const auto remaining =
+        std::chrono::duration_cast<std::chrono::milliseconds>(context->deadline - sent_at);
     if (remaining.count() <= 0) {
-        return call_response::not_run(call_refusal::expired, "the deadline passed");
+        complete_attempt(context,
+                         call_response::not_run(call_refusal::expired, "the deadline passed"));
+        return;
     }
-    context.call.remaining = remaining;
-    context.call.target_remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-        context.started + context.route->target_latency - environment_.time.now());
-    context.tried_nodes.push_back(endpoint.node);
+    context->call.remaining = remaining;
+    context->call.target_remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+        context->started + context->route->target_latency - sent_at);
+    context->tried_nodes.push_back(endpoint.node);
     environment_.loads.begin(endpoint.node);
-    const auto sent_at = environment_.time.now();
-    auto outcome = environment_.transport.call_until_cancelled(
-        endpoint.peer, context.call, context.deadline, *context.cancel_signal);
+    environment_.transport.call(endpoint.peer, context->call, context->deadline,
+                                context->cancel_signal,
+                                [this, context, &endpoint, sent_at](call_response outcome) {
+                                    record_attempt(*context, endpoint, outcome, sent_at);
+                                    complete_attempt(context, std::move(outcome));
+                                });
+}
+
+void proxy_handler::record_attempt(call_context& context, const route_endpoint& endpoint,
+                                   const call_response& outcome, monotonic_time sent_at)
+{
+    const auto now = environment_.time.now();
     environment_.loads.end(endpoint.node);
     if (outcome.load) {
-        environment_.loads.report(endpoint.node, *outcome.load, environment_.time.now());
+        environment_.loads.report(endpoint.node, *outcome.load, now);
     }
     context.servers_reached += outcome.reached_server ? 1 : 0;
     if (!context.cancel_signal->cancelled()) {
         record_outcome(endpoint.node, context.call, outcome);
         environment_.observer.on_attempt({context.call.service, context.call.version,
                                           context.route->path, endpoint.node, endpoint.region,
-                                          outcome.result, outcome.response.status,
-                                          environment_.time.now() - sent_at});
+                                          outcome.result, outcome.response.status, now - sent_at});
     }
-    return outcome;
 }
 
 void proxy_handler::record_outcome(const node_id& endpoint, const call_request& call,
@@ -241,12 +254,14 @@
     }
 }
 
-http_response proxy_handler::finish(const call_context& context, call_response outcome)
+void proxy_handler::finish(const call_context& context, call_response outcome)
 {
+    latency_.record(environment_.time.now() - context.started);
     if (outcome.result == call_result::answered) {
         remove_hop_by_hop_headers(outcome.response.headers);
         call_log_.log_answered(context, outcome.response.status);
-        return std::move(outcome.response);
+        context.respond(std::move(outcome.response));
+        return;
     }
     rejection cause{rejection_kind::unknown, std::move(outcome.reason), outcome.retry_after};
     if (outcome.result == call_result::not_run) {
@@ -255,15 +270,15 @@
     else if (environment_.time.now() >= context.deadline) {
         cause.kind = rejection_kind::expired;
     }
-    return reject(context, cause);
+    reject(context, cause);
 }
 
-http_response proxy_handler::reject(const call_context& context, const rejection& cause)
+void proxy_handler::reject(const call_context& context, const rejection& cause)
 {
     ++(cause.may_have_run() ? calls_unknown_ : calls_not_run_);
     ++*rejections_.at(static_cast<std::size_t>(cause.kind));
     call_log_.log_rejected(context, cause);
-    return environment_.header_codec.reject(cause);
+    context.respond(environment_.header_codec.reject(cause));
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -3,7 +3,7 @@
 
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/random_source.hpp>
-#include <savorywheel/http/http_handler.hpp>
+#include <savorywheel/http/async_http_handler.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/metric_registry.hpp>
 #include <savorywheel/routing/endpoint_health.hpp>
@@ -26,7 +26,7 @@
 namespace savorywheel {
 
 /** @brief Proxy for requests of callers: selects an endpoint, sends the call and retries it. */
-class proxy_handler final : public http_handler {
+class proxy_handler final : public async_http_handler {
 public:
     /** @brief Dependencies; all must outlive the proxy. */
     struct environment {
@@ -57,26 +57,36 @@
     /** @brief Rejects new requests from now on; requests in flight are completed. */
     void stop_accepting() noexcept { draining_ = true; }
 
-    [[nodiscard]] http_response handle(const http_request& request) override;
-    [[nodiscard]] http_response handle_until_cancelled(const http_request& request,
-                                                       cancellation& cancel_signal) override;
+    /**
+     * @brief Rejects new requests whose deadline is later, since this node stops before it.
+     * @param limit When calls in progress are interrupted; thread-safe.
+     */
+    void reject_deadlines_after(monotonic_time limit) noexcept { latest_deadline_ = limit; }
+
+    void start(http_request request, const std::shared_ptr<cancellation>& cancel_signal,
+               responder respond) override;
 
 private:
     using counter = metric_registry::counter;
+    using context_pointer = std::shared_ptr<call_context>;
 
     [[nodiscard]] std::optional<rejection> find_route(call_context& context);
-    [[nodiscard]] http_response execute(call_context& context);
+    void execute(const context_pointer& context);
     [[nodiscard]] const route_endpoint* next_endpoint(call_context& context);
     /** @return An endpoint of the old version during a rollout move; nullptr if there is none. */
     [[nodiscard]] const route_endpoint* spillover_endpoint(call_context& context);
     [[nodiscard]] const route_endpoint* select(call_context& context,
                                                const std::optional<version_name>& version);
-    [[nodiscard]] call_response attempt(call_context& context, const route_endpoint& endpoint);
+    void attempt(const context_pointer& context, const route_endpoint& endpoint);
+    void record_attempt(call_context& context, const route_endpoint& endpoint,
+                        const call_response& outcome, monotonic_time sent_at);
+    /** Retries the call at another endpoint, or responds to the caller. */
+    void complete_attempt(const context_pointer& context, call_response outcome);
     [[nodiscard]] bool may_retry(const call_context& context, const call_response& outcome);
     void record_outcome(const node_id& endpoint, const call_request& call,
                         const call_response& outcome);
-    [[nodiscard]] http_response finish(const call_context& context, call_response outcome);
-    [[nodiscard]] http_response reject(const call_context& context, const rejection& cause);
+    void finish(const call_context& context, call_response outcome);
+    void reject(const call_context& context, const rejection& cause);
 
     environment environment_;
     counter& calls_;
@@ -87,6 +97,7 @@
     latency_recorder& latency_;
     proxy_call_log call_log_;
     std::atomic<bool> draining_{};
+    std::atomic<monotonic_time> latest_deadline_{monotonic_time::max()};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/frame_sink.hpp
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -43,18 +44,23 @@
     /** @brief Closes the connection after all queued frames were written. */
     virtual void close_after_writing() { close(); }
 
+    /** @brief Called once: with true if the connection is open, with false if it has closed. */
+    using open_callback = std::function<void(bool open)>;
+
+    /**
+     * @brief Calls back as soon as the peer has confirmed the connection with a heartbeat.
+     * @param done Called on the calling thread if the state is known already, else on the stream
+     * thread; must not block.
+     */
+    virtual void when_open(open_callback done) { done(true); }
+
     /**
-     * @brief Blocks until the peer has confirmed the connection with a heartbeat.
      * @param deadline Local time to convert.
-     * @param connect_deadline Local time at which the wait ends.
-     * @return The deadline on the peer's clock, never later than the true one; nothing if the
-     * connection did not open.
-     * @warning Must not be called on the stream thread, which processes the heartbeat.
+     * @return The deadline on the peer's clock, never later than the true one; std::nullopt before
+     * the peer has confirmed the connection.
      */
-    [[nodiscard]] virtual std::optional<peer_time> await_open(monotonic_time deadline,
-                                                              monotonic_time connect_deadline)
+    [[nodiscard]] virtual std::optional<peer_time> to_clock_of_peer(monotonic_time deadline)
     {
-        static_cast<void>(connect_deadline);
         return to_peer_time(deadline);
     }
 
--- a/src/savorywheel/transport/peer_connection.cpp
+++ b/src/savorywheel/transport/peer_connection.cpp
@@ -216,7 +216,7 @@
         const std::scoped_lock lock{mutex_};
         open_ = !closed_;
     }
-    open_or_closed_.notify_all();
+    notify_open(!closed_);
 }
 
 void peer_connection::write_next()
@@ -262,11 +262,11 @@
         error_code ignored;
         socket_.close(ignored);
     }
-    open_or_closed_.notify_all();
     if (std::exchange(finished_, true)) {
         return;
     }
     timer_.cancel();
+    notify_open(false);
     handler_.on_closed(*this, established_);
     on_closed_(shared_from_this());
 }
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -16,7 +16,6 @@
 #include <array>
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -70,8 +69,8 @@
     [[nodiscard]] std::string_view peer_address() const noexcept override { return peer_address_; }
     void close() override;
     void close_after_writing() override;
-    [[nodiscard]] std::optional<peer_time> await_open(monotonic_time deadline,
-                                                      monotonic_time connect_deadline) override;
+    void when_open(open_callback done) override;
+    [[nodiscard]] std::optional<peer_time> to_clock_of_peer(monotonic_time deadline) override;
     void close_malformed(const failure& reason) override;
 
 private:
@@ -84,6 +83,7 @@
 
     void start_reading();
     void mark_open();
+    void notify_open(bool open);
     [[nodiscard]] std::size_t write_directly(std::span<const std::byte> bytes) noexcept;
     void read_header();
     void read_payload(const frame_header& header);
@@ -115,8 +115,9 @@
     monotonic_time last_sent_{created_at_};
     std::optional<monotonic_time> closing_since_;
     std::mutex mutex_;
-    std::condition_variable open_or_closed_;
     bool open_{};
+    /** Called when the connection opens or closes. */
+    std::vector<open_callback> open_callbacks_;
     peer_clock peer_clock_;
     exchange_tracker exchanges_;
     std::deque<queued_frame> queue_;
--- a/src/savorywheel/transport/peer_connection_liveness.cpp
+++ b/src/savorywheel/transport/peer_connection_liveness.cpp
@@ -17,15 +17,34 @@
 
 } // namespace
 
-std::optional<peer_time> peer_connection::await_open(monotonic_time deadline,
-                                                     monotonic_time connect_deadline)
+void peer_connection::when_open(open_callback done)
 {
-    std::unique_lock lock{mutex_};
-    open_or_closed_.wait_until(lock, connect_deadline, [this] { return open_ || closed_; });
-    if (!open_ || closed_) {
-        return std::nullopt;
+    {
+        const std::scoped_lock lock{mutex_};
+        if (!open_ && !closed_) {
+            open_callbacks_.push_back(std::move(done));
+            return;
+        }
+    }
+    done(!closed_);
+}
+
+std::optional<peer_time> peer_connection::to_clock_of_peer(monotonic_time deadline)
+{
+    const std::scoped_lock lock{mutex_};
+    return open_ && !closed_ ? peer_clock_.convert(deadline) : std::nullopt;
+}
+
+void peer_connection::notify_open(bool open)
+{
+    std::vector<open_callback> callbacks;
+    {
+        const std::scoped_lock lock{mutex_};
+        callbacks.swap(open_callbacks_);
+    }
+    for (const auto& done : callbacks) {
+        done(open);
     }
-    return peer_clock_.convert(deadline);
 }
 
 void peer_connection::on_heartbeat(std::uint64_t sent)
