Place calls by the size of their response and the risk of a late one

Change: the mean size of a route's responses counts as the request's does, and a response that will probably exceed the target latency has a price, so that a far endpoint in time is preferred.

--- a/src/savorywheel/routing/endpoint_cost.hpp
+++ b/src/savorywheel/routing/endpoint_cost.hpp
@@ -15,7 +15,9 @@
  * @brief Estimated cost of sending a call to an endpoint, in units of time.
  *
  * Balances load over backend servers of different speed and utilization: a call leaves the failure
- * domain or region only if the time saved exceeds the round trip and the price of the traffic.
+ * domain or region only if the time saved exceeds the round trip and the price of the traffic. A
+ * response that is probably late has a price, too, so that a call that a near endpoint would serve
+ * late goes to a far one that serves it in time.
  */
 struct endpoint_cost {
     endpoint_distance distance{endpoint_distance::same_domain};
@@ -25,16 +27,24 @@
     double calls{};
     /** @brief Mean service time of a call at the endpoint. */
     duration service_time{};
-    /** @brief Size of the request body in bytes. */
+    /** @brief Size of the request body and of the expected response body, in bytes. */
     std::size_t bytes{};
     /** @brief True if the backend server is still warming up. */
     bool warming{};
+    /** @brief Time until the route's target latency is exceeded; zero if the route has none. */
+    duration target_remaining{};
 
-    /** @return Estimated time until the response, plus the price of the traffic. */
+    /** @return Estimated time until the response, plus the prices of traffic and lateness. */
     [[nodiscard]] duration total() const noexcept;
 
+    /** @return Estimated time until the response. */
+    [[nodiscard]] duration latency() const noexcept;
+
     /** @return Expected time until a slot is free. */
     [[nodiscard]] duration expected_queue_wait() const noexcept;
+
+    /** @return Price of a late response, weighted with the probability that it will be late. */
+    [[nodiscard]] duration lateness_price() const noexcept;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/endpoint_selector.hpp
+++ b/src/savorywheel/routing/endpoint_selector.hpp
@@ -1,9 +1,9 @@
 #ifndef SAVORYWHEEL_ROUTING_ENDPOINT_SELECTOR_HPP
 #define SAVORYWHEEL_ROUTING_ENDPOINT_SELECTOR_HPP
 
+#include <savorywheel/routing/call_profile.hpp>
 #include <savorywheel/routing/route_endpoint.hpp>
 
-#include <cstddef>
 #include <span>
 
 namespace savorywheel {
@@ -23,13 +23,13 @@
      * @param endpoints Endpoints of the service, of all versions.
      * @param version Version to select from.
      * @param tried Nodes that this call was already sent to; they are skipped.
-     * @param bytes Size of the request body in bytes.
+     * @param call Size of the call and the time it may take.
      * @return The endpoint; nullptr if none remains.
      */
     [[nodiscard]] virtual const route_endpoint* select(std::span<const route_endpoint> endpoints,
                                                        const version_name& version,
                                                        std::span<const node_id> tried,
-                                                       std::size_t bytes) = 0;
+                                                       const call_profile& call) = 0;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/locality_endpoint_selector.cpp
+++ b/src/savorywheel/routing/locality_endpoint_selector.cpp
@@ -16,7 +16,7 @@
 const route_endpoint* locality_endpoint_selector::select(std::span<const route_endpoint> endpoints,
                                                          const version_name& version,
                                                          std::span<const node_id> tried,
-                                                         std::size_t bytes)
+                                                         const call_profile& call)
 {
     std::vector<const route_endpoint*> available;
     std::vector<const route_endpoint*> all;
@@ -29,7 +29,7 @@
             available.push_back(&endpoint);
         }
     }
-    if (const auto* best = select_least_cost(available, bytes)) {
+    if (const auto* best = select_least_cost(available, call)) {
         return best;
     }
     if (const auto* nearest_endpoint = select_nearest_with_capacity(available)) {
@@ -54,7 +54,7 @@
 }
 
 const route_endpoint* locality_endpoint_selector::select_least_cost(endpoint_pointers candidates,
-                                                                    std::size_t bytes)
+                                                                    const call_profile& call)
 {
     const auto default_service_time = least_reported_service_time(candidates);
     if (default_service_time == duration::zero()) {
@@ -69,8 +69,9 @@
                                  endpoint->slots,
                                  environment_.loads.expected_calls(endpoint->node, now),
                                  reported == duration::zero() ? default_service_time : reported,
-                                 bytes,
-                                 endpoint->state == server_state::warming};
+                                 call.bytes,
+                                 endpoint->state == server_state::warming,
+                                 call.target_remaining};
         auto total = cost.total();
         if (environment_.health.at_capacity(endpoint->node)) {
             total += cost.service_time;
--- a/src/savorywheel/routing/locality_endpoint_selector.hpp
+++ b/src/savorywheel/routing/locality_endpoint_selector.hpp
@@ -45,7 +45,7 @@
     [[nodiscard]] const route_endpoint* select(std::span<const route_endpoint> endpoints,
                                                const version_name& version,
                                                std::span<const node_id> tried,
-                                               std::size_t bytes) override;
+                                               const call_profile& call) override;
 
 private:
     using endpoint_pointers = std::span<const route_endpoint* const>;
@@ -56,7 +56,7 @@
     [[nodiscard]] const route_endpoint* select_less_loaded(endpoint_pointers candidates);
     /** @return The endpoint of least cost; nullptr if none has reported its load. */
     [[nodiscard]] const route_endpoint* select_least_cost(endpoint_pointers candidates,
-                                                          std::size_t bytes);
+                                                          const call_profile& call);
     /** @return The less loaded of two nearest endpoints with capacity; nullptr if none has any. */
     [[nodiscard]] const route_endpoint* select_nearest_with_capacity(endpoint_pointers candidates);
     [[nodiscard]] duration least_reported_service_time(endpoint_pointers candidates) const;
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/http/hop_by_hop.hpp>
+#include <savorywheel/http/http_status.hpp>
 #include <savorywheel/routing/spillover_version.hpp>
 #include <savorywheel/routing/weighted_service_selection.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
@@ -159,8 +160,15 @@
     if (!version) {
         return nullptr;
     }
-    const auto* found = environment_.endpoints.select(
-        context.routes->endpoints, *version, context.tried_nodes, context.call.request.body.size());
+    const auto target_latency = context.route->target_latency;
+    call_profile profile;
+    profile.bytes = context.call.request.body.size() +
+                    response_sizes_.expected(context.call.service, context.route->path);
+    if (target_latency > std::chrono::milliseconds::zero()) {
+        profile.target_remaining = context.started + target_latency - environment_.time.now();
+    }
+    const auto* found = environment_.endpoints.select(context.routes->endpoints, *version,
+                                                      context.tried_nodes, profile);
     if (found != nullptr) {
         context.call.version = *version;
     }
@@ -258,6 +266,10 @@
 {
     latency_.record(environment_.time.now() - context.started);
     if (outcome.result == call_result::answered) {
+        if (is_success(outcome.response.status)) {
+            response_sizes_.record(context.call.service, context.route->path,
+                                   outcome.response.body.size());
+        }
         remove_hop_by_hop_headers(outcome.response.headers);
         call_log_.log_answered(context, outcome.response.status);
         context.respond(std::move(outcome.response));
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -17,6 +17,7 @@
 #include <savorywheel/traffic/caller_header_codec.hpp>
 #include <savorywheel/traffic/proxy_call_log.hpp>
 #include <savorywheel/traffic/rejection.hpp>
+#include <savorywheel/traffic/response_sizes.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
 #include <array>
@@ -96,6 +97,8 @@
     std::array<counter*, rejection_kind_count> rejections_{};
     latency_recorder& latency_;
     proxy_call_log call_log_;
+    /** Used on the traffic thread only. */
+    response_sizes response_sizes_;
     std::atomic<bool> draining_{};
     std::atomic<monotonic_time> latest_deadline_{monotonic_time::max()};
 };
--- a/test/savorywheel/http/http_server_test.cpp
+++ b/test/savorywheel/http/http_server_test.cpp
@@ -124,17 +124,37 @@
     http_response handle(const http_request& /*request*/) override { return {500, {}, {}}; }
 };
 
+/** Stops a server while callers send requests on persistent connections. */
 template<typename Server>
-class http_server_test : public testing::Test {
-};
+void expect_stop_without_interruption()
+{
+    slow_handler handler{std::chrono::milliseconds{20}};
+    Server server{handler};
+    const auto endpoint = free_endpoint();
+    ASSERT_TRUE(server.start(endpoint));
+    std::atomic<int> answered{};
+    std::atomic<int> interrupted{};
+    constexpr std::size_t caller_count = 16;
+    std::vector<std::thread> callers;
+    callers.reserve(caller_count);
+    for (std::size_t i = 0; i < caller_count; ++i) {
+        callers.emplace_back(
+            [&] { interrupted += count_interrupted_requests(endpoint, answered); });
+    }
+    ASSERT_TRUE(wait_until([&answered] { return answered > 50; }));
+    server.stop();
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(interrupted, 0);
+}
 
 template<typename Server>
-class proof_graceful_stop : public testing::Test {
+class http_server_test : public testing::Test {
 };
 
 using servers = testing::Types<http_server, loop_http_server>;
 TYPED_TEST_SUITE(http_server_test, servers);
-TYPED_TEST_SUITE(proof_graceful_stop, servers);
 
 } // namespace
 
@@ -151,27 +171,14 @@
     EXPECT_EQ(response->body, "");
 }
 
-TYPED_TEST(proof_graceful_stop, completes_requests_on_persistent_connections)
+TEST(proof_graceful_stop, completes_requests_on_persistent_connections)
 {
-    slow_handler handler{std::chrono::milliseconds{20}};
-    TypeParam server{handler};
-    const auto endpoint = free_endpoint();
-    ASSERT_TRUE(server.start(endpoint));
-    std::atomic<int> answered{};
-    std::atomic<int> interrupted{};
-    constexpr std::size_t caller_count = 16;
-    std::vector<std::thread> callers;
-    callers.reserve(caller_count);
-    for (std::size_t i = 0; i < caller_count; ++i) {
-        callers.emplace_back(
-            [&] { interrupted += count_interrupted_requests(endpoint, answered); });
-    }
-    ASSERT_TRUE(wait_until([&answered] { return answered > 50; }));
-    server.stop();
-    for (auto& caller : callers) {
-        caller.join();
-    }
-    EXPECT_EQ(interrupted, 0);
+    expect_stop_without_interruption<loop_http_server>();
+}
+
+TEST(proof_graceful_stop, completes_requests_of_the_administration)
+{
+    expect_stop_without_interruption<http_server>();
 }
 
 TEST(proof_cancellation, caller_disconnect_cancels_its_requests)
--- a/test/savorywheel/routing/endpoint_cost_test.cpp
+++ b/test/savorywheel/routing/endpoint_cost_test.cpp
@@ -33,9 +33,9 @@
                      time.now());
     }
 
-    std::string select(std::size_t bytes = 0)
+    std::string select(std::size_t bytes = 0, duration target_remaining = {})
     {
-        return subject.select(endpoints, version, {}, bytes)->node.str();
+        return subject.select(endpoints, version, {}, {bytes, target_remaining})->node.str();
     }
 
     manual_clock time;
@@ -70,6 +70,23 @@
     EXPECT_EQ(mesh.select(upload_bytes), "near");
 }
 
+TEST(endpoint_cost, call_that_would_be_late_nearby_goes_to_a_far_endpoint_that_is_in_time)
+{
+    two_server_fixture mesh;
+    mesh.report(mesh.endpoints[0], 6, milliseconds{250});
+    mesh.report(mesh.endpoints[1], 0, milliseconds{120});
+    EXPECT_EQ(mesh.select(0, milliseconds{2000}), "near");
+    EXPECT_EQ(mesh.select(0, milliseconds{400}), "far");
+}
+
+TEST(endpoint_cost, call_that_would_be_late_everywhere_stays_near)
+{
+    two_server_fixture mesh;
+    mesh.report(mesh.endpoints[0], 30, milliseconds{300});
+    mesh.report(mesh.endpoints[1], 30, milliseconds{300});
+    EXPECT_EQ(mesh.select(0, milliseconds{400}), "near");
+}
+
 TEST(endpoint_cost, reported_load_decays_with_age)
 {
     two_server_fixture mesh;
--- a/test/savorywheel/routing/locality_endpoint_selector_test.cpp
+++ b/test/savorywheel/routing/locality_endpoint_selector_test.cpp
@@ -63,7 +63,7 @@
             }
             capacity[node] = load < 2 && !refused;
         }
-        const auto* chosen = mesh.subject.select(endpoints, version, {}, 0);
+        const auto* chosen = mesh.subject.select(endpoints, version, {}, {});
         RC_ASSERT(chosen != nullptr);
         for (const auto& other : endpoints) {
             if (capacity[other.node]) {
@@ -81,9 +81,9 @@
     for (int i = 0; i < 3; ++i) {
         mesh.health.record_failure(endpoints[0].node);
     }
-    EXPECT_EQ(mesh.subject.select(endpoints, version, {}, 0)->node, endpoints[1].node);
+    EXPECT_EQ(mesh.subject.select(endpoints, version, {}, {})->node, endpoints[1].node);
     mesh.time.advance(std::chrono::seconds{2});
-    EXPECT_EQ(mesh.subject.select(endpoints, version, {}, 0)->node, endpoints[0].node);
+    EXPECT_EQ(mesh.subject.select(endpoints, version, {}, {})->node, endpoints[0].node);
 }
 
 TEST(locality_endpoint_selector, selects_ejected_endpoint_if_no_other_exists)
@@ -93,7 +93,7 @@
     for (int i = 0; i < 3; ++i) {
         mesh.health.record_failure(endpoints[0].node);
     }
-    EXPECT_NE(mesh.subject.select(endpoints, version, {}, 0), nullptr);
+    EXPECT_NE(mesh.subject.select(endpoints, version, {}, {}), nullptr);
 }
 
 TEST(proof_slow_start, new_endpoint_gets_fewer_calls_during_slow_start)
@@ -106,7 +106,7 @@
     mesh.time.advance(std::chrono::minutes{1});
     const auto share_of_new = [&mesh, &endpoints] {
         for (int i = 0; i < 400; ++i) {
-            const auto* chosen = mesh.subject.select(endpoints, version, {}, 0);
+            const auto* chosen = mesh.subject.select(endpoints, version, {}, {});
             mesh.loads.begin(chosen->node);
         }
         const auto count = mesh.loads.in_flight(endpoints[1].node);
--- a/test/savorywheel/routing/proof_known_endpoints_test.cpp
+++ b/test/savorywheel/routing/proof_known_endpoints_test.cpp
@@ -93,7 +93,7 @@
         if (!version) {
             continue;
         }
-        const auto* chosen = endpoints.select(routes->endpoints, *version, {}, 0);
+        const auto* chosen = endpoints.select(routes->endpoints, *version, {}, {});
         RC_ASSERT(chosen != nullptr);
         RC_ASSERT(serves(table, *chosen));
         RC_ASSERT(std::ranges::any_of(routes->state->effective_weights(), [&](const auto& weight) {
