End a task, not the process, on an unexpected error

Change: the control loop, the traffic loop and the gate report such an error (SW1006) and go on; the call at the gate has an unknown outcome. A stopping proxy and gate refuse what they could not finish, with tests; the administration server no longer waits up to 10 s in a stop.

--- a/src/savorywheel/core/control_loop.cpp
+++ b/src/savorywheel/core/control_loop.cpp
@@ -16,10 +16,8 @@
 void control_loop::run()
 {
     while (true) {
-        for (const auto& task : take_pending()) {
-            task();
-        }
-        timers_.run_due();
+        run_batch(take_pending());
+        run_guarded([this] { timers_.run_due(); }, on_error_);
         std::unique_lock lock{mutex_};
         if (stopping_) {
             return;
@@ -49,11 +47,16 @@
 void control_loop::run_pending()
 {
     for (auto batch = take_pending(); !batch.empty(); batch = take_pending()) {
-        for (const auto& task : batch) {
-            task();
-        }
+        run_batch(batch);
+    }
+    run_guarded([this] { timers_.run_due(); }, on_error_);
+}
+
+void control_loop::run_batch(const std::deque<event>& batch)
+{
+    for (const auto& task : batch) {
+        run_guarded(task, on_error_);
     }
-    timers_.run_due();
 }
 
 std::deque<control_loop::event> control_loop::take_pending()
--- a/src/savorywheel/core/control_loop.hpp
+++ b/src/savorywheel/core/control_loop.hpp
@@ -2,12 +2,14 @@
 #define SAVORYWHEEL_CORE_CONTROL_LOOP_HPP
 
 #include <savorywheel/core/clock.hpp>
+#include <savorywheel/core/task_guard.hpp>
 #include <savorywheel/core/timer_service.hpp>
 
 #include <condition_variable>
 #include <deque>
 #include <functional>
 #include <mutex>
+#include <utility>
 
 namespace savorywheel {
 
@@ -25,6 +27,12 @@
     /** @param source Clock of the timers; must outlive the loop. */
     explicit control_loop(const clock& source) noexcept : clock_{source}, timers_{source} {}
 
+    /**
+     * @brief Sets the receiver of errors that leave events and timers; call before run().
+     * @param on_error Called on the control thread.
+     */
+    void set_error_listener(error_listener on_error) { on_error_ = std::move(on_error); }
+
     /** @return The timers; call on the control thread, or before run(). */
     [[nodiscard]] timer_service& timers() noexcept { return timers_; }
 
@@ -47,9 +55,11 @@
 
 private:
     std::deque<event> take_pending();
+    void run_batch(const std::deque<event>& batch);
 
     const clock& clock_;
     timer_service timers_;
+    error_listener on_error_;
     std::mutex mutex_;
     std::condition_variable wake_;
     std::deque<event> queue_;
--- a/src/savorywheel/io/io_loop.cpp
+++ b/src/savorywheel/io/io_loop.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <exception>
 #include <optional>
 #include <thread>
 #include <utility>
@@ -58,17 +57,9 @@
 private:
     void run()
     {
-        while (true) {
-            try {
-                context_.run();
-                return;
-            }
-            catch (const std::exception& error) {
-                if (on_error_) {
-                    on_error_(error.what());
-                }
-                wait_for_next_timer();
-            }
+        while (!context_.stopped()) {
+            run_guarded([this] { context_.run(); }, on_error_);
+            wait_for_next_timer();
         }
     }
 
--- a/src/savorywheel/io/io_loop.hpp
+++ b/src/savorywheel/io/io_loop.hpp
@@ -2,10 +2,9 @@
 #define SAVORYWHEEL_IO_IO_LOOP_HPP
 
 #include <savorywheel/core/scheduler.hpp>
+#include <savorywheel/core/task_guard.hpp>
 
-#include <functional>
 #include <memory>
-#include <string_view>
 
 namespace boost::asio {
 class io_context;
@@ -21,12 +20,9 @@
  */
 class io_loop final : public scheduler {
 public:
-    /** @brief Receives the text of an exception that left a task; called on the loop's thread. */
-    using error_listener = std::function<void(std::string_view)>;
-
     /**
      * @param source Clock of the timers; must outlive the loop.
-     * @param on_error Receives unexpected errors; may be empty.
+     * @param on_error Called on the loop's thread; may be empty.
      */
     explicit io_loop(const clock& source, error_listener on_error = {});
     io_loop(const io_loop&) = delete;
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -19,7 +19,7 @@
     event_description{event_id::settings_rejected, error,
                       "The settings are invalid and were rejected."},
     event_description{event_id::settings_reloaded, info, "The settings were reloaded."},
-    event_description{event_id::traffic_task_failed, error,
+    event_description{event_id::task_failed, error,
                       "An unexpected error ended a task of a thread; the process goes on."},
     event_description{event_id::configuration_in_force, info,
                       "A newer configuration version is in force at this node."},
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -12,7 +12,7 @@
     process_stopped = 1003,
     settings_rejected = 1004,
     settings_reloaded = 1005,
-    traffic_task_failed = 1006,
+    task_failed = 1006,
     configuration_in_force = 2001,
     relay_lease_gained = 2002,
     relay_lease_lost = 2003,
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -52,6 +52,15 @@
     return limits;
 }
 
+/** Operators settle an operation whose response they did not get. */
+http_server_limits admin_limits()
+{
+    auto limits = short_request_limits();
+    limits.max_body_bytes = max_admin_body_bytes;
+    limits.max_buffered_body_bytes = max_admin_body_bytes;
+    return limits;
+}
+
 /** A response travels to the caller's node in one frame, with its header fields. */
 http_client_limits backend_response_limits()
 {
@@ -76,6 +85,7 @@
                const front_end& front)
         : settings_{std::move(settings)}, log_{log}, links_{links}, front_{front}
     {
+        loop_.set_error_listener(on_task_error_);
         tables_.set_listener(caller_limits_);
         metrics_.add_source(process_metrics_);
         metrics_.add_source(state_metrics_);
@@ -201,6 +211,8 @@
     const front_end& front_;
     system_clock_source time_;
     seeded_random random_{random_seed()};
+    error_listener on_task_error_{
+        [this](std::string_view error) { log_.write(event_id::task_failed, error); }};
     control_loop loop_{time_};
     curl_http_client http_{front_.servers().completeness_rule(), backend_response_limits()};
     curl_http_client store_http_;
@@ -213,9 +225,7 @@
     protocol_error_logger reporter_{time_, log_};
     frame_router router_;
     request_client requests_;
-    io_loop traffic_loop_{time_, [this](std::string_view error) {
-                              log_.write(event_id::traffic_task_failed, error);
-                          }};
+    io_loop traffic_loop_{time_, on_task_error_};
     asio_peer_network network_{links_.frames(router_), meter_, traffic_loop_};
     asio_datagram_channel datagrams_{meter_};
     routing_table_holder tables_;
@@ -252,9 +262,7 @@
     async_http_server proxy_server_{proxy_, traffic_loop_, traffic_server_limits(settings_),
                                     &rejection_log_};
     caller_limit_publisher caller_limits_{proxy_server_, traffic_server_limits(settings_)};
-    http_server admin_server_{admin_,
-                              http_server_limits{.max_body_bytes = max_admin_body_bytes,
-                                                 .max_buffered_body_bytes = max_admin_body_bytes}};
+    http_server admin_server_{admin_, admin_limits()};
     immediate_http_handler readiness_responses_{readiness_};
     async_http_server readiness_server_{readiness_responses_, traffic_loop_,
                                         short_request_limits()};
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/task_guard.hpp>
 #include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/traffic/gate.hpp>
@@ -261,7 +262,10 @@
 
 void gate::run_call(const call_pointer& item, const backend_server& backend)
 {
-    auto response = backend_client_.run(*item, backend);
+    auto response = call_response::unknown("unexpected error at the gate");
+    run_guarded(
+        [&] { response = backend_client_.run(*item, backend); },
+        [this](std::string_view error) { environment_.log.write(event_id::task_failed, error); });
     call_log_.log_finished(*item, backend, response);
     {
         const std::scoped_lock lock{mutex_};
--- a/test/savorywheel/core/control_loop_test.cpp
+++ b/test/savorywheel/core/control_loop_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <stdexcept>
+#include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -26,6 +29,24 @@
     }
 }
 
+TEST(control_loop, an_exception_ends_its_event_and_is_reported)
+{
+    const system_clock_source time;
+    control_loop loop{time};
+    std::vector<std::string> errors;
+    loop.set_error_listener([&errors](std::string_view error) { errors.emplace_back(error); });
+    bool later_event_ran = false;
+    loop.post([] { throw std::runtime_error{"unexpected"}; });
+    loop.post([&later_event_ran] { later_event_ran = true; });
+    const auto timer = loop.timers().after(1ms, [&loop] {
+        loop.stop();
+        throw std::runtime_error{"in a timer"};
+    });
+    loop.run();
+    EXPECT_TRUE(later_event_ran);
+    EXPECT_EQ(errors, (std::vector<std::string>{"unexpected", "in a timer"}));
+}
+
 TEST(control_loop, wakes_for_a_timer_without_an_event)
 {
     const system_clock_source time;
--- a/test/savorywheel/traffic/gate_test.cpp
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -10,6 +10,8 @@
 #include <support/recording_sink.hpp>
 #include <support/wait_until.hpp>
 
+#include <stdexcept>
+
 namespace savorywheel::test {
 
 namespace {
@@ -32,6 +34,14 @@
     return call;
 }
 
+struct throwing_http_client final : http_client {
+    outcome<http_response> send(const network_endpoint& /*server*/, const http_request& /*request*/,
+                                milliseconds /*timeout*/) override
+    {
+        throw std::runtime_error{"unexpected"};
+    }
+};
+
 /** Gate with a client that blocks until the test releases it; releases all calls at the end. */
 struct gate_fixture {
     explicit gate_fixture(std::uint32_t slots) { subject.set_backend(make_backend(slots)); }
@@ -189,4 +199,35 @@
     }));
 }
 
+TEST(proof_graceful_stop, gate_refuses_calls_that_it_could_not_finish)
+{
+    gate_fixture gate{1};
+    gate.subject.reject_deadlines_after(gate.time.now() + milliseconds{1000});
+    gate.submit(1, milliseconds{1001});
+    ASSERT_TRUE(wait_until([&gate] { return gate.sink->response(1).has_value(); }));
+    EXPECT_EQ(gate.sink->response(1)->refusal, call_refusal::leaving);
+    gate.submit(2, milliseconds{1000});
+    EXPECT_TRUE(wait_until([&gate] { return gate.client.started().size() == 1; }));
+}
+
+TEST(gate, unexpected_error_ends_one_call_only)
+{
+    manual_clock time;
+    throwing_http_client client;
+    recording_event_log log;
+    recording_crash_reporter crashes;
+    default_server_header_codec header_codec;
+    const auto sink = std::make_shared<recording_sink>();
+    gate subject{{client, time, crashes, log, node_id{"gate"}, header_codec}};
+    subject.set_backend(make_backend(1));
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        subject.on_frame(sink, frame_kind::call_request, id,
+                         encode(make_call("x", milliseconds{1000},
+                                          to_peer_time(time.now() + milliseconds{1000}))));
+        ASSERT_TRUE(wait_until([&sink, id] { return sink->response(id).has_value(); }));
+        EXPECT_EQ(sink->response(id)->result, call_result::unknown);
+    }
+    subject.stop();
+}
+
 } // namespace savorywheel::test
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -372,6 +372,21 @@
     EXPECT_EQ(fixture.metrics.count({"rejections", "cause", "stopping"}), 1U);
 }
 
+TEST(proof_graceful_stop, proxy_refuses_requests_that_it_could_not_finish)
+{
+    manual_clock time;
+    recording_transport transport;
+    proxy_fixture fixture{transport, time, false, 1};
+    const http_request request{"POST", "/", {{"Host", "bookdesk"}}, "x"};
+    fixture.proxy.reject_deadlines_after(time.now() + std::chrono::milliseconds{1000});
+    EXPECT_EQ(test::handle(fixture.proxy, request).status, 200);
+    time.advance(std::chrono::milliseconds{1});
+    transport.last = {};
+    EXPECT_EQ(test::handle(fixture.proxy, request).status, 503);
+    EXPECT_EQ(transport.last.method, "");
+    EXPECT_EQ(fixture.metrics.count({"rejections", "cause", "stopping"}), 1U);
+}
+
 TEST(proof_retry_budget, retries_do_not_multiply_over_27_hops)
 {
     constexpr int depth = 27;
