--- a/src/savorywheel/transport/asio_peer_network.cpp
+++ b/src/savorywheel/transport/asio_peer_network.cpp
@@ -26,7 +26,7 @@
 constexpr std::size_t max_incoming = 2048;
 constexpr std::chrono::milliseconds accept_retry_delay{100};
 /** Time for peers to read what is queued when the network stops. */
-constexpr std::chrono::milliseconds flush_limit{1000};
+constexpr std::chrono::milliseconds flush_limit{500};
 
 } // namespace
 
--- a/src/savorywheel/transport/frame_sink.hpp
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <utility>
 
 namespace savorywheel {
 
@@ -52,7 +53,7 @@
      * @param done Called on the calling thread if the state is known already, else on the stream
      * thread; must not block.
      */
-    virtual void when_open(open_callback done) { done(true); }
+    virtual void when_open(open_callback done) { std::move(done)(true); }
 
     /**
      * @param deadline Local time to convert.
