--- a/src/savorywheel/transport/frame_sink.hpp
+++ b/src/savorywheel/transport/frame_sink.hpp
@@ -11,7 +11,6 @@
 #include <optional>
 #include <span>
 #include <string_view>
-#include <utility>
 
 namespace savorywheel {
 
@@ -53,7 +52,7 @@
      * @param done Called on the calling thread if the state is known already, else on the stream
      * thread; must not block.
      */
-    virtual void when_open(open_callback done) { std::move(done)(true); }
+    virtual void when_open(const open_callback& done) { done(true); }
 
     /**
      * @param deadline Local time to convert.
--- a/src/savorywheel/transport/peer_connection.hpp
+++ b/src/savorywheel/transport/peer_connection.hpp
@@ -69,7 +69,7 @@
     [[nodiscard]] std::string_view peer_address() const noexcept override { return peer_address_; }
     void close() override;
     void close_after_writing() override;
-    void when_open(open_callback done) override;
+    void when_open(const open_callback& done) override;
     [[nodiscard]] std::optional<peer_time> to_clock_of_peer(monotonic_time deadline) override;
     void close_malformed(const failure& reason) override;
 
--- a/src/savorywheel/transport/peer_connection_liveness.cpp
+++ b/src/savorywheel/transport/peer_connection_liveness.cpp
@@ -17,12 +17,12 @@
 
 } // namespace
 
-void peer_connection::when_open(open_callback done)
+void peer_connection::when_open(const open_callback& done)
 {
     {
         const std::scoped_lock lock{mutex_};
         if (!open_ && !closed_) {
-            open_callbacks_.push_back(std::move(done));
+            open_callbacks_.push_back(done);
             return;
         }
     }
--- a/test/savorywheel/http/http_request_shapes_test.cpp
+++ b/test/savorywheel/http/http_request_shapes_test.cpp
@@ -7,7 +7,6 @@
 #include <support/recording_http_handler.hpp>
 #include <unistd.h>
 
-#include <ostream>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -22,11 +21,6 @@
     std::string name;
     std::string bytes;
     http_request expected;
-
-    friend std::ostream& operator<<(std::ostream& output, const request_shape& shape)
-    {
-        return output << shape.name;
-    }
 };
 
 std::string text_of(const http_request& request)
