--- a/src/savorywheel/http/http_connection.cpp
+++ b/src/savorywheel/http/http_connection.cpp
@@ -1,15 +1,9 @@
-#include <savorywheel/http/body_check.hpp>
 #include <savorywheel/http/http_connection.hpp>
-#include <savorywheel/http/http_status.hpp>
-#include <savorywheel/http/oversized_length.hpp>
-#include <savorywheel/http/request_target.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
-#include <fmt/format.h>
 
 #include <algorithm>
 #include <chrono>
@@ -23,25 +17,12 @@
 namespace http = boost::beast::http;
 using std::chrono::steady_clock;
 
-constexpr std::size_t min_read_bytes = 4UL * 1024UL;
-constexpr std::size_t body_read_bytes = 32UL * 1024UL;
 /** Size up to which an empty buffer is kept. */
 constexpr std::size_t max_idle_buffer_bytes = 8UL * 1024UL;
-/** Requests of one connection in progress or with a response that waits for its turn. */
-constexpr std::size_t max_pipelined_requests = 16;
-/** Body of a rejected request that is read to keep the connection usable. */
-constexpr std::size_t max_discarded_bytes = 1024UL * 1024UL;
-/** A body of this size does not count towards the memory for bodies. */
-constexpr std::size_t unbudgeted_body_bytes = 64UL * 1024UL;
 /** Time for the caller to read the last response; closing with unread input could destroy it. */
 constexpr std::chrono::milliseconds linger_time{1000};
 constexpr std::string_view interim_response = "HTTP/1.1 100 Continue\r\n\r\n";
 
-std::string_view text_of(const boost::beast::flat_buffer& buffer)
-{
-    return {static_cast<const char*>(buffer.data().data()), buffer.size()};
-}
-
 } // namespace
 
 http_connection::http_connection(asio::ip::tcp::socket socket, http_server_state& state,
@@ -103,215 +84,6 @@
     restart_idle_timer();
 }
 
-void http_connection::read()
-{
-    if (reading_ || closed_ || buffer_.size() > state_.limits.max_header_bytes) {
-        return;
-    }
-    reading_ = true;
-    const auto size = header_checked_ ? body_read_bytes : min_read_bytes;
-    socket_.async_read_some(buffer_.prepare(size), [self = shared_from_this()](
-                                                       const error_code& error, std::size_t bytes) {
-        self->on_read(error, bytes);
-    });
-}
-
-void http_connection::on_read(const error_code& error, std::size_t bytes)
-{
-    reading_ = false;
-    if (closed_) {
-        return;
-    }
-    if (error) {
-        close();
-        return;
-    }
-    buffer_.commit(bytes);
-    last_activity_ = steady_clock::now();
-    parse();
-    read();
-}
-
-void http_connection::parse()
-{
-    while (!closed_ && !input_ended_ && parse_some()) {
-    }
-    if (input_ended_) {
-        buffer_.consume(buffer_.size());
-    }
-}
-
-bool http_connection::parse_some()
-{
-    if (!parser_ && !begin_request()) {
-        return false;
-    }
-    error_code error;
-    const auto used = parser_->put(buffer_.data(), error);
-    if (error && error != http::error::need_more) {
-        reject_malformed(error);
-        return false;
-    }
-    buffer_.consume(used);
-    if (!header_checked_ && parser_->is_header_done()) {
-        header_checked_ = true;
-        on_header();
-    }
-    if (input_ended_) {
-        return false;
-    }
-    on_body_received();
-    if (parser_->is_done()) {
-        on_request();
-        return true;
-    }
-    return !error && used > 0;
-}
-
-bool http_connection::begin_request()
-{
-    // Empty lines before a request are ignored (RFC 9112, 2.2).
-    while (text_of(buffer_).starts_with("\r\n")) {
-        buffer_.consume(2);
-    }
-    const bool has_input = buffer_.size() > 0 && text_of(buffer_) != "\r";
-    const bool waits_to_close = state_.closing && !pipeline_.empty();
-    if (!has_input || waits_to_close || pipeline_.size() >= max_pipelined_requests) {
-        return false;
-    }
-    parser_.emplace(state_.limits.max_header_bytes, state_.limits.max_buffered_body_bytes + 1);
-    header_checked_ = false;
-    rejected_ = false;
-    return true;
-}
-
-void http_connection::on_header()
-{
-    const auto announced = parser_->announced_bytes().value_or(0);
-    if (!parser_->has_known_framing()) {
-        reject(status_bad_request, "the end of the body is not known\n");
-        input_ended_ = true;
-    }
-    else if (announced > state_.limits.max_body_bytes) {
-        reject(status_payload_too_large, "request body too large\n");
-    }
-    else if (announced > state_.limits.max_buffered_body_bytes) {
-        reject(status_unavailable, "request body too large for this node, not run\n");
-    }
-    else if (announced > unbudgeted_body_bytes && !body_memory_.try_extend_to(announced)) {
-        reject(status_unavailable, "this node has no memory for the request body, not run\n");
-    }
-    else if (parser_->expects_continue() && !parser_->is_done()) {
-        continue_due_ = true;
-        write_continue();
-    }
-}
-
-/** Bodies in chunks announce no length, so their memory is taken as they arrive. */
-void http_connection::on_body_received()
-{
-    const auto received = parser_->request().body.size();
-    if (!rejected_ && received > unbudgeted_body_bytes && !body_memory_.try_extend_to(received)) {
-        reject(status_unavailable, "this node has no memory for the request body, not run\n");
-    }
-}
-
-void http_connection::on_request()
-{
-    if (!rejected_) {
-        const auto verdict = check_body(parser_->request(), state_.limits.max_body_bytes,
-                                        state_.limits.max_buffered_body_bytes);
-        switch (verdict) {
-        case body_verdict::complete: {
-            pipelined_request item;
-            item.conditions = conditions();
-            item.body_memory = std::exchange(body_memory_, byte_lease{state_.bodies});
-            item.request = std::move(parser_->request());
-            item.is_safe = is_safe_method(item.request.method);
-            make_origin_form(item.request);
-            input_ended_ = item.conditions.closes;
-            push(std::move(item));
-            break;
-        }
-        case body_verdict::too_large:
-            reject(status_payload_too_large, "request body too large\n");
-            break;
-        case body_verdict::unbuffered:
-            reject(status_unavailable, "request body too large for this node, not run\n");
-            break;
-        default:
-            reject(status_bad_request, "request body without a definite length\n");
-            input_ended_ = true;
-            break;
-        }
-    }
-    body_memory_ = byte_lease{state_.bodies};
-    continue_due_ = false;
-    header_checked_ = false;
-    parser_.reset();
-    start_requests();
-    write_next();
-}
-
-/** Responds in place of the handler; the rest of the body is discarded. */
-void http_connection::reject(int status, std::string_view explanation)
-{
-    rejected_ = true;
-    auto& request = parser_->request();
-    const auto announced = parser_->announced_bytes().value_or(0);
-    if (state_.listener != nullptr) {
-        state_.listener->on_rejected(
-            status, request.target,
-            fmt::format("{} bytes of the body received, announced {}, allowed {}, buffered {}",
-                        request.body.size(), find_header(request.headers, "Content-Length"),
-                        state_.limits.max_body_bytes, state_.limits.max_buffered_body_bytes));
-    }
-    parser_->discard_body();
-    body_memory_ = byte_lease{state_.bodies};
-    pipelined_request item;
-    item.conditions = conditions();
-    item.conditions.closes =
-        item.conditions.closes || announced > max_discarded_bytes || status == status_bad_request;
-    item.is_safe = true;
-    item.response = http_response{status, {}, std::string{explanation}};
-    input_ended_ = item.conditions.closes;
-    push(std::move(item));
-    write_next();
-}
-
-/** Behind a malformed request, the next one cannot be located. */
-void http_connection::reject_malformed(const error_code& error)
-{
-    int status = status_bad_request;
-    if (error == http::error::header_limit) {
-        status = status_header_too_large;
-    }
-    else if (error == http::error::bad_content_length && has_oversized_length(text_of(buffer_))) {
-        status = status_payload_too_large;
-    }
-    if (state_.listener != nullptr) {
-        state_.listener->on_library_error(
-            fmt::format("malformed request, status {}: {}", status, error.message()));
-    }
-    pipelined_request item;
-    item.conditions.closes = true;
-    item.is_safe = true;
-    item.response = http_response{status, {}, error.message() + "\n"};
-    input_ended_ = true;
-    parser_.reset();
-    push(std::move(item));
-    write_next();
-}
-
-response_conditions http_connection::conditions() const
-{
-    response_conditions result;
-    result.closes = !parser_->keep_alive();
-    result.confirms_keep_alive = parser_->keep_alive() && parser_->is_http_1_0();
-    result.head_request = parser_->is_head();
-    return result;
-}
-
 void http_connection::push(pipelined_request item)
 {
     state_.monitor.adjust_request_count(1);
--- a/src/savorywheel/node/traffic_server_limits.cpp
+++ b/src/savorywheel/node/traffic_server_limits.cpp
@@ -7,8 +7,7 @@
 
 namespace {
 
-/** A connection takes about 100 kB, and callers that retry during an overload open new ones; the
- * limit keeps their memory at 50 MB. */
+/** Callers that retry during an overload open new connections; the limit bounds their memory. */
 constexpr unsigned max_caller_connections = 500;
 
 /** Half of the largest frame to another node, 8 MiB: while a call is sent, the server, the call and
