Log what a step of a move rests on, and when a suspicion begins and ends

Change: the reasons of steps and withdrawals give calls, failures and score of both versions; SW6013 and SW6014 report the begin and the end of a suspicion.

--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -135,6 +135,10 @@
                       "An override with an unknown author was published for a modified commit."},
     event_description{event_id::predecessor_evidence_unreadable, warning,
                       "The evidence left by the previous controller of a move cannot be decoded."},
+    event_description{event_id::version_suspected, warning,
+                      "A new version is suspected of a fault; its share does not grow."},
+    event_description{event_id::suspicion_ended, info,
+                      "A new version is no longer suspected of a fault."},
 };
 
 } // namespace
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -71,7 +71,9 @@
     controller_lease_lost = 6009,
     commit_rewritten = 6010,
     override_by_unknown_author = 6011,
-    predecessor_evidence_unreadable = 6012
+    predecessor_evidence_unreadable = 6012,
+    version_suspected = 6013,
+    suspicion_ended = 6014
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/rollout/evidence_policy.cpp
+++ b/src/savorywheel/rollout/evidence_policy.cpp
@@ -16,6 +16,16 @@
  * its share is small. */
 constexpr std::uint32_t max_skip_target_permille = 200;
 
+/** Describes what the decision rests on. */
+std::string describe(const fault_monitor& monitor, double threshold)
+{
+    return fmt::format(
+        "{} calls of the new version, {} of them failed; the old version failed {} of {}; "
+        "fault score {:.1f} of {:.1f}",
+        monitor.new_calls().calls, monitor.new_calls().hits, monitor.old_calls().hits,
+        monitor.old_calls().calls, monitor.strongest().score, threshold);
+}
+
 /** The next step, or the one after it if that one is due by schedule. */
 std::uint32_t target_step(const rollout_move& move, std::uint32_t progress, calendar_time now)
 {
@@ -33,10 +43,12 @@
     update_step_start(view);
     monitor_.observe(view);
     const auto& finding = monitor_.strongest();
-    const auto score_ratio = finding.score / fault_threshold(view.service, 1);
+    threshold_ = fault_threshold(view.service, 1);
+    const auto score_ratio = finding.score / threshold_;
     const auto& move = *view.service.move;
     if (score_ratio >= 1.0) {
-        return {rollout_action::withdraw, move.from, finding.description};
+        return {rollout_action::withdraw, move.from,
+                finding.description + "; after " + describe(monitor_, threshold_)};
     }
     if (move.status == move_status::done) {
         return {rollout_action::hold, {}, "the target is in force"};
@@ -44,7 +56,8 @@
     const bool late = view.now >= finish_time(move);
     if (late && score_ratio >= hold_min_score_ratio) {
         return {rollout_action::withdraw, move.from,
-                "suspected until the deadline: " + finding.description};
+                "suspected until the deadline: " + finding.description + "; after " +
+                    describe(monitor_, threshold_)};
     }
     return decide_step(view, score_ratio);
 }
@@ -57,7 +70,10 @@
         return {rollout_action::hold, {}, "no backend server of the new version serves"};
     }
     if (score_ratio >= hold_min_score_ratio) {
-        return {rollout_action::hold, {}, "suspected: " + monitor_.strongest().description};
+        return {rollout_action::hold,
+                {},
+                monitor_.strongest().description + "; after " + describe(monitor_, threshold_),
+                true};
     }
     if (progress >= weight_sum_permille) {
         return finish(view);
@@ -66,8 +82,8 @@
         return {rollout_action::hold, {}, "waits for evidence or the schedule"};
     }
     const auto next = target_step(move, progress, view.now);
-    auto reason = fmt::format("{}.{} % of the move after {} calls of the new version", next / 10,
-                              next % 10, monitor_.new_calls());
+    auto reason = fmt::format("{}.{} % of the move after {}", next / 10, next % 10,
+                              describe(monitor_, threshold_));
     return {rollout_action::advance, shares_at(move, next), std::move(reason)};
 }
 
@@ -79,7 +95,7 @@
         return {rollout_action::hold, {}, "the old versions finish their calls"};
     }
     return {rollout_action::finish, view.service.move->to,
-            fmt::format("in force after {} calls of the new version", monitor_.new_calls())};
+            "in force after " + describe(monitor_, threshold_)};
 }
 
 bool evidence_policy::step_due(const rollout_view& view, std::uint32_t progress) const
@@ -92,7 +108,7 @@
 bool evidence_policy::early_step_allowed(const rollout_view& view, double score_ratio) const
 {
     return score_ratio < early_step_max_score_ratio &&
-           monitor_.new_calls() - calls_at_step_ >= early_step_calls &&
+           monitor_.new_calls().calls - calls_at_step_ >= early_step_calls &&
            view.now - step_at_ >= early_step_interval(*view.service.move);
 }
 
@@ -103,7 +119,7 @@
     if (progress_ != progress) {
         progress_ = progress;
         step_at_ = view.now;
-        calls_at_step_ = monitor_.new_calls();
+        calls_at_step_ = monitor_.new_calls().calls;
     }
 }
 
--- a/src/savorywheel/rollout/evidence_policy.hpp
+++ b/src/savorywheel/rollout/evidence_policy.hpp
@@ -29,6 +29,7 @@
     void update_step_start(const rollout_view& view);
 
     fault_monitor monitor_;
+    double threshold_{};
     std::optional<std::uint32_t> progress_;
     calendar_time step_at_{};
     std::uint64_t calls_at_step_{};
--- a/src/savorywheel/rollout/fault_monitor.cpp
+++ b/src/savorywheel/rollout/fault_monitor.cpp
@@ -77,9 +77,10 @@
     const auto samples = group(view);
     for (const auto& [stratum, pair] : samples) {
         if (stratum.route != all_routes) {
-            new_calls_ += pair.new_sample.failures.calls;
+            new_calls_ += pair.new_sample.failures;
+            old_calls_ += pair.old_sample.failures;
         }
-        if (new_calls_ > 0 && !first_new_call_) {
+        if (new_calls_.calls > 0 && !first_new_call_) {
             first_new_call_ = view.now;
         }
     }
--- a/src/savorywheel/rollout/fault_monitor.hpp
+++ b/src/savorywheel/rollout/fault_monitor.hpp
@@ -23,15 +23,19 @@
     /** @return The strongest evidence against the new version. */
     [[nodiscard]] const fault_finding& strongest() const noexcept { return strongest_; }
 
-    /** @return Calls of the new version so far. */
-    [[nodiscard]] std::uint64_t new_calls() const noexcept { return new_calls_; }
+    /** @return Calls of the new version so far, with failures as hits. */
+    [[nodiscard]] const sample_counts& new_calls() const noexcept { return new_calls_; }
+
+    /** @return Calls of the old versions so far, with failures as hits. */
+    [[nodiscard]] const sample_counts& old_calls() const noexcept { return old_calls_; }
 
 private:
     [[nodiscard]] bool warmed_up(const rollout_view& view) const;
 
     std::map<route_stratum, route_monitor> routes_;
     std::optional<calendar_time> first_new_call_;
-    std::uint64_t new_calls_{};
+    sample_counts new_calls_;
+    sample_counts old_calls_;
     fault_finding strongest_;
 };
 
--- a/src/savorywheel/rollout/move_controller.cpp
+++ b/src/savorywheel/rollout/move_controller.cpp
@@ -45,12 +45,22 @@
     else if (decision.action == rollout_action::withdraw) {
         issued = withdrawal_notice{move_.service, move_.asked_at, self_, decision.reason};
     }
+    log_suspicion(decision);
     if (input.leader && !append_in_flight_ && !retry(input.state)) {
         write(decision, input);
     }
     return issued;
 }
 
+void move_controller::log_suspicion(const rollout_decision& decision)
+{
+    if (std::exchange(suspected_, decision.suspected) != decision.suspected) {
+        environment_.log.write(decision.suspected ? event_id::version_suspected
+                                                  : event_id::suspicion_ended,
+                               fmt::format("{}: {}", move_.service.str(), decision.reason));
+    }
+}
+
 rollout_decision move_controller::decide(const service_state& service, const period& input)
 {
     if (input.predecessor != nullptr) {
--- a/src/savorywheel/rollout/move_controller.hpp
+++ b/src/savorywheel/rollout/move_controller.hpp
@@ -73,6 +73,7 @@
 
 private:
     [[nodiscard]] rollout_decision decide(const service_state& service, const period& input);
+    void log_suspicion(const rollout_decision& decision);
     void write(const rollout_decision& decision, const period& input);
     void send();
     void on_written(const outcome<bool>& written);
@@ -85,6 +86,7 @@
     evidence_accumulator evidence_;
     std::optional<commit> pending_;
     bool append_in_flight_{};
+    bool suspected_{};
     std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
 };
 
--- a/src/savorywheel/rollout/rollout_decision.hpp
+++ b/src/savorywheel/rollout/rollout_decision.hpp
@@ -16,6 +16,8 @@
     std::vector<version_weight> weights;
     /** @brief Explanation for operators. */
     std::string reason;
+    /** @brief True if the new version is suspected, but not enough to withdraw the move. */
+    bool suspected{};
 };
 
 } // namespace savorywheel
