Report and decide about a short move each 500 ms

Cause: evidence waited up to 1 s for the report and up to 1 s for the decision, and each step waited for a period before its interval began. Change: the period follows the moves in progress: 500 ms for one of less than a minute, else 1 s.

--- a/src/savorywheel/node/rollout_service.cpp
+++ b/src/savorywheel/node/rollout_service.cpp
@@ -1,14 +1,16 @@
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/rollout/monitored_moves.hpp>
+#include <savorywheel/rollout/step_schedule.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace savorywheel {
 
 namespace {
 
-constexpr std::chrono::milliseconds period_length{1000};
+constexpr std::chrono::milliseconds longest_period{1000};
 
 } // namespace
 
@@ -29,18 +31,22 @@
 
 void rollout_service::start()
 {
-    timer_ = environment_.loop.timers().every(period_length, [this] { run_period(); });
+    schedule();
 }
 
 void rollout_service::stop()
 {
     timer_.reset();
+    period_ = {};
     controllers_.set_services({});
 }
 
 void rollout_service::on_configuration(const mesh_state& state)
 {
     state_ = state;
+    if (next_period() < period_) {
+        schedule();
+    }
     broadcaster_.active_notices().erase_ended(state);
     publish_ejections();
 }
@@ -61,6 +67,26 @@
 
 void rollout_service::on_closed(const frame_sink& /*connection*/, bool /*established*/) {}
 
+std::chrono::milliseconds rollout_service::next_period() const
+{
+    auto period = longest_period;
+    for (const auto& [name, service] : state_.services()) {
+        if (service->move) {
+            period = std::min(period, evidence_period(*service->move));
+        }
+    }
+    return period;
+}
+
+void rollout_service::schedule()
+{
+    period_ = next_period();
+    timer_ = environment_.loop.timers().after(period_, [this] {
+        schedule();
+        run_period();
+    });
+}
+
 void rollout_service::run_period()
 {
     evidence_table own;
--- a/src/savorywheel/node/rollout_service.hpp
+++ b/src/savorywheel/node/rollout_service.hpp
@@ -73,6 +73,9 @@
     void on_closed(const frame_sink& connection, bool established) override;
 
 private:
+    /** @return Time until the next run: the shortest evidence period of the moves. */
+    [[nodiscard]] std::chrono::milliseconds next_period() const;
+    void schedule();
     void run_period();
     void observe_own_calls(const service_state& service, std::span<const route_evidence> evidence);
     void control(const service_state& service);
@@ -88,6 +91,7 @@
     controller_set controllers_;
     local_ejector ejector_;
     commit_rewrite_monitor rewrite_detector_;
+    std::chrono::milliseconds period_{};
     subscription timer_;
 };
 
--- a/src/savorywheel/rollout/step_schedule.cpp
+++ b/src/savorywheel/rollout/step_schedule.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <span>
 
 namespace savorywheel {
@@ -27,6 +28,9 @@
  * the first one. */
 constexpr std::array<scheduled_step, 4> short_steps{{{50, 0}, {200, 640}, {500, 800}, {1000, 900}}};
 constexpr int due_unit = 1000;
+/** A faulty version gets its share for up to two periods, which counts in a short move. */
+constexpr std::chrono::milliseconds short_evidence_period{500};
+constexpr std::chrono::milliseconds long_evidence_period{1000};
 constexpr std::chrono::milliseconds short_move_limit{60'000};
 constexpr std::chrono::milliseconds default_move_duration{600'000};
 constexpr std::chrono::milliseconds min_move_duration{5000};
@@ -54,6 +58,13 @@
 
 } // namespace
 
+std::chrono::milliseconds evidence_period(const rollout_move& move) noexcept
+{
+    const bool is_short =
+        move.status == move_status::in_progress && duration_of(move) < short_move_limit;
+    return is_short ? short_evidence_period : long_evidence_period;
+}
+
 std::uint32_t next_progress(const rollout_move& move, std::uint32_t progress) noexcept
 {
     const auto steps = steps_of(move);
@@ -61,6 +72,13 @@
     return next == steps.end() ? steps.back().progress : next->progress;
 }
 
+std::uint32_t previous_progress(const rollout_move& move, std::uint32_t progress) noexcept
+{
+    const auto steps = steps_of(move);
+    const auto step = std::ranges::lower_bound(steps, progress, {}, &scheduled_step::progress);
+    return step == steps.begin() ? steps.front().progress : std::prev(step)->progress;
+}
+
 calendar_time finish_time(const rollout_move& move) noexcept
 {
     const auto move_duration = duration_of(move);
--- a/test/support/load_fault_simulation.cpp
+++ b/test/support/load_fault_simulation.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/rollout/move_shares.hpp>
+#include <savorywheel/rollout/step_schedule.hpp>
 #include <savorywheel/routing/weighted_version_selection.hpp>
 
 #include <support/load_fault_simulation.hpp>
@@ -112,13 +113,13 @@
             start_call();
         }
         for (const auto& node : nodes_) {
-            if (due_each_second(node->report_phase)) {
+            if (due_each_period(node->report_phase)) {
                 for (const auto& item : node->recorder.drain()) {
                     reported_.add(item);
                 }
             }
         }
-        if (due_each_second(control_phase_)) {
+        if (due_each_period(control_phase_)) {
             control();
         }
     }
@@ -235,12 +236,13 @@
     return std::chrono::duration<double>{time_.now() - monotonic_time{}}.count();
 }
 
-/** True in one step of each second, at the given part of the second. */
-bool load_fault_simulation::due_each_second(double phase) const
+/** True in one step of each evidence period, at the given part of the period. */
+bool load_fault_simulation::due_each_period(double phase) const
 {
-    const auto in_step = std::chrono::duration<double>{step}.count();
-    const auto since = seconds() - phase;
-    return since >= 0.0 && since - static_cast<int>(since) < in_step;
+    const std::chrono::duration<double> period = evidence_period(*service_.move);
+    const auto since = seconds() / period.count() - phase;
+    return since >= 0.0 &&
+           since - static_cast<int>(since) < std::chrono::duration<double>{step} / period;
 }
 
 } // namespace savorywheel::test
--- a/test/support/load_fault_simulation.hpp
+++ b/test/support/load_fault_simulation.hpp
@@ -57,7 +57,7 @@
     void end_calls();
     void control();
     [[nodiscard]] double seconds() const;
-    [[nodiscard]] bool due_each_second(double phase) const;
+    [[nodiscard]] bool due_each_period(double phase) const;
 
     rollout_policy& policy_;
     load_fault_scenario scenario_;
