Compare a new version with the old one's failures of the last seconds

Cause: the old version's rate was that of about 50 s, so that at the start of an overload each block looked like an outage of both; the threshold counted each configured route (19.2 with some 200 routes, most without calls); failures were compared by distance, which halved the evidence; and no size between 5 % and 40 % was tested. Change: the rate of about ten blocks; a threshold by the strata that have calls and by the phase of the move; failures over all distances, latencies by distance as before and in blocks of a second; a fourth size. After the old version has gone, a stratum with fewer than 20 of its calls is not judged.

--- a/src/savorywheel/rollout/evidence_policy.cpp
+++ b/src/savorywheel/rollout/evidence_policy.cpp
@@ -43,7 +43,7 @@
     update_step_start(view);
     monitor_.observe(view);
     const auto& finding = monitor_.strongest();
-    threshold_ = fault_threshold(view.service, 1);
+    threshold_ = fault_threshold(*view.service.move, monitor_.stratum_count(), 1);
     const auto score_ratio = finding.score / threshold_;
     const auto& move = *view.service.move;
     if (score_ratio >= 1.0) {
--- a/src/savorywheel/rollout/fault_monitor.cpp
+++ b/src/savorywheel/rollout/fault_monitor.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/rollout/fault_monitor.hpp>
 #include <savorywheel/rollout/move_shares.hpp>
+#include <savorywheel/rollout/step_schedule.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -11,11 +12,13 @@
 constexpr std::chrono::milliseconds max_warm_up{10'000};
 /** Limits the warm-up to a fraction of a short move, so that time remains to evaluate latency. */
 constexpr int warm_up_divisor = 4;
-constexpr double false_alarms_per_move = 0.01;
-constexpr std::chrono::seconds min_monitoring_time{600};
+/** Until the move is done, and again as many afterwards. */
+constexpr double false_alarms_per_phase = 0.005;
+constexpr std::chrono::seconds min_monitoring_time{10};
+constexpr std::chrono::seconds default_monitoring_time{600};
 constexpr std::chrono::seconds max_monitoring_time{86'400};
-constexpr std::size_t properties_per_route = 2;
-constexpr std::size_t strata_per_route = 2;
+/** A stall of one server may fill a block, whose weight is limited, so blocks are not shorter. */
+constexpr std::chrono::milliseconds latency_block_time{1000};
 constexpr const char* all_routes = "all";
 
 struct sample_pair {
@@ -23,31 +26,37 @@
     route_sample new_sample;
 };
 
-void add(const route_evidence& item, route_sample& sample)
+void add_failures(const route_evidence& item, route_sample& sample)
 {
     sample.failures += {item.calls, std::min(item.failures, item.calls)};
-    sample.latencies.add(item.latencies);
     sample.failed_at.insert(item.failed_at.begin(), item.failed_at.end());
 }
 
-void add(const rollout_move& move, const route_evidence& item, sample_pair& pair)
+void add_latencies(const route_evidence& item, route_sample& sample)
 {
-    if (gains_share(move, item.version)) {
-        add(item, pair.new_sample);
-    }
-    else if (loses_share(move, item.version)) {
-        add(item, pair.old_sample);
-    }
+    sample.latencies.add(item.latencies);
 }
 
 /** Groups evidence by route, and also over all routes, which detects small faults sooner. */
 std::map<route_stratum, sample_pair> group(const rollout_view& view)
 {
+    const auto& move = *view.service.move;
     std::map<route_stratum, sample_pair> routes;
+    const auto add = [&](const std::string& route, const route_evidence& item, bool is_new) {
+        auto& failures = routes[{route, route_distance::any}];
+        add_failures(item, is_new ? failures.new_sample : failures.old_sample);
+        auto& latencies = routes[{route, item.other_region ? route_distance::other_region
+                                                           : route_distance::same_region}];
+        add_latencies(item, is_new ? latencies.new_sample : latencies.old_sample);
+    };
     for (const auto& item : view.evidence) {
-        add(*view.service.move, item, routes[{item.route, item.other_region}]);
+        const bool is_new = gains_share(move, item.version);
+        if (!is_new && !loses_share(move, item.version)) {
+            continue;
+        }
+        add(item.route, item, is_new);
         if (view.service.spec.routes.size() > 1) {
-            add(*view.service.move, item, routes[{all_routes, item.other_region}]);
+            add(all_routes, item, is_new);
         }
     }
     return routes;
@@ -84,6 +93,10 @@
             first_new_call_ = view.now;
         }
     }
+    const bool latency_due = view.now - latency_evaluated_at_ >= latency_block_time;
+    if (latency_due) {
+        latency_evaluated_at_ = view.now;
+    }
     for (const auto& [stratum, pair] : samples) {
         auto& monitor = routes_[stratum];
         if (old_versions_drained) {
@@ -91,6 +104,9 @@
         }
         else {
             monitor.observe(pair.old_sample, pair.new_sample, warmed_up(view));
+            if (latency_due) {
+                monitor.evaluate_latency();
+            }
         }
     }
     strongest_ = {};
@@ -107,18 +123,19 @@
     return first_new_call_ && view.now - *first_new_call_ >= warm_up_of(*view.service.move);
 }
 
-double fault_threshold(const service_state& service, std::size_t monitor_count)
+double fault_threshold(const rollout_move& move, std::size_t stratum_count,
+                       std::size_t monitor_count)
 {
-    const auto& move = *service.move;
+    const bool has_plan = move.due && move.status == move_status::in_progress;
     const auto planned_time =
-        move.due ? std::chrono::floor<std::chrono::seconds>(*move.due - move.started_at)
-                 : min_monitoring_time;
+        has_plan ? std::chrono::floor<std::chrono::seconds>(*move.due - move.started_at)
+                 : default_monitoring_time;
     const auto monitoring_time = std::clamp(planned_time, min_monitoring_time, max_monitoring_time);
-    const auto test_count = (service.spec.routes.size() + 1) * effect_size_count *
-                            properties_per_route * strata_per_route *
+    const auto evaluations = monitoring_time / evidence_period(move);
+    const auto test_count = std::max<std::size_t>(stratum_count, 1) * effect_size_count *
                             std::max<std::size_t>(monitor_count, 1);
-    return std::log(static_cast<double>(monitoring_time.count()) * static_cast<double>(test_count) /
-                    false_alarms_per_move);
+    return std::log(static_cast<double>(evaluations) * static_cast<double>(test_count) /
+                    false_alarms_per_phase);
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/rollout/local_ejector.cpp
+++ b/src/savorywheel/rollout/local_ejector.cpp
@@ -17,7 +17,8 @@
     }
     item.monitor.observe(view);
     const auto& finding = item.monitor.strongest();
-    if (!item.ejected && finding.score < fault_threshold(service, monitor_count)) {
+    if (!item.ejected &&
+        finding.score < fault_threshold(move, item.monitor.stratum_count(), monitor_count)) {
         return;
     }
     const auto text = fmt::format("{} {}", service.spec.name.str(), finding.description);
--- a/src/savorywheel/rollout/route_monitor.cpp
+++ b/src/savorywheel/rollout/route_monitor.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr detector_settings failure_settings{0.002, 250.0, {0.01, 0.05, 0.4}, 1000.0};
-constexpr detector_settings slowness_settings{0.1, 50.0, {0.15, 0.4, 0.8}, 4.0};
+constexpr detector_settings failure_settings{0.002, 250.0, {0.01, 0.05, 0.15, 0.4}, 1000.0};
+constexpr detector_settings slowness_settings{0.1, 50.0, {0.15, 0.25, 0.4, 0.8}, 4.0};
 constexpr std::chrono::milliseconds min_slow_latency{5};
 constexpr std::uint64_t min_latency_samples = 100;
 constexpr double slow_share = 0.1;
@@ -28,11 +28,9 @@
                             bool test_latency)
 {
     failures_.observe(old_sample.failures, new_sample.failures);
+    old_block_.add(old_sample.latencies);
     if (test_latency) {
-        observe_latency(old_sample.latencies, new_sample.latencies);
-    }
-    else {
-        old_latencies_.add(old_sample.latencies);
+        new_block_.add(new_sample.latencies);
     }
     accumulate_counts(old_sample, new_sample);
 }
@@ -63,17 +61,18 @@
                         bound.count())};
 }
 
-void route_monitor::observe_latency(const latency_histogram& old_latencies,
-                                    const latency_histogram& new_latencies)
+void route_monitor::evaluate_latency()
 {
     if (slow_threshold_bucket_ == 0 && old_latencies_.total() >= min_latency_samples) {
         slow_threshold_bucket_ = slow_bucket();
     }
     if (slow_threshold_bucket_ > 0) {
-        slowness_.observe(slow_calls(old_latencies, slow_threshold_bucket_),
-                          slow_calls(new_latencies, slow_threshold_bucket_));
+        slowness_.observe(slow_calls(old_block_, slow_threshold_bucket_),
+                          slow_calls(new_block_, slow_threshold_bucket_));
     }
-    old_latencies_.add(old_latencies);
+    old_latencies_.add(old_block_);
+    old_block_ = {};
+    new_block_ = {};
 }
 
 /** Returns the first bucket, from that of min_slow_latency on, that at most a tenth of the old
--- a/src/savorywheel/rollout/route_monitor.hpp
+++ b/src/savorywheel/rollout/route_monitor.hpp
@@ -36,6 +36,9 @@
      */
     void observe(const route_sample& old_sample, const route_sample& new_sample, bool test_latency);
 
+    /** @brief Compares the latencies of the samples since the last call, as one block. */
+    void evaluate_latency();
+
     /** @brief Evaluates one period after the old version's share has reached zero. */
     void observe_new_only(const route_sample& new_sample);
 
@@ -48,14 +51,14 @@
     [[nodiscard]] fault_finding finding(std::string_view route, std::size_t new_servers) const;
 
 private:
-    void observe_latency(const latency_histogram& old_latencies,
-                         const latency_histogram& new_latencies);
     [[nodiscard]] std::size_t slow_bucket() const noexcept;
     void accumulate_counts(const route_sample& old_sample, const route_sample& new_sample);
 
     sequential_detector failures_;
     sequential_detector slowness_;
     latency_histogram old_latencies_;
+    latency_histogram old_block_;
+    latency_histogram new_block_;
     std::size_t slow_threshold_bucket_{};
     std::set<node_id> failed_at_;
     sample_counts old_counts_;
--- a/src/savorywheel/rollout/route_stratum.hpp
+++ b/src/savorywheel/rollout/route_stratum.hpp
@@ -1,17 +1,19 @@
 #ifndef SAVORYWHEEL_ROLLOUT_ROUTE_STRATUM_HPP
 #define SAVORYWHEEL_ROLLOUT_ROUTE_STRATUM_HPP
 
+#include <savorywheel/rollout/route_distance.hpp>
+
 #include <compare>
 #include <string>
 
 namespace savorywheel {
 
-/** @brief Stratum of comparable calls: same route and same distance to the backend server. */
+/** @brief Stratum of comparable calls; latencies are comparable only at the same distance. */
 struct route_stratum {
     /** @brief Path of the route. */
     std::string route;
-    /** @brief True if the backend server is in another region than the caller's node. */
-    bool other_region{};
+    /** @brief Distance between the callers' nodes and the backend servers. */
+    route_distance distance{route_distance::any};
 
     [[nodiscard]] friend auto operator<=>(const route_stratum&, const route_stratum&) = default;
 };
--- a/src/savorywheel/rollout/sequential_detector.cpp
+++ b/src/savorywheel/rollout/sequential_detector.cpp
@@ -8,7 +8,10 @@
 namespace {
 
 constexpr double max_rate = 0.99;
-constexpr double baseline_decay_per_block = 0.98;
+/** The old version's rate is that of about the last ten blocks, so that it follows an overload. */
+constexpr double baseline_decay_per_block = 0.9;
+/** Calls of the old version that must be known before the new one is compared with its rate. */
+constexpr std::uint64_t min_baseline_calls = 20;
 constexpr double new_only_tolerated_factor = 3.0;
 constexpr double new_only_tolerated_excess = 0.05;
 
@@ -17,6 +20,7 @@
 void sequential_detector::observe(const sample_counts& old_counts, const sample_counts& new_counts)
 {
     old_block_ += old_counts;
+    known_old_calls_ += old_counts.calls;
     new_block_ += new_counts;
     if (old_block_.calls > 0 && new_block_.calls > 0) {
         evaluate_block();
@@ -31,6 +35,9 @@
 
 void sequential_detector::observe_new_only(const sample_counts& new_counts)
 {
+    if (known_old_calls_ < min_baseline_calls) {
+        return;
+    }
     const auto rate = old_rate();
     const auto null_rate = std::min(
         std::max(rate * new_only_tolerated_factor, rate + new_only_tolerated_excess), max_rate);
--- a/src/savorywheel/rollout/sequential_detector.hpp
+++ b/src/savorywheel/rollout/sequential_detector.hpp
@@ -9,7 +9,7 @@
 namespace savorywheel {
 
 /** @brief Number of effect sizes that a detector tests in parallel. */
-inline constexpr std::size_t effect_size_count = 3;
+inline constexpr std::size_t effect_size_count = 4;
 
 /** @brief Parameters of a sequential detector for one property of calls. */
 struct detector_settings {
@@ -41,7 +41,7 @@
     void observe(const sample_counts& old_counts, const sample_counts& new_counts);
 
     /** @brief Adds the counts of a period without calls of the old version; detects only the
-     * largest effect size. */
+     * largest effect size, and only if enough calls of the old version are known. */
     void observe_new_only(const sample_counts& new_counts);
 
     /** @return The largest sum. */
@@ -57,6 +57,7 @@
     std::array<double, effect_size_count> sums_{};
     sample_counts old_block_;
     sample_counts new_block_;
+    std::uint64_t known_old_calls_{};
     double old_calls_{};
     double old_hits_{};
 };
