Take a suspected version back a step instead of holding its share

Callers saw: a version that was suspected kept its share of 50 % until the deadline and gathered its evidence there. Cause: an elevated score below the threshold only suspended the steps. Change: while a version is suspected, its share goes back step by step to the first one, once it has got 50 calls. Result: suspected_version_does_not_keep_its_share failed before (hold) and passes.

--- a/src/savorywheel/rollout/evidence_policy.cpp
+++ b/src/savorywheel/rollout/evidence_policy.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <utility>
+
 namespace savorywheel {
 
 namespace {
@@ -11,6 +13,8 @@
 constexpr std::uint64_t early_step_calls = 200;
 constexpr double early_step_max_score_ratio = 0.25;
 constexpr double hold_min_score_ratio = 0.5;
+/** A version that few calls have reached gathers its evidence faster at its present share. */
+constexpr std::uint64_t min_calls_to_step_back = 50;
 
 /** Above this share no step is skipped, even when late, so that a faulty version is detected while
  * its share is small. */
@@ -70,10 +74,7 @@
         return {rollout_action::hold, {}, "no backend server of the new version serves"};
     }
     if (score_ratio >= hold_min_score_ratio) {
-        return {rollout_action::hold,
-                {},
-                monitor_.strongest().description + "; after " + describe(monitor_, threshold_),
-                true};
+        return decide_suspected(move, progress);
     }
     if (progress >= weight_sum_permille) {
         return finish(view);
@@ -87,6 +88,19 @@
     return {rollout_action::advance, shares_at(move, next), std::move(reason)};
 }
 
+rollout_decision evidence_policy::decide_suspected(const rollout_move& move,
+                                                   std::uint32_t progress) const
+{
+    auto reason = monitor_.strongest().description + "; after " + describe(monitor_, threshold_);
+    const auto previous = previous_progress(move, progress);
+    if (previous >= progress || monitor_.new_calls().calls < min_calls_to_step_back) {
+        return {rollout_action::hold, {}, std::move(reason), true};
+    }
+    return {rollout_action::advance, shares_at(move, previous),
+            fmt::format("back to {}.{} % of the move: {}", previous / 10, previous % 10, reason),
+            true};
+}
+
 /** Backend servers of the old versions may stop once a move is done, so calls in flight complete
  * first. */
 rollout_decision evidence_policy::finish(const rollout_view& view) const
--- a/src/savorywheel/rollout/evidence_policy.hpp
+++ b/src/savorywheel/rollout/evidence_policy.hpp
@@ -13,8 +13,9 @@
  * @brief Increases the new version's share in steps, by evidence and by schedule.
  *
  * Withdraws the move as soon as the fault score of the new version reaches the threshold. A step
- * is taken early after enough calls with a low score, otherwise by schedule. An elevated score
- * below the threshold suspends the steps; if it persists at the scheduled finish, the move is
+ * is taken early after enough calls with a low score, otherwise by schedule. While the score is
+ * elevated, but below the threshold, steps are taken back to the first one, as the version must not
+ * gather its evidence at a large share; if it persists at the scheduled finish, the move is
  * withdrawn.
  */
 class evidence_policy final : public rollout_policy {
@@ -23,6 +24,8 @@
 
 private:
     [[nodiscard]] rollout_decision decide_step(const rollout_view& view, double score_ratio);
+    [[nodiscard]] rollout_decision decide_suspected(const rollout_move& move,
+                                                    std::uint32_t progress) const;
     [[nodiscard]] rollout_decision finish(const rollout_view& view) const;
     [[nodiscard]] bool step_due(const rollout_view& view, std::uint32_t progress) const;
     [[nodiscard]] bool early_step_allowed(const rollout_view& view, double score_ratio) const;
--- a/test/savorywheel/rollout/evidence_policy_test.cpp
+++ b/test/savorywheel/rollout/evidence_policy_test.cpp
@@ -25,6 +25,18 @@
     return state;
 }
 
+route_evidence make_evidence(const version_name& version, std::uint64_t calls,
+                             std::uint64_t failures)
+{
+    route_evidence item;
+    item.version = version;
+    item.route = "/plugs";
+    item.calls = calls;
+    item.failures = failures;
+    item.failed_at = {node_id{"a"}, node_id{"b"}};
+    return item;
+}
+
 } // namespace
 
 TEST(evidence_policy, late_move_does_not_skip_the_50_percent_step)
@@ -38,4 +50,20 @@
     EXPECT_EQ(progress_of(*state.move, decision.weights), 500U);
 }
 
+TEST(evidence_policy, suspected_version_does_not_keep_its_share)
+{
+    constexpr std::uint32_t a_half = 500;
+    const auto state = make_state(a_half);
+    const auto now = started + std::chrono::seconds{8};
+    evidence_policy subject;
+    std::vector<route_evidence> evidence{make_evidence(old_version, 500, 5),
+                                         make_evidence(new_version, 100, 0)};
+    static_cast<void>(subject.decide({state, evidence, 2, now}));
+    evidence.back() = make_evidence(new_version, 100, 8);
+    const auto decision = subject.decide({state, evidence, 2, now});
+    ASSERT_EQ(decision.action, rollout_action::advance);
+    EXPECT_TRUE(decision.suspected);
+    EXPECT_EQ(progress_of(*state.move, decision.weights), 200U);
+}
+
 } // namespace savorywheel::test
