Give a version under rollout as many backend servers as its share needs

Cause: the load of a step was not the load of the end. A fifth of the calls over all new servers gives each a fifth of its later load, so a fault that needs load shows only at a share that is itself too large. Change: the routing table marks the endpoints beyond the fraction that the share needs (at least two are kept) as standby; they get one call in 16, so that each server is tried.

--- a/src/savorywheel/routing/locality_endpoint_selector.cpp
+++ b/src/savorywheel/routing/locality_endpoint_selector.cpp
@@ -10,6 +10,9 @@
 
 /** A warming backend server is assumed to have this fraction of its slots. */
 constexpr std::uint32_t warming_divisor = 4;
+/** One call in so many to a version under rollout goes to a standby endpoint, so that each of its
+ * backend servers is tried before it has its full load. */
+constexpr std::uint64_t standby_call_interval = 16;
 
 } // namespace
 
@@ -18,10 +21,12 @@
                                                          std::span<const node_id> tried,
                                                          const call_profile& call)
 {
+    const bool to_standby = selects_standby(endpoints, version);
     std::vector<const route_endpoint*> available;
     std::vector<const route_endpoint*> all;
     for (const auto& endpoint : endpoints) {
-        if (endpoint.version != version || std::ranges::find(tried, endpoint.node) != tried.end()) {
+        if (endpoint.version != version || endpoint.standby != to_standby ||
+            std::ranges::find(tried, endpoint.node) != tried.end()) {
             continue;
         }
         all.push_back(&endpoint);
@@ -38,6 +43,15 @@
     return select_less_loaded(available.empty() ? all : available);
 }
 
+bool locality_endpoint_selector::selects_standby(std::span<const route_endpoint> endpoints,
+                                                 const version_name& version)
+{
+    const bool any = std::ranges::any_of(endpoints, [&version](const route_endpoint& endpoint) {
+        return endpoint.standby && endpoint.version == version;
+    });
+    return any && environment_.random.below(standby_call_interval) == 0;
+}
+
 const route_endpoint*
 locality_endpoint_selector::select_nearest_with_capacity(endpoint_pointers candidates)
 {
--- a/src/savorywheel/routing/locality_endpoint_selector.hpp
+++ b/src/savorywheel/routing/locality_endpoint_selector.hpp
@@ -50,6 +50,8 @@
 private:
     using endpoint_pointers = std::span<const route_endpoint* const>;
 
+    [[nodiscard]] bool selects_standby(std::span<const route_endpoint> endpoints,
+                                       const version_name& version);
     [[nodiscard]] endpoint_distance distance_to(const route_endpoint& endpoint) const noexcept;
     [[nodiscard]] bool has_capacity(const route_endpoint& endpoint) const;
     [[nodiscard]] double load_of(const route_endpoint& endpoint);
--- a/src/savorywheel/routing/route_endpoint.hpp
+++ b/src/savorywheel/routing/route_endpoint.hpp
@@ -21,6 +21,8 @@
     server_state state{server_state::serving};
     /** @brief Number of requests that the backend server runs concurrently. */
     std::uint32_t slots{};
+    /** @brief True if the version under rollout does not need the endpoint for its share. */
+    bool standby{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/routing_table_builder.cpp
+++ b/src/savorywheel/routing/routing_table_builder.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/routing/canary_set.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
 
 #include <utility>
@@ -14,7 +15,7 @@
 route_endpoint endpoint_of(const member_record& record)
 {
     return {record.id,      record.peer,  record.domain, record.region,
-            record.version, record.state, record.slots};
+            record.version, record.state, record.slots,  false};
 }
 
 } // namespace
@@ -57,6 +58,7 @@
                 routes->endpoints.push_back(endpoint_of(*record));
             }
         }
+        mark_standby_endpoints(*service, routes->endpoints);
     }
     cached = {revision, std::move(routes)};
     return cached.routes;
