Assume several rates of the old version when it is compared with a new one

Cause: the only assumed rate of the old version was its estimate from earlier periods. When a load begins, it is far too low, each block speaks against the hypothesis, and the sum is cut to zero. Change: the test runs for the estimate and for five fixed rates; the threshold counts them.

--- a/src/savorywheel/rollout/fault_monitor.cpp
+++ b/src/savorywheel/rollout/fault_monitor.cpp
@@ -132,8 +132,8 @@
                  : default_monitoring_time;
     const auto monitoring_time = std::clamp(planned_time, min_monitoring_time, max_monitoring_time);
     const auto evaluations = monitoring_time / evidence_period(move);
-    const auto test_count = std::max<std::size_t>(stratum_count, 1) * effect_size_count *
-                            std::max<std::size_t>(monitor_count, 1);
+    const auto test_count = std::max<std::size_t>(stratum_count, 1) * assumed_rate_count *
+                            effect_size_count * std::max<std::size_t>(monitor_count, 1);
     return std::log(static_cast<double>(evaluations) * static_cast<double>(test_count) /
                     false_alarms_per_phase);
 }
--- a/src/savorywheel/rollout/sequential_detector.cpp
+++ b/src/savorywheel/rollout/sequential_detector.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double max_rate = 0.99;
+constexpr std::array<double, assumed_rate_count - 1> fixed_rates{0.05, 0.15, 0.3, 0.5, 0.7};
 /** The old version's rate is that of about the last ten blocks, so that it follows an overload. */
 constexpr double baseline_decay_per_block = 0.9;
 /** Calls of the old version that must be known before the new one is compared with its rate. */
@@ -43,7 +44,7 @@
         std::max(rate * new_only_tolerated_factor, rate + new_only_tolerated_excess), max_rate);
     const auto alternative_rate = std::min(rate + settings_.effect_sizes.back(), max_rate);
     if (alternative_rate > null_rate) {
-        auto& sum = sums_.back();
+        auto& sum = sums_.front().back();
         const auto block = log_likelihood_ratio(new_counts, null_rate, alternative_rate);
         sum = std::max(0.0, sum + std::min(block, settings_.max_log_e_per_block));
     }
@@ -51,7 +52,11 @@
 
 double sequential_detector::score() const noexcept
 {
-    return *std::ranges::max_element(sums_);
+    double highest = 0.0;
+    for (const auto& sums : sums_) {
+        highest = std::max(highest, std::ranges::max(sums));
+    }
+    return highest;
 }
 
 double sequential_detector::old_rate() const noexcept
@@ -62,11 +67,15 @@
 
 void sequential_detector::evaluate_block()
 {
-    const auto rate = std::min(old_rate(), max_rate);
-    for (std::size_t i = 0; i < effect_size_count; ++i) {
-        const auto alternative_rate = std::min(rate + settings_.effect_sizes[i], max_rate);
-        const auto block = log_e_value(old_block_, new_block_, {rate, alternative_rate});
-        sums_[i] = std::max(0.0, sums_[i] + std::min(block, settings_.max_log_e_per_block));
+    const auto estimate = std::min(old_rate(), max_rate);
+    for (std::size_t i = 0; i < assumed_rate_count; ++i) {
+        const auto rate = i == 0 ? estimate : fixed_rates.at(i - 1);
+        for (std::size_t j = 0; j < effect_size_count; ++j) {
+            const auto alternative_rate = std::min(rate + settings_.effect_sizes.at(j), max_rate);
+            const auto block = log_e_value(old_block_, new_block_, {rate, alternative_rate});
+            auto& sum = sums_.at(i).at(j);
+            sum = std::max(0.0, sum + std::min(block, settings_.max_log_e_per_block));
+        }
     }
 }
 
--- a/src/savorywheel/rollout/sequential_detector.hpp
+++ b/src/savorywheel/rollout/sequential_detector.hpp
@@ -11,6 +11,9 @@
 /** @brief Number of effect sizes that a detector tests in parallel. */
 inline constexpr std::size_t effect_size_count = 4;
 
+/** @brief Number of rates of the old version that a detector assumes in parallel. */
+inline constexpr std::size_t assumed_rate_count = 6;
+
 /** @brief Parameters of a sequential detector for one property of calls. */
 struct detector_settings {
     /** @brief Prior estimate of the old version's rate. */
@@ -27,7 +30,9 @@
 /**
  * @brief CUSUM test of the new version against the old version over the same periods.
  *
- * For each effect size, the logarithms of the blocks' e-values are added up and the sum is clamped
+ * The old version's rate is assumed to be its current estimate, and also several fixed values, as
+ * the estimate is wrong when a load begins that makes both versions fail. For each assumed rate and
+ * each effect size, the logarithms of the blocks' e-values are added up and the sum is clamped
  * at zero, so that a fault with a late onset is detected as fast as an immediate one. Without a
  * fault, the probability that a sum reaches a threshold h within n blocks is at most n exp(-h).
  */
@@ -51,10 +56,12 @@
     [[nodiscard]] double old_rate() const noexcept;
 
 private:
+    using effect_sums = std::array<double, effect_size_count>;
+
     void evaluate_block();
 
     detector_settings settings_;
-    std::array<double, effect_size_count> sums_{};
+    std::array<effect_sums, assumed_rate_count> sums_{};
     sample_counts old_block_;
     sample_counts new_block_;
     std::uint64_t known_old_calls_{};
