Do not start a request whose caller has already left

Change: before a request is passed to the handler, the connection is asked without waiting whether it has ended; if so, it is closed.

--- a/src/savorywheel/http/http_connection.hpp
+++ b/src/savorywheel/http/http_connection.hpp
@@ -61,6 +61,7 @@
     [[nodiscard]] bool begin_request();
     void on_header();
     void on_body_received();
+    [[nodiscard]] bool caller_has_left();
     void on_request();
     void reject(int status, std::string_view explanation);
     void reject_malformed(const error_code& error);
--- a/src/savorywheel/http/http_connection_input.cpp
+++ b/src/savorywheel/http/http_connection_input.cpp
@@ -6,7 +6,9 @@
 
 #include <boost/beast/http/error.hpp>
 #include <fmt/format.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -146,8 +148,21 @@
     }
 }
 
+/** True if the caller has closed the connection and nothing before that remains to be read. */
+bool http_connection::caller_has_left()
+{
+    char next{};
+    const auto received = ::recv(socket_.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno == ECONNRESET);
+}
+
 void http_connection::on_request()
 {
+    // A busy thread may read a request and the end of its connection together.
+    if (caller_has_left()) {
+        close();
+        return;
+    }
     if (!rejected_) {
         const auto verdict = check_body(parser_->request(), state_.limits.max_body_bytes,
                                         state_.limits.max_buffered_body_bytes);
