Free the memory of responses that do not end

Callers saw (reported by other operators): a faulty server sent bytes without end, and the process that had called it ran out of memory with the requests of its other callers. Cause here: each response was limited, and all of them together to 32 MiB, but the memory was counted as free before it was freed, the copy made while a body grows was not counted, and the allocator keeps blocks of up to 32 MiB per thread once one has been freed. Change: the body is freed before it is counted as free; the growth of a body without a stated length counts both copies; the allocator of a node returns blocks of 128 KiB and more at once. Endless heads, header lines, chunk headers, interim responses and bytes without a status line were within the limit before, too.

--- a/apps/common/node_program.cpp
+++ b/apps/common/node_program.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/allocator.hpp>
 #include <savorywheel/log/log4cxx_event_log.hpp>
 #include <savorywheel/node/node.hpp>
 #include <savorywheel/node/process_signals.hpp>
@@ -59,6 +60,7 @@
 int run_node_program(const std::string& name, int argc, char** argv,
                      const front_end_factory& make_front_end)
 {
+    return_large_blocks_to_the_system();
     CLI::App app{name + ": proxy and gate of a backend server"};
     std::string path;
     bool check_only = false;
--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -73,8 +73,11 @@
     curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, fields);
     const auto result = run(cancel_signal);
     curl_slist_free_all(fields);
+    auto made = make_result(result);
+    // Assigning an empty body would keep its memory.
+    static_cast<void>(std::exchange(response_, {}));
     buffered_.give_back(std::exchange(taken_, 0));
-    return make_result(result);
+    return made;
 }
 
 bool curl_transfer::accepts_connections(const network_endpoint& server)
@@ -261,13 +264,20 @@
         return true;
     }
     const auto capacity = std::min(std::max(needed, 2 * body.capacity()), limits_.max_body_bytes);
-    if (capacity > limits_.unbudgeted_body_bytes) {
-        if (!buffered_.try_take(capacity - taken_)) {
-            return false;
-        }
-        taken_ = capacity;
+    if (capacity <= limits_.unbudgeted_body_bytes) {
+        body.reserve(capacity);
+        return true;
+    }
+    // A body without a stated length may be endless, so the copy made while it grows counts as
+    // well.
+    const bool counts_copy = find_header(head_.fields(), "Content-Length").empty();
+    const auto added = counts_copy ? capacity : capacity - taken_;
+    if (!buffered_.try_take(added)) {
+        return false;
     }
     body.reserve(capacity);
+    buffered_.give_back(counts_copy ? taken_ : 0);
+    taken_ = capacity;
     return true;
 }
 
