Do not report the end of a suspicion when the move is withdrawn

Cause: the decision to withdraw does not carry the mark of a suspicion. Change: a withdrawal leaves the suspicion as it is; its own line tells the rest. Result: withdrawal_of_a_suspected_version_does_not_end_its_suspicion failed before (one SW6014) and passes; the other tests of the module pass.

--- a/src/savorywheel/rollout/move_controller.cpp
+++ b/src/savorywheel/rollout/move_controller.cpp
@@ -54,6 +54,9 @@
 
 void move_controller::log_suspicion(const rollout_decision& decision)
 {
+    if (decision.action == rollout_action::withdraw) {
+        return;
+    }
     if (std::exchange(suspected_, decision.suspected) != decision.suspected) {
         environment_.log.write(decision.suspected ? event_id::version_suspected
                                                   : event_id::suspicion_ended,
--- a/test/savorywheel/rollout/controller_proof_test.cpp
+++ b/test/savorywheel/rollout/controller_proof_test.cpp
@@ -40,6 +40,21 @@
     int decisions_{};
 };
 
+/** Suspects the version at its first decision and withdraws it at the second one. */
+class suspicious_policy final : public rollout_policy {
+public:
+    rollout_decision decide(const rollout_view& view) override
+    {
+        if (std::exchange(suspected_, true)) {
+            return {rollout_action::withdraw, view.service.move->from, "found"};
+        }
+        return {rollout_action::hold, {}, "suspected", true};
+    }
+
+private:
+    bool suspected_{};
+};
+
 /** A node with its own, possibly stale, copy of the configuration. */
 struct controlling_node {
     controlling_node(object_store& store, const std::string& name, int withdraw_at)
@@ -166,4 +181,25 @@
     check_log(store);
 }
 
+TEST(move_controller, withdrawal_of_a_suspected_version_does_not_end_its_suspicion)
+{
+    standin::in_memory_object_store store;
+    append_configuration(store, "v1");
+    append_configuration(store, "v2");
+    mesh_state state;
+    catch_up(store, state);
+    seeded_random random{1};
+    recording_event_log log;
+    queued_appender appender{store};
+    move_controller subject{{bookdesk, state.find(bookdesk)->move->asked_at},
+                            node_id{"a"},
+                            std::make_unique<suspicious_policy>(),
+                            {appender, random, log}};
+    for (int i = 0; i < 2; ++i) {
+        static_cast<void>(subject.run({state, {}, 2, {}, false, nullptr, nullptr}));
+    }
+    EXPECT_EQ(log.count(event_id::version_suspected), 1U);
+    EXPECT_EQ(log.count(event_id::suspicion_ended), 0U);
+}
+
 } // namespace savorywheel::test
