--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,13 +4,13 @@
 set -u
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
-for program in target/bin/savorywheel-platform-node target/review/bad_again; do
+for program in target/bin/savorywheel-platform-node target/review/foreign_beat; do
     if [ ! -x "$program" ]; then
         echo "$program is not built" >&2
         exit 2
     fi
 done
-timeout -s KILL 115 target/review/bad_again "$folder/record.txt"
+timeout -s KILL 115 target/review/foreign_beat "$folder/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
