--- a/review/standin/mesh.h
+++ b/review/standin/mesh.h
@@ -744,10 +744,10 @@
 class app_server {
 public:
     app_server(const node_process& node, std::string id, run_log& runs,
-               std::string version = "v1", int fail_percent = 0)
+               std::string version = "v1", int fail_percent = 0, long work_ms = 20)
         : id_{std::move(id)}, service_{node.service()}, version_{std::move(version)},
           zone_{node.zone()}, local_{node.app()}, control_{node.control()}, runs_{runs},
-          fail_percent_{fail_percent},
+          fail_percent_{fail_percent}, work_ms_{work_ms},
           server_{local_, [this](const message& request) { return handle(request); }}
     {
         std::thread{[this] { announce(); }}.detach();
@@ -822,7 +822,8 @@
         const bool fails = static_cast<int>(count_++ * 37 % 100) < fail_percent_;
         runs_.add({now_ms(), request_id, id_, service_, version_,
                    request.header("Savorywheel-Caller-Service"), path, !fails});
-        sleep_ms(20);
+        sleep_ms(work_ms_);
+        record.line("the run of %s at %s ends", request_id.c_str(), id_.c_str());
         return message{fails ? "HTTP/1.1 500 Failed" : "HTTP/1.1 200 OK",
                        {{"Savorywheel-Request-Id", request_id},
                         {"Savorywheel-Server-Signature", "sig." + id_ + "." + request_id}},
@@ -837,6 +838,7 @@
     endpoint control_;
     run_log& runs_;
     int fail_percent_;
+    long work_ms_;
     long born_{std::chrono::duration_cast<std::chrono::milliseconds>(
                    std::chrono::system_clock::now().time_since_epoch())
                    .count()};
