Answer requests that outlast a planned stop, and use the whole grace time

Cause: the template fixed notice and limit at 4.5 s without regard to the grace time, and the HTTP server closed the connections of requests in flight. A grace time below 4.5 s would have let SIGKILL do the same.

At the interruption, the requests in flight are cancelled and answered with 504, as their outcome is unknown. The limit also holds for calls of other nodes at the gate.

--- a/apps/common/node_program.cpp
+++ b/apps/common/node_program.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/core/allocator.hpp>
+#include <savorywheel/core/duration_text.hpp>
 #include <savorywheel/log/log4cxx_event_log.hpp>
 #include <savorywheel/node/node.hpp>
 #include <savorywheel/node/process_signals.hpp>
@@ -63,16 +64,27 @@
     return_large_blocks_to_the_system();
     CLI::App app{name + ": proxy and gate of a backend server"};
     std::string path;
+    std::string stop_grace;
     bool check_only = false;
     app.add_option("--settings", path, "YAML file with the settings of the node")
         ->envname("SAVORYWHEEL_CONFIG")
         ->required();
+    app.add_option("--stop-grace", stop_grace,
+                   "Time from SIGTERM to SIGKILL, such as 6s; replaces stop_grace_ms");
     app.add_flag("--check-settings", check_only, "Check the settings and exit");
     CLI11_PARSE(app, argc, argv);
-    const auto settings = load_settings(name, path);
+    auto settings = load_settings(name, path);
     if (!settings) {
         return exit_bad_settings;
     }
+    if (!stop_grace.empty()) {
+        settings->stop_grace = parse_duration(stop_grace);
+        if (!settings->stop_grace) {
+            std::cerr << "--stop-grace: found \"" << stop_grace
+                      << "\"; expected a time such as 6s or 6000ms\n";
+            return exit_bad_settings;
+        }
+    }
     if (check_only) {
         std::cout << path << ": no faults\n";
         return 0;
--- a/src/savorywheel/http/async_http_server.cpp
+++ b/src/savorywheel/http/async_http_server.cpp
@@ -71,14 +71,18 @@
         });
     }
 
-    void stop()
+    void stop(std::chrono::milliseconds drain_limit)
     {
         if (!std::exchange(running_, false)) {
             return;
         }
         const auto limits = state_.limits;
         post([](impl& self) { self.state_.closing = true; });
-        static_cast<void>(state_.monitor.wait_until_idle(limits.drain_limit, limits.drain_idle));
+        if (!state_.monitor.wait_until_idle(drain_limit, limits.drain_idle)) {
+            post([](impl& self) { self.interrupt_requests(); });
+            static_cast<void>(
+                state_.monitor.wait_until_idle(limits.interruption_limit, limits.drain_idle));
+        }
         std::promise<void> closed;
         post([&closed](impl& self) {
             self.close_all();
@@ -135,6 +139,13 @@
         connection->start();
     }
 
+    void interrupt_requests()
+    {
+        for (const auto& connection : connections_) {
+            connection->interrupt_requests();
+        }
+    }
+
     void close_all()
     {
         error_code ignored;
@@ -155,7 +166,8 @@
 
 async_http_server::async_http_server(async_http_handler& handler, io_loop& loop,
                                      http_server_limits limits, http_server_listener* listener)
-    : impl_{std::make_shared<impl>(handler, loop, limits, listener)}
+    : impl_{std::make_shared<impl>(handler, loop, limits, listener)}, drain_limit_{
+                                                                          limits.drain_limit}
 {
 }
 
@@ -177,7 +189,12 @@
 
 void async_http_server::stop()
 {
-    impl_->stop();
+    stop(drain_limit_);
+}
+
+void async_http_server::stop(std::chrono::milliseconds drain_limit)
+{
+    impl_->stop(drain_limit);
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/http/async_http_server.hpp
+++ b/src/savorywheel/http/async_http_server.hpp
@@ -46,18 +46,24 @@
 
     void set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout) override;
 
+    /** @brief Stops with the drain limit of the limits. */
+    void stop();
+
     /**
      * @brief Drains the open connections within the limits, then stops listening and closes them.
      *
      * Until then new connections are served, so that a caller that does not know yet of the stop
-     * gets a response. Each response closes its connection.
+     * gets a response. Each response closes its connection. Requests that outlast the drain are
+     * cancelled and still get the handler's response.
+     * @param drain_limit Maximum wait for requests in flight.
      * @warning Must not be called on the loop's thread.
      */
-    void stop();
+    void stop(std::chrono::milliseconds drain_limit);
 
 private:
     class impl;
     std::shared_ptr<impl> impl_;
+    std::chrono::milliseconds drain_limit_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/http/http_connection.cpp
+++ b/src/savorywheel/http/http_connection.cpp
@@ -42,6 +42,11 @@
     read();
 }
 
+void http_connection::interrupt_requests()
+{
+    pipeline_.interrupt_all();
+}
+
 void http_connection::close()
 {
     if (std::exchange(closed_, true)) {
--- a/src/savorywheel/http/http_connection.hpp
+++ b/src/savorywheel/http/http_connection.hpp
@@ -44,6 +44,9 @@
     /** @brief Starts to read requests. */
     void start();
 
+    /** @brief Cancels the requests in flight, which still get a response. */
+    void interrupt_requests();
+
     /** @brief Closes the connection and cancels its requests. */
     void close();
 
--- a/src/savorywheel/http/http_server_limits.hpp
+++ b/src/savorywheel/http/http_server_limits.hpp
@@ -29,6 +29,8 @@
     std::chrono::milliseconds drain_idle{1000};
     /** @brief Maximum wait of a graceful stop for requests in flight. */
     std::chrono::milliseconds drain_limit{10'000};
+    /** @brief Maximum wait of a graceful stop for the responses to interrupted requests. */
+    std::chrono::milliseconds interruption_limit{500};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/http/request_pipeline.cpp
+++ b/src/savorywheel/http/request_pipeline.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <utility>
+#include <vector>
 
 namespace savorywheel {
 
@@ -56,6 +57,19 @@
     return first;
 }
 
+void request_pipeline::interrupt_all()
+{
+    // A cancelled request may be answered, and removed, at once.
+    std::vector<std::shared_ptr<cancellation>> signals;
+    signals.reserve(items_.size());
+    for (const auto& item : items_) {
+        signals.push_back(item.cancel_signal);
+    }
+    for (const auto& signal : signals) {
+        signal->cancel();
+    }
+}
+
 void request_pipeline::cancel_all()
 {
     for (const auto& item : std::exchange(items_, {})) {
--- a/src/savorywheel/http/request_pipeline.hpp
+++ b/src/savorywheel/http/request_pipeline.hpp
@@ -43,6 +43,9 @@
     /** @return The first request, removed, if it has a response; std::nullopt otherwise. */
     [[nodiscard]] std::optional<pipelined_request> pop_answered();
 
+    /** @brief Cancels all requests, each of which keeps its place for a response. */
+    void interrupt_all();
+
     /** @brief Cancels and removes all requests. */
     void cancel_all();
 
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -15,6 +15,7 @@
 #include <savorywheel/node/node.hpp>
 #include <savorywheel/node/node_metric_source.hpp>
 #include <savorywheel/node/readiness_handler.hpp>
+#include <savorywheel/node/stop_schedule.hpp>
 #include <savorywheel/node/traffic_server_limits.hpp>
 #include <savorywheel/routing/ejection_aware_version_selector.hpp>
 #include <savorywheel/routing/locality_endpoint_selector.hpp>
@@ -30,6 +31,8 @@
 #include <savorywheel/transport/frame_router.hpp>
 #include <savorywheel/transport/protocol_error_logger.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <future>
 #include <random>
@@ -159,16 +162,21 @@
         if (!control_thread_.joinable()) {
             return;
         }
-        log_.write(event_id::process_stopping, settings_.name.str());
-        const auto interruption = time_.now() + settings_.stop_notice + settings_.stop_limit;
+        const auto schedule = make_stop_schedule(settings_);
+        const auto signalled = time_.now();
+        const auto interruption = signalled + schedule.interruption;
+        log_.write(event_id::process_stopping,
+                   fmt::format("{}: new requests until {} ms, requests in flight until {} ms",
+                               settings_.name.str(), schedule.notice.count(),
+                               schedule.interruption.count()));
         readiness_.set_stopping();
         proxy_.reject_deadlines_after(interruption);
         gate_.reject_deadlines_after(interruption);
-        leave();
+        leave(signalled + schedule.notice);
         proxy_.stop_accepting();
         gate_.stop_accepting();
-        proxy_server_.stop();
-        gate_.stop(std::max(interruption - time_.now(), duration::zero()));
+        proxy_server_.stop(time_until(interruption));
+        gate_.stop(time_until(interruption));
         admin_server_.stop();
         if (announcement_server_) {
             announcement_server_->stop();
@@ -193,8 +201,15 @@
         traffic_loop_.stop();
     }
 
+    [[nodiscard]] std::chrono::milliseconds time_until(monotonic_time moment) const
+    {
+        const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(moment - time_.now());
+        return std::max(left, std::chrono::milliseconds::zero());
+    }
+
     /** Leaves the mesh, and waits for the change to reach callers and other nodes. */
-    void leave()
+    void leave(monotonic_time notice_end)
     {
         std::promise<void> left;
         loop_.post([this, &left] {
@@ -202,7 +217,7 @@
             left.set_value();
         });
         left.get_future().wait();
-        std::this_thread::sleep_for(settings_.stop_notice);
+        std::this_thread::sleep_for(time_until(notice_end));
     }
 
     node_settings settings_;
--- a/src/savorywheel/node/traffic_server_limits.cpp
+++ b/src/savorywheel/node/traffic_server_limits.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/node/stop_schedule.hpp>
 #include <savorywheel/node/traffic_server_limits.hpp>
 #include <savorywheel/transport/frame_header.hpp>
 
@@ -19,7 +20,9 @@
 http_server_limits traffic_server_limits(const node_settings& settings)
 {
     http_server_limits limits;
-    limits.drain_limit = settings.stop_limit;
+    const auto stop = make_stop_schedule(settings);
+    limits.drain_limit = stop.interruption - stop.notice;
+    limits.interruption_limit = stop.close - stop.interruption;
     limits.idle_timeout = settings.idle_timeout;
     limits.max_connections = max_caller_connections;
     limits.max_body_bytes = std::numeric_limits<std::size_t>::max();
--- a/src/savorywheel/settings/node_settings.hpp
+++ b/src/savorywheel/settings/node_settings.hpp
@@ -45,8 +45,10 @@
     std::chrono::milliseconds backend_timeout{3000};
     /** @brief Time for which a node that shuts down still accepts new requests. */
     std::chrono::milliseconds stop_notice{300};
-    /** @brief Maximum time for which a shutdown waits for requests in flight. */
+    /** @brief Maximum time after the notice for which a shutdown waits for requests in flight. */
     std::chrono::milliseconds stop_limit{10'000};
+    /** @brief Time from the stop signal to a forced end of the process; replaces stop_limit. */
+    std::optional<std::chrono::milliseconds> stop_grace;
     /** @brief Idle timeout of a caller's connection. */
     std::chrono::seconds idle_timeout{60};
     /** @brief Retry limits for the whole mesh. */
--- a/src/savorywheel/settings/node_settings_reader.cpp
+++ b/src/savorywheel/settings/node_settings_reader.cpp
@@ -189,7 +189,8 @@
     }
     root->expect_keys({"name", "failure_domain", "region", "address", "ports", "store", "seeds",
                        "operators", "log_level", "listen", "caller_service", "backend_timeout_ms",
-                       "stop_notice_ms", "stop_limit_ms", "idle_timeout_ms", "retries"});
+                       "stop_notice_ms", "stop_limit_ms", "stop_grace_ms", "idle_timeout_ms",
+                       "retries"});
     settings.name = node_id{read_name(*root, "name")};
     settings.domain = failure_domain{read_name(*root, "failure_domain")};
     settings.region = region_name{read_name(*root, "region")};
@@ -203,6 +204,9 @@
         read_milliseconds(*root, "backend_timeout_ms", settings.backend_timeout);
     settings.stop_notice = read_milliseconds(*root, "stop_notice_ms", settings.stop_notice);
     settings.stop_limit = read_milliseconds(*root, "stop_limit_ms", settings.stop_limit);
+    if (root->has("stop_grace_ms")) {
+        settings.stop_grace = read_milliseconds(*root, "stop_grace_ms", settings.stop_limit);
+    }
     settings.idle_timeout = std::chrono::ceil<std::chrono::seconds>(
         read_milliseconds(*root, "idle_timeout_ms", settings.idle_timeout));
     read_retries(*root, settings);
--- a/src/savorywheel/traffic/outgoing_call.cpp
+++ b/src/savorywheel/traffic/outgoing_call.cpp
@@ -103,10 +103,11 @@
 void outgoing_call::cancel()
 {
     if (sent_) {
-        abandon("the caller hung up");
+        abandon("the caller hung up, or its node stops");
     }
     else {
-        finish(call_response::not_run(call_refusal::expired, "the caller hung up"));
+        finish(
+            call_response::not_run(call_refusal::expired, "the caller hung up, or its node stops"));
     }
 }
 
