Keep announcements of other writers from displacing a backend server

Cause: the last announcement with the latest start time decided for the whole VM, whatever it named, and everything with an earlier start time or a lower sequence was ignored for good, while its sender was told 200. A start time in the future, a sequence close to the maximum, or a server whose clock stepped back between two starts had the same effect.

Change: backend_placement compares an announcement with the VM's service, failure domain and address in the settings; a mismatch is answered 400 and logged (SW2018). announcement_order replaces a start that has been silent for half of the timeout by one that goes on announcing itself, with rising sequences that do not arrive together. An announcement of a start that is not in use is answered 409. A server that has said that it drains is never used again under that start.

Not changed: a foreign announcement that names this VM's service, domain and address, with a later start, is used until the real server has been heard again for 3 s.

--- a/src/savorywheel/admin/node_control.hpp
+++ b/src/savorywheel/admin/node_control.hpp
@@ -44,7 +44,8 @@
 
     /**
      * @brief Applies a numbered announcement and blocks until it is in force at the gate.
-     * @return False if a later announcement was applied before; timeout as above.
+     * @return False if a later announcement was applied before; invalid_argument if it is not of
+     * a backend server on this VM; conflict if another backend server is in use; timeout as above.
      */
     [[nodiscard]] virtual outcome<bool>
     apply_announcement(const backend_announcement& announcement) = 0;
--- a/src/savorywheel/node/backend_monitor.cpp
+++ b/src/savorywheel/node/backend_monitor.cpp
@@ -9,13 +9,14 @@
 namespace {
 
 constexpr std::chrono::milliseconds check_period{500};
-/** A VM runs one backend server at a time, so few deregister while announcements are in flight. */
-constexpr std::size_t max_departed = 64;
+/** Part of the timeout after which a backend server without an announcement may be replaced. */
+constexpr int silence_divisor = 2;
 
 } // namespace
 
 backend_monitor::backend_monitor(environment env, change_callback changed)
-    : environment_{env}, changed_{std::move(changed)}
+    : environment_{std::move(env)}, changed_{std::move(changed)}, order_{environment_.timeout /
+                                                                         silence_divisor}
 {
 }
 
@@ -43,47 +44,27 @@
     changed_(backend_);
 }
 
-bool backend_monitor::accept(const backend_announcement& announcement)
+outcome<bool> backend_monitor::accept(const backend_announcement& announcement)
 {
-    if (is_stale(announcement)) {
-        return false;
+    if (const auto mismatch = environment_.placement.find_mismatch(announcement)) {
+        return failure{failure_code::invalid_argument, *mismatch};
     }
-    latest_ = announcement;
-    announce(announcement.backend);
-    return true;
-}
-
-bool backend_monitor::is_stale(const backend_announcement& announcement) const
-{
-    const auto departed = departed_.find(announcement.backend.identity);
-    if (departed != departed_.end() && announcement.started_at <= departed->second) {
+    if (order_.record(announcement, environment_.loop.time().now())) {
+        announce(announcement.backend);
         return true;
     }
-    if (!latest_) {
-        return false;
+    if (order_.is_displaced(announcement) && announcement.backend.state != server_state::draining) {
+        return failure{failure_code::conflict, "another backend server is in use"};
     }
-    const auto& known = *latest_;
-    if (announcement.started_at == known.started_at &&
-        announcement.backend.identity == known.backend.identity) {
-        return announcement.sequence <= known.sequence;
-    }
-    return announcement.started_at < known.started_at;
+    return false;
 }
 
 void backend_monitor::deregister(std::string_view identity)
 {
-    const bool known = latest_ && latest_->backend.identity == identity;
-    if (departed_.size() >= max_departed) {
-        departed_.clear();
-    }
-    // After a restart of the node, the deregistration may arrive before any announcement. The
-    // backend server runs on the same VM, so its start times are comparable with this clock.
     const auto now = environment_.loop.time().calendar_now().time_since_epoch();
-    departed_.insert_or_assign(std::string{identity},
-                               known ? latest_->started_at
-                                     : static_cast<std::uint64_t>(now.count()));
+    const bool is_current = order_.leave(identity, static_cast<std::uint64_t>(now.count()));
     environment_.log.write(event_id::backend_deregistered, identity);
-    if (known && backend_) {
+    if (is_current && backend_) {
         backend_.reset();
         changed_(backend_);
     }
--- a/src/savorywheel/node/backend_monitor.hpp
+++ b/src/savorywheel/node/backend_monitor.hpp
@@ -2,13 +2,13 @@
 #define SAVORYWHEEL_NODE_BACKEND_MONITOR_HPP
 
 #include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/core/outcome.hpp>
 #include <savorywheel/log/event_log.hpp>
-#include <savorywheel/traffic/backend_announcement.hpp>
+#include <savorywheel/node/announcement_order.hpp>
+#include <savorywheel/node/backend_placement.hpp>
 
 #include <functional>
-#include <map>
 #include <optional>
-#include <string>
 #include <string_view>
 
 namespace savorywheel {
@@ -31,6 +31,8 @@
         event_log& log;
         /** @brief Time without an announcement after which the backend server is removed. */
         std::chrono::milliseconds timeout;
+        /** @brief Announcements that contradict it are of another VM or another writer. */
+        backend_placement placement;
     };
 
     /**
@@ -50,23 +52,21 @@
 
     /**
      * @brief Applies a numbered announcement unless a newer one has been applied.
-     * @return False if the announcement is stale.
+     * @return False if the announcement is superseded; invalid_argument if it is not of a backend
+     * server on this VM; conflict if another backend server is in use.
      */
-    bool accept(const backend_announcement& announcement);
+    [[nodiscard]] outcome<bool> accept(const backend_announcement& announcement);
 
     /** @brief Removes a backend server; later announcements of the same start are ignored. */
     void deregister(std::string_view identity);
 
 private:
-    [[nodiscard]] bool is_stale(const backend_announcement& announcement) const;
     void check_timeout();
 
     environment environment_;
     change_callback changed_;
     std::optional<backend_server> backend_;
-    std::optional<backend_announcement> latest_;
-    /** Deregistered identities; announcements with a start time up to the value are stale. */
-    std::map<std::string, std::uint64_t, std::less<>> departed_;
+    announcement_order order_;
     monotonic_time announced_at_;
     bool stopped_{};
     subscription timer_;
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -42,7 +42,8 @@
       membership_{make_node_record(settings, env.loop.time()), settings.seeds,
                   membership_environment()},
       ordered_log_{settings_, log_environment()},
-      backend_{backend_monitor::environment{env.loop, env.log, settings.backend_timeout},
+      backend_{backend_monitor::environment{env.loop, env.log, settings.backend_timeout,
+                                            make_backend_placement(settings)},
                [this](const auto& backend) { on_backend_changed(backend); }},
       appender_{make_appender()}, rollouts_{make_node_lease(settings), rollout_environment()},
       heads_{env.tables, env.network, env.requests}, documents_{make_documents()}
@@ -198,8 +199,9 @@
 
 outcome<bool> control_plane::apply_announcement(const backend_announcement& announcement)
 {
-    return query_control<bool>(environment_.loop,
-                               [this, announcement] { return backend_.accept(announcement); });
+    const auto applied = query_control<outcome<bool>>(
+        environment_.loop, [this, announcement] { return backend_.accept(announcement); });
+    return applied ? *applied : applied.reason();
 }
 
 outcome<bool> control_plane::deregister_backend(std::string_view identity)
--- a/src/savorywheel/traffic/backend_announcement.hpp
+++ b/src/savorywheel/traffic/backend_announcement.hpp
@@ -11,6 +11,8 @@
 struct backend_announcement {
     /** @brief Announced state; the identity is set. */
     backend_server backend;
+    /** @brief Failure domain of its VM. */
+    failure_domain domain;
     /** @brief Start time of the backend server process, by its own clock. */
     std::uint64_t started_at{};
     /** @brief Increases with each announcement of that process. */
--- a/test/platform/instance_handler_test.cpp
+++ b/test/platform/instance_handler_test.cpp
@@ -108,6 +108,16 @@
     EXPECT_FALSE(control_.last_announcement());
 }
 
+// Review case 4: a server whose announcements were not applied was told that they were.
+TEST_F(instance_handler_test, announcement_that_is_not_applied_is_not_acknowledged)
+{
+    control_.refuse_announcements({failure_code::invalid_argument, "service ghost"});
+    EXPECT_EQ(announce(valid_body), status_bad_request);
+    EXPECT_EQ(log_.count(event_id::announcement_invalid), 1U);
+    control_.refuse_announcements({failure_code::conflict, "another backend server is in use"});
+    EXPECT_EQ(announce(valid_body), status_conflict);
+}
+
 RC_GTEST_PROP(instance_handler, accepted_mutated_announcement_is_within_limits, ())
 {
     std::string body{valid_body};
--- a/test/savorywheel/admin/fixed_node_control.hpp
+++ b/test/savorywheel/admin/fixed_node_control.hpp
@@ -30,10 +30,16 @@
 
     outcome<bool> apply_announcement(const backend_announcement& announcement) override
     {
+        if (refusal_) {
+            return *refusal_;
+        }
         last_announcement_ = announcement.backend;
         return true;
     }
 
+    /** @brief Refuses all later announcements. */
+    void refuse_announcements(failure reason) { refusal_ = std::move(reason); }
+
     outcome<bool> deregister_backend(std::string_view identity) override
     {
         if (last_announcement_ && last_announcement_->identity == identity) {
@@ -51,6 +57,7 @@
 private:
     mesh_state state_;
     std::optional<backend_server> last_announcement_;
+    std::optional<failure> refusal_;
 };
 
 } // namespace savorywheel::test
--- a/test/savorywheel/node/backend_monitor_test.cpp
+++ b/test/savorywheel/node/backend_monitor_test.cpp
@@ -14,6 +14,7 @@
     backend_announcement result;
     result.backend = {
         service_name{"bookdesk"}, version_name{"v1"}, {"10.0.0.1", 80}, state, 12, identity};
+    result.domain = failure_domain{"east-1"};
     result.started_at = started_at;
     result.sequence = sequence;
     return result;
@@ -24,8 +25,24 @@
     control_loop loop{time};
     recording_event_log log;
     std::optional<backend_server> latest;
-    backend_monitor subject{{loop, log, std::chrono::milliseconds{6000}},
+    backend_monitor subject{{loop,
+                             log,
+                             std::chrono::milliseconds{6000},
+                             {service_name{"bookdesk"}, failure_domain{"east-1"}, "10.0.0.1"}},
                             [this](const auto& backend) { latest = backend; }};
+
+    /** Returns true if the announcement takes effect. */
+    bool accept(const backend_announcement& announcement)
+    {
+        const auto applied = subject.accept(announcement);
+        return applied && *applied;
+    }
+
+    void advance(std::chrono::milliseconds amount)
+    {
+        time.advance(amount);
+        loop.run_pending();
+    }
 };
 
 } // namespace
@@ -33,32 +50,32 @@
 TEST(backend_monitor, ignores_an_announcement_with_a_lower_sequence)
 {
     monitor_fixture node;
-    EXPECT_TRUE(node.subject.accept(make("i-1", 100, 1)));
-    EXPECT_TRUE(node.subject.accept(make("i-1", 100, 3, server_state::draining)));
-    EXPECT_FALSE(node.subject.accept(make("i-1", 100, 2)));
+    EXPECT_TRUE(node.accept(make("i-1", 100, 1)));
+    EXPECT_TRUE(node.accept(make("i-1", 100, 3, server_state::draining)));
+    EXPECT_FALSE(node.accept(make("i-1", 100, 2)));
     EXPECT_EQ(node.latest->state, server_state::draining);
 }
 
 TEST(backend_monitor, ignores_an_announcement_of_an_earlier_start)
 {
     monitor_fixture node;
-    EXPECT_TRUE(node.subject.accept(make("i-2", 200, 1)));
-    EXPECT_FALSE(node.subject.accept(make("i-1", 100, 9)));
+    EXPECT_TRUE(node.accept(make("i-2", 200, 1)));
+    EXPECT_FALSE(node.accept(make("i-1", 100, 9)));
     EXPECT_EQ(node.latest->identity, "i-2");
-    EXPECT_TRUE(node.subject.accept(make("i-2", 300, 1)));
+    EXPECT_TRUE(node.accept(make("i-2", 300, 1)));
 }
 
 TEST(backend_monitor, ignores_announcements_after_deregistration_until_a_restart)
 {
     monitor_fixture node;
-    EXPECT_TRUE(node.subject.accept(make("i-1", 100, 1)));
+    EXPECT_TRUE(node.accept(make("i-1", 100, 1)));
     node.subject.deregister("i-9");
     EXPECT_TRUE(node.latest.has_value());
     node.subject.deregister("i-1");
     EXPECT_FALSE(node.latest.has_value());
-    EXPECT_FALSE(node.subject.accept(make("i-1", 100, 2)));
+    EXPECT_FALSE(node.accept(make("i-1", 100, 2)));
     EXPECT_FALSE(node.latest.has_value());
-    EXPECT_TRUE(node.subject.accept(make("i-1", 150, 1)));
+    EXPECT_TRUE(node.accept(make("i-1", 150, 1)));
     EXPECT_TRUE(node.latest.has_value());
 }
 
@@ -68,24 +85,124 @@
     const auto now =
         static_cast<std::uint64_t>(node.time.calendar_now().time_since_epoch().count());
     node.subject.deregister("i-1");
-    EXPECT_FALSE(node.subject.accept(make("i-1", now - 5000, 7)));
+    EXPECT_FALSE(node.accept(make("i-1", now - 5000, 7)));
     EXPECT_FALSE(node.latest.has_value());
-    EXPECT_TRUE(node.subject.accept(make("i-1", now + 1, 1)));
+    EXPECT_TRUE(node.accept(make("i-1", now + 1, 1)));
 }
 
 TEST(backend_monitor, removes_the_backend_server_after_the_announcement_timeout)
 {
     monitor_fixture node;
     node.subject.start();
-    EXPECT_TRUE(node.subject.accept(make("i-1", 100, 1)));
+    EXPECT_TRUE(node.accept(make("i-1", 100, 1)));
     node.time.advance(std::chrono::milliseconds{5900});
     node.loop.run_pending();
     EXPECT_TRUE(node.latest.has_value());
     node.time.advance(std::chrono::milliseconds{700});
     node.loop.run_pending();
     EXPECT_FALSE(node.latest.has_value());
-    EXPECT_TRUE(node.subject.accept(make("i-1", 100, 2)));
+    EXPECT_TRUE(node.accept(make("i-1", 100, 2)));
     EXPECT_TRUE(node.latest.has_value());
 }
 
+// Review case 4: an announcement of another writer displaced the backend server for good.
+TEST(backend_monitor, announcement_that_contradicts_the_settings_displaces_no_backend_server)
+{
+    monitor_fixture node;
+    EXPECT_TRUE(node.accept(make("i-1", 100, 1)));
+    auto other_service = make("i-2", 200, 1);
+    other_service.backend.service = service_name{"ghost"};
+    auto other_domain = make("i-3", 300, 1);
+    other_domain.domain = failure_domain{"west-1"};
+    auto other_address = make("i-4", 400, 1);
+    other_address.backend.endpoint.address = "10.0.0.2";
+    for (const auto& foreign : {other_service, other_domain, other_address}) {
+        const auto applied = node.subject.accept(foreign);
+        ASSERT_FALSE(applied) << foreign.backend.identity;
+        EXPECT_EQ(applied.reason().code, failure_code::invalid_argument);
+    }
+    EXPECT_EQ(node.latest->identity, "i-1");
+    EXPECT_TRUE(node.accept(make("i-1", 100, 2)));
+}
+
+// Review case 4: a start time in the future made all later announcements stale.
+TEST(backend_monitor, running_server_is_used_again_after_a_silent_one_with_a_later_start)
+{
+    monitor_fixture node;
+    node.subject.start();
+    EXPECT_TRUE(node.accept(make("i-1", 100, 1)));
+    EXPECT_TRUE(node.accept(make("i-9", 9'000'000, 1)));
+    std::uint64_t sequence = 1;
+    for (int i = 0; i < 3 && node.latest->identity != "i-1"; ++i) {
+        node.advance(std::chrono::milliseconds{1500});
+        static_cast<void>(node.subject.accept(make("i-1", 100, ++sequence)));
+    }
+    EXPECT_EQ(node.latest->identity, "i-1");
+}
+
+// Review case 4: a sequence number close to the maximum made all later announcements stale.
+TEST(backend_monitor, running_server_is_used_again_after_an_announcement_with_a_huge_sequence)
+{
+    monitor_fixture node;
+    EXPECT_TRUE(node.accept(make("i-1", 100, 1)));
+    EXPECT_TRUE(node.accept(make("i-1", 100, 9'000'000'000)));
+    EXPECT_FALSE(node.accept(make("i-1", 100, 2)));
+    node.advance(std::chrono::milliseconds{1500});
+    EXPECT_FALSE(node.accept(make("i-1", 100, 3)));
+    node.advance(std::chrono::milliseconds{1500});
+    EXPECT_TRUE(node.accept(make("i-1", 100, 4, server_state::warming)));
+    EXPECT_EQ(node.latest->state, server_state::warming);
+}
+
+// A restarted server whose clock had stepped back was ignored until its old start time.
+TEST(backend_monitor, server_that_restarts_with_an_earlier_start_time_is_used_again)
+{
+    monitor_fixture node;
+    node.subject.start();
+    EXPECT_TRUE(node.accept(make("i-1", 9000, 7)));
+    std::uint64_t sequence = 0;
+    for (int i = 0; i < 4 && !node.accept(make("i-1", 500, ++sequence)); ++i) {
+        node.advance(std::chrono::milliseconds{1500});
+    }
+    ASSERT_TRUE(node.latest.has_value());
+    EXPECT_LE(sequence, 3U);
+    EXPECT_FALSE(node.accept(make("i-1", 9000, 6)));
+}
+
+TEST(backend_monitor, late_announcements_of_an_ended_server_do_not_displace_a_running_one)
+{
+    monitor_fixture node;
+    EXPECT_TRUE(node.accept(make("i-2", 200, 1)));
+    for (std::uint64_t i = 2; i < 20; ++i) {
+        node.advance(std::chrono::milliseconds{1500});
+        EXPECT_FALSE(node.accept(make("i-1", 100, i)));
+        EXPECT_TRUE(node.accept(make("i-2", 200, i)));
+    }
+    EXPECT_EQ(node.latest->identity, "i-2");
+}
+
+TEST(backend_monitor, late_announcements_that_arrive_together_do_not_replace_a_server_that_has_left)
+{
+    monitor_fixture node;
+    EXPECT_TRUE(node.accept(make("i-2", 200, 1)));
+    node.subject.deregister("i-2");
+    for (std::uint64_t i = 1; i < 5; ++i) {
+        EXPECT_FALSE(node.accept(make("i-1", 100, i)));
+    }
+    EXPECT_FALSE(node.latest.has_value());
+}
+
+// The node sent requests to a server after it had acknowledged that the server drains.
+TEST(backend_monitor, draining_server_is_not_used_again)
+{
+    monitor_fixture node;
+    EXPECT_TRUE(node.accept(make("i-1", 100, 3, server_state::draining)));
+    for (std::uint64_t i = 1; i < 8; ++i) {
+        node.advance(std::chrono::milliseconds{1500});
+        EXPECT_FALSE(node.accept(make("i-1", 100, i)));
+    }
+    EXPECT_TRUE(node.accept(make("i-1", 100, 9, server_state::draining)));
+    EXPECT_EQ(node.latest->state, server_state::draining);
+}
+
 } // namespace savorywheel::test
