Remember the departures of backend servers beyond the life of the node

Cause: who has left, and the newest start, were memory of the process. The same held for a server that had announced that it drains, and after a planned stop of the node.

A starting node holds announcements back until it has read the departures. If that takes a second, it uses a server after its second announcement, since a late one arrives alone.

--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ENCODING_TRAFFIC_ARCHIVE_HPP
 
 #include <savorywheel/encoding/core_archive.hpp>
+#include <savorywheel/traffic/backend_departures.hpp>
 #include <savorywheel/traffic/call_request.hpp>
 #include <savorywheel/traffic/call_response.hpp>
 #include <savorywheel/traffic/crash_report.hpp>
@@ -28,6 +29,20 @@
             cereal::make_nvp("headers", response.headers), cereal::make_nvp("body", response.body));
 }
 
+template<typename Archive>
+void serialize(Archive& archive, backend_departure& departure)
+{
+    archive(cereal::make_nvp("identity", departure.identity),
+            cereal::make_nvp("started_at", departure.started_at),
+            cereal::make_nvp("is_exact", departure.is_exact));
+}
+
+template<typename Archive>
+void serialize(Archive& archive, backend_departures& departures)
+{
+    archive(cereal::make_nvp("items", departures.items));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, call_request& call)
 {
--- a/src/savorywheel/node/announcement_order.cpp
+++ b/src/savorywheel/node/announcement_order.cpp
@@ -71,15 +71,35 @@
     return is_current;
 }
 
-bool announcement_order::has_left(const backend_announcement& announcement) const
+bool announcement_order::restore(std::span<const backend_departure> departures)
+{
+    const auto since_start = std::exchange(departures_, {});
+    for (const auto& group : {departures, std::span{since_start}}) {
+        for (const auto& item : group) {
+            add_departure(item);
+        }
+    }
+    needs_confirmation_ = false;
+    if (!current_ || current_->is_gone) {
+        return false;
+    }
+    current_->is_gone = has_left(current_->identity, current_->started_at);
+    return current_->is_gone;
+}
+
+bool announcement_order::has_left(std::string_view identity, std::uint64_t started_at) const
 {
-    return std::ranges::any_of(departures_, [&announcement](const backend_departure& item) {
-        return item.identity == announcement.backend.identity &&
-               (item.is_exact ? item.started_at == announcement.started_at
-                              : item.started_at >= announcement.started_at);
+    return std::ranges::any_of(departures_, [&](const backend_departure& item) {
+        return item.identity == identity &&
+               (item.is_exact ? item.started_at == started_at : item.started_at >= started_at);
     });
 }
 
+bool announcement_order::has_left(const backend_announcement& announcement) const
+{
+    return has_left(announcement.backend.identity, announcement.started_at);
+}
+
 bool announcement_order::continues_to_drain(const backend_announcement& announcement) const
 {
     return announcement.backend.state == server_state::draining && current_ && !current_->is_gone &&
@@ -89,7 +109,7 @@
 bool announcement_order::is_newer(const backend_announcement& announcement) const
 {
     if (!current_) {
-        return true;
+        return !needs_confirmation_;
     }
     if (current_->is_same(announcement)) {
         return announcement.sequence > current_->sequence;
@@ -110,7 +130,7 @@
     }
     candidate_->sequence = announcement.sequence;
     const bool is_spaced = now - candidate_->heard_at >= silence_ / min_spacing_divisor;
-    return is_spaced && (current_->is_gone || now - current_->heard_at >= silence_);
+    return is_spaced && (!current_ || current_->is_gone || now - current_->heard_at >= silence_);
 }
 
 void announcement_order::add_departure(backend_departure departure)
--- a/src/savorywheel/node/announcement_order.hpp
+++ b/src/savorywheel/node/announcement_order.hpp
@@ -47,6 +47,19 @@
      */
     bool leave(std::string_view identity, std::uint64_t now);
 
+    /**
+     * @brief Adds departures from before the start of this process.
+     * @return True if the current start is one of them.
+     */
+    bool restore(std::span<const backend_departure> departures);
+
+    /**
+     * @brief Requires that the first start announces itself repeatedly before it is current.
+     *
+     * For a node that does not know which backend servers left before its own start.
+     */
+    void require_confirmation() noexcept { needs_confirmation_ = true; }
+
     /** @return The latest departures, oldest first. */
     [[nodiscard]] std::span<const backend_departure> departures() const noexcept
     {
@@ -66,6 +79,7 @@
 
     [[nodiscard]] static start make_start(const backend_announcement& announcement,
                                           monotonic_time now);
+    [[nodiscard]] bool has_left(std::string_view identity, std::uint64_t started_at) const;
     [[nodiscard]] bool has_left(const backend_announcement& announcement) const;
     [[nodiscard]] bool continues_to_drain(const backend_announcement& announcement) const;
     [[nodiscard]] bool is_newer(const backend_announcement& announcement) const;
@@ -81,6 +95,7 @@
     /** Start that announces itself though it is not the newest; heard_at is its first arrival. */
     std::optional<start> candidate_;
     std::vector<backend_departure> departures_;
+    bool needs_confirmation_{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/backend_monitor.cpp
+++ b/src/savorywheel/node/backend_monitor.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds check_period{500};
 /** Part of the timeout after which a backend server without an announcement may be replaced. */
 constexpr int silence_divisor = 2;
+/** Announcements within the time for which they are held back. */
+constexpr std::size_t max_held = 16;
 
 } // namespace
 
@@ -49,7 +51,20 @@
     if (const auto mismatch = environment_.placement.find_mismatch(announcement)) {
         return failure{failure_code::invalid_argument, *mismatch};
     }
-    if (order_.record(announcement, environment_.loop.time().now())) {
+    const auto now = environment_.loop.time().now();
+    if (holds_) {
+        if (held_.size() < max_held) {
+            held_.push_back({announcement, now});
+        }
+        return true;
+    }
+    return apply(announcement, now);
+}
+
+outcome<bool> backend_monitor::apply(const backend_announcement& announcement,
+                                     monotonic_time arrived)
+{
+    if (order_.record(announcement, arrived)) {
         announce(announcement.backend);
         return true;
     }
@@ -64,7 +79,38 @@
     const auto now = environment_.loop.time().calendar_now().time_since_epoch();
     const bool is_current = order_.leave(identity, static_cast<std::uint64_t>(now.count()));
     environment_.log.write(event_id::backend_deregistered, identity);
-    if (is_current && backend_) {
+    if (is_current) {
+        remove();
+    }
+}
+
+void backend_monitor::release_unconfirmed()
+{
+    if (holds_) {
+        order_.require_confirmation();
+        apply_held();
+    }
+}
+
+void backend_monitor::restore(std::span<const backend_departure> departures)
+{
+    if (order_.restore(departures)) {
+        remove();
+    }
+    apply_held();
+}
+
+void backend_monitor::apply_held()
+{
+    holds_ = false;
+    for (const auto& item : std::exchange(held_, {})) {
+        static_cast<void>(apply(item.announcement, item.arrived));
+    }
+}
+
+void backend_monitor::remove()
+{
+    if (backend_) {
         backend_.reset();
         changed_(backend_);
     }
@@ -74,8 +120,7 @@
 {
     if (backend_ && environment_.loop.time().now() - announced_at_ > environment_.timeout) {
         environment_.log.write(event_id::backend_lost, backend_->service.str());
-        backend_.reset();
-        changed_(backend_);
+        remove();
     }
 }
 
--- a/src/savorywheel/node/backend_monitor.hpp
+++ b/src/savorywheel/node/backend_monitor.hpp
@@ -9,7 +9,9 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string_view>
+#include <vector>
 
 namespace savorywheel {
 
@@ -60,13 +62,44 @@
     /** @brief Removes a backend server; later announcements of the same start are ignored. */
     void deregister(std::string_view identity);
 
+    /** @brief Holds announcements back until the departures before this start are known. */
+    void hold_announcements() noexcept { holds_ = true; }
+
+    /**
+     * @brief Uses announcements without knowing the departures before this start.
+     *
+     * A backend server is then used after it has announced itself repeatedly.
+     */
+    void release_unconfirmed();
+
+    /** @brief Adds the departures before this start, and uses the announcements held back. */
+    void restore(std::span<const backend_departure> departures);
+
+    /** @return The latest departures, oldest first. */
+    [[nodiscard]] std::span<const backend_departure> departures() const noexcept
+    {
+        return order_.departures();
+    }
+
 private:
+    struct held_announcement {
+        backend_announcement announcement;
+        monotonic_time arrived;
+    };
+
+    [[nodiscard]] outcome<bool> apply(const backend_announcement& announcement,
+                                      monotonic_time arrived);
+    void apply_held();
+    void remove();
     void check_timeout();
 
     environment environment_;
     change_callback changed_;
     std::optional<backend_server> backend_;
     announcement_order order_;
+    /** Announcements that have arrived before the departures are known. */
+    std::vector<held_announcement> held_;
+    bool holds_{};
     monotonic_time announced_at_;
     bool stopped_{};
     subscription timer_;
--- a/test/savorywheel/node/backend_monitor_test.cpp
+++ b/test/savorywheel/node/backend_monitor_test.cpp
@@ -205,4 +205,62 @@
     EXPECT_EQ(node.latest->state, server_state::draining);
 }
 
+// Review case 5: a late announcement of a server that had left was used after a restart of the
+// node.
+TEST(backend_monitor, late_announcement_after_a_restart_is_not_used_if_the_server_had_left)
+{
+    monitor_fixture before;
+    EXPECT_TRUE(before.accept(make("i-1", 100, 8)));
+    before.subject.deregister("i-1");
+    const auto departures = before.subject.departures();
+    const std::vector recorded(departures.begin(), departures.end());
+    monitor_fixture after;
+    after.subject.hold_announcements();
+    EXPECT_TRUE(after.subject.accept(make("i-1", 100, 7)));
+    EXPECT_FALSE(after.latest.has_value());
+    after.subject.restore(recorded);
+    EXPECT_FALSE(after.latest.has_value());
+    EXPECT_FALSE(after.accept(make("i-1", 100, 9)));
+    EXPECT_TRUE(after.accept(make("i-1", 300, 1)));
+}
+
+// Review case 5: the same for a server that had announced that it drains.
+TEST(backend_monitor, late_announcement_after_a_restart_is_not_used_if_the_server_drained)
+{
+    monitor_fixture before;
+    EXPECT_TRUE(before.accept(make("i-1", 100, 8, server_state::draining)));
+    const auto departures = before.subject.departures();
+    const std::vector recorded(departures.begin(), departures.end());
+    monitor_fixture after;
+    after.subject.restore(recorded);
+    EXPECT_FALSE(after.accept(make("i-1", 100, 7)));
+    EXPECT_FALSE(after.latest.has_value());
+}
+
+TEST(backend_monitor, announcement_held_back_is_used_once_the_departures_are_known)
+{
+    monitor_fixture node;
+    node.subject.hold_announcements();
+    EXPECT_TRUE(node.subject.accept(make("i-1", 100, 7)));
+    EXPECT_FALSE(node.latest.has_value());
+    node.subject.restore({});
+    ASSERT_TRUE(node.latest.has_value());
+    EXPECT_EQ(node.latest->identity, "i-1");
+}
+
+TEST(backend_monitor, server_is_used_after_its_second_announcement_while_departures_are_unknown)
+{
+    monitor_fixture node;
+    node.subject.hold_announcements();
+    EXPECT_TRUE(node.subject.accept(make("i-1", 100, 7)));
+    node.advance(std::chrono::milliseconds{1000});
+    node.subject.release_unconfirmed();
+    EXPECT_FALSE(node.latest.has_value());
+    node.advance(std::chrono::milliseconds{500});
+    EXPECT_TRUE(node.accept(make("i-1", 100, 8)));
+    const std::vector<backend_departure> departures{{"i-1", 100, true}};
+    node.subject.restore(departures);
+    EXPECT_FALSE(node.latest.has_value());
+}
+
 } // namespace savorywheel::test
