Renew the watches of the store in turn, so that silent ones do not delay a change

Callers saw: requests for a route that had been added were refused with 404 (CONFIG and DENIED at once) for up to 16 s after the acknowledgement, at all nodes.

Reproduced: silent_store_test, three processes behind a proxy whose open connections go silent while new ones work; 3 s later the operator adds a route. From 2.5 s after the acknowledgement on, 60 of 60 requests were refused, twice, with the former wait of 25 s.

Cause: a watch on a silent connection returns nothing, and its end was noticed 2 s after a wait of 25 s. Peers inform each other only of what one of them has heard, and none had.

Change: watch_schedule ends the watches of the live nodes in turn, one each second, so that one node asks the store anew in time and informs the others; the number of requests does not grow with the mesh up to 25 nodes, and by n/25 a second beyond that, as before. A watch without a response 500 ms after its end (SW2020) gives up its connection, and the objects are read on a new one at once. The rollout orders are watched in the same way.

--- a/src/savorywheel/distribution/document_watcher.cpp
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/** A longer wait needs fewer requests, but detects a stalled connection later. */
-constexpr std::chrono::milliseconds max_watch_wait{25'000};
 /** Changes within this window are read together; a quarter of the 2.5 s activation target. */
 constexpr std::chrono::milliseconds batch_window{600};
 constexpr std::chrono::milliseconds min_retry_delay{100};
@@ -50,6 +48,9 @@
     set_thread_name("document-watch");
     while (true) {
         const auto answered = revision_ ? follow() : read();
+        if (answered && !*answered) {
+            continue;
+        }
         environment_.health(answered);
         if (!pause(answered ? batch_window : next_retry_delay())) {
             return;
@@ -71,12 +72,19 @@
 
 outcome<bool> document_watcher::follow()
 {
-    auto listed = environment_.store.watch(prefix_, *revision_, max_watch_wait);
+    auto listed = environment_.store.watch(prefix_, *revision_, environment_.schedule.next_wait());
     if (!listed) {
         // If the store has compacted this revision, only a full list returns the newest values.
         revision_.reset();
-        return listed.reason().code == failure_code::not_found ? outcome<bool>{true}
-                                                               : outcome<bool>{listed.reason()};
+        switch (listed.reason().code) {
+        case failure_code::not_found:
+            return true;
+        case failure_code::timeout:
+            environment_.log.write(event_id::watch_silent, prefix_);
+            return false;
+        default:
+            return listed.reason();
+        }
     }
     revision_ = std::max(*revision_, listed->revision);
     retry_delay_ = min_retry_delay;
--- a/src/savorywheel/distribution/document_watcher.hpp
+++ b/src/savorywheel/distribution/document_watcher.hpp
@@ -2,6 +2,8 @@
 #define SAVORYWHEEL_DISTRIBUTION_DOCUMENT_WATCHER_HPP
 
 #include <savorywheel/core/random_source.hpp>
+#include <savorywheel/distribution/watch_schedule.hpp>
+#include <savorywheel/log/event_log.hpp>
 #include <savorywheel/store/object_store.hpp>
 
 #include <condition_variable>
@@ -18,7 +20,8 @@
  * @brief Thread that watches the objects below a key prefix of the object store.
  *
  * It owns no state except its revision; changed objects reach the control thread by callback.
- * Changes in quick succession are batched into one store request.
+ * Changes in quick succession are batched into one store request. A watch without a response at the
+ * end of its wait is on a silent connection; the objects are then read on another one.
  */
 class document_watcher {
 public:
@@ -33,6 +36,9 @@
         object_store& store;
         /** @brief Source of the retry jitter. */
         random_source& random;
+        /** @brief Limits the wait of each watch. */
+        const watch_schedule& schedule;
+        event_log& log;
         documents_callback documents;
         health_callback health;
     };
@@ -54,6 +60,7 @@
 private:
     void run();
     [[nodiscard]] outcome<bool> read();
+    /** Returns false if the watch got no response in time. */
     [[nodiscard]] outcome<bool> follow();
     void deliver(object_list listed);
     /** Sleeps; returns false on shutdown. */
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -32,6 +32,7 @@
     store_object_unreadable = 2017,
     announcement_invalid = 2018,
     route_kind_unknown = 2019,
+    watch_silent = 2020,
     member_alive = 3001,
     member_suspect = 3002,
     member_dead = 3003,
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace savorywheel {
@@ -51,6 +52,11 @@
 
 void document_config_provider::on_members_changed()
 {
+    const auto live = environment_.members.table().live();
+    const auto& self = environment_.members.self().id;
+    const auto rank = std::ranges::count_if(
+        live, [&self](const auto* member) { return member->update.record.id < self; });
+    documents_.set_place(static_cast<std::size_t>(rank), live.size());
     if (orders_.depends_on_members()) {
         apply();
     }
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -18,7 +18,8 @@
 
 document_service::document_service(const configuration_decoder& decoder,
                                    const order_codec& rollout_order_codec, environment env)
-    : decoder_{decoder}, order_codec_{rollout_order_codec}, environment_{std::move(env)},
+    : decoder_{decoder}, order_codec_{rollout_order_codec},
+      environment_{std::move(env)}, schedule_{environment_.loop.time()},
       configuration_watcher_{std::string{decoder.key()},
                              watcher_environment(&document_service::merge_configuration)},
       order_watcher_{std::string{rollout_order_codec.prefix()},
@@ -28,7 +29,10 @@
 
 document_watcher::environment document_service::watcher_environment(merge_function merge_object)
 {
-    return {environment_.store, environment_.random,
+    return {environment_.store,
+            environment_.random,
+            schedule_,
+            environment_.log,
             [this, merge_object](std::vector<stored_object> objects) {
                 environment_.loop.post([this, merge_object, items = std::move(objects)] {
                     bool changed = false;
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -72,6 +72,9 @@
      */
     void on_head_received(const network_endpoint& peer, const configuration_head& remote);
 
+    /** @copydoc watch_schedule::set_place */
+    void set_place(std::size_t rank, std::size_t nodes) { schedule_.set_place(rank, nodes); }
+
     /** @return This node's copy of the documents. */
     [[nodiscard]] const operator_documents& documents() const noexcept { return documents_; }
 
@@ -102,6 +105,7 @@
     /** Request of the last fetch. */
     std::uint64_t fetch_request_{};
     bool fetching_{};
+    watch_schedule schedule_;
     document_watcher configuration_watcher_;
     document_watcher order_watcher_;
 };
--- /dev/null
+++ b/test/platform/metadata_store_server.hpp
@@ -0,0 +1,43 @@
+#ifndef SAVORYWHEEL_TEST_PLATFORM_METADATA_STORE_SERVER_HPP
+#define SAVORYWHEEL_TEST_PLATFORM_METADATA_STORE_SERVER_HPP
+
+#include <savorywheel/http/http_handler.hpp>
+
+#include <platform/fake_metadata_store.hpp>
+#include <support/loop_http_server.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+namespace savorywheel::platform::test {
+
+/** @brief Fake metadata store behind HTTP, for processes; watches wait for a change. */
+class metadata_store_server final : public http_handler {
+public:
+    metadata_store_server();
+    metadata_store_server(const metadata_store_server&) = delete;
+    metadata_store_server& operator=(const metadata_store_server&) = delete;
+    metadata_store_server(metadata_store_server&&) = delete;
+    metadata_store_server& operator=(metadata_store_server&&) = delete;
+    ~metadata_store_server() override;
+
+    [[nodiscard]] const network_endpoint& endpoint() const noexcept { return endpoint_; }
+
+    /** @brief Creates or replaces an object, as operators do. */
+    void put(const std::string& kind, const std::string& name, const json& object);
+
+    [[nodiscard]] http_response handle(const http_request& request) override;
+
+private:
+    fake_metadata_store store_;
+    network_endpoint endpoint_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::uint64_t changes_{};
+    bool stopping_{};
+    savorywheel::test::loop_http_server server_{*this};
+};
+
+} // namespace savorywheel::platform::test
+
+#endif
