List the new log events, and say where a change of the configuration came from

Change: texts for SW2020 and SW3009 to SW3012; SW3012 is new and tells of an announcement that is not applied. SW2001 ends with the source of the last change.

--- a/src/savorywheel/distribution/watch_schedule.hpp
+++ b/src/savorywheel/distribution/watch_schedule.hpp
@@ -13,8 +13,8 @@
  * @brief Turns of the nodes in renewing their watches of the object store.
  *
  * A watch on a connection that has gone silent returns nothing. The nodes renew their watches in
- * turn, one each period, so that one node learns of a change in time and informs the others, while
- * the store gets the same number of requests from a mesh of any size. Thread-safe.
+ * turn, one each second, so that one node learns of a change in time and informs the others. Up to
+ * 25 nodes, the number of requests does not depend on the number of nodes. Thread-safe.
  */
 class watch_schedule {
 public:
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -60,10 +60,14 @@
     event_description{event_id::store_object_unreadable, warning,
                       "An object in the store has no readable name or revision and is skipped."},
     event_description{event_id::announcement_invalid, warning,
-                      "An announcement of a backend server is invalid and was rejected."},
+                      "An announcement is invalid, or contradicts the settings of this VM, and "
+                      "was rejected."},
     event_description{event_id::route_kind_unknown, warning,
                       "A route is of a kind unknown to this release and is served as "
                       "non-idempotent."},
+    event_description{event_id::watch_silent, warning,
+                      "A watch of the platform's store got no response in time; the objects are "
+                      "read on another connection."},
     event_description{event_id::member_alive, info, "A node joined or responds again."},
     event_description{event_id::member_suspect, info, "A node did not respond to a probe."},
     event_description{event_id::member_dead, warning, "A node failed or left."},
@@ -77,6 +81,16 @@
                       "This node's backend server responds to none of its calls."},
     event_description{event_id::backend_responsive, info,
                       "This node's backend server responds again."},
+    event_description{event_id::departures_unknown, warning,
+                      "The departures of backend servers before this start cannot be read from the "
+                      "platform's store."},
+    event_description{event_id::departure_not_recorded, warning,
+                      "A departure of a backend server cannot be written to the platform's store."},
+    event_description{event_id::departures_restored, info,
+                      "The departures of backend servers before this start are known."},
+    event_description{event_id::announcement_displaced, info,
+                      "An announcement was not applied, since another start of a backend server is "
+                      "in use."},
     event_description{event_id::call_not_run, warning, "A call was refused; it was not run."},
     event_description{event_id::call_outcome_unknown, warning,
                       "A call got no whole answer; it may have been run."},
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -44,6 +44,7 @@
     departures_unknown = 3009,
     departure_not_recorded = 3010,
     departures_restored = 3011,
+    announcement_displaced = 3012,
     call_not_run = 4001,
     call_outcome_unknown = 4002,
     call_frame_malformed = 4003,
--- a/src/savorywheel/node/announcement_order.cpp
+++ b/src/savorywheel/node/announcement_order.cpp
@@ -9,8 +9,7 @@
 
 /** A VM runs one backend server at a time, so few leave while announcements are in flight. */
 constexpr std::size_t max_departures = 16;
-/** Delayed announcements of an ended start arrive together, those of a running one in its period.
- */
+/** Late announcements of an ended start may arrive together. */
 constexpr int min_spacing_divisor = 3;
 
 } // namespace
--- a/src/savorywheel/node/backend_monitor.cpp
+++ b/src/savorywheel/node/backend_monitor.cpp
@@ -68,7 +68,10 @@
         announce(announcement.backend);
         return true;
     }
-    if (order_.is_displaced(announcement) && announcement.backend.state != server_state::draining) {
+    if (order_.is_displaced(announcement)) {
+        environment_.log.write(
+            event_id::announcement_displaced,
+            fmt::format("{}, start {}", announcement.backend.identity, announcement.started_at));
         return failure{failure_code::conflict, "another backend server is in use"};
     }
     return false;
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -249,7 +249,7 @@
         environment_.loop, [this, recorded, change = std::move(change)] {
             const auto known = backend_.departures();
             const std::vector before(known.begin(), known.end());
-            const auto result = change();
+            auto result = change();
             if (departures_ && !std::ranges::equal(before, backend_.departures())) {
                 departures_->write(backend_.departures(), [recorded] { recorded->set_value(); });
             }
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -82,8 +82,9 @@
         return;
     }
     environment_.log.write(event_id::configuration_in_force,
-                           fmt::format("version {}, state {}", known.configuration.version.number,
-                                       state.version().number));
+                           fmt::format("version {}, state {}, last change from {}",
+                                       known.configuration.version.number, state.version().number,
+                                       documents_.source()));
     environment_.state_changed(state);
     last_state_ = std::move(state);
 }
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -40,6 +40,7 @@
                         changed = (this->*merge_object)(item) || changed;
                     }
                     if (changed) {
+                        source_ = "the store";
                         environment_.changed();
                     }
                 });
@@ -141,12 +142,14 @@
     fetch_timer_ = environment_.loop.timers().after(fetch_timeout, [this] { fetching_ = false; });
     fetch_request_ = environment_.requests.submit(
         environment_.network.connection_to(peer), frame_kind::configuration_get,
-        encode(documents_.request()), [this](request_client::response answer) {
-            environment_.loop.post([this, item = std::move(answer)] { on_fetched(item); });
+        encode(documents_.request()), [this, peer](request_client::response answer) {
+            environment_.loop.post(
+                [this, peer, item = std::move(answer)] { on_fetched(peer, item); });
         });
 }
 
-void document_service::on_fetched(const request_client::response& answer)
+void document_service::on_fetched(const network_endpoint& peer,
+                                  const request_client::response& answer)
 {
     fetching_ = false;
     fetch_timer_.reset();
@@ -157,6 +160,7 @@
         return;
     }
     if (documents_.merge(*remote)) {
+        source_ = to_string(peer);
         environment_.changed();
     }
 }
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -14,6 +14,8 @@
 
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace savorywheel {
 
@@ -75,6 +77,9 @@
     /** @copydoc watch_schedule::set_place */
     void set_place(std::size_t rank, std::size_t nodes) { schedule_.set_place(rank, nodes); }
 
+    /** @return Where the last change of the documents came from, for logs. */
+    [[nodiscard]] std::string_view source() const noexcept { return source_; }
+
     /** @return This node's copy of the documents. */
     [[nodiscard]] const operator_documents& documents() const noexcept { return documents_; }
 
@@ -93,13 +98,14 @@
     /** Logs and forwards changes of the store's health; any value means that it is reachable. */
     void on_store_health(const outcome<bool>& store_result);
     void fetch(const network_endpoint& peer);
-    void on_fetched(const request_client::response& answer);
+    void on_fetched(const network_endpoint& peer, const request_client::response& answer);
 
     const configuration_decoder& decoder_;
     const order_codec& order_codec_;
     environment environment_;
     operator_documents documents_;
     std::optional<bool> store_reachable_;
+    std::string source_;
     /** Ends the delay before a fetch, and then the wait for the response. */
     subscription fetch_timer_;
     /** Request of the last fetch. */
--- a/test/platform/silent_store_test.cpp
+++ b/test/platform/silent_store_test.cpp
@@ -48,12 +48,12 @@
               {"virtual-hosts", {{{"host", "desk.example"}, {"path-rules", rules}}}}}}};
 }
 
-/** Nodes without backend servers, whose connections to the store pass a proxy. */
-class silent_store_test : public testing::Test {
-protected:
-    static constexpr int node_count = 3;
+constexpr int node_count = 3;
 
-    silent_store_test()
+/** Nodes without backend servers, whose connections to the store pass a proxy. */
+class proxied_nodes {
+public:
+    proxied_nodes()
     {
         store_.put("config", "main", configuration(5, {"/first/"}));
         std::filesystem::create_directories(folder_);
@@ -67,16 +67,23 @@
         std::this_thread::sleep_for(settling_time);
     }
 
-    ~silent_store_test() override
+    ~proxied_nodes()
     {
         nodes_.clear();
         std::filesystem::remove_all(folder_);
     }
 
-    silent_store_test(const silent_store_test&) = delete;
-    silent_store_test& operator=(const silent_store_test&) = delete;
-    silent_store_test(silent_store_test&&) = delete;
-    silent_store_test& operator=(silent_store_test&&) = delete;
+    proxied_nodes(const proxied_nodes&) = delete;
+    proxied_nodes& operator=(const proxied_nodes&) = delete;
+    proxied_nodes(proxied_nodes&&) = delete;
+    proxied_nodes& operator=(proxied_nodes&&) = delete;
+
+    /** Makes the open connections to the store silent, and waits until all bounds hold again. */
+    void silence_connections()
+    {
+        proxy_.blackhole_open_connections();
+        std::this_thread::sleep_for(settling_time);
+    }
 
     static std::string address_of(int node) { return fmt::format("127.151.0.{}", node); }
 
@@ -104,9 +111,6 @@
         return refusals;
     }
 
-    metadata_store_server store_;
-    blackhole_proxy proxy_{store_.endpoint()};
-
 private:
     std::unique_ptr<child_process> start_node(int node)
     {
@@ -123,6 +127,8 @@
                                                (folder_ / fmt::format("n{}.log", node)).string());
     }
 
+    metadata_store_server store_;
+    blackhole_proxy proxy_{store_.endpoint()};
     std::filesystem::path folder_{std::filesystem::temp_directory_path() /
                                   fmt::format("savorywheel-silent-{}", ::getpid())};
     std::vector<std::unique_ptr<child_process>> nodes_;
@@ -131,15 +137,14 @@
 } // namespace
 
 // Report CONFIG/DENIED: requests for an added route got 404 for up to 16 s.
-TEST_F(silent_store_test, added_route_is_in_force_in_time_while_all_watches_are_silent)
+TEST(silent_store, added_route_is_in_force_in_time_while_all_watches_are_silent)
 {
-    EXPECT_EQ(count_late_refusals(7), 0);
-    proxy_.blackhole_open_connections();
-    std::this_thread::sleep_for(settling_time);
-    EXPECT_EQ(count_late_refusals(9), 0);
-    proxy_.blackhole_open_connections();
-    std::this_thread::sleep_for(settling_time);
-    EXPECT_EQ(count_late_refusals(11), 0);
+    proxied_nodes nodes;
+    EXPECT_EQ(nodes.count_late_refusals(7), 0);
+    nodes.silence_connections();
+    EXPECT_EQ(nodes.count_late_refusals(9), 0);
+    nodes.silence_connections();
+    EXPECT_EQ(nodes.count_late_refusals(11), 0);
 }
 
 } // namespace savorywheel::platform::test
--- a/test/savorywheel/distribution/watch_schedule_test.cpp
+++ b/test/savorywheel/distribution/watch_schedule_test.cpp
@@ -46,6 +46,7 @@
     constexpr milliseconds step{50};
     auto mesh = make_mesh(time, *rc::gen::inRange<std::size_t>(1, 25));
     std::vector<milliseconds> due;
+    due.reserve(mesh.size());
     for (const auto& item : mesh) {
         due.push_back(item.next_wait());
     }
