--- a/test/savorywheel/settings/node_settings_faults_test.cpp
+++ b/test/savorywheel/settings/node_settings_faults_test.cpp
@@ -98,4 +98,15 @@
     EXPECT_TRUE(validator.check_domains(text).empty());
 }
 
+TEST(node_settings_faults, grace_time_of_a_stop_is_read_and_checked)
+{
+    findings report;
+    const auto base = settings_with("", "");
+    EXPECT_FALSE(read_node_settings(base, report).stop_grace);
+    const auto settings = read_node_settings(base + "stop_grace_ms: 6000\n", report);
+    EXPECT_EQ(report.render("s"), "");
+    EXPECT_EQ(settings.stop_grace, std::chrono::milliseconds{6000});
+    EXPECT_NE(faults_of(base + "stop_grace_ms: -1\n"), "");
+}
+
 } // namespace savorywheel::test
