Move the registration of the backend server and the HTTP limits to files of their own

Change: backend_registry holds backend_monitor and departure_store and the wait for a recorded departure; node_http_limits has the limits of the node's servers and its client. The code is moved, and behaves as before.

--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -9,10 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <future>
-#include <span>
 #include <utility>
-#include <vector>
 
 namespace savorywheel {
 
@@ -21,8 +18,6 @@
 constexpr std::size_t max_peer_events = 4096;
 constexpr std::size_t max_peer_bytes = 64UL * 1024UL * 1024UL;
 constexpr std::chrono::milliseconds survey_timeout{1000};
-/** A backend server waits for an acknowledgement for a second. */
-constexpr std::chrono::milliseconds max_record_wait{500};
 
 event_id event_of(member_status status)
 {
@@ -47,12 +42,10 @@
       membership_{make_node_record(settings, env.loop.time()), settings.seeds,
                   membership_environment()},
       ordered_log_{settings_, log_environment()},
-      backend_{backend_monitor::environment{env.loop, env.log, settings.backend_timeout,
-                                            make_backend_placement(settings)},
+      backend_{settings,
+               backend_registry::environment{env.loop, env.worker, env.log, env.decoder != nullptr},
                [this](const auto& backend) { on_backend_changed(backend); }},
-      departures_{make_departures()}, appender_{make_appender()}, rollouts_{make_node_lease(
-                                                                                settings),
-                                                                            rollout_environment()},
+      appender_{make_appender()}, rollouts_{make_node_lease(settings), rollout_environment()},
       heads_{env.tables, env.network, env.requests}, documents_{make_documents()}
 {
 }
@@ -125,36 +118,11 @@
             [this](const mesh_state& state) { apply_state(state); }});
 }
 
-std::unique_ptr<departure_store> control_plane::make_departures()
-{
-    if (environment_.decoder == nullptr) {
-        return nullptr;
-    }
-    return std::make_unique<departure_store>(
-        settings_.name,
-        departure_store::environment{environment_.loop, environment_.worker, environment_.log});
-}
-
-void control_plane::restore_departures()
-{
-    if (!departures_) {
-        return;
-    }
-    backend_.hold_announcements();
-    departures_->start(
-        [this](std::span<const backend_departure> departures) {
-            backend_.restore(departures);
-            departures_->write(backend_.departures(), [] {});
-        },
-        [this] { backend_.release_unconfirmed(); });
-}
-
 void control_plane::start()
 {
     started_ = true;
     membership_.agent().start();
     backend_.start();
-    restore_departures();
     if (documents_) {
         documents_->start();
     }
@@ -226,44 +194,17 @@
 
 void control_plane::announce_backend(const backend_server& backend)
 {
-    environment_.loop.post([this, backend] { backend_.announce(backend); });
+    backend_.announce(backend);
 }
 
 outcome<bool> control_plane::apply_announcement(const backend_announcement& announcement)
 {
-    return change_backend([this, announcement] { return backend_.accept(announcement); });
+    return backend_.apply(announcement);
 }
 
 outcome<bool> control_plane::deregister_backend(std::string_view identity)
 {
-    return change_backend([this, departed = std::string{identity}]() -> outcome<bool> {
-        backend_.deregister(departed);
-        return true;
-    });
-}
-
-outcome<bool> control_plane::change_backend(std::function<outcome<bool>()> change)
-{
-    const auto recorded = std::make_shared<std::promise<void>>();
-    const auto applied = query_control<outcome<bool>>(
-        environment_.loop, [this, recorded, change = std::move(change)] {
-            const auto known = backend_.departures();
-            const std::vector before(known.begin(), known.end());
-            auto result = change();
-            if (departures_ && !std::ranges::equal(before, backend_.departures())) {
-                departures_->write(backend_.departures(), [recorded] { recorded->set_value(); });
-            }
-            else {
-                recorded->set_value();
-            }
-            return result;
-        });
-    if (!applied) {
-        return applied.reason();
-    }
-    // A departure is in force at once; without the store it only may not outlast this process.
-    static_cast<void>(recorded->get_future().wait_for(max_record_wait));
-    return *applied;
+    return backend_.deregister(identity);
 }
 
 void control_plane::on_member_changed(const member_update& update)
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -6,8 +6,7 @@
 #include <savorywheel/core/event_quota.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
-#include <savorywheel/node/backend_monitor.hpp>
-#include <savorywheel/node/departure_store.hpp>
+#include <savorywheel/node/backend_registry.hpp>
 #include <savorywheel/node/document_config_provider.hpp>
 #include <savorywheel/node/head_service.hpp>
 #include <savorywheel/node/log_config_provider.hpp>
@@ -19,7 +18,6 @@
 #include <savorywheel/traffic/gate.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
-#include <functional>
 #include <memory>
 #include <optional>
 
@@ -116,10 +114,6 @@
     [[nodiscard]] std::unique_ptr<commit_appender> make_appender();
     [[nodiscard]] rollout_service::environment rollout_environment();
     void apply_state(const mesh_state& state);
-    [[nodiscard]] std::unique_ptr<departure_store> make_departures();
-    void restore_departures();
-    /** Runs a change of the backend server; waits until the store has the departures. */
-    [[nodiscard]] outcome<bool> change_backend(std::function<outcome<bool>()> change);
     void on_backend_changed(const std::optional<backend_server>& backend);
 
     node_settings settings_;
@@ -130,8 +124,7 @@
     table_publisher publisher_;
     membership_service membership_;
     log_config_provider ordered_log_;
-    backend_monitor backend_;
-    std::unique_ptr<departure_store> departures_;
+    backend_registry backend_;
     std::unique_ptr<commit_appender> appender_;
     rollout_service rollouts_;
     head_service heads_;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -13,6 +13,7 @@
 #include <savorywheel/node/caller_limit_publisher.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/node.hpp>
+#include <savorywheel/node/node_http_limits.hpp>
 #include <savorywheel/node/node_metric_source.hpp>
 #include <savorywheel/node/readiness_handler.hpp>
 #include <savorywheel/node/stop_schedule.hpp>
@@ -27,7 +28,6 @@
 #include <savorywheel/traffic/proxy_handler.hpp>
 #include <savorywheel/transport/asio_datagram_channel.hpp>
 #include <savorywheel/transport/asio_peer_network.hpp>
-#include <savorywheel/transport/frame_header.hpp>
 #include <savorywheel/transport/frame_router.hpp>
 #include <savorywheel/transport/protocol_error_logger.hpp>
 
@@ -43,36 +43,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds short_request_drain_limit{200};
-constexpr std::chrono::milliseconds short_request_drain_idle{50};
-
-/** For servers of short requests, which clients repeat later or at another node. */
-http_server_limits short_request_limits()
-{
-    http_server_limits limits;
-    limits.drain_limit = short_request_drain_limit;
-    limits.drain_idle = short_request_drain_idle;
-    return limits;
-}
-
-/** Operators settle an operation whose response they did not get. */
-http_server_limits admin_limits()
-{
-    auto limits = short_request_limits();
-    limits.max_body_bytes = max_admin_body_bytes;
-    limits.max_buffered_body_bytes = max_admin_body_bytes;
-    return limits;
-}
-
-/** A response travels to the caller's node in one frame, with its header fields. */
-http_client_limits backend_response_limits()
-{
-    http_client_limits limits;
-    limits.max_body_bytes = max_frame_bytes / 2;
-    limits.max_buffered_bytes = 2 * limits.max_body_bytes;
-    return limits;
-}
-
 std::uint64_t random_seed()
 {
     std::random_device device;
