--- a/src/savorywheel/distribution/document_watcher.cpp
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -2,6 +2,7 @@
 #include <savorywheel/distribution/document_watcher.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <utility>
 
@@ -72,15 +73,16 @@
 
 outcome<bool> document_watcher::follow()
 {
+    const auto started = environment_.time.now();
     auto listed = environment_.store.watch(prefix_, *revision_, environment_.schedule.next_wait());
     if (!listed) {
         // If the store has compacted this revision, only a full list returns the newest values.
-        revision_.reset();
+        const auto revision = *std::exchange(revision_, std::nullopt);
         switch (listed.reason().code) {
         case failure_code::not_found:
             return true;
         case failure_code::timeout:
-            environment_.log.write(event_id::watch_silent, prefix_);
+            log_silence(started, revision);
             return false;
         default:
             return listed.reason();
@@ -92,6 +94,16 @@
     return true;
 }
 
+void document_watcher::log_silence(monotonic_time started, std::uint64_t revision)
+{
+    const auto waited =
+        std::chrono::duration_cast<std::chrono::milliseconds>(environment_.time.now() - started);
+    const std::array fields{log_field{"watch", prefix_},
+                            log_field{"revision", std::to_string(revision)},
+                            log_field{"waited_ms", std::to_string(waited.count())}};
+    environment_.log.write_decision(event_id::watch_silent, prefix_, fields);
+}
+
 void document_watcher::deliver(object_list listed)
 {
     std::map<std::string, stored_object> newest;
--- a/src/savorywheel/distribution/document_watcher.hpp
+++ b/src/savorywheel/distribution/document_watcher.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_DISTRIBUTION_DOCUMENT_WATCHER_HPP
 #define SAVORYWHEEL_DISTRIBUTION_DOCUMENT_WATCHER_HPP
 
+#include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/random_source.hpp>
 #include <savorywheel/distribution/watch_schedule.hpp>
 #include <savorywheel/log/event_log.hpp>
@@ -39,6 +40,7 @@
         /** @brief Limits the wait of each watch. */
         const watch_schedule& schedule;
         event_log& log;
+        const clock& time;
         documents_callback documents;
         health_callback health;
     };
@@ -62,6 +64,7 @@
     [[nodiscard]] outcome<bool> read();
     /** Returns false if the watch got no response in time. */
     [[nodiscard]] outcome<bool> follow();
+    void log_silence(monotonic_time started, std::uint64_t revision);
     void deliver(object_list listed);
     /** Sleeps; returns false on shutdown. */
     [[nodiscard]] bool pause(std::chrono::milliseconds length);
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -68,6 +68,8 @@
     event_description{event_id::watch_silent, warning,
                       "A watch of the platform's store got no response in time; the objects are "
                       "read on another connection."},
+    event_description{event_id::peer_ahead, info,
+                      "A peer has newer documents of the operators than this node."},
     event_description{event_id::member_alive, info, "A node joined or responds again."},
     event_description{event_id::member_suspect, info, "A node did not respond to a probe."},
     event_description{event_id::member_dead, warning, "A node failed or left."},
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -33,6 +33,7 @@
     announcement_invalid = 2018,
     route_kind_unknown = 2019,
     watch_silent = 2020,
+    peer_ahead = 2021,
     member_alive = 3001,
     member_suspect = 3002,
     member_dead = 3003,
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <array>
 #include <utility>
 
 namespace savorywheel {
@@ -33,6 +34,7 @@
             environment_.random,
             schedule_,
             environment_.log,
+            environment_.loop.time(),
             [this, merge_object](std::vector<stored_object> objects) {
                 environment_.loop.post([this, merge_object, items = std::move(objects)] {
                     bool changed = false;
@@ -121,7 +123,11 @@
 void document_service::on_head_received(const network_endpoint& peer,
                                         const configuration_head& remote)
 {
-    if (fetching_ || !documents_.lacks_any_of(remote)) {
+    if (!documents_.lacks_any_of(remote)) {
+        return;
+    }
+    log_newer_head(peer, remote);
+    if (fetching_) {
         return;
     }
     fetching_ = true;
@@ -135,6 +141,22 @@
     });
 }
 
+void document_service::log_newer_head(const network_endpoint& peer,
+                                      const configuration_head& remote)
+{
+    if (newest_reported_ == remote) {
+        return;
+    }
+    newest_reported_ = remote;
+    const std::array fields{
+        log_field{"peer", to_string(peer)},
+        log_field{"peer_version", std::to_string(remote.operator_version.number)},
+        log_field{"peer_state", std::to_string(remote.version.number)},
+        log_field{"version", std::to_string(documents_.configuration.version.number)},
+        log_field{"state", std::to_string(documents_.revision_sum().number)}};
+    environment_.log.write_decision(event_id::peer_ahead, to_string(peer), fields);
+}
+
 void document_service::fetch(const network_endpoint& peer)
 {
     // Until then, a late response to the previous request is merged, too.
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -97,6 +97,8 @@
     void log_invalid_object(const stored_object& object, const failure& reason);
     /** Logs and forwards changes of the store's health; any value means that it is reachable. */
     void on_store_health(const outcome<bool>& store_result);
+    /** Logs the first report of each head that this node lacks. */
+    void log_newer_head(const network_endpoint& peer, const configuration_head& remote);
     void fetch(const network_endpoint& peer);
     void on_fetched(const network_endpoint& peer, const request_client::response& answer);
 
@@ -106,6 +108,8 @@
     operator_documents documents_;
     std::optional<bool> store_reachable_;
     std::string source_;
+    /** Last head that was logged as newer than this node's. */
+    configuration_head newest_reported_;
     /** Ends the delay before a fetch, and then the wait for the response. */
     subscription fetch_timer_;
     /** Request of the last fetch. */
