Add the failing test of the late change after silent connections

The nodes of silent_store are now started by proxied_mesh, which the measurement of the spread uses too.

--- /dev/null
+++ b/test/platform/proxied_mesh.hpp
@@ -0,0 +1,66 @@
+#ifndef SAVORYWHEEL_TEST_PLATFORM_PROXIED_MESH_HPP
+#define SAVORYWHEEL_TEST_PLATFORM_PROXIED_MESH_HPP
+
+#include <platform/metadata_store_server.hpp>
+#include <support/blackhole_proxy.hpp>
+#include <support/child_process.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace savorywheel::platform::test {
+
+/**
+ * @brief Node processes without backend servers, whose connections to the store pass a proxy.
+ *
+ * The nodes are distributed over three regions of two failure domains each.
+ */
+class proxied_mesh {
+public:
+    /** @param node_count Number of nodes. */
+    explicit proxied_mesh(int node_count);
+    proxied_mesh(const proxied_mesh&) = delete;
+    proxied_mesh& operator=(const proxied_mesh&) = delete;
+    proxied_mesh(proxied_mesh&&) = delete;
+    proxied_mesh& operator=(proxied_mesh&&) = delete;
+    ~proxied_mesh();
+
+    /** @return Number of nodes. */
+    [[nodiscard]] int node_count() const noexcept { return static_cast<int>(nodes_.size()); }
+
+    /** @brief Makes the open connections to the store silent; new ones work. */
+    void silence_connections() { proxy_.blackhole_open_connections(); }
+
+    /** @brief Ends a node without notice. */
+    void kill_node(int node);
+
+    /** @brief Writes a configuration with the given route beside the first one. */
+    void add_route(int version, const std::string& prefix);
+
+    /** @return Status of a request; 503 for a route without a backend server, 404 for none. */
+    [[nodiscard]] static int status_of(int node, const std::string& path);
+
+    /** @return Number of running nodes that refuse requests for the path as unknown. */
+    [[nodiscard]] int count_refusals(const std::string& path) const;
+
+    /** @return When the version came into force at a node, by the node's log. */
+    [[nodiscard]] std::optional<std::chrono::system_clock::time_point>
+    in_force_at(int node, int version) const;
+
+private:
+    [[nodiscard]] std::unique_ptr<savorywheel::test::child_process> start_node(int node) const;
+    [[nodiscard]] std::filesystem::path log_of(int node) const;
+
+    metadata_store_server store_;
+    savorywheel::test::blackhole_proxy proxy_{store_.endpoint()};
+    std::filesystem::path folder_;
+    std::vector<std::unique_ptr<savorywheel::test::child_process>> nodes_;
+};
+
+} // namespace savorywheel::platform::test
+
+#endif
