Ask the next peer if one does not respond to a fetch of the documents

Callers got 404 for added routes from nodes that knew that a peer was ahead: a node asked one peer at a time and waited 2 s for it, so a peer that was paused or cut cost most of the bound of 2.5 s; a peer that did not have the documents yet answered without them.

document_fetcher keeps up to four sources, asks the next one after 400 ms, and merges late responses. A node that is about to fetch holds the requests of its peers until it has the documents. The wait for the own watch is 100 ms, or until a watch that has just delivered is due again.

The fixture waits a second after its start, so that a watch that has just delivered does not delay the fetch; its checks are unchanged.

--- a/src/savorywheel/distribution/document_watcher.cpp
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/** Changes within this window are read together; a quarter of the 2.5 s activation target. */
-constexpr std::chrono::milliseconds batch_window{600};
 constexpr std::chrono::milliseconds min_retry_delay{100};
 constexpr std::chrono::milliseconds max_retry_delay{1000};
 
@@ -53,7 +51,7 @@
             continue;
         }
         environment_.health(answered);
-        if (!pause(answered ? batch_window : next_retry_delay())) {
+        if (!pause(answered ? watch_batch_window : next_retry_delay())) {
             return;
         }
     }
--- a/src/savorywheel/distribution/document_watcher.hpp
+++ b/src/savorywheel/distribution/document_watcher.hpp
@@ -17,6 +17,9 @@
 
 namespace savorywheel {
 
+/** @brief Changes within this window are read together. */
+inline constexpr std::chrono::milliseconds watch_batch_window{600};
+
 /**
  * @brief Thread that watches the objects below a key prefix of the object store.
  *
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -24,7 +24,8 @@
             environment_.requests,
             environment_.log,
             [this] { apply(); },
-            [this](bool reachable) { on_store_health(reachable); }};
+            [this](bool reachable) { on_store_health(reachable); },
+            [] {}};
 }
 
 member_directory::environment document_config_provider::directory_environment()
--- /dev/null
+++ b/src/savorywheel/node/document_fetcher.cpp
@@ -0,0 +1,152 @@
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/node/document_fetcher.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+/** After this time without a response, the next source is asked as well. */
+constexpr std::chrono::milliseconds attempt_timeout{400};
+/** After this time without a response, a source may be asked again. */
+constexpr std::chrono::milliseconds request_timeout{2000};
+/** Both senders of a confirmation, its origin and a peer from a probe. */
+constexpr std::size_t max_sources = 4;
+
+} // namespace
+
+void document_fetcher::add_source(const network_endpoint& peer, const configuration_head& remote)
+{
+    if (!environment_.documents.lacks_any_of(remote)) {
+        return;
+    }
+    const bool was_active = active();
+    const auto known = std::ranges::find(sources_, peer, &source::peer);
+    if (known != sources_.end()) {
+        known->head = remote;
+    }
+    else {
+        drop_oldest_request();
+        sources_.push_back({peer, remote, 0, {}});
+    }
+    if (!was_active) {
+        delay_reported_ = false;
+        wait(environment_.watch_delay());
+    }
+}
+
+void document_fetcher::drop_oldest_request()
+{
+    if (sources_.size() < max_sources) {
+        return;
+    }
+    const auto oldest = std::ranges::min_element(sources_, {}, &source::asked_at);
+    environment_.requests.discard(oldest->request);
+    sources_.erase(oldest);
+}
+
+void document_fetcher::on_documents_changed()
+{
+    if (!active()) {
+        return;
+    }
+    remove_useless_sources();
+    if (active()) {
+        wait(environment_.watch_delay());
+    }
+}
+
+void document_fetcher::stop()
+{
+    timer_.reset();
+    for (const auto& item : std::exchange(sources_, {})) {
+        environment_.requests.discard(item.request);
+    }
+}
+
+void document_fetcher::wait(duration delay)
+{
+    timer_ = environment_.loop.timers().after(delay, [this] { ask_next(); });
+}
+
+void document_fetcher::remove_useless_sources()
+{
+    std::erase_if(sources_, [this](const source& item) {
+        if (environment_.documents.lacks_any_of(item.head)) {
+            return false;
+        }
+        environment_.requests.discard(item.request);
+        return true;
+    });
+    if (sources_.empty()) {
+        timer_.reset();
+        environment_.ended();
+    }
+}
+
+void document_fetcher::ask_next()
+{
+    const auto now = environment_.loop.time().now();
+    // A source that has not responded at all is asked again only if it is reported again.
+    std::erase_if(sources_, [this, now](const source& item) {
+        if (item.request == 0 || now - item.asked_at < request_timeout) {
+            return false;
+        }
+        environment_.requests.discard(item.request);
+        return true;
+    });
+    if (sources_.empty()) {
+        environment_.ended();
+        return;
+    }
+    const bool delayed = std::ranges::any_of(sources_, [now](const source& item) {
+        return item.request != 0 && now - item.asked_at >= attempt_timeout;
+    });
+    if (delayed && !std::exchange(delay_reported_, true)) {
+        environment_.delayed();
+    }
+    const auto next = std::ranges::find(sources_, std::uint64_t{0}, &source::request);
+    if (next != sources_.end()) {
+        // The callback may run during submit(), before the request is known.
+        const auto request = std::make_shared<std::uint64_t>();
+        const auto peer = next->peer;
+        next->asked_at = now;
+        next->request = *request = environment_.requests.submit(
+            environment_.network.connection_to(peer), frame_kind::configuration_get,
+            encode(environment_.documents.request()),
+            [this, peer, request](request_client::response answer) {
+                environment_.loop.post([this, peer, request, item = std::move(answer)] {
+                    on_response(peer, *request, item);
+                });
+            });
+    }
+    wait(attempt_timeout);
+}
+
+void document_fetcher::on_response(const network_endpoint& peer, std::uint64_t request,
+                                   const request_client::response& answer)
+{
+    const auto responded = std::ranges::find(sources_, request, &source::request);
+    if (responded == sources_.end()) {
+        return;
+    }
+    sources_.erase(responded);
+    const auto remote =
+        answer ? decode<operator_documents>(*answer) : outcome<operator_documents>{answer.reason()};
+    if (remote) {
+        environment_.received(peer, *remote);
+    }
+    else {
+        environment_.log.write(event_id::configuration_fetch_failed, remote.reason().message);
+    }
+    remove_useless_sources();
+    if (active() &&
+        std::ranges::any_of(sources_, [](const source& item) { return item.request == 0; })) {
+        ask_next();
+    }
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/node/document_fetcher.hpp
@@ -0,0 +1,91 @@
+#ifndef SAVORYWHEEL_NODE_DOCUMENT_FETCHER_HPP
+#define SAVORYWHEEL_NODE_DOCUMENT_FETCHER_HPP
+
+#include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/distribution/operator_documents.hpp>
+#include <savorywheel/log/event_log.hpp>
+#include <savorywheel/transport/peer_network.hpp>
+#include <savorywheel/transport/request_client.hpp>
+
+#include <functional>
+#include <vector>
+
+namespace savorywheel {
+
+/**
+ * @brief Fetches documents that this node lacks from peers that have them.
+ *
+ * Asks one peer after the other, each after a short time without a response, so that a peer that
+ * does not respond costs little of the time within which a change must be in force.
+ * @warning Only for use on the control thread.
+ */
+class document_fetcher {
+public:
+    /** @brief Dependencies; all must outlive the fetcher. */
+    struct environment {
+        /** @brief Event loop of the control thread. */
+        control_loop& loop;
+        /** @brief Stream connections to peers. */
+        peer_network& network;
+        /** @brief Sends requests to peers and matches the responses. */
+        request_client& requests;
+        event_log& log;
+        /** @brief This node's documents. */
+        const operator_documents& documents;
+        /** @brief Returns the time for which a watch may still deliver the documents. */
+        std::function<duration()> watch_delay;
+        /** @brief Receives the documents of a peer. */
+        std::function<void(const network_endpoint& peer, const operator_documents& received)>
+            received;
+        /** @brief Called once for each fetch in which a peer has not responded in time. */
+        std::function<void()> delayed;
+        /** @brief Called when nothing is fetched any more. */
+        std::function<void()> ended;
+    };
+
+    /** @param env Dependencies. */
+    explicit document_fetcher(environment env) : environment_{std::move(env)} {}
+
+    /**
+     * @brief Fetches from a peer, unless other sources deliver the documents sooner.
+     * @param peer Peer that has, or is about to have, documents that this node lacks.
+     * @param remote Head of these documents.
+     */
+    void add_source(const network_endpoint& peer, const configuration_head& remote);
+
+    /** @brief Ends the fetch if this node lacks nothing any more; else waits for the next source.
+     */
+    void on_documents_changed();
+
+    /** @return True while this node lacks documents that a source has. */
+    [[nodiscard]] bool active() const noexcept { return !sources_.empty(); }
+
+    /** @brief Ends the fetch; late responses are ignored. */
+    void stop();
+
+private:
+    struct source {
+        network_endpoint peer;
+        configuration_head head;
+        /** Request that was sent to the peer; zero if there is none. */
+        std::uint64_t request{};
+        monotonic_time asked_at;
+    };
+
+    /** Makes room for another source. */
+    void drop_oldest_request();
+    void wait(duration delay);
+    void ask_next();
+    void on_response(const network_endpoint& peer, std::uint64_t request,
+                     const request_client::response& answer);
+    void remove_useless_sources();
+
+    environment environment_;
+    std::vector<source> sources_;
+    bool delay_reported_{};
+    subscription timer_;
+};
+
+} // namespace savorywheel
+
+#endif
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -3,6 +3,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -11,47 +12,64 @@
 namespace {
 
 /** Delay before a fetch from a peer, in which a working watch usually delivers the change. */
-constexpr std::chrono::milliseconds watch_grace_period{400};
-/** After this time without a response, another peer may be asked. */
-constexpr std::chrono::milliseconds fetch_timeout{2000};
+constexpr std::chrono::milliseconds watch_grace_period{100};
+/** Time from the start of a watch to its response if there are changes already. */
+constexpr std::chrono::milliseconds watch_response_time{200};
+/** Further requests are answered at once, without the documents that this node lacks. */
+constexpr std::size_t max_waiting_requests = 256;
 
 } // namespace
 
 document_service::document_service(const configuration_decoder& decoder,
                                    const order_codec& rollout_order_codec, environment env)
-    : decoder_{decoder}, order_codec_{rollout_order_codec},
-      environment_{std::move(env)}, schedule_{environment_.loop.time()},
+    : decoder_{decoder}, order_codec_{rollout_order_codec}, environment_{std::move(env)},
+      fetcher_{fetcher_environment()}, schedule_{environment_.loop.time()},
       configuration_watcher_{std::string{decoder.key()},
-                             watcher_environment(&document_service::merge_configuration)},
+                             watcher_environment(std::string{decoder.key()})},
       order_watcher_{std::string{rollout_order_codec.prefix()},
-                     watcher_environment(&document_service::merge_order)}
+                     watcher_environment(std::string{rollout_order_codec.prefix()})}
 {
 }
 
-document_watcher::environment document_service::watcher_environment(merge_function merge_object)
+document_watcher::environment document_service::watcher_environment(std::string prefix)
 {
     return {environment_.store,
             environment_.random,
             schedule_,
             environment_.log,
             environment_.loop.time(),
-            [this, merge_object](std::vector<stored_object> objects) {
-                environment_.loop.post([this, merge_object, items = std::move(objects)] {
-                    bool changed = false;
-                    for (const auto& item : items) {
-                        changed = (this->*merge_object)(item) || changed;
-                    }
-                    if (changed) {
-                        source_ = "the store";
-                        environment_.changed();
-                    }
-                });
+            [this, prefix = std::move(prefix)](std::vector<stored_object> objects) {
+                environment_.loop.post(
+                    [this] { watch_delivered_at_ = environment_.loop.time().now(); });
+                post_objects(prefix, std::move(objects));
             },
             [this](const outcome<bool>& store_result) {
                 environment_.loop.post([this, store_result] { on_store_health(store_result); });
             }};
 }
 
+document_fetcher::environment document_service::fetcher_environment()
+{
+    return {environment_.loop,
+            environment_.network,
+            environment_.requests,
+            environment_.log,
+            documents_,
+            [this] { return watch_delay(); },
+            [this](const network_endpoint& peer, const operator_documents& received) {
+                if (documents_.merge(received)) {
+                    on_documents_changed(to_string(peer));
+                }
+            },
+            [this] { environment_.fetch_delayed(); },
+            [this] { answer_waiting(); }};
+}
+
+std::vector<std::string> document_service::prefixes() const
+{
+    return {std::string{decoder_.key()}, std::string{order_codec_.prefix()}};
+}
+
 void document_service::start()
 {
     configuration_watcher_.start();
@@ -60,11 +78,39 @@
 
 void document_service::stop()
 {
-    fetch_timer_.reset();
+    fetcher_.stop();
     configuration_watcher_.stop();
     order_watcher_.stop();
 }
 
+void document_service::post_objects(std::string_view prefix, std::vector<stored_object> objects)
+{
+    environment_.loop.post([this, key = std::string{prefix}, items = std::move(objects)] {
+        merge_objects(key, items);
+    });
+}
+
+void document_service::merge_objects(std::string_view prefix,
+                                     std::span<const stored_object> objects)
+{
+    const bool is_configuration = prefix == decoder_.key();
+    bool changed = false;
+    for (const auto& item : objects) {
+        changed = (is_configuration ? merge_configuration(item) : merge_order(item)) || changed;
+    }
+    if (changed) {
+        on_documents_changed("the store");
+    }
+}
+
+void document_service::on_documents_changed(std::string source)
+{
+    source_ = std::move(source);
+    environment_.changed();
+    fetcher_.on_documents_changed();
+    answer_waiting();
+}
+
 bool document_service::merge_configuration(const stored_object& object)
 {
     // The watch covers all keys that begin with the configuration's.
@@ -127,18 +173,17 @@
         return;
     }
     log_newer_head(peer, remote);
-    if (fetching_) {
-        return;
+    fetcher_.add_source(peer, remote);
+}
+
+duration document_service::watch_delay() const
+{
+    if (!store_reachable_.value_or(false)) {
+        return duration::zero();
     }
-    fetching_ = true;
-    const auto delay = store_reachable_.value_or(false) ? watch_grace_period : duration::zero();
-    fetch_timer_ = environment_.loop.timers().after(delay, [this, peer, remote] {
-        if (!documents_.lacks_any_of(remote)) {
-            fetching_ = false;
-            return;
-        }
-        fetch(peer);
-    });
+    // After a delivery, the next watch starts at the end of the batch window.
+    const auto next_delivery = watch_delivered_at_ + watch_batch_window + watch_response_time;
+    return std::max<duration>(watch_grace_period, next_delivery - environment_.loop.time().now());
 }
 
 void document_service::log_newer_head(const network_endpoint& peer,
@@ -157,36 +202,6 @@
     environment_.log.write_decision(event_id::peer_ahead, to_string(peer), fields);
 }
 
-void document_service::fetch(const network_endpoint& peer)
-{
-    // Until then, a late response to the previous request is merged, too.
-    environment_.requests.discard(fetch_request_);
-    fetch_timer_ = environment_.loop.timers().after(fetch_timeout, [this] { fetching_ = false; });
-    fetch_request_ = environment_.requests.submit(
-        environment_.network.connection_to(peer), frame_kind::configuration_get,
-        encode(documents_.request()), [this, peer](request_client::response answer) {
-            environment_.loop.post(
-                [this, peer, item = std::move(answer)] { on_fetched(peer, item); });
-        });
-}
-
-void document_service::on_fetched(const network_endpoint& peer,
-                                  const request_client::response& answer)
-{
-    fetching_ = false;
-    fetch_timer_.reset();
-    const auto remote =
-        answer ? decode<operator_documents>(*answer) : outcome<operator_documents>{answer.reason()};
-    if (!remote) {
-        environment_.log.write(event_id::configuration_fetch_failed, remote.reason().message);
-        return;
-    }
-    if (documents_.merge(*remote)) {
-        source_ = to_string(peer);
-        environment_.changed();
-    }
-}
-
 void document_service::on_frame(const std::shared_ptr<frame_sink>& connection, frame_kind /*kind*/,
                                 std::uint64_t correlation, std::span<const std::byte> payload)
 {
@@ -195,12 +210,30 @@
         connection->close_malformed(request.reason());
         return;
     }
-    environment_.quota.post(payload.size(), [this, connection, correlation, item = *request] {
-        connection->send(frame_kind::configuration_value, correlation,
-                         encode(documents_.answer(item)));
+    environment_.quota.post(payload.size(), [this, connection, correlation, wanted = *request] {
+        const waiting_request item{connection, correlation, wanted};
+        const bool is_newer = documents_.answer(wanted).revision != 0;
+        if (!is_newer && fetcher_.active() && waiting_requests_.size() < max_waiting_requests) {
+            waiting_requests_.push_back(item);
+            return;
+        }
+        answer(item);
     });
 }
 
+void document_service::answer(const waiting_request& item)
+{
+    item.connection->send(frame_kind::configuration_value, item.correlation,
+                          encode(documents_.answer(item.request)));
+}
+
+void document_service::answer_waiting()
+{
+    for (const auto& item : std::exchange(waiting_requests_, {})) {
+        answer(item);
+    }
+}
+
 void document_service::on_closed(const frame_sink& /*connection*/, bool /*established*/) {}
 
 } // namespace savorywheel
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -8,14 +8,17 @@
 #include <savorywheel/distribution/operator_documents.hpp>
 #include <savorywheel/distribution/order_codec.hpp>
 #include <savorywheel/log/event_log.hpp>
+#include <savorywheel/node/document_fetcher.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 #include <savorywheel/transport/peer_network.hpp>
 #include <savorywheel/transport/request_client.hpp>
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace savorywheel {
 
@@ -24,8 +27,8 @@
  *
  * A document is an object that operators write to the object store: the configuration, or a rollout
  * order to move a service's traffic to another version. Each node watches these objects. A node
- * that cannot reach the object store detects newer versions through membership messages and fetches
- * them from a peer.
+ * whose watch does not deliver a change learns of it from the messages of its peers, and fetches it
+ * from one of them.
  * @warning Call all member functions on the control thread, except on_frame() and on_closed().
  */
 class document_service final : public frame_handler {
@@ -51,6 +54,8 @@
         changed_callback changed;
         /** @brief Receives whether the object store answers, on the control thread. */
         std::function<void(bool)> store_health;
+        /** @brief Called on the control thread if a peer with newer documents does not respond. */
+        std::function<void()> fetch_delayed;
     };
 
     /**
@@ -70,10 +75,23 @@
     /**
      * @brief Schedules a fetch if a peer may have newer documents.
      * @param peer Peer to fetch from.
-     * @param remote Summary that the peer reported: operator_documents::head() of its copy.
+     * @param remote Summary of the documents that the peer has, or is about to have.
      */
     void on_head_received(const network_endpoint& peer, const configuration_head& remote);
 
+    /**
+     * @brief Queues objects that were read from the store; may be called from any thread.
+     * @param prefix One of prefixes().
+     * @param objects Objects with this prefix.
+     */
+    void post_objects(std::string_view prefix, std::vector<stored_object> objects);
+
+    /** @brief Logs and forwards changes of the store's health. */
+    void on_store_health(const outcome<bool>& store_result);
+
+    /** @return Key prefixes of the documents. */
+    [[nodiscard]] std::vector<std::string> prefixes() const;
+
     /** @copydoc watch_schedule::set_place */
     void set_place(std::size_t rank, std::size_t nodes) { schedule_.set_place(rank, nodes); }
 
@@ -88,19 +106,25 @@
     void on_closed(const frame_sink& connection, bool established) override;
 
 private:
-    /** Decodes an object and replaces the local copy if the object is newer; returns true if so. */
-    using merge_function = bool (document_service::*)(const stored_object&);
+    /** A request of a peer for documents that this node is about to fetch. */
+    struct waiting_request {
+        std::shared_ptr<frame_sink> connection;
+        std::uint64_t correlation{};
+        document_request request;
+    };
 
-    [[nodiscard]] document_watcher::environment watcher_environment(merge_function merge_object);
+    [[nodiscard]] document_watcher::environment watcher_environment(std::string prefix);
+    [[nodiscard]] document_fetcher::environment fetcher_environment();
+    void merge_objects(std::string_view prefix, std::span<const stored_object> objects);
+    void on_documents_changed(std::string source);
+    void answer(const waiting_request& item);
+    void answer_waiting();
+    [[nodiscard]] duration watch_delay() const;
     [[nodiscard]] bool merge_configuration(const stored_object& object);
     [[nodiscard]] bool merge_order(const stored_object& object);
     void log_invalid_object(const stored_object& object, const failure& reason);
-    /** Logs and forwards changes of the store's health; any value means that it is reachable. */
-    void on_store_health(const outcome<bool>& store_result);
     /** Logs the first report of each head that this node lacks. */
     void log_newer_head(const network_endpoint& peer, const configuration_head& remote);
-    void fetch(const network_endpoint& peer);
-    void on_fetched(const network_endpoint& peer, const request_client::response& answer);
 
     const configuration_decoder& decoder_;
     const order_codec& order_codec_;
@@ -110,11 +134,10 @@
     std::string source_;
     /** Last head that was logged as newer than this node's. */
     configuration_head newest_reported_;
-    /** Ends the delay before a fetch, and then the wait for the response. */
-    subscription fetch_timer_;
-    /** Request of the last fetch. */
-    std::uint64_t fetch_request_{};
-    bool fetching_{};
+    /** Time of the last change that a watch delivered. */
+    monotonic_time watch_delivered_at_;
+    document_fetcher fetcher_;
+    std::vector<waiting_request> waiting_requests_;
     watch_schedule schedule_;
     document_watcher configuration_watcher_;
     document_watcher order_watcher_;
--- a/test/platform/document_service_test.cpp
+++ b/test/platform/document_service_test.cpp
@@ -62,7 +62,7 @@
     document_service subject_{
         decoder_, orders_,
         document_service::environment{fixture_.loop(), quota_, fixture_.random(), store_, network_,
-                                      requests_, log_, [] {}, [](bool /*reachable*/) {}}};
+                                      requests_, log_, [] {}, [](bool /*reachable*/) {}, [] {}}};
 };
 
 } // namespace
--- a/test/savorywheel/node/document_service_test.cpp
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -49,29 +49,36 @@
     }
 };
 
-/** Connection that records the requests for documents. */
+/** Connection that records the requests for documents, or the responses. */
 struct request_sink final : frame_sink {
+    explicit request_sink(frame_kind kind_expected) : expected{kind_expected} {}
+
     bool send(frame_kind kind, std::uint64_t correlation,
-              std::span<const std::byte> /*payload*/) override
+              std::span<const std::byte> payload) override
     {
-        EXPECT_EQ(kind, frame_kind::configuration_get);
+        EXPECT_EQ(kind, expected);
         correlations.push_back(correlation);
+        last_payload.assign(payload.begin(), payload.end());
         return true;
     }
     void close() override {}
 
+    frame_kind expected;
     std::vector<std::uint64_t> correlations;
+    std::vector<std::byte> last_payload;
 };
 
-/** Network with a single connection. */
+/** Network with a single connection, which records the peers that were asked. */
 struct single_peer_network final : peer_network {
-    [[nodiscard]] std::shared_ptr<frame_sink>
-    connection_to(const network_endpoint& /*peer*/) override
+    [[nodiscard]] std::shared_ptr<frame_sink> connection_to(const network_endpoint& peer) override
     {
+        peers.push_back(peer);
         return connection;
     }
 
-    std::shared_ptr<request_sink> connection{std::make_shared<request_sink>()};
+    std::shared_ptr<request_sink> connection{
+        std::make_shared<request_sink>(frame_kind::configuration_get)};
+    std::vector<network_endpoint> peers;
 };
 
 /** Document service that has read the given objects, with a peer whose responses a test sends. */
@@ -85,6 +92,8 @@
             loop_.run_pending();
             return healthy_ && documents_known() == expected_;
         }));
+        // A watch that has just delivered objects has the first say.
+        advance_time(1s);
     }
 
     document_fixture(const document_fixture&) = delete;
@@ -107,6 +116,35 @@
         advance_time(500ms);
     }
 
+    /** Reports the head of a peer without waiting. */
+    void report_head(const network_endpoint& peer, const operator_documents& remote)
+    {
+        service_.on_head_received(peer, remote.head());
+    }
+
+    /** Receives a request of a peer that has the given documents. */
+    std::shared_ptr<request_sink> receive_request(const operator_documents& known)
+    {
+        auto connection = std::make_shared<request_sink>(frame_kind::configuration_value);
+        service_.on_frame(connection, frame_kind::configuration_get, 1, encode(known.request()));
+        loop_.run_pending();
+        return connection;
+    }
+
+    /** Delivers a configuration as a watch does. */
+    void deliver(const stored_object& object)
+    {
+        service_.post_objects("config/main", {object});
+        loop_.run_pending();
+    }
+
+    [[nodiscard]] const std::vector<network_endpoint>& asked() const noexcept
+    {
+        return network_.peers;
+    }
+
+    [[nodiscard]] int delays() const noexcept { return delays_; }
+
     void answer(std::uint64_t correlation, const operator_documents& remote)
     {
         requests_.on_frame(network_.connection, frame_kind::configuration_value, correlation,
@@ -140,10 +178,12 @@
     name_codec codec_;
     network_endpoint peer_{"10.0.0.2", 7000};
     bool healthy_{};
+    int delays_{};
     document_service service_{decoder_,
                               codec_,
                               {loop_, quota_, random_, store_, network_, requests_, log_, [] {},
-                               [this](bool reachable) { healthy_ = reachable; }}};
+                               [this](bool reachable) { healthy_ = reachable; },
+                               [this] { ++delays_; }}};
 };
 
 operator_documents make_documents(std::uint64_t configuration_revision,
@@ -207,4 +247,91 @@
     EXPECT_EQ(fixture.documents().revision, 100);
 }
 
+// Issue 37: a peer that did not respond blocked the others for 2 s.
+TEST(document_service, asks_another_peer_soon_if_one_does_not_respond)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const auto remote = make_documents(100, 101);
+    const network_endpoint first{"10.0.0.3", 7000};
+    const network_endpoint second{"10.0.0.4", 7000};
+    fixture.report_head(first, remote);
+    fixture.report_head(second, remote);
+    fixture.advance_time(100ms);
+    EXPECT_EQ(fixture.asked(), std::vector{first});
+    fixture.advance_time(400ms);
+    EXPECT_EQ(fixture.asked(), (std::vector{first, second}));
+    EXPECT_EQ(fixture.delays(), 1);
+    fixture.answer(fixture.requests().back(), remote);
+    EXPECT_EQ(fixture.documents().revision, 100);
+    fixture.advance_time(5s);
+    EXPECT_EQ(fixture.asked().size(), 2U);
+    EXPECT_EQ(fixture.delays(), 1);
+}
+
+TEST(document_service, merges_the_late_response_of_the_first_peer)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const auto remote = make_documents(100, 101);
+    fixture.report_head({"10.0.0.3", 7000}, remote);
+    fixture.report_head({"10.0.0.4", 7000}, remote);
+    fixture.advance_time(100ms);
+    fixture.advance_time(400ms);
+    ASSERT_EQ(fixture.requests().size(), 2U);
+    fixture.answer(fixture.requests().front(), remote);
+    EXPECT_EQ(fixture.documents().revision, 100);
+}
+
+TEST(document_service, asks_the_next_peer_at_once_after_a_response_without_the_documents)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const auto remote = make_documents(100, 101);
+    fixture.report_head({"10.0.0.3", 7000}, remote);
+    fixture.report_head({"10.0.0.4", 7000}, remote);
+    fixture.advance_time(100ms);
+    fixture.answer(fixture.requests().front(), make_documents(90, 15));
+    EXPECT_EQ(fixture.requests().size(), 2U);
+}
+
+TEST(document_service, does_not_fetch_what_a_watch_delivers_meanwhile)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    operator_documents remote;
+    operator_configuration configuration;
+    configuration.version = config_version{1000};
+    remote.merge(configuration, 100);
+    fixture.report_head({"10.0.0.3", 7000}, remote);
+    fixture.deliver({"config/main", "100", 100});
+    fixture.advance_time(5s);
+    EXPECT_TRUE(fixture.asked().empty());
+}
+
+// Issue 37: a change passed a node only after its own fetch had ended.
+TEST(document_service, answers_a_peer_as_soon_as_its_own_fetch_ends)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const auto remote = make_documents(100, 101);
+    fixture.report_head({"10.0.0.3", 7000}, remote);
+    const auto waiting = fixture.receive_request(make_documents(90, 15));
+    EXPECT_TRUE(waiting->correlations.empty());
+    const auto behind = fixture.receive_request(make_documents(80, 15));
+    EXPECT_EQ(behind->correlations.size(), 1U);
+    fixture.advance_time(100ms);
+    fixture.answer(fixture.requests().front(), remote);
+    ASSERT_EQ(waiting->correlations.size(), 1U);
+    const auto answered = decode<operator_documents>(waiting->last_payload);
+    ASSERT_TRUE(answered);
+    EXPECT_EQ(answered->revision, 100);
+}
+
+TEST(document_service, answers_waiting_peers_when_its_own_fetch_fails)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    fixture.report_head({"10.0.0.3", 7000}, make_documents(100, 101));
+    const auto waiting = fixture.receive_request(make_documents(90, 15));
+    for (int i = 0; i < 30; ++i) {
+        fixture.advance_time(100ms);
+    }
+    EXPECT_EQ(waiting->correlations.size(), 1U);
+}
+
 } // namespace savorywheel::test
