Bound the age of what a node knows of the operators' documents

Callers got 404 for added routes later than 2.5 s after the acknowledgement, at a few nodes. Cause: a watch on a silent connection returns nothing, and this silence was taken for the absence of changes. One node found out each second, by its turn; the others heard of it only from membership probes, one peer in 500 ms and 400 ms of waiting at each hop, so the time grew with the number of nodes and nothing bounded it at a single node.

Each node now knows when its documents were last confirmed with the store. A node whose confirmation is 1.35 s old reads the store itself, on another connection after 0.3 s; usually the successor of the last origin does so at 0.8 s and tells all others along two trees with different inner nodes (check_schedule, store_check, spread_tree, confirmation_service).

--- a/src/savorywheel/distribution/document_watcher.cpp
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -10,6 +10,10 @@
 
 namespace {
 
+/** The store ends a watch after 30 s. */
+constexpr std::chrono::milliseconds max_watch_wait{25'000};
+/** Spreads the renewals of the nodes, which all start a watch after a change. */
+constexpr std::chrono::milliseconds max_wait_jitter{5000};
 constexpr std::chrono::milliseconds min_retry_delay{100};
 constexpr std::chrono::milliseconds max_retry_delay{1000};
 
@@ -72,7 +76,7 @@
 outcome<bool> document_watcher::follow()
 {
     const auto started = environment_.time.now();
-    auto listed = environment_.store.watch(prefix_, *revision_, environment_.schedule.next_wait());
+    auto listed = environment_.store.watch(prefix_, *revision_, next_wait());
     if (!listed) {
         // If the store has compacted this revision, only a full list returns the newest values.
         const auto revision = *std::exchange(revision_, std::nullopt);
@@ -92,6 +96,13 @@
     return true;
 }
 
+std::chrono::milliseconds document_watcher::next_wait()
+{
+    const auto jitter =
+        environment_.random.below(static_cast<std::uint64_t>(max_wait_jitter.count()));
+    return max_watch_wait - std::chrono::milliseconds{jitter};
+}
+
 void document_watcher::log_silence(monotonic_time started, std::uint64_t revision)
 {
     const auto waited =
--- a/src/savorywheel/distribution/document_watcher.hpp
+++ b/src/savorywheel/distribution/document_watcher.hpp
@@ -3,7 +3,6 @@
 
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/random_source.hpp>
-#include <savorywheel/distribution/watch_schedule.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/store/object_store.hpp>
 
@@ -38,10 +37,8 @@
     /** @brief Dependencies; all must outlive the watcher. */
     struct environment {
         object_store& store;
-        /** @brief Source of the retry jitter. */
+        /** @brief Source of the jitter. */
         random_source& random;
-        /** @brief Limits the wait of each watch. */
-        const watch_schedule& schedule;
         event_log& log;
         const clock& time;
         documents_callback documents;
@@ -67,6 +64,7 @@
     [[nodiscard]] outcome<bool> read();
     /** Returns false if the watch got no response in time. */
     [[nodiscard]] outcome<bool> follow();
+    [[nodiscard]] std::chrono::milliseconds next_wait();
     void log_silence(monotonic_time started, std::uint64_t revision);
     void deliver(object_list listed);
     /** Sleeps; returns false on shutdown. */
--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/distribution/commit_batch_message.hpp>
 #include <savorywheel/distribution/commit_fetch_message.hpp>
 #include <savorywheel/distribution/commit_push_message.hpp>
+#include <savorywheel/distribution/confirmation_message.hpp>
 #include <savorywheel/distribution/document_request.hpp>
 #include <savorywheel/distribution/floor_message.hpp>
 #include <savorywheel/distribution/head_message.hpp>
@@ -69,6 +70,24 @@
             cereal::make_nvp("note", lease.note));
 }
 
+template<typename Archive>
+void serialize(Archive& archive, spread_position& position)
+{
+    archive(cereal::make_nvp("node", position.node), cereal::make_nvp("region", position.region));
+}
+
+template<typename Archive>
+void serialize(Archive& archive, confirmation_message& message)
+{
+    archive(cereal::make_nvp("protocol", message.protocol));
+    archive_enum(archive, "tree", message.tree, spread_tree::last_tree);
+    archive(cereal::make_nvp("id", message.id), cereal::make_nvp("origin", message.origin),
+            cereal::make_nvp("origin_peer", message.origin_peer),
+            cereal::make_nvp("sender_peer", message.sender_peer),
+            cereal::make_nvp("age_ms", message.age_ms),
+            cereal::make_nvp("revision", message.revision), cereal::make_nvp("head", message.head));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, document_request& request)
 {
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -70,6 +70,14 @@
                       "read on another connection."},
     event_description{event_id::peer_ahead, info,
                       "A peer has newer documents of the operators than this node."},
+    event_description{event_id::check_repeated, info,
+                      "A check of the platform's store got no response in time and is repeated on "
+                      "another connection."},
+    event_description{event_id::documents_unconfirmed, warning,
+                      "No node has confirmed with the platform's store that this node's documents "
+                      "are the newest."},
+    event_description{event_id::documents_confirmed, info,
+                      "The documents of this node are confirmed with the platform's store again."},
     event_description{event_id::member_alive, info, "A node joined or responds again."},
     event_description{event_id::member_suspect, info, "A node did not respond to a probe."},
     event_description{event_id::member_dead, warning, "A node failed or left."},
--- /dev/null
+++ b/src/savorywheel/node/confirmation_service.cpp
@@ -0,0 +1,220 @@
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/node/confirmation_service.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** After this time without a confirmation, changes may be late; the strictest bound of a change. */
+constexpr milliseconds reported_age{2500};
+/** Older messages are not passed on. */
+constexpr std::uint32_t max_message_age_ms = 5000;
+/** More identifiers than the messages that arrive within max_message_age_ms along a tree. */
+constexpr std::size_t remembered_ids = 64;
+
+milliseconds to_milliseconds(duration length)
+{
+    return std::chrono::duration_cast<milliseconds>(length);
+}
+
+} // namespace
+
+confirmation_service::confirmation_service(environment env)
+    : environment_{env}, schedule_{env.members.self().id, env.random, env.loop.time().now()},
+      check_{env.documents.prefixes(), check_environment()}
+{
+}
+
+store_check::environment confirmation_service::check_environment()
+{
+    return {environment_.store, environment_.loop.time(), environment_.log,
+            [this](std::string_view prefix, std::vector<stored_object> objects) {
+                environment_.documents.post_objects(prefix, std::move(objects));
+            },
+            [this](const outcome<store_check_result>& result) {
+                environment_.loop.post([this, result] { on_checked(result); });
+            }};
+}
+
+void confirmation_service::start()
+{
+    running_ = true;
+    schedule();
+}
+
+void confirmation_service::stop()
+{
+    running_ = false;
+    timer_.reset();
+}
+
+void confirmation_service::on_members_changed()
+{
+    if (!std::exchange(members_changed_, true) && running_ && !checking_) {
+        schedule();
+    }
+}
+
+void confirmation_service::refresh_members()
+{
+    if (!std::exchange(members_changed_, false)) {
+        return;
+    }
+    regions_.clear();
+    candidates_.clear();
+    const auto& self = environment_.members.self();
+    for (const auto& [id, entry] : environment_.members.table().entries()) {
+        const auto& record = entry.update.record;
+        if (entry.update.status == member_status::dead && id != self.id) {
+            continue;
+        }
+        if (record.store_reachable || id == self.id) {
+            candidates_.push_back(id);
+        }
+        auto region = std::ranges::find(regions_, record.region, &spread_region::name);
+        if (region == regions_.end()) {
+            region = regions_.insert(region, spread_region{record.region, {}});
+        }
+        region->members.push_back(id);
+    }
+}
+
+void confirmation_service::schedule()
+{
+    refresh_members();
+    const auto now = environment_.loop.time().now();
+    const auto delay = std::max(schedule_.next_check(candidates_) - now, duration::zero());
+    timer_ = environment_.loop.timers().after(delay, [this] { check(); });
+}
+
+void confirmation_service::check_now()
+{
+    if (running_) {
+        check();
+    }
+}
+
+void confirmation_service::check()
+{
+    if (checking_) {
+        return;
+    }
+    log_age();
+    checking_ = true;
+    timer_.reset();
+    const bool complete =
+        confirmation_ && !environment_.documents.documents().lacks_any_of(confirmation_->head);
+    check_.start(complete ? std::optional{confirmation_->revision} : std::nullopt);
+}
+
+void confirmation_service::on_checked(const outcome<store_check_result>& result)
+{
+    if (!running_) {
+        return;
+    }
+    checking_ = false;
+    environment_.documents.on_store_health(result ? outcome<bool>{true}
+                                                  : outcome<bool>{result.reason()});
+    if (!result) {
+        schedule_.record_failure(environment_.loop.time().now());
+        schedule();
+        return;
+    }
+    const auto& self = environment_.members.self();
+    const store_confirmation confirmation{self.id, result->as_of, result->revision,
+                                          environment_.documents.documents().head()};
+    record(confirmation);
+    confirmation_message message;
+    message.id = environment_.random.below(std::numeric_limits<std::uint64_t>::max());
+    message.origin = {self.id, self.region};
+    message.origin_peer = self.peer;
+    message.revision = confirmation.revision;
+    message.head = confirmation.head;
+    for (const auto tree : {spread_tree::first, spread_tree::second}) {
+        message.tree = tree;
+        const auto age = environment_.loop.time().now() - confirmation.as_of;
+        message.age_ms = static_cast<std::uint32_t>(to_milliseconds(age).count());
+        pass_on(message);
+    }
+    schedule();
+}
+
+outcome<bool> confirmation_service::on_datagram(std::span<const std::byte> payload)
+{
+    auto message = decode<confirmation_message>(payload);
+    if (!message) {
+        return message.reason();
+    }
+    const bool queued = environment_.quota.post(
+        payload.size(), [this, item = std::move(*message)] { receive(item); });
+    return queued ? outcome<bool>{true}
+                  : failure{failure_code::overload, "event queue full; datagram dropped"};
+}
+
+void confirmation_service::receive(const confirmation_message& message)
+{
+    if (!running_ || message.age_ms > max_message_age_ms ||
+        message.origin.node == environment_.members.self().id) {
+        return;
+    }
+    auto& known = received_.at(static_cast<std::size_t>(message.tree));
+    if (std::ranges::find(known, message.id) != known.end()) {
+        return;
+    }
+    known.push_back(message.id);
+    if (known.size() > remembered_ids) {
+        known.pop_front();
+    }
+    const auto as_of = environment_.loop.time().now() - milliseconds{message.age_ms};
+    record({message.origin.node, as_of, message.revision, message.head});
+    environment_.documents.on_head_received(message.sender_peer, message.head);
+    environment_.documents.on_head_received(message.origin_peer, message.head);
+    pass_on(message);
+    if (!checking_) {
+        schedule();
+    }
+}
+
+void confirmation_service::record(const store_confirmation& confirmation)
+{
+    if (!schedule_.record(confirmation.origin, confirmation.as_of)) {
+        return;
+    }
+    confirmation_ = confirmation;
+    log_age();
+}
+
+void confirmation_service::log_age()
+{
+    const auto age = environment_.loop.time().now() - schedule_.confirmed_as_of();
+    const bool late = age > reported_age;
+    if (std::exchange(unconfirmed_, late) != late) {
+        environment_.log.write(late ? event_id::documents_unconfirmed
+                                    : event_id::documents_confirmed,
+                               fmt::format("{} ms", to_milliseconds(age).count()));
+    }
+}
+
+void confirmation_service::pass_on(confirmation_message message)
+{
+    refresh_members();
+    const auto& self = environment_.members.self();
+    message.sender_peer = self.peer;
+    const auto payload = encode(message);
+    for (const auto& child :
+         spread_children(message.tree, message.origin, {self.id, self.region}, regions_)) {
+        if (const auto* member = environment_.members.table().find(child)) {
+            environment_.datagrams.send(member->update.record.peer, payload);
+        }
+    }
+}
+
+} // namespace savorywheel
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -114,8 +114,16 @@
         *environment_.decoder, *environment_.orders,
         document_config_provider::environment{
             environment_.loop, quota_, environment_.random, environment_.store, environment_.worker,
-            environment_.network, environment_.requests, environment_.log, membership_.agent(),
-            [this](const mesh_state& state) { apply_state(state); }});
+            environment_.datagrams, environment_.network, environment_.requests, environment_.log,
+            membership_.agent(), [this](const mesh_state& state) { apply_state(state); }});
+}
+
+outcome<bool> control_plane::on_datagram(std::span<const std::byte> payload)
+{
+    const bool is_confirmation =
+        !payload.empty() && payload.front() == std::byte{confirmation_protocol};
+    return is_confirmation && documents_ ? documents_->confirmations().on_datagram(payload)
+                                         : membership_.on_datagram(payload);
 }
 
 void control_plane::start()
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -77,9 +77,15 @@
     /** @return Frame handler for requests of the version in force. */
     [[nodiscard]] head_service& heads() noexcept { return heads_; }
 
-    /** @return Frame and datagram handler of the membership protocol. */
+    /** @return Frame handler of the membership protocol. */
     [[nodiscard]] membership_service& membership() noexcept { return membership_; }
 
+    /**
+     * @brief Decodes and queues a datagram; may be called from any thread.
+     * @return Failure with code `malformed` or `overload` if it was dropped; true otherwise.
+     */
+    outcome<bool> on_datagram(std::span<const std::byte> payload);
+
     /** @return Frame handler that distributes commits. */
     [[nodiscard]] distributor& distribution() noexcept { return ordered_log_.distribution(); }
 
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -2,7 +2,6 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace savorywheel {
@@ -10,6 +9,9 @@
 document_config_provider::document_config_provider(const configuration_decoder& decoder,
                                                    const order_codec& orders, environment env)
     : environment_{std::move(env)}, documents_{decoder, orders, document_environment()},
+      confirmations_{confirmation_service::environment{
+          environment_.loop, environment_.quota, environment_.random, environment_.store,
+          environment_.datagrams, environment_.log, environment_.members, documents_}},
       directory_{environment_.members.self(), directory_environment()}
 {
 }
@@ -25,7 +27,7 @@
             environment_.log,
             [this] { apply(); },
             [this](bool reachable) { on_store_health(reachable); },
-            [] {}};
+            [this] { confirmations_.check_now(); }};
 }
 
 member_directory::environment document_config_provider::directory_environment()
@@ -42,22 +44,20 @@
 void document_config_provider::start()
 {
     documents_.start();
+    confirmations_.start();
     directory_.start();
 }
 
 void document_config_provider::stop()
 {
     documents_.stop();
+    confirmations_.stop();
     directory_.stop();
 }
 
 void document_config_provider::on_members_changed()
 {
-    const auto live = environment_.members.table().live();
-    const auto& self = environment_.members.self().id;
-    const auto rank = std::ranges::count_if(
-        live, [&self](const auto* member) { return member->update.record.id < self; });
-    documents_.set_place(static_cast<std::size_t>(rank), live.size());
+    confirmations_.on_members_changed();
     if (orders_.depends_on_members()) {
         apply();
     }
--- a/src/savorywheel/node/document_config_provider.hpp
+++ b/src/savorywheel/node/document_config_provider.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_NODE_DOCUMENT_CONFIG_PROVIDER_HPP
 
 #include <savorywheel/membership/swim_agent.hpp>
+#include <savorywheel/node/confirmation_service.hpp>
 #include <savorywheel/node/document_service.hpp>
 #include <savorywheel/node/member_directory.hpp>
 #include <savorywheel/rollout/mesh_state_builder.hpp>
@@ -34,6 +35,7 @@
         object_store& store;
         /** @brief Runs blocking calls to the object store. */
         store_worker& worker;
+        datagram_channel& datagrams;
         /** @brief Stream connections to peers. */
         peer_network& network;
         /** @brief Sends requests to peers and matches the responses. */
@@ -68,6 +70,9 @@
     /** @return Frame handler for configuration requests. */
     [[nodiscard]] document_service& documents() noexcept { return documents_; }
 
+    /** @return Datagram handler for confirmations. */
+    [[nodiscard]] confirmation_service& confirmations() noexcept { return confirmations_; }
+
 private:
     [[nodiscard]] document_service::environment document_environment();
     [[nodiscard]] member_directory::environment directory_environment();
@@ -76,6 +81,7 @@
 
     environment environment_;
     document_service documents_;
+    confirmation_service confirmations_;
     member_directory directory_;
     mesh_state_builder orders_;
     /** State last passed to the callback. */
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -22,8 +22,8 @@
 
 document_service::document_service(const configuration_decoder& decoder,
                                    const order_codec& rollout_order_codec, environment env)
-    : decoder_{decoder}, order_codec_{rollout_order_codec}, environment_{std::move(env)},
-      fetcher_{fetcher_environment()}, schedule_{environment_.loop.time()},
+    : decoder_{decoder}, order_codec_{rollout_order_codec},
+      environment_{std::move(env)}, fetcher_{fetcher_environment()},
       configuration_watcher_{std::string{decoder.key()},
                              watcher_environment(std::string{decoder.key()})},
       order_watcher_{std::string{rollout_order_codec.prefix()},
@@ -35,7 +35,6 @@
 {
     return {environment_.store,
             environment_.random,
-            schedule_,
             environment_.log,
             environment_.loop.time(),
             [this, prefix = std::move(prefix)](std::vector<stored_object> objects) {
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -92,9 +92,6 @@
     /** @return Key prefixes of the documents. */
     [[nodiscard]] std::vector<std::string> prefixes() const;
 
-    /** @copydoc watch_schedule::set_place */
-    void set_place(std::size_t rank, std::size_t nodes) { schedule_.set_place(rank, nodes); }
-
     /** @return Where the last change of the documents came from, for logs. */
     [[nodiscard]] std::string_view source() const noexcept { return source_; }
 
@@ -138,7 +135,6 @@
     monotonic_time watch_delivered_at_;
     document_fetcher fetcher_;
     std::vector<waiting_request> waiting_requests_;
-    watch_schedule schedule_;
     document_watcher configuration_watcher_;
     document_watcher order_watcher_;
 };
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -86,14 +86,14 @@
         traffic_loop_.start("traffic");
         auto started = network_.start(settings_.peer);
         if (started) {
-            started = datagrams_.start(
-                settings_.peer, links_.datagrams([this](const network_endpoint& /*sender*/,
-                                                        std::span<const std::byte> payload) {
-                    const auto queued = control_.membership().on_datagram(payload);
-                    if (!queued) {
-                        reporter_.on_rejected_datagram(queued.reason());
-                    }
-                }));
+            started = datagrams_.start(settings_.peer,
+                                       links_.datagrams([this](const network_endpoint& /*sender*/,
+                                                               std::span<const std::byte> payload) {
+                                           const auto queued = control_.on_datagram(payload);
+                                           if (!queued) {
+                                               reporter_.on_rejected_datagram(queued.reason());
+                                           }
+                                       }));
         }
         if (started) {
             started = admin_server_.start(settings_.admin);
--- a/src/savorywheel/store/metered_object_store.cpp
+++ b/src/savorywheel/store/metered_object_store.cpp
@@ -6,7 +6,8 @@
 
 metered_object_store::metered_object_store(object_store& inner, metric_registry& registry)
     : inner_{inner}, reads_{registry.count("store_reads")}, writes_{registry.count("store_writes")},
-      watches_{registry.count("store_watches")}, failures_{registry.count("store_failures")}
+      watches_{registry.count("store_watches")}, checks_{registry.count("store_checks")},
+      failures_{registry.count("store_failures")}
 {
 }
 
@@ -43,6 +44,13 @@
     return counted(watches_, inner_.watch(prefix, after, max_wait));
 }
 
+outcome<object_list> metered_object_store::read(std::string_view prefix,
+                                                std::optional<std::uint64_t> after,
+                                                std::chrono::milliseconds timeout)
+{
+    return counted(checks_, inner_.read(prefix, after, timeout));
+}
+
 template<typename Result>
 Result metered_object_store::counted(counter& calls, Result result)
 {
--- a/src/savorywheel/store/metered_object_store.hpp
+++ b/src/savorywheel/store/metered_object_store.hpp
@@ -31,6 +31,9 @@
                                             std::string_view after) override;
     [[nodiscard]] outcome<object_list> watch(std::string_view prefix, std::uint64_t after,
                                              std::chrono::milliseconds max_wait) override;
+    [[nodiscard]] outcome<object_list> read(std::string_view prefix,
+                                            std::optional<std::uint64_t> after,
+                                            std::chrono::milliseconds timeout) override;
 
 private:
     using counter = metric_registry::counter;
@@ -42,6 +45,7 @@
     counter& reads_;
     counter& writes_;
     counter& watches_;
+    counter& checks_;
     counter& failures_;
 };
 
--- a/src/savorywheel/store/object_store.hpp
+++ b/src/savorywheel/store/object_store.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace savorywheel {
@@ -70,6 +71,23 @@
      */
     [[nodiscard]] virtual outcome<object_list> watch(std::string_view prefix, std::uint64_t after,
                                                      std::chrono::milliseconds max_wait) = 0;
+
+    /**
+     * @brief Reads the newest objects without waiting for changes.
+     *
+     * The default implementation uses list() and watch(), with their timeouts.
+     * @param prefix Key prefix.
+     * @param after Store revision after which the objects were written; all objects without one.
+     * @param timeout Maximum time for each response.
+     * @return The objects; not_found if the store no longer has the history after the revision.
+     */
+    [[nodiscard]] virtual outcome<object_list> read(std::string_view prefix,
+                                                    std::optional<std::uint64_t> after,
+                                                    std::chrono::milliseconds timeout)
+    {
+        static_cast<void>(timeout);
+        return after ? watch(prefix, *after, std::chrono::milliseconds::zero()) : list(prefix, {});
+    }
 };
 
 } // namespace savorywheel
--- /dev/null
+++ b/test/savorywheel/node/confirmation_service_test.cpp
@@ -0,0 +1,264 @@
+#include <savorywheel/core/seeded_random.hpp>
+#include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/node/confirmation_service.hpp>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <support/fixed_object_store.hpp>
+#include <support/manual_clock.hpp>
+#include <support/recording_event_log.hpp>
+#include <support/wait_until.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace savorywheel::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Decodes a configuration whose version is the document's number. */
+struct number_decoder final : configuration_decoder {
+    [[nodiscard]] std::string_view key() const noexcept override { return "config/main"; }
+    [[nodiscard]] outcome<operator_configuration> decode(std::string_view document) const override
+    {
+        operator_configuration configuration;
+        configuration.version = config_version{std::stoull(std::string{document})};
+        return configuration;
+    }
+};
+
+/** Codec of a mesh without orders. */
+struct no_orders final : order_codec {
+    [[nodiscard]] std::string_view prefix() const noexcept override { return "rollouts/"; }
+    [[nodiscard]] outcome<decoded_order> decode(const stored_object& /*object*/) const override
+    {
+        return failure{failure_code::malformed, "no orders"};
+    }
+    [[nodiscard]] std::string status_key(const service_name& service) const override
+    {
+        return service.str();
+    }
+    [[nodiscard]] std::string encode_status(const rollout_order& /*order*/,
+                                            move_status /*status*/) const override
+    {
+        return {};
+    }
+};
+
+struct null_listener final : membership_listener {
+    void on_member_changed(const member_update& /*update*/) override {}
+    void on_head_received(const network_endpoint& /*peer*/,
+                          const configuration_head& /*head*/) override
+    {
+    }
+};
+
+struct silent_connection final : frame_sink {
+    bool send(frame_kind /*kind*/, std::uint64_t /*correlation*/,
+              std::span<const std::byte> /*payload*/) override
+    {
+        return true;
+    }
+    void close() override {}
+};
+
+/** Network that records which peers were asked. */
+struct recording_network final : peer_network {
+    [[nodiscard]] std::shared_ptr<frame_sink> connection_to(const network_endpoint& peer) override
+    {
+        asked.push_back(peer);
+        return std::make_shared<silent_connection>();
+    }
+
+    std::vector<network_endpoint> asked;
+};
+
+struct recording_datagrams final : datagram_channel {
+    void send(const network_endpoint& peer, std::span<const std::byte> payload) override
+    {
+        EXPECT_LE(payload.size(), 250U);
+        sent.emplace_back(peer, *decode<confirmation_message>(payload));
+    }
+
+    std::vector<std::pair<network_endpoint, confirmation_message>> sent;
+};
+
+member_record make_record(std::size_t index)
+{
+    member_record record;
+    record.id = node_id{fmt::format("n{:02}", index)};
+    record.region = region_name{fmt::format("region-{}", index % 3)};
+    record.peer = {"10.0.0.1", static_cast<std::uint16_t>(7000 + index)};
+    record.incarnation = 1;
+    return record;
+}
+
+/** Service of node 0 in a mesh of 18 nodes and three regions, with the configuration 9. */
+class confirmation_service_test : public testing::Test {
+protected:
+    confirmation_service_test()
+    {
+        membership_sync_message others;
+        for (std::size_t i = 1; i < 18; ++i) {
+            others.members.push_back({make_record(i), member_status::alive});
+        }
+        static_cast<void>(members_.finish_sync(others));
+        documents_.post_objects("config/main", std::vector{stored_object{"config/main", "9", 9}});
+        loop_.run_pending();
+        service_.start();
+        service_.on_members_changed();
+    }
+
+    void advance_time(duration length)
+    {
+        time_.advance(length);
+        loop_.run_pending();
+    }
+
+    [[nodiscard]] std::set<network_endpoint> receivers() const
+    {
+        std::set<network_endpoint> result;
+        for (const auto& [peer, message] : datagrams_.sent) {
+            result.insert(peer);
+        }
+        return result;
+    }
+
+    /** A confirmation of node 3, in the region of node 0, which node 6 passes on. */
+    confirmation_message make_message(std::uint64_t version)
+    {
+        confirmation_message message;
+        message.id = ++last_id_;
+        message.origin = {make_record(3).id, make_record(3).region};
+        message.origin_peer = make_record(3).peer;
+        message.sender_peer = make_record(6).peer;
+        message.age_ms = 20;
+        message.revision = 50;
+        message.head = {config_version{version}, config_version{version}, version};
+        return message;
+    }
+
+    void receive(const confirmation_message& message)
+    {
+        EXPECT_TRUE(service_.on_datagram(encode(message)));
+        loop_.run_pending();
+    }
+
+    std::uint64_t last_id_{};
+    manual_clock time_;
+    control_loop loop_{time_};
+    event_quota quota_{loop_, 100, 1'000'000};
+    seeded_random random_{1};
+    fixed_object_store store_{{{"config/main", "12", 12}}};
+    recording_network network_;
+    recording_datagrams datagrams_;
+    request_client requests_;
+    recording_event_log log_;
+    null_listener listener_;
+    swim_agent members_{make_record(0),
+                        {},
+                        {},
+                        {time_, loop_.timers(), random_, listener_,
+                         [](const auto& /*peer*/, const auto& /*message*/) {},
+                         [](const auto& /*peer*/, const auto& /*request*/) {}}};
+    number_decoder decoder_;
+    no_orders orders_;
+    document_service documents_{decoder_,
+                                orders_,
+                                {loop_, quota_, random_, store_, network_, requests_, log_, [] {},
+                                 [](bool /*reachable*/) {}, [] {}}};
+    confirmation_service service_{
+        {loop_, quota_, random_, store_, datagrams_, log_, members_, documents_}};
+};
+
+} // namespace
+
+TEST_F(confirmation_service_test, check_reads_a_change_and_tells_it_to_both_trees)
+{
+    advance_time(2s);
+    ASSERT_TRUE(wait_until([this] {
+        loop_.run_pending();
+        return !datagrams_.sent.empty();
+    }));
+    EXPECT_EQ(documents_.documents().configuration.version, config_version{12});
+    // The other five nodes of the region in each tree, and a node of each other region.
+    EXPECT_EQ(datagrams_.sent.size(), 14U);
+    EXPECT_EQ(receivers().size(), 9U);
+    for (const auto& [peer, message] : datagrams_.sent) {
+        EXPECT_EQ(message.head, documents_.documents().head());
+        EXPECT_EQ(message.origin.node, make_record(0).id);
+    }
+}
+
+TEST_F(confirmation_service_test, passes_each_message_on_once_in_each_tree)
+{
+    const auto message = make_message(9);
+    receive(message);
+    receive(message);
+    const auto first = datagrams_.sent.size();
+    auto other = message;
+    other.tree = spread_tree::second;
+    receive(other);
+    receive(other);
+    const auto second = datagrams_.sent.size() - first;
+    // Nodes 0, 3, 6, 9, 12 and 15 are one region, where only the origin has receivers.
+    EXPECT_EQ(first + second, 0U);
+    auto from_abroad = message;
+    from_abroad.origin = {make_record(1).id, make_record(1).region};
+    std::size_t entries = 0;
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        from_abroad.origin.node = node_id{fmt::format("origin-{}", i)};
+        from_abroad.id = 1000 + i;
+        datagrams_.sent.clear();
+        receive(from_abroad);
+        receive(from_abroad);
+        EXPECT_TRUE(datagrams_.sent.empty() || datagrams_.sent.size() == 5);
+        entries += datagrams_.sent.empty() ? 0 : 1;
+    }
+    EXPECT_GT(entries, 0U);
+}
+
+TEST_F(confirmation_service_test, confirmation_of_others_defers_the_check)
+{
+    for (int i = 0; i < 20; ++i) {
+        advance_time(400ms);
+        receive(make_message(9));
+    }
+    advance_time(700ms);
+    EXPECT_TRUE(std::ranges::none_of(datagrams_.sent, [](const auto& item) {
+        return item.second.origin.node == make_record(0).id;
+    }));
+    EXPECT_EQ(log_.count(event_id::documents_unconfirmed), 0U);
+}
+
+TEST_F(confirmation_service_test, fetches_a_newer_head_from_its_sender_and_then_from_its_origin)
+{
+    advance_time(200ms);
+    receive(make_message(15));
+    advance_time(1s);
+    advance_time(500ms);
+    ASSERT_EQ(network_.asked.size(), 2U);
+    EXPECT_EQ(network_.asked.at(0), make_record(6).peer);
+    EXPECT_EQ(network_.asked.at(1), make_record(3).peer);
+}
+
+TEST_F(confirmation_service_test, malformed_datagram_is_reported)
+{
+    auto bytes = encode(make_message(9));
+    bytes.pop_back();
+    EXPECT_EQ(service_.on_datagram(bytes).reason().code, failure_code::malformed);
+}
+
+TEST_F(confirmation_service_test, outdated_message_is_not_passed_on)
+{
+    auto message = make_message(15);
+    message.age_ms = 60'000;
+    receive(message);
+    EXPECT_EQ(log_.count(event_id::peer_ahead), 0U);
+}
+
+} // namespace savorywheel::test
