Check the store again after a failed check, whatever other nodes confirm

A node whose check failed counts as unable to reach the store, and so as no candidate for the next check; the confirmations of the others kept it from checking again until its watch ended, up to 25 s. Found by reading. The test check_schedule.node_that_failed_to_reach_the_store_checks_again_beside_confirmations_of_others fails on the commit before and passes now.

--- a/src/savorywheel/distribution/check_schedule.cpp
+++ b/src/savorywheel/distribution/check_schedule.cpp
@@ -21,14 +21,14 @@
 } // namespace
 
 check_schedule::check_schedule(node_id self, random_source& random, monotonic_time start)
-    : self_{std::move(self)}, random_{random}, as_of_{start}, retry_at_{start}, retry_delay_{
-                                                                                    min_retry_delay}
+    : self_{std::move(self)}, random_{random}, as_of_{start}, retry_delay_{min_retry_delay}
 {
 }
 
 bool check_schedule::record(const node_id& origin, monotonic_time as_of)
 {
     if (origin == self_) {
+        retry_at_.reset();
         retry_delay_ = min_retry_delay;
     }
     if (as_of <= as_of_) {
@@ -50,7 +50,7 @@
 
 monotonic_time check_schedule::next_check(std::span<const node_id> candidates) const
 {
-    return std::max(as_of_ + age_limit(candidates), retry_at_);
+    return retry_at_.value_or(as_of_ + age_limit(candidates));
 }
 
 duration check_schedule::age_limit(std::span<const node_id> candidates) const
--- a/src/savorywheel/distribution/check_schedule.hpp
+++ b/src/savorywheel/distribution/check_schedule.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/core/random_source.hpp>
 
 #include <chrono>
+#include <optional>
 #include <span>
 
 namespace savorywheel {
@@ -40,7 +41,12 @@
      */
     bool record(const node_id& origin, monotonic_time as_of);
 
-    /** @brief Records that the store did not answer a check of this node. */
+    /**
+     * @brief Records that the store did not answer a check of this node.
+     *
+     * Until it answers one, the node repeats its checks whatever the other nodes confirm, since it
+     * does not count as a node that can reach the store.
+     */
     void record_failure(monotonic_time now);
 
     /**
@@ -60,7 +66,8 @@
     node_id origin_;
     monotonic_time as_of_;
     duration jitter_{};
-    monotonic_time retry_at_;
+    /** Time of the next check after a failed one. */
+    std::optional<monotonic_time> retry_at_;
     duration retry_delay_;
 };
 
--- a/test/savorywheel/distribution/check_schedule_test.cpp
+++ b/test/savorywheel/distribution/check_schedule_test.cpp
@@ -172,6 +172,20 @@
     EXPECT_LE(subject.next_check(candidates), now + 800ms);
 }
 
+TEST(check_schedule,
+     node_that_failed_to_reach_the_store_checks_again_beside_confirmations_of_others)
+{
+    seeded_random random{1};
+    const monotonic_time now{1h};
+    const std::vector candidates{make_id(1), make_id(2), make_id(3)};
+    check_schedule subject{make_id(1), random, now};
+    subject.record_failure(now);
+    subject.record(make_id(2), now + 100ms);
+    EXPECT_LE(subject.next_check(candidates), now + 250ms);
+    subject.record(make_id(1), now + 250ms);
+    EXPECT_GE(subject.next_check(candidates), now + 1s);
+}
+
 TEST(check_schedule, older_confirmation_is_ignored)
 {
     seeded_random random{1};
