Give each mesh of the silent-store tests addresses of its own

ctest runs the two tests at the same time, and their nodes had the same addresses: added_route failed once in the whole run. With networks of their own both pass beside each other.

--- a/test/measure/spread_time.cpp
+++ b/test/measure/spread_time.cpp
@@ -60,7 +60,7 @@
     const int nodes = argc > 1 ? std::atoi(argv[1]) : 18;
     const int changes = argc > 2 ? std::atoi(argv[2]) : 4;
     const int killed = argc > 3 ? std::atoi(argv[3]) : 0;
-    proxied_mesh mesh{nodes};
+    proxied_mesh mesh{nodes, 153};
     std::this_thread::sleep_for(settling_time);
     for (int i = 0; i < changes; ++i) {
         measure_change(mesh, 7 + 2 * i, killed);
--- a/test/platform/proxied_mesh.cpp
+++ b/test/platform/proxied_mesh.cpp
@@ -42,11 +42,6 @@
               {"virtual-hosts", {{{"host", "desk.example"}, {"path-rules", rules}}}}}}};
 }
 
-std::string address_of(int node)
-{
-    return fmt::format("127.151.{}.{}", node / nodes_per_block, node % nodes_per_block + 1);
-}
-
 /** Reads "2026-12-06 06:18:00,984" in a log line, in local time. */
 std::optional<std::chrono::system_clock::time_point> time_of(const std::string& line)
 {
@@ -66,9 +61,9 @@
 
 } // namespace
 
-proxied_mesh::proxied_mesh(int node_count)
-    : folder_{std::filesystem::temp_directory_path() /
-              fmt::format("savorywheel-proxied-{}", ::getpid())}
+proxied_mesh::proxied_mesh(int node_count, int network)
+    : network_{network}, folder_{std::filesystem::temp_directory_path() /
+                                 fmt::format("savorywheel-proxied-{}", ::getpid())}
 {
     store_.put("config", "main", configuration(5, {"/first/"}));
     std::filesystem::create_directories(folder_);
@@ -76,7 +71,8 @@
         nodes_.push_back(start_node(node));
     }
     for (int node = 0; node < node_count; ++node) {
-        EXPECT_TRUE(wait_until([node] { return status_of(node, "/none/x") == 404; }, 30s)) << node;
+        EXPECT_TRUE(wait_until([this, node] { return status_of(node, "/none/x") == 404; }, 30s))
+            << node;
     }
 }
 
@@ -116,7 +112,13 @@
     store_.put("config", "main", configuration(version, {"/first/", prefix}));
 }
 
-int proxied_mesh::status_of(int node, const std::string& path)
+std::string proxied_mesh::address_of(int node) const
+{
+    return fmt::format("127.{}.{}.{}", network_, node / nodes_per_block,
+                       node % nodes_per_block + 1);
+}
+
+int proxied_mesh::status_of(int node, const std::string& path) const
 {
     raw_http_connection connection{{address_of(node), 8629}};
     const auto request = fmt::format("GET {} HTTP/1.1\r\nHost: desk.example\r\n\r\n", path);
--- a/test/platform/proxied_mesh.hpp
+++ b/test/platform/proxied_mesh.hpp
@@ -21,8 +21,12 @@
  */
 class proxied_mesh {
 public:
-    /** @param node_count Number of nodes. */
-    explicit proxied_mesh(int node_count);
+    /**
+     * @param node_count Number of nodes.
+     * @param network Second number of the nodes' addresses; unique among tests that run in
+     * parallel.
+     */
+    proxied_mesh(int node_count, int network);
     proxied_mesh(const proxied_mesh&) = delete;
     proxied_mesh& operator=(const proxied_mesh&) = delete;
     proxied_mesh(proxied_mesh&&) = delete;
@@ -42,7 +46,7 @@
     void add_route(int version, const std::string& prefix);
 
     /** @return Status of a request; 503 for a route without a backend server, 404 for none. */
-    [[nodiscard]] static int status_of(int node, const std::string& path);
+    [[nodiscard]] int status_of(int node, const std::string& path) const;
 
     /** @return Number of running nodes that refuse requests for the path as unknown. */
     [[nodiscard]] int count_refusals(const std::string& path) const;
@@ -52,9 +56,11 @@
     in_force_at(int node, int version) const;
 
 private:
+    [[nodiscard]] std::string address_of(int node) const;
     [[nodiscard]] std::unique_ptr<savorywheel::test::child_process> start_node(int node) const;
     [[nodiscard]] std::filesystem::path log_of(int node) const;
 
+    int network_;
     metadata_store_server store_;
     savorywheel::test::blackhole_proxy proxy_{store_.endpoint()};
     std::filesystem::path folder_;
--- a/test/platform/silent_store_test.cpp
+++ b/test/platform/silent_store_test.cpp
@@ -34,7 +34,7 @@
 // Report CONFIG/DENIED: requests for an added route got 404 for up to 16 s.
 TEST(silent_store, added_route_is_in_force_in_time_while_all_watches_are_silent)
 {
-    proxied_mesh mesh{3};
+    proxied_mesh mesh{3, 151};
     // The members know each other, and no batch of changes is in progress.
     std::this_thread::sleep_for(settling_time);
     EXPECT_EQ(count_late_refusals(mesh, 7), 0);
@@ -50,7 +50,7 @@
 TEST(silent_store, change_right_after_the_silence_reaches_all_of_many_nodes_in_time)
 {
     constexpr auto silence_before_change = 750ms;
-    proxied_mesh mesh{18};
+    proxied_mesh mesh{18, 152};
     std::this_thread::sleep_for(settling_time);
     for (const int version : {7, 9, 11, 13}) {
         mesh.silence_connections();
