Do not let the orders' watch delay the fetch of a configuration

Each source now has a time of its own at which it is due, from the watch that delivers what is lacking, and later deliveries do not move it. A source that has not been asked is not displaced by newer ones.

--- a/src/savorywheel/node/document_fetcher.cpp
+++ b/src/savorywheel/node/document_fetcher.cpp
@@ -23,39 +23,40 @@
     if (!environment_.documents.lacks_any_of(remote)) {
         return;
     }
-    const bool was_active = active();
+    if (!active()) {
+        delay_reported_ = false;
+    }
     const auto known = std::ranges::find(sources_, peer, &source::peer);
     if (known != sources_.end()) {
         known->head = remote;
     }
-    else {
-        drop_oldest_request();
-        sources_.push_back({peer, remote, 0, {}});
-    }
-    if (!was_active) {
-        delay_reported_ = false;
-        wait(environment_.watch_delay());
+    else if (make_room()) {
+        const auto due = environment_.loop.time().now() + environment_.watch_delay(remote);
+        sources_.push_back({peer, remote, due, 0, {}});
+        wait();
     }
 }
 
-void document_fetcher::drop_oldest_request()
+bool document_fetcher::make_room()
 {
     if (sources_.size() < max_sources) {
-        return;
+        return true;
+    }
+    const auto oldest = std::ranges::min_element(sources_, {}, [](const source& item) {
+        return item.request == 0 ? monotonic_time::max() : item.asked_at;
+    });
+    if (oldest->request == 0) {
+        return false;
     }
-    const auto oldest = std::ranges::min_element(sources_, {}, &source::asked_at);
     environment_.requests.discard(oldest->request);
     sources_.erase(oldest);
+    return true;
 }
 
 void document_fetcher::on_documents_changed()
 {
-    if (!active()) {
-        return;
-    }
-    remove_useless_sources();
     if (active()) {
-        wait(environment_.watch_delay());
+        remove_useless_sources();
     }
 }
 
@@ -67,8 +68,22 @@
     }
 }
 
-void document_fetcher::wait(duration delay)
+void document_fetcher::wait()
 {
+    const auto now = environment_.loop.time().now();
+    monotonic_time asked;
+    auto due = monotonic_time::max();
+    for (const auto& item : sources_) {
+        if (item.request == 0) {
+            due = std::min(due, item.due);
+        }
+        else {
+            asked = std::max(asked, item.asked_at + attempt_timeout);
+        }
+    }
+    const bool all_asked = due == monotonic_time::max();
+    const auto delay =
+        all_asked ? attempt_timeout : std::max(std::max(due, asked) - now, duration::zero());
     timer_ = environment_.loop.timers().after(delay, [this] { ask_next(); });
 }
 
@@ -108,7 +123,8 @@
     if (delayed && !std::exchange(delay_reported_, true)) {
         environment_.delayed();
     }
-    const auto next = std::ranges::find(sources_, std::uint64_t{0}, &source::request);
+    const auto next = std::ranges::find_if(
+        sources_, [now](const source& item) { return item.request == 0 && item.due <= now; });
     if (next != sources_.end()) {
         // The callback may run during submit(), before the request is known.
         const auto request = std::make_shared<std::uint64_t>();
@@ -123,7 +139,7 @@
                 });
             });
     }
-    wait(attempt_timeout);
+    wait();
 }
 
 void document_fetcher::on_response(const network_endpoint& peer, std::uint64_t request,
--- a/src/savorywheel/node/document_fetcher.hpp
+++ b/src/savorywheel/node/document_fetcher.hpp
@@ -32,8 +32,8 @@
         event_log& log;
         /** @brief This node's documents. */
         const operator_documents& documents;
-        /** @brief Returns the time for which a watch may still deliver the documents. */
-        std::function<duration()> watch_delay;
+        /** @brief Returns the time for which a watch may still deliver what a head contains. */
+        std::function<duration(const configuration_head& remote)> watch_delay;
         /** @brief Receives the documents of a peer. */
         std::function<void(const network_endpoint& peer, const operator_documents& received)>
             received;
@@ -53,8 +53,7 @@
      */
     void add_source(const network_endpoint& peer, const configuration_head& remote);
 
-    /** @brief Ends the fetch if this node lacks nothing any more; else waits for the next source.
-     */
+    /** @brief Ends the fetch if this node lacks nothing any more. */
     void on_documents_changed();
 
     /** @return True while this node lacks documents that a source has. */
@@ -67,14 +66,18 @@
     struct source {
         network_endpoint peer;
         configuration_head head;
+        /** End of the time for which a watch may still deliver the documents. */
+        monotonic_time due;
         /** Request that was sent to the peer; zero if there is none. */
         std::uint64_t request{};
         monotonic_time asked_at;
     };
 
-    /** Makes room for another source. */
-    void drop_oldest_request();
-    void wait(duration delay);
+    /** Makes room for another source in place of the one that was asked first; false if none was.
+     */
+    [[nodiscard]] bool make_room();
+    /** Waits until the next source is due and the last one has had its time. */
+    void wait();
     void ask_next();
     void on_response(const network_endpoint& peer, std::uint64_t request,
                      const request_client::response& answer);
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -24,22 +24,25 @@
                                    const order_codec& rollout_order_codec, environment env)
     : decoder_{decoder}, order_codec_{rollout_order_codec},
       environment_{std::move(env)}, fetcher_{fetcher_environment()},
-      configuration_watcher_{std::string{decoder.key()},
-                             watcher_environment(std::string{decoder.key()})},
-      order_watcher_{std::string{rollout_order_codec.prefix()},
-                     watcher_environment(std::string{rollout_order_codec.prefix()})}
+      configuration_watcher_{
+          std::string{decoder.key()},
+          watcher_environment(std::string{decoder.key()}, configuration_delivered_at_)},
+      order_watcher_{
+          std::string{rollout_order_codec.prefix()},
+          watcher_environment(std::string{rollout_order_codec.prefix()}, orders_delivered_at_)}
 {
 }
 
-document_watcher::environment document_service::watcher_environment(std::string prefix)
+document_watcher::environment document_service::watcher_environment(std::string prefix,
+                                                                    monotonic_time& delivered_at)
 {
     return {environment_.store,
             environment_.random,
             environment_.log,
             environment_.loop.time(),
-            [this, prefix = std::move(prefix)](std::vector<stored_object> objects) {
+            [this, prefix = std::move(prefix), &delivered_at](std::vector<stored_object> objects) {
                 environment_.loop.post(
-                    [this] { watch_delivered_at_ = environment_.loop.time().now(); });
+                    [this, &delivered_at] { delivered_at = environment_.loop.time().now(); });
                 post_objects(prefix, std::move(objects));
             },
             [this](const outcome<bool>& store_result) {
@@ -54,7 +57,7 @@
             environment_.requests,
             environment_.log,
             documents_,
-            [this] { return watch_delay(); },
+            [this](const configuration_head& remote) { return watch_delay(remote); },
             [this](const network_endpoint& peer, const operator_documents& received) {
                 if (documents_.merge(received)) {
                     on_documents_changed(to_string(peer));
@@ -175,13 +178,16 @@
     fetcher_.add_source(peer, remote);
 }
 
-duration document_service::watch_delay() const
+duration document_service::watch_delay(const configuration_head& remote) const
 {
     if (!store_reachable_.value_or(false)) {
         return duration::zero();
     }
     // After a delivery, the next watch starts at the end of the batch window.
-    const auto next_delivery = watch_delivered_at_ + watch_batch_window + watch_response_time;
+    const bool lacks_configuration = remote.operator_version > documents_.configuration.version;
+    const auto delivered_at =
+        lacks_configuration ? configuration_delivered_at_ : orders_delivered_at_;
+    const auto next_delivery = delivered_at + watch_batch_window + watch_response_time;
     return std::max<duration>(watch_grace_period, next_delivery - environment_.loop.time().now());
 }
 
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -110,13 +110,14 @@
         document_request request;
     };
 
-    [[nodiscard]] document_watcher::environment watcher_environment(std::string prefix);
+    [[nodiscard]] document_watcher::environment watcher_environment(std::string prefix,
+                                                                    monotonic_time& delivered_at);
     [[nodiscard]] document_fetcher::environment fetcher_environment();
     void merge_objects(std::string_view prefix, std::span<const stored_object> objects);
     void on_documents_changed(std::string source);
     void answer(const waiting_request& item);
     void answer_waiting();
-    [[nodiscard]] duration watch_delay() const;
+    [[nodiscard]] duration watch_delay(const configuration_head& remote) const;
     [[nodiscard]] bool merge_configuration(const stored_object& object);
     [[nodiscard]] bool merge_order(const stored_object& object);
     void log_invalid_object(const stored_object& object, const failure& reason);
@@ -131,8 +132,10 @@
     std::string source_;
     /** Last head that was logged as newer than this node's. */
     configuration_head newest_reported_;
-    /** Time of the last change that a watch delivered. */
-    monotonic_time watch_delivered_at_;
+    /** Time of the last change that the watch of the configuration delivered. */
+    monotonic_time configuration_delivered_at_;
+    /** Time of the last change that the watch of the orders delivered. */
+    monotonic_time orders_delivered_at_;
     document_fetcher fetcher_;
     std::vector<waiting_request> waiting_requests_;
     document_watcher configuration_watcher_;
--- a/test/savorywheel/node/document_service_test.cpp
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -138,6 +138,13 @@
         loop_.run_pending();
     }
 
+    /** Delivers an order as a watch does. */
+    void deliver_order(const stored_object& object)
+    {
+        service_.post_objects("rollouts/", {object});
+        loop_.run_pending();
+    }
+
     [[nodiscard]] const std::vector<network_endpoint>& asked() const noexcept
     {
         return network_.peers;
@@ -305,6 +312,18 @@
     EXPECT_TRUE(fixture.asked().empty());
 }
 
+// A configuration was never fetched while a working watch of the orders delivered changes.
+TEST(document_service, orders_that_change_do_not_delay_the_fetch_of_a_configuration)
+{
+    document_fixture fixture{{{"config/main", "90", 90}, {"rollouts/bookdesk", "bookdesk", 15}}};
+    fixture.report_head({"10.0.0.3", 7000}, make_documents(100, 15));
+    for (std::uint64_t i = 0; i < 5; ++i) {
+        fixture.advance_time(80ms);
+        fixture.deliver_order({"rollouts/bookdesk", "bookdesk", 16 + i});
+    }
+    EXPECT_EQ(fixture.requests().size(), 1U);
+}
+
 // Issue 37: a change passed a node only after its own fetch had ended.
 TEST(document_service, answers_a_peer_as_soon_as_its_own_fetch_ends)
 {
