--- a/src/savorywheel/distribution/spread_tree.hpp
+++ b/src/savorywheel/distribution/spread_tree.hpp
@@ -1,7 +1,8 @@
 #ifndef SAVORYWHEEL_DISTRIBUTION_SPREAD_TREE_HPP
 #define SAVORYWHEEL_DISTRIBUTION_SPREAD_TREE_HPP
 
-#include <savorywheel/core/names.hpp>
+#include <savorywheel/distribution/spread_position.hpp>
+#include <savorywheel/distribution/spread_region.hpp>
 
 #include <cstdint>
 #include <span>
@@ -12,19 +13,6 @@
 /** @brief One of the two trees along which a message reaches all nodes. */
 enum class spread_tree : std::uint8_t { first, second, last_tree = second };
 
-/** @brief Live nodes of a region. */
-struct spread_region {
-    region_name name;
-    /** @brief Nodes in ascending order. */
-    std::vector<node_id> members;
-};
-
-/** @brief A node and its region. */
-struct spread_position {
-    node_id node;
-    region_name region;
-};
-
 /**
  * @brief Computes the nodes to which a node passes a message on.
  *
