Do not spread a confirmation that says the same as the last one

Nodes that check at the same time each told all others twice, so n checks cost 2 n^2 messages; the receivers with a tenth of a core fell behind and checked as well.

A confirmation with the same head as one of another check less than 400 ms before, half of a period, is neither sent nor passed on.

confirmations_that_say_the_same_at_the_same_time_are_passed_on_once allows 5 messages; it saw 30 in a run in which the node knew no confirmation and so suppressed none, as before the change.

--- a/src/savorywheel/distribution/store_confirmation.hpp
+++ b/src/savorywheel/distribution/store_confirmation.hpp
@@ -11,6 +11,8 @@
 
 /** @brief Evidence that the store had no documents beyond a head at a point in time. */
 struct store_confirmation {
+    /** @brief Random number that identifies the confirmation. */
+    std::uint64_t id{};
     /** @brief Node that read the store. */
     node_id origin;
     /** @brief Local time before which all changes are contained in the head. */
--- a/src/savorywheel/node/confirmation_service.cpp
+++ b/src/savorywheel/node/confirmation_service.cpp
@@ -15,6 +15,11 @@
 
 /** After this time without a confirmation, changes may be late; the strictest bound of a change. */
 constexpr milliseconds reported_age{2500};
+/**
+ * A confirmation that is newer than the last one by less than this is not passed on, so that many
+ * checks at the same time do not cost as many messages to every node. Half of a period.
+ */
+constexpr milliseconds min_confirmation_gap{400};
 /** Older messages are not passed on. */
 constexpr std::uint32_t max_message_age_ms = 5000;
 /** More identifiers than the messages that arrive within max_message_age_ms along a tree. */
@@ -129,11 +134,22 @@
         return;
     }
     const auto& self = environment_.members.self();
-    const store_confirmation confirmation{self.id, result->as_of, result->revision,
-                                          environment_.documents.documents().head()};
+    const store_confirmation confirmation{
+        environment_.random.below(std::numeric_limits<std::uint64_t>::max()), self.id,
+        result->as_of, result->revision, environment_.documents.documents().head()};
+    const bool redundant = is_redundant(confirmation);
     record(confirmation);
+    if (!redundant) {
+        spread(confirmation);
+    }
+    schedule();
+}
+
+void confirmation_service::spread(const store_confirmation& confirmation)
+{
+    const auto& self = environment_.members.self();
     confirmation_message message;
-    message.id = environment_.random.below(std::numeric_limits<std::uint64_t>::max());
+    message.id = confirmation.id;
     message.origin = {self.id, self.region};
     message.origin_peer = self.peer;
     message.revision = confirmation.revision;
@@ -144,7 +160,13 @@
         message.age_ms = static_cast<std::uint32_t>(to_milliseconds(age).count());
         pass_on(message);
     }
-    schedule();
+}
+
+bool confirmation_service::is_redundant(const store_confirmation& confirmation) const
+{
+    return confirmation_ && confirmation_->id != confirmation.id &&
+           confirmation_->head == confirmation.head &&
+           confirmation.as_of < confirmation_->as_of + min_confirmation_gap;
 }
 
 outcome<bool> confirmation_service::on_datagram(std::span<const std::byte> payload)
@@ -174,10 +196,15 @@
         known.pop_front();
     }
     const auto as_of = environment_.loop.time().now() - milliseconds{message.age_ms};
-    record({message.origin.node, as_of, message.revision, message.head});
+    const store_confirmation confirmation{message.id, message.origin.node, as_of, message.revision,
+                                          message.head};
+    const bool redundant = is_redundant(confirmation);
+    record(confirmation);
     environment_.documents.on_head_received(message.sender_peer, message.head);
     environment_.documents.on_head_received(message.origin_peer, message.head);
-    pass_on(message);
+    if (!redundant) {
+        pass_on(message);
+    }
     if (!checking_) {
         schedule();
     }
--- a/src/savorywheel/node/confirmation_service.hpp
+++ b/src/savorywheel/node/confirmation_service.hpp
@@ -77,7 +77,10 @@
     void check();
     void on_checked(const outcome<store_check_result>& result);
     void receive(const confirmation_message& message);
+    void spread(const store_confirmation& confirmation);
     void pass_on(confirmation_message message);
+    /** True if this node knows a confirmation of another check that says the same. */
+    [[nodiscard]] bool is_redundant(const store_confirmation& confirmation) const;
     void record(const store_confirmation& confirmation);
     void log_age();
     /** Reads the members again after a change. */
--- a/test/savorywheel/node/confirmation_service_test.cpp
+++ b/test/savorywheel/node/confirmation_service_test.cpp
@@ -214,6 +214,7 @@
         from_abroad.origin.node = node_id{fmt::format("origin-{}", i)};
         from_abroad.id = 1000 + i;
         datagrams_.sent.clear();
+        advance_time(500ms);
         receive(from_abroad);
         receive(from_abroad);
         EXPECT_TRUE(datagrams_.sent.empty() || datagrams_.sent.size() == 5);
@@ -222,6 +223,32 @@
     EXPECT_GT(entries, 0U);
 }
 
+// Checks of many nodes at the same time sent as many messages to every node.
+TEST_F(confirmation_service_test,
+       confirmations_that_say_the_same_at_the_same_time_are_passed_on_once)
+{
+    advance_time(500ms);
+    auto message = make_message(9);
+    message.origin.region = make_record(1).region;
+    std::size_t passed_on = 0;
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        message.origin.node = node_id{fmt::format("origin-{}", i)};
+        message.id = 1000 + i;
+        receive(message);
+        passed_on += datagrams_.sent.size();
+        datagrams_.sent.clear();
+    }
+    EXPECT_LE(passed_on, 5U);
+    advance_time(500ms);
+    for (std::uint64_t i = 0; i < 60; ++i) {
+        message.head.digest = 100 + i;
+        message.origin.node = node_id{fmt::format("origin-{}", i)};
+        message.id = 2000 + i;
+        receive(message);
+    }
+    EXPECT_GT(datagrams_.sent.size(), 10U);
+}
+
 TEST_F(confirmation_service_test, confirmation_of_others_defers_the_check)
 {
     for (int i = 0; i < 20; ++i) {
