Identify tenants by their API keys, and fix the types that quotas and fair queueing share

Cause: a deployment with tenants gets no request served, as the key is passed on to backend servers and no tenant is named.

Change: the platform's configuration may contain tenants; a proxy finds the tenant of a key by the digest of the key, rejects a missing or unknown key with 401 on routes that are not public, removes the key and states the tenant. The types for quotas, fair queueing and reports of work are in place; an unlimited quota is in use.

--- a/src/savorywheel/config/host_route.hpp
+++ b/src/savorywheel/config/host_route.hpp
@@ -25,6 +25,8 @@
     std::uint32_t priority{};
     /** @brief Maximum number of backend servers tried per request; zero for no limit. */
     std::uint32_t max_attempts{};
+    /** @brief True if requests need no API key. */
+    bool is_public{};
     /** @brief Destination services, at least one. */
     std::vector<service_share> shares;
 
--- a/src/savorywheel/config/mesh_state.cpp
+++ b/src/savorywheel/config/mesh_state.cpp
@@ -32,6 +32,9 @@
       hosts_{std::make_shared<const std::vector<virtual_host>>(source.hosts)}, limits_{
                                                                                    source.limits}
 {
+    if (!source.tenants.empty()) {
+        tenants_ = std::make_shared<const std::vector<tenant_spec>>(source.tenants);
+    }
     std::map<service_name, service_state> services;
     for (const auto& name : source.services) {
         services[name].spec.name = name;
@@ -98,7 +101,7 @@
     };
     return left.version_ == right.version_ && left.operator_version_ == right.operator_version_ &&
            left.domains_ == right.domains_ && equal_values(left.hosts_, right.hosts_) &&
-           left.limits_ == right.limits_ &&
+           left.limits_ == right.limits_ && equal_values(left.tenants_, right.tenants_) &&
            std::ranges::equal(left.services_, right.services_, equal_service);
 }
 
--- a/src/savorywheel/config/mesh_state.hpp
+++ b/src/savorywheel/config/mesh_state.hpp
@@ -67,6 +67,12 @@
     /** @return What operators allow callers. */
     [[nodiscard]] const caller_limits& limits() const noexcept { return limits_; }
 
+    /** @return Tenants; nullptr if there are none. */
+    [[nodiscard]] const std::shared_ptr<const std::vector<tenant_spec>>& tenants() const noexcept
+    {
+        return tenants_;
+    }
+
     /** @return State of the service; nullptr if it does not exist. */
     [[nodiscard]] std::shared_ptr<const service_state> find(const service_name& name) const;
 
@@ -82,6 +88,7 @@
     service_map services_;
     std::shared_ptr<const std::vector<virtual_host>> hosts_;
     caller_limits limits_;
+    std::shared_ptr<const std::vector<tenant_spec>> tenants_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/config/operator_configuration.hpp
+++ b/src/savorywheel/config/operator_configuration.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_CONFIG_OPERATOR_CONFIGURATION_HPP
 
 #include <savorywheel/config/caller_limits.hpp>
+#include <savorywheel/config/tenant_spec.hpp>
 #include <savorywheel/config/virtual_host.hpp>
 #include <savorywheel/core/config_version.hpp>
 
@@ -18,6 +19,8 @@
     /** @brief Virtual hosts with their routes. */
     std::vector<virtual_host> hosts;
     caller_limits limits;
+    /** @brief Tenants; if there are any, requests on routes that are not public need an API key. */
+    std::vector<tenant_spec> tenants;
     /**
      * @brief Routes of a kind that this release does not know, with their place; they are served as
      * non-idempotent. Not sent to other nodes.
--- a/src/savorywheel/core/clock.hpp
+++ b/src/savorywheel/core/clock.hpp
@@ -27,6 +27,9 @@
     /** @return The monotonic time, for intervals and timeouts. */
     [[nodiscard]] virtual monotonic_time now() const noexcept = 0;
 
+    /** @return The time since the start of the VM, including time for which it was suspended. */
+    [[nodiscard]] virtual duration since_boot() const noexcept { return now().time_since_epoch(); }
+
     /** @return The calendar time, for deadlines set by operators. */
     [[nodiscard]] virtual calendar_time calendar_now() const noexcept = 0;
 };
--- a/src/savorywheel/core/names.hpp
+++ b/src/savorywheel/core/names.hpp
@@ -24,6 +24,9 @@
 /** @brief Operator or automatic process that makes a change. */
 using author_name = named<struct author_name_tag>;
 
+/** @brief Name of a tenant: an organisation whose callers share API keys and a quota. */
+using tenant_name = named<struct tenant_name_tag>;
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/encoding/config_archive.hpp
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -97,7 +97,7 @@
             cereal::make_nvp("target_latency_ms", route.target_latency),
             cereal::make_nvp("priority", route.priority),
             cereal::make_nvp("max_attempts", route.max_attempts),
-            cereal::make_nvp("shares", route.shares));
+            cereal::make_nvp("public", route.is_public), cereal::make_nvp("shares", route.shares));
 }
 
 template<typename Archive>
@@ -115,11 +115,29 @@
             cereal::make_nvp("idle_timeout_ms", limits.idle_timeout));
 }
 
+template<typename Archive>
+void serialize(Archive& archive, key_digest& digest)
+{
+    for (auto& value : digest.bytes) {
+        archive(value);
+    }
+}
+
+template<typename Archive>
+void serialize(Archive& archive, tenant_spec& tenant)
+{
+    archive(cereal::make_nvp("name", tenant.name), cereal::make_nvp("keys", tenant.keys),
+            cereal::make_nvp("priority", tenant.priority),
+            cereal::make_nvp("rate_per_s", tenant.rate_per_s),
+            cereal::make_nvp("burst", tenant.burst));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, operator_configuration& item)
 {
     archive(cereal::make_nvp("version", item.version), cereal::make_nvp("services", item.services),
-            cereal::make_nvp("hosts", item.hosts), cereal::make_nvp("limits", item.limits));
+            cereal::make_nvp("hosts", item.hosts), cereal::make_nvp("limits", item.limits),
+            cereal::make_nvp("tenants", item.tenants));
 }
 
 template<typename Archive>
--- a/src/savorywheel/encoding/json_fields.cpp
+++ b/src/savorywheel/encoding/json_fields.cpp
@@ -52,6 +52,20 @@
     return value->get<std::uint64_t>();
 }
 
+std::optional<double> real_field(const json& object, const char* key)
+{
+    const auto* value = find(object, key);
+    return value != nullptr && value->is_number() ? std::optional{value->get<double>()}
+                                                  : std::nullopt;
+}
+
+std::optional<bool> bool_field(const json& object, const char* key)
+{
+    const auto* value = find(object, key);
+    return value != nullptr && value->is_boolean() ? std::optional{value->get<bool>()}
+                                                   : std::nullopt;
+}
+
 const json* list_field(const json& object, const char* key)
 {
     const auto* value = find(object, key);
--- a/src/savorywheel/encoding/json_fields.hpp
+++ b/src/savorywheel/encoding/json_fields.hpp
@@ -38,6 +38,12 @@
                                                     : std::nullopt;
 }
 
+/** @return The numeric field with the given key; nothing if absent or of another type. */
+[[nodiscard]] std::optional<double> real_field(const json& object, const char* key);
+
+/** @return The boolean field with the given key; nothing if absent or of another type. */
+[[nodiscard]] std::optional<bool> bool_field(const json& object, const char* key);
+
 /** @return The array field with the given key; nullptr if absent or of another type. */
 [[nodiscard]] const json* list_field(const json& object, const char* key);
 
--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -51,6 +51,9 @@
         cereal::make_nvp("version", call.version), cereal::make_nvp("remaining_ms", call.remaining),
         cereal::make_nvp("expires_us", call.expires),
         cereal::make_nvp("preferred_ms", call.target_remaining),
+        cereal::make_nvp("route", call.route), cereal::make_nvp("tenant", call.tenant),
+        cereal::make_nvp("tenant_priority", call.tenant_priority),
+        cereal::make_nvp("tenant_weight", call.tenant_weight),
         cereal::make_nvp("priority", call.priority),
         cereal::make_nvp("idempotent", call.idempotent), cereal::make_nvp("request", call.request));
 }
@@ -59,7 +62,8 @@
 void serialize(Archive& archive, gate_load& load)
 {
     archive(cereal::make_nvp("running", load.running), cereal::make_nvp("waiting", load.waiting),
-            cereal::make_nvp("service_time_us", load.service_time));
+            cereal::make_nvp("service_time_us", load.service_time),
+            cereal::make_nvp("work_us", load.work));
 }
 
 template<typename Archive>
--- a/src/savorywheel/http/http_header.hpp
+++ b/src/savorywheel/http/http_header.hpp
@@ -1,9 +1,11 @@
 #ifndef SAVORYWHEEL_HTTP_HTTP_HEADER_HPP
 #define SAVORYWHEEL_HTTP_HTTP_HEADER_HPP
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace savorywheel {
 
@@ -24,6 +26,14 @@
 [[nodiscard]] std::string_view find_header(std::span<const http_header> headers,
                                            std::string_view name) noexcept;
 
+/** @return Value of the first field with that name; std::nullopt if there is none. */
+[[nodiscard]] std::optional<std::string_view>
+find_header_value(std::span<const http_header> headers, std::string_view name) noexcept;
+
+/** @brief Removes all fields with a name, and adds one unless the value is empty. */
+void replace_header(std::vector<http_header>& headers, std::string_view name,
+                    std::string_view value);
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/http/http_status.hpp
+++ b/src/savorywheel/http/http_status.hpp
@@ -9,6 +9,7 @@
 inline constexpr int status_no_content = 204;
 inline constexpr int status_not_modified = 304;
 inline constexpr int status_bad_request = 400;
+inline constexpr int status_unauthorized = 401;
 inline constexpr int status_not_found = 404;
 inline constexpr int status_request_timeout = 408;
 inline constexpr int status_conflict = 409;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -26,6 +26,7 @@
 #include <savorywheel/traffic/peer_call_transport.hpp>
 #include <savorywheel/traffic/peer_crash_reporter.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
+#include <savorywheel/traffic/unlimited_quota.hpp>
 #include <savorywheel/transport/asio_datagram_channel.hpp>
 #include <savorywheel/transport/asio_peer_network.hpp>
 #include <savorywheel/transport/frame_router.hpp>
@@ -234,9 +235,10 @@
         locality_endpoint_selector::environment{loads_, health_, random_, time_}};
     peer_call_transport transport_{
         peer_call_transport::environment{network_, requests_, time_, traffic_loop_}};
-    proxy_handler proxy_{proxy_handler::environment{time_, tables_, versions_, endpoints_, loads_,
-                                                    health_, retries_, transport_, evidence_,
-                                                    metrics_, log_, random_, front_.callers()}};
+    unlimited_quota quota_;
+    proxy_handler proxy_{proxy_handler::environment{
+        time_, tables_, versions_, endpoints_, loads_, health_, retries_, quota_, transport_,
+        evidence_, metrics_, log_, random_, front_.callers()}};
     operator_directory operators_{settings_.operators};
     change_service changes_{change_service::environment{time_, random_, store_, control_}};
     admin_handler admin_{
--- a/src/savorywheel/routing/routing_table.hpp
+++ b/src/savorywheel/routing/routing_table.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/core/config_version.hpp>
 #include <savorywheel/routing/host_table.hpp>
 #include <savorywheel/routing/service_routes.hpp>
+#include <savorywheel/routing/tenant_table.hpp>
 
 #include <cstddef>
 #include <map>
@@ -28,11 +29,13 @@
      * @param hosts Routes by host.
      * @param operator_version Version that operators gave the configuration; zero if none.
      * @param limits What operators allow callers.
+     * @param tenants Tenants by API key; nullptr if there are none.
      */
     routing_table(config_version version, route_map routes, std::shared_ptr<const host_table> hosts,
-                  config_version operator_version = {}, const caller_limits& limits = {}) noexcept
+                  config_version operator_version = {}, const caller_limits& limits = {},
+                  std::shared_ptr<const tenant_table> tenants = nullptr) noexcept
         : version_{version}, operator_version_{operator_version}, routes_{std::move(routes)},
-          hosts_{std::move(hosts)}, limits_{limits}
+          hosts_{std::move(hosts)}, limits_{limits}, tenants_{std::move(tenants)}
     {
     }
 
@@ -45,6 +48,12 @@
     /** @return What operators allow callers. */
     [[nodiscard]] const caller_limits& limits() const noexcept { return limits_; }
 
+    /** @return Tenants by API key; nullptr if there are none. */
+    [[nodiscard]] const std::shared_ptr<const tenant_table>& tenants() const noexcept
+    {
+        return tenants_;
+    }
+
     /** @return Routes by service. */
     [[nodiscard]] const route_map& routes() const noexcept { return routes_; }
 
@@ -73,6 +82,7 @@
     route_map routes_;
     std::shared_ptr<const host_table> hosts_{std::make_shared<const host_table>()};
     caller_limits limits_;
+    std::shared_ptr<const tenant_table> tenants_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/routing_table_builder.cpp
+++ b/src/savorywheel/routing/routing_table_builder.cpp
@@ -22,6 +22,12 @@
 
 void routing_table_builder::set_state(const mesh_state& state)
 {
+    if (!state.tenants()) {
+        tenants_ = nullptr;
+    }
+    else if (!state_.tenants() || *state_.tenants() != *state.tenants()) {
+        tenants_ = std::make_shared<const tenant_table>(*state.tenants());
+    }
     state_ = state;
     hosts_ = state.hosts() ? std::make_shared<const host_table>(*state.hosts())
                            : std::make_shared<const host_table>(state.services());
@@ -36,7 +42,8 @@
         routes.emplace_hint(routes.end(), name, routes_of(name, service, members));
     }
     return std::make_shared<const routing_table>(state_.version(), std::move(routes), hosts_,
-                                                 state_.operator_version(), state_.limits());
+                                                 state_.operator_version(), state_.limits(),
+                                                 tenants_);
 }
 
 std::shared_ptr<const service_routes>
--- a/src/savorywheel/routing/routing_table_builder.hpp
+++ b/src/savorywheel/routing/routing_table_builder.hpp
@@ -36,6 +36,7 @@
 
     mesh_state state_;
     std::shared_ptr<const host_table> hosts_{std::make_shared<const host_table>()};
+    std::shared_ptr<const tenant_table> tenants_;
     std::map<service_name, compiled_service> compiled_;
 };
 
--- a/src/savorywheel/traffic/call_context.hpp
+++ b/src/savorywheel/traffic/call_context.hpp
@@ -22,6 +22,10 @@
     std::shared_ptr<const service_routes> routes;
     /** @brief Matched route; nullptr if no route matched. */
     const host_route* route{};
+    /** @brief Tenant of the caller, in the routing table; nullptr if it has none. */
+    const tenant_entry* tenant{};
+    /** @brief True if the call holds a token of its tenant's quota. */
+    bool holds_token{};
     /** @brief The call as it is sent to the node co-located with a backend server. */
     call_request call;
     /** @brief When the request was received. */
--- a/src/savorywheel/traffic/call_request.hpp
+++ b/src/savorywheel/traffic/call_request.hpp
@@ -24,7 +24,15 @@
     peer_time expires{};
     /** @brief Time until the route's target latency is exceeded; zero if unknown. */
     std::chrono::milliseconds target_remaining{};
-    /** @brief Priority under overload; 0 is the highest. */
+    /** @brief Path prefix of the route; calls of one route have similar service times. */
+    std::string route;
+    /** @brief Tenant of the caller; empty if it has none. */
+    tenant_name tenant;
+    /** @brief Priority of the tenant under overload, before that of the route; 0 is the highest. */
+    std::uint32_t tenant_priority{};
+    /** @brief Share of the tenant relative to others of its priority. */
+    std::uint32_t tenant_weight{1};
+    /** @brief Priority of the route under overload; 0 is the highest. */
     std::uint32_t priority{};
     /** @brief True if it may be run more than once. */
     bool idempotent{};
--- a/src/savorywheel/traffic/caller_header_codec.hpp
+++ b/src/savorywheel/traffic/caller_header_codec.hpp
@@ -1,6 +1,7 @@
 #ifndef SAVORYWHEEL_TRAFFIC_CALLER_HEADER_CODEC_HPP
 #define SAVORYWHEEL_TRAFFIC_CALLER_HEADER_CODEC_HPP
 
+#include <savorywheel/core/names.hpp>
 #include <savorywheel/http/http_request.hpp>
 #include <savorywheel/http/http_response.hpp>
 #include <savorywheel/traffic/rejection.hpp>
@@ -24,6 +25,15 @@
     /** @brief Removes the fields addressed to the mesh and adds those that the mesh guarantees. */
     virtual void rewrite_headers(http_request& request) const = 0;
 
+    /**
+     * @brief Removes the API key and the tenant that the caller stated, and states the tenant.
+     *
+     * Only called if the configuration has tenants.
+     * @param request Request of a caller.
+     * @param tenant Tenant that holds the request's key; empty if it has none.
+     */
+    virtual void set_tenant(http_request& request, const tenant_name& tenant) const = 0;
+
     /** @return The HTTP response for a rejected request. */
     [[nodiscard]] virtual http_response reject(const rejection& cause) const = 0;
 };
--- a/src/savorywheel/traffic/default_caller_header_codec.cpp
+++ b/src/savorywheel/traffic/default_caller_header_codec.cpp
@@ -7,6 +7,7 @@
 {
     request_options options;
     options.timeout = parse_timeout(find_header(request.headers, default_deadline_header));
+    options.key = find_header_value(request.headers, default_key_header);
     return options;
 }
 
@@ -17,6 +18,12 @@
     });
 }
 
+void default_caller_header_codec::set_tenant(http_request& request, const tenant_name& tenant) const
+{
+    replace_header(request.headers, default_key_header, {});
+    replace_header(request.headers, default_tenant_header, tenant.str());
+}
+
 http_response default_caller_header_codec::reject(const rejection& cause) const
 {
     const auto* outcome = cause.may_have_run() ? "unknown" : "not-run";
--- a/src/savorywheel/traffic/gate_load.hpp
+++ b/src/savorywheel/traffic/gate_load.hpp
@@ -14,6 +14,8 @@
     std::uint32_t waiting{};
     /** @brief Mean service time of a call, without queueing; zero if unknown. */
     std::chrono::microseconds service_time{};
+    /** @brief Expected time that the running and queued calls still need; zero if unknown. */
+    std::chrono::microseconds work{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -52,16 +52,20 @@
                           responder respond)
 {
     const auto context = std::make_shared<call_context>();
-    const auto options = environment_.header_codec.read(request);
+    context->call.request = std::move(request);
+    const auto options = environment_.header_codec.read(context->call.request);
     context->started = environment_.time.now();
     context->respond = std::move(respond);
     context->cancel_signal = cancel_signal;
     context->call.request_id = options.request_id;
-    context->call.request = std::move(request);
     if (const auto cause = find_route(*context)) {
         reject(*context, *cause);
         return;
     }
+    if (const auto cause = authorize(*context, options.key)) {
+        reject(*context, *cause);
+        return;
+    }
     context->deadline = context->started + deadline_of(options, *context->route);
     if (context->deadline > latest_deadline_.load()) {
         reject(*context, {rejection_kind::stopping, "this node stops before the deadline",
@@ -71,9 +75,66 @@
     context->call.idempotent = is_idempotent(context->route->kind);
     remove_hop_by_hop_headers(context->call.request.headers);
     environment_.header_codec.rewrite_headers(context->call.request);
+    if (context->table->tenants()) {
+        environment_.header_codec.set_tenant(context->call.request, context->call.tenant);
+    }
+    context->call.route = context->route->path;
     context->call.priority = context->route->priority;
     ++calls_;
-    execute(context);
+    execute_within_quota(context);
+}
+
+std::optional<rejection> proxy_handler::authorize(call_context& context,
+                                                  std::optional<std::string_view> key)
+{
+    const auto& tenants = context.table->tenants();
+    if (!tenants) {
+        return std::nullopt;
+    }
+    context.tenant = key ? tenants->find(*key) : nullptr;
+    if (context.tenant != nullptr) {
+        context.call.tenant = context.tenant->name;
+        context.call.tenant_priority = context.tenant->priority;
+        context.call.tenant_weight = context.tenant->weight;
+        return std::nullopt;
+    }
+    if (context.route->is_public) {
+        return std::nullopt;
+    }
+    return rejection{rejection_kind::unauthorized,
+                     key ? "the API key belongs to no tenant" : "the request has no API key",
+                     std::nullopt};
+}
+
+void proxy_handler::execute_within_quota(const context_pointer& context)
+{
+    const auto* tenant = context->tenant;
+    if (tenant == nullptr || tenant->rate_per_s <= 0.0) {
+        execute(context);
+        return;
+    }
+    if (environment_.quota.try_acquire(*tenant)) {
+        context->holds_token = true;
+        execute(context);
+        return;
+    }
+    environment_.quota.acquire(*tenant, [this, context](const quota_decision& decision) {
+        switch (decision.outcome) {
+        case quota_decision::result::granted:
+            context->holds_token = true;
+            execute(context);
+            break;
+        case quota_decision::result::exhausted:
+            reject(*context, {rejection_kind::over_quota, "the tenant has used its quota",
+                              decision.retry_after});
+            break;
+        case quota_decision::result::unknown:
+            reject(*context,
+                   {rejection_kind::quota_unknown,
+                    "the quota of the tenant is not known at the moment", decision.retry_after});
+            break;
+        }
+    });
 }
 
 std::optional<rejection> proxy_handler::find_route(call_context& context)
@@ -277,6 +338,9 @@
     }
     rejection cause{rejection_kind::unknown, std::move(outcome.reason), outcome.retry_after};
     if (outcome.result == call_result::not_run) {
+        if (context.holds_token) {
+            environment_.quota.give_back(*context.tenant);
+        }
         cause.kind = rejection_kind::not_run;
     }
     else if (environment_.time.now() >= context.deadline) {
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -19,6 +19,7 @@
 #include <savorywheel/traffic/rejection.hpp>
 #include <savorywheel/traffic/response_sizes.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
+#include <savorywheel/traffic/tenant_quota.hpp>
 
 #include <array>
 #include <atomic>
@@ -41,6 +42,8 @@
         /** @brief Passive health checks; updated with each attempt. */
         endpoint_health& health;
         retry_budget& retries;
+        /** @brief Quotas of tenants. */
+        tenant_quota& quota;
         /** @brief Sends calls to other nodes. */
         call_transport& transport;
         /** @brief Receives the outcome of each attempt. */
@@ -72,6 +75,11 @@
     using context_pointer = std::shared_ptr<call_context>;
 
     [[nodiscard]] std::optional<rejection> find_route(call_context& context);
+    /** Identifies the tenant by the API key that the request states. */
+    [[nodiscard]] std::optional<rejection> authorize(call_context& context,
+                                                     std::optional<std::string_view> key);
+    /** Executes the call if the quota of its tenant allows it. */
+    void execute_within_quota(const context_pointer& context);
     void execute(const context_pointer& context);
     [[nodiscard]] const route_endpoint* next_endpoint(call_context& context);
     /** @return An endpoint of the old version during a rollout move; nullptr if there is none. */
--- a/src/savorywheel/traffic/rejection.hpp
+++ b/src/savorywheel/traffic/rejection.hpp
@@ -16,6 +16,10 @@
     stopping,         /**< This node stops and accepts no more requests. */
     no_configuration, /**< This node has no configuration yet. */
     no_service,       /**< The route leads to no known service. */
+    unauthorized,     /**< The request has no API key, or one of no tenant. */
+    unconfirmed,      /**< This node cannot tell whether the API key is still in force. */
+    over_quota,       /**< The tenant has used its quota. */
+    quota_unknown,    /**< This node cannot tell whether the tenant has used its quota. */
     not_run,          /**< No backend server has run the request or will run it. */
     unknown,          /**< The request may have been run, without a complete response. */
     expired,          /**< The deadline passed; the request may have been run. */
--- a/src/savorywheel/traffic/request_options.hpp
+++ b/src/savorywheel/traffic/request_options.hpp
@@ -14,6 +14,8 @@
     std::string request_id;
     /** @brief The caller's timeout, if stated. */
     std::optional<std::chrono::milliseconds> timeout;
+    /** @brief API key, if stated; refers to a header field of the request. */
+    std::optional<std::string_view> key;
 };
 
 /**
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -4,6 +4,7 @@
 #include <savorywheel/routing/weighted_version_selector.hpp>
 #include <savorywheel/traffic/default_caller_header_codec.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
+#include <savorywheel/traffic/unlimited_quota.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
@@ -109,6 +110,7 @@
         return {};
     }
     void rewrite_headers(http_request& /*request*/) const override {}
+    void set_tenant(http_request& /*request*/, const tenant_name& /*tenant*/) const override {}
     [[nodiscard]] http_response reject(const rejection& cause) const override
     {
         http_response response{cause.status(), {}, {}};
@@ -136,8 +138,8 @@
 
     [[nodiscard]] proxy_handler::environment environment(const caller_header_codec& codec)
     {
-        return {time,     tables,   versions, endpoints, loads,  health, retries,
-                outbound, observer, metrics,  log,       random, codec};
+        return {time,  tables,   versions, endpoints, loads, health, retries,
+                quota, outbound, observer, metrics,   log,   random, codec};
     }
 
     manual_clock& time;
@@ -150,6 +152,7 @@
     locality_endpoint_selector endpoints{
         failure_domain{"d"}, region_name{"r"}, {loads, health, random, time}};
     retry_budget retries;
+    unlimited_quota quota;
     evidence_recorder observer{region_name{"r"}};
     metric_registry metrics;
     recording_event_log log;
--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -4,7 +4,7 @@
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
     libulfius-dev libmicrohttpd-dev libcereal-dev libcli11-dev liblog4cxx-dev libyaml-cpp-dev
     libboost-dev librapidcheck-dev libgtest-dev libgmock-dev libfmt-dev libxxhash-dev
-    libcurl4-gnutls-dev nlohmann-json3-dev curl)
+    libcurl4-gnutls-dev nlohmann-json3-dev nettle-dev zlib1g-dev curl)
 missing=()
 for package in "${packages[@]}"; do
     dpkg -s "$package" >/dev/null 2>&1 || missing+=("$package")
