Refuse API keys when a node cannot tell whether they were removed

Cause: a node that is cut off from the store, or was suspended, accepted a removed key without an end, since nothing bounded the age of the tenants in force.

Change: each node maintains a proven time, on a clock that continues while the VM is suspended. It comes from the node's own reads of the store, or from the ack of a probe, which states the age of the responder's proven time. The proxy refuses requests with a key with 503 when the proven time is older than the limit less 250 ms; it reads the time before it takes the routing table. With the setting key_confirmation_limit_ms, a node whose proven time is older than half of the limit reads the configuration itself, at most once in 500 ms. The sequence numbers of probes begin with the incarnation, so that an ack to an earlier start of a node matches no probe of the next one. Requests without a valid key have their own log line, at most one per second.

--- a/src/savorywheel/distribution/store_check.cpp
+++ b/src/savorywheel/distribution/store_check.cpp
@@ -24,24 +24,34 @@
 
 void store_check::start(std::optional<std::uint64_t> after)
 {
-    worker_.submit([this, after](object_store& /*store*/) { environment_.done(run(after)); });
+    worker_.submit(
+        [this, after](object_store& /*store*/) { environment_.done(run(prefixes_, after)); });
 }
 
-outcome<store_check_result> store_check::run(std::optional<std::uint64_t> after)
+void store_check::start_first(std::optional<std::uint64_t> after)
+{
+    worker_.submit([this, after](object_store& /*store*/) {
+        environment_.done(run(std::span{prefixes_}.first(1), after));
+    });
+}
+
+outcome<store_check_result> store_check::run(std::span<const std::string> prefixes,
+                                             std::optional<std::uint64_t> after)
 {
     std::optional<store_check_result> result;
-    for (const auto& prefix : prefixes_) {
+    for (const auto& prefix : prefixes) {
         auto part = read(prefix, after);
         if (!part) {
             return part.reason();
         }
         if (!result) {
-            result = {part->sent, part->listed.revision};
+            result = {part->sent, part->sent_since_boot, part->listed.revision};
         }
         result->revision = std::min(result->revision, part->listed.revision);
         environment_.objects(prefix, std::move(part->listed.objects));
     }
-    return result.value_or(store_check_result{environment_.time.now(), after.value_or(0)});
+    return result.value_or(store_check_result{environment_.time.now(),
+                                              environment_.time.since_boot(), after.value_or(0)});
 }
 
 outcome<store_check::reading> store_check::read(const std::string& prefix,
@@ -50,9 +60,10 @@
     auto timeout = first_timeout;
     while (true) {
         const auto sent = environment_.time.now();
+        const auto sent_since_boot = environment_.time.since_boot();
         auto listed = environment_.store.read(prefix, after, timeout);
         if (listed) {
-            return reading{sent, std::move(*listed)};
+            return reading{sent, sent_since_boot, std::move(*listed)};
         }
         const auto code = listed.reason().code;
         if (code == failure_code::not_found && after) {
--- a/src/savorywheel/distribution/store_check.hpp
+++ b/src/savorywheel/distribution/store_check.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,13 +50,18 @@
      */
     void start(std::optional<std::uint64_t> after);
 
+    /** @brief Starts a check of the objects with the first prefix only. */
+    void start_first(std::optional<std::uint64_t> after);
+
 private:
     struct reading {
         monotonic_time sent;
+        duration sent_since_boot{};
         object_list listed;
     };
 
-    [[nodiscard]] outcome<store_check_result> run(std::optional<std::uint64_t> after);
+    [[nodiscard]] outcome<store_check_result> run(std::span<const std::string> prefixes,
+                                                  std::optional<std::uint64_t> after);
     [[nodiscard]] outcome<reading> read(const std::string& prefix,
                                         std::optional<std::uint64_t> after);
 
--- a/src/savorywheel/distribution/store_check_result.hpp
+++ b/src/savorywheel/distribution/store_check_result.hpp
@@ -11,6 +11,8 @@
 struct store_check_result {
     /** @brief Time before which all changes were delivered. */
     monotonic_time as_of;
+    /** @brief The same time on clock::since_boot(). */
+    duration as_of_since_boot{};
     /** @brief Revision of the store at the check. */
     std::uint64_t revision{};
 };
--- a/src/savorywheel/encoding/membership_archive.hpp
+++ b/src/savorywheel/encoding/membership_archive.hpp
@@ -37,6 +37,7 @@
             cereal::make_nvp("sender_peer", message.sender_peer),
             cereal::make_nvp("target", message.target), cereal::make_nvp("head", message.head),
             cereal::make_nvp("table_digest", message.table_digest),
+            cereal::make_nvp("proven_age_ms", message.proven_age_ms),
             cereal::make_nvp("updates", message.updates));
 }
 
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -78,6 +78,12 @@
                       "are the newest."},
     event_description{event_id::documents_confirmed, info,
                       "The documents of this node are confirmed with the platform's store again."},
+    event_description{event_id::keys_unconfirmed, warning,
+                      "This node cannot tell whether API keys are still in force; requests with a "
+                      "key are refused."},
+    event_description{event_id::keys_confirmed, info,
+                      "The API keys of this node are confirmed again; requests with a key are "
+                      "accepted."},
     event_description{event_id::member_alive, info, "A node joined or responds again."},
     event_description{event_id::member_suspect, info, "A node did not respond to a probe."},
     event_description{event_id::member_dead, warning, "A node failed or left."},
@@ -126,6 +132,8 @@
                       "The HTTP server rejected a request before it was routed."},
     event_description{event_id::http_library_error, warning,
                       "The HTTP library reported an error; it may have sent a response."},
+    event_description{event_id::api_key_rejected, warning,
+                      "Requests had no API key, or one that belongs to no tenant."},
     event_description{event_id::change_accepted, info, "A change of configuration was accepted."},
     event_description{event_id::change_refused, info, "A change of configuration was refused."},
     event_description{event_id::change_outcome_unknown, warning,
--- a/src/savorywheel/membership/membership_message.hpp
+++ b/src/savorywheel/membership/membership_message.hpp
@@ -7,10 +7,14 @@
 #include <savorywheel/membership/member_update.hpp>
 
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 namespace savorywheel {
 
+/** @brief Age that stands for no proven time. */
+inline constexpr std::uint32_t no_proven_age_ms = std::numeric_limits<std::uint32_t>::max();
+
 /** @brief Type of a membership datagram. */
 enum class membership_kind : std::uint8_t {
     ping,         /**< Requests an ack from the receiver. */
@@ -35,6 +39,13 @@
     configuration_head head;
     /** @brief Digest of the sender's member table, for detection of lost updates. */
     std::uint64_t table_digest{};
+    /**
+     * @brief Age of the sender's proven time, rounded up; only set in an ack.
+     *
+     * Everything that the store had acknowledged by the proven time is in the sender's
+     * configuration, whose version the head states.
+     */
+    std::uint32_t proven_age_ms{no_proven_age_ms};
     /** @brief Gossiped member updates. */
     std::vector<member_update> updates;
 };
--- a/src/savorywheel/membership/swim_agent.cpp
+++ b/src/savorywheel/membership/swim_agent.cpp
@@ -17,13 +17,19 @@
 constexpr std::chrono::milliseconds digest_sync_interval{1000};
 /** A dead member is pinged in one of this many probe periods, on average. */
 constexpr std::uint64_t dead_probe_divisor = 4;
+/**
+ * Bits for the sequence numbers of one start of a node, above which its incarnation at the start
+ * begins. No ack to an earlier start can match a probe of this one and prove too recent a time.
+ */
+constexpr unsigned sequence_bits = 20;
 
 } // namespace
 
 swim_agent::swim_agent(member_record self, std::vector<network_endpoint> seeds,
                        membership_settings settings, environment env)
     : self_{std::move(self)}, seeds_{std::move(seeds)}, settings_{settings},
-      environment_{std::move(env)}, probe_order_{self_.id, self_.region, environment_.random},
+      environment_{std::move(env)}, last_sequence_{self_.incarnation << sequence_bits},
+      probe_order_{self_.id, self_.region, environment_.random},
       large_sync_response_limiter_{environment_.time, large_sync_response_burst,
                                    large_sync_response_interval},
       unknown_sender_limiter_{environment_.time, unknown_sender_burst, unknown_sender_interval},
@@ -140,6 +146,7 @@
     probe_->target = target->id;
     probe_->peer = target->peer;
     probe_->sequence = sequence;
+    probe_->sent_at = environment_.time.since_boot();
     probe_->ack_timer =
         environment_.timers.after(settings_.ack_timeout, [this] { request_indirect_probes(); });
     send(target->peer, membership_kind::ping, sequence, {}, table_.find(target->id));
@@ -238,6 +245,7 @@
     message.target = target;
     message.head = head_;
     message.table_digest = table_.digest();
+    message.proven_age_ms = kind == membership_kind::ack ? proven_age() : no_proven_age_ms;
     message.updates = gossip_.next_batch(settings_.max_gossip_bytes, retransmit_limit());
     if (receiver_entry != nullptr && receiver_entry->update.status != member_status::alive) {
         message.updates.push_back(receiver_entry->update);
@@ -249,6 +257,7 @@
 {
     if (probe_ && probe_->sequence == message.sequence) {
         probe_->acknowledged = true;
+        prove_from_ack(message, probe_->sent_at);
         return;
     }
     const auto found = relayed_.find(message.sequence);
--- a/src/savorywheel/membership/swim_agent.hpp
+++ b/src/savorywheel/membership/swim_agent.hpp
@@ -91,6 +91,13 @@
     /** @brief Sets the summary of the configuration that messages announce. */
     void set_head(const configuration_head& head) noexcept { head_ = head; }
 
+    /**
+     * @brief Records a time by which everything that the store had acknowledged is in this node's
+     * configuration; acks state its age.
+     * @param as_of The time, on clock::since_boot(); an earlier one than before has no effect.
+     */
+    void prove(duration as_of);
+
     [[nodiscard]] const member_table& table() const noexcept { return table_; }
 
     [[nodiscard]] const member_record& self() const noexcept { return self_; }
@@ -100,6 +107,8 @@
         node_id target;
         network_endpoint peer;
         std::uint64_t sequence{};
+        /** On clock::since_boot(), before the ping was sent. */
+        duration sent_at{};
         bool acknowledged{};
         subscription ack_timer;
     };
@@ -131,6 +140,10 @@
     /** Occasionally pings a dead member, so that the two sides of a healed partition merge. */
     void probe_dead();
     void on_ack(const membership_message& message);
+    /** Derives a proven time of this node from that of a member that responded to a probe. */
+    void prove_from_ack(const membership_message& message, duration sent_at);
+    /** @return Age of the proven time in milliseconds, rounded up. */
+    [[nodiscard]] std::uint32_t proven_age() const noexcept;
     [[nodiscard]] std::size_t retransmit_limit() const noexcept;
 
     member_record self_;
@@ -139,7 +152,9 @@
     environment environment_;
     member_table table_;
     configuration_head head_;
-    std::uint64_t last_sequence_{};
+    std::uint64_t last_sequence_;
+    /** On clock::since_boot(). */
+    std::optional<duration> proven_;
     std::optional<probe> probe_;
     std::map<std::uint64_t, relayed_probe> relayed_;
     /** Order in which members are probed. */
--- a/src/savorywheel/membership/swim_agent_exchange.cpp
+++ b/src/savorywheel/membership/swim_agent_exchange.cpp
@@ -111,6 +111,33 @@
     environment_.sync(peer, request);
 }
 
+void swim_agent::prove(duration as_of)
+{
+    if (!proven_ || as_of > *proven_) {
+        proven_ = as_of;
+        environment_.listener.on_proven(as_of);
+    }
+}
+
+void swim_agent::prove_from_ack(const membership_message& message, duration sent_at)
+{
+    // The ack states the age after the ping was sent, so that no delay makes the result too recent.
+    if (message.proven_age_ms != no_proven_age_ms &&
+        head_.operator_version >= message.head.operator_version) {
+        prove(sent_at - std::chrono::milliseconds{message.proven_age_ms});
+    }
+}
+
+std::uint32_t swim_agent::proven_age() const noexcept
+{
+    if (!proven_) {
+        return no_proven_age_ms;
+    }
+    const auto age =
+        std::chrono::ceil<std::chrono::milliseconds>(environment_.time.since_boot() - *proven_);
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age.count(), 0, no_proven_age_ms));
+}
+
 std::optional<member_record> swim_agent::random_member()
 {
     const auto members = table_.live();
--- a/src/savorywheel/node/confirmation_service.cpp
+++ b/src/savorywheel/node/confirmation_service.cpp
@@ -34,7 +34,8 @@
 
 confirmation_service::confirmation_service(environment env)
     : environment_{env}, schedule_{env.members.self().id, env.random, env.loop.time().now()},
-      check_{env.documents.prefixes(), check_environment()}
+      key_schedule_{env.keys, env.loop.time()}, check_{env.documents.prefixes(),
+                                                       check_environment()}
 {
 }
 
@@ -97,7 +98,23 @@
     refresh_members();
     const auto now = environment_.loop.time().now();
     const auto delay = std::max(schedule_.next_check(candidates_) - now, duration::zero());
-    timer_ = environment_.loop.timers().after(delay, [this] { check(); });
+    timer_ = environment_.loop.timers().after(std::min(delay, key_schedule_.delay()),
+                                              [this] { check_if_due(); });
+}
+
+void confirmation_service::check_if_due()
+{
+    if (schedule_.next_check(candidates_) <= environment_.loop.time().now()) {
+        check();
+    }
+    else if (key_schedule_.delay() == duration::zero()) {
+        check_keys();
+    }
+    else {
+        // A peer has proven a later time to this node meanwhile.
+        log_keys();
+        schedule();
+    }
 }
 
 void confirmation_service::check_now()
@@ -113,11 +130,28 @@
         return;
     }
     log_age();
+    log_keys();
+    key_schedule_.record_check();
     checking_ = true;
     timer_.reset();
+    check_.start(known_revision());
+}
+
+void confirmation_service::check_keys()
+{
+    log_keys();
+    key_schedule_.record_check();
+    checking_ = true;
+    checking_keys_ = true;
+    timer_.reset();
+    check_.start_first(known_revision());
+}
+
+std::optional<std::uint64_t> confirmation_service::known_revision() const
+{
     const bool complete =
         confirmation_ && !environment_.documents.documents().lacks_any_of(confirmation_->head);
-    check_.start(complete ? std::optional{confirmation_->revision} : std::nullopt);
+    return complete ? std::optional{confirmation_->revision} : std::nullopt;
 }
 
 void confirmation_service::on_checked(const outcome<store_check_result>& result)
@@ -126,6 +160,7 @@
         return;
     }
     checking_ = false;
+    const bool keys_only = std::exchange(checking_keys_, false);
     environment_.documents.on_store_health(result ? outcome<bool>{true}
                                                   : outcome<bool>{result.reason()});
     if (!result) {
@@ -133,6 +168,13 @@
         schedule();
         return;
     }
+    // The objects of the check were applied before, so that their routing table is published.
+    environment_.members.prove(result->as_of_since_boot);
+    log_keys();
+    if (keys_only) {
+        schedule();
+        return;
+    }
     const auto& self = environment_.members.self();
     const store_confirmation confirmation{
         environment_.random.below(std::numeric_limits<std::uint64_t>::max()), self.id,
@@ -230,6 +272,19 @@
     }
 }
 
+void confirmation_service::log_keys()
+{
+    const auto& time = environment_.loop.time();
+    const bool refused = !environment_.keys.allows(time);
+    if (std::exchange(keys_unconfirmed_, refused) != refused) {
+        const auto age = environment_.keys.age(time);
+        environment_.log.write(refused ? event_id::keys_unconfirmed : event_id::keys_confirmed,
+                               age == duration::max()
+                                   ? std::string{"never confirmed"}
+                                   : fmt::format("{} ms", to_milliseconds(age).count()));
+    }
+}
+
 void confirmation_service::pass_on(confirmation_message message)
 {
     refresh_members();
--- a/src/savorywheel/node/confirmation_service.hpp
+++ b/src/savorywheel/node/confirmation_service.hpp
@@ -11,6 +11,7 @@
 #include <savorywheel/distribution/store_confirmation.hpp>
 #include <savorywheel/membership/swim_agent.hpp>
 #include <savorywheel/node/document_service.hpp>
+#include <savorywheel/node/key_check_schedule.hpp>
 #include <savorywheel/transport/datagram_channel.hpp>
 
 #include <array>
@@ -44,6 +45,8 @@
         /** @brief Members, including this node. */
         swim_agent& members;
         document_service& documents;
+        /** @brief Proven time and its limit. */
+        const key_confirmation& keys;
     };
 
     /** @param env Dependencies. */
@@ -74,7 +77,13 @@
 
     [[nodiscard]] store_check::environment check_environment();
     void schedule();
+    /** Checks the store if that is due, or waits until it is. */
+    void check_if_due();
     void check();
+    /** Reads the configuration only, so that keys can be accepted for longer. */
+    void check_keys();
+    /** Revision after which a check reads; none if this node lacks documents. */
+    [[nodiscard]] std::optional<std::uint64_t> known_revision() const;
     void on_checked(const outcome<store_check_result>& result);
     void receive(const confirmation_message& message);
     void spread(const store_confirmation& confirmation);
@@ -83,17 +92,22 @@
     [[nodiscard]] bool is_redundant(const store_confirmation& confirmation) const;
     void record(const store_confirmation& confirmation);
     void log_age();
+    void log_keys();
     /** Reads the members again after a change. */
     void refresh_members();
 
     environment environment_;
     check_schedule schedule_;
+    key_check_schedule key_schedule_;
     store_check check_;
     std::optional<store_confirmation> confirmation_;
     bool running_{};
     bool checking_{};
+    /** True if the check in progress reads the configuration only. */
+    bool checking_keys_{};
     bool members_changed_{true};
     bool unconfirmed_{};
+    bool keys_unconfirmed_{};
     std::vector<spread_region> regions_;
     /** Live nodes that can reach the store, and this node, in ascending order. */
     std::vector<node_id> candidates_;
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -16,6 +16,7 @@
 #include <savorywheel/rollout/commit_appender.hpp>
 #include <savorywheel/settings/node_settings.hpp>
 #include <savorywheel/traffic/gate.hpp>
+#include <savorywheel/traffic/key_confirmation.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
 #include <memory>
@@ -53,6 +54,8 @@
         event_log& log;
         /** @brief Retry budget, divided by the number of live nodes. */
         retry_budget& retries;
+        /** @brief Whether API keys may be accepted; receives the proven times. */
+        key_confirmation& keys;
         /**
          * @brief Decodes the operators' configuration in the object store; nullptr if the
          * mesh is configured through its own ordered log.
@@ -111,6 +114,7 @@
     [[nodiscard]] outcome<bool> deregister_backend(std::string_view identity) override;
     void on_member_changed(const member_update& update) override;
     void on_head_received(const network_endpoint& peer, const configuration_head& head) override;
+    void on_proven(duration as_of) override { environment_.keys.advance(as_of); }
     void publish_commit(const commit& change) override;
 
 private:
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -11,7 +11,8 @@
     : environment_{std::move(env)}, documents_{decoder, orders, document_environment()},
       confirmations_{confirmation_service::environment{
           environment_.loop, environment_.quota, environment_.random, environment_.store,
-          environment_.datagrams, environment_.log, environment_.members, documents_}},
+          environment_.datagrams, environment_.log, environment_.members, documents_,
+          environment_.keys}},
       directory_{environment_.members.self(), directory_environment()}
 {
 }
--- a/src/savorywheel/node/document_config_provider.hpp
+++ b/src/savorywheel/node/document_config_provider.hpp
@@ -43,6 +43,8 @@
         event_log& log;
         /** @brief Members, including this node. */
         swim_agent& members;
+        /** @brief Proven time and its limit. */
+        const key_confirmation& keys;
         /** @brief Receives the states to use for routing. */
         state_callback state_changed;
     };
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -84,6 +84,12 @@
 
     outcome<bool> start()
     {
+        if (keys_.limit() && front_.configuration() == nullptr) {
+            return failure{failure_code::invalid_argument,
+                           "key_confirmation_limit_ms is only for a mesh whose operators keep the "
+                           "configuration in one object; with the ordered log, nothing proves how "
+                           "recent the keys of a node are"};
+        }
         traffic_loop_.start("traffic");
         auto started = network_.start(settings_.peer);
         if (started) {
@@ -220,12 +226,14 @@
     evidence_recorder evidence_{settings_.region};
     version_ejections ejections_;
     retry_budget retries_{settings_.retries};
-    control_plane control_{settings_, control_plane::environment{
-                                          loop_, random_, store_, worker_, datagrams_, network_,
-                                          requests_, tables_, gate_, evidence_, ejections_, meter_,
-                                          log_, retries_, front_.configuration(), front_.orders()}};
+    key_confirmation keys_{settings_.key_confirmation_limit};
+    control_plane control_{
+        settings_,
+        control_plane::environment{loop_, random_, store_, worker_, datagrams_, network_, requests_,
+                                   tables_, gate_, evidence_, ejections_, meter_, log_, retries_,
+                                   keys_, front_.configuration(), front_.orders()}};
     node_metric_source state_metrics_{
-        node_metric_source::environment{control_, gate_, retries_, tables_}};
+        node_metric_source::environment{control_, gate_, retries_, tables_, keys_, time_}};
     load_table loads_;
     endpoint_health health_{time_};
     weighted_version_selector weighted_versions_{random_};
@@ -237,7 +245,7 @@
         peer_call_transport::environment{network_, requests_, time_, traffic_loop_}};
     unlimited_quota quota_;
     proxy_handler proxy_{proxy_handler::environment{
-        time_, tables_, versions_, endpoints_, loads_, health_, retries_, quota_, transport_,
+        time_, tables_, versions_, endpoints_, loads_, health_, retries_, quota_, keys_, transport_,
         evidence_, metrics_, log_, random_, front_.callers()}};
     operator_directory operators_{settings_.operators};
     change_service changes_{change_service::environment{time_, random_, store_, control_}};
--- a/src/savorywheel/node/node_metric_source.cpp
+++ b/src/savorywheel/node/node_metric_source.cpp
@@ -61,6 +61,10 @@
     const auto table = environment_.tables.current();
     registry.gauge({"state_in_force"}) = table->version().number;
     registry.gauge({"operator_version_in_force"}) = table->operator_version().number;
+    if (const auto age = environment_.keys.age(environment_.time); age != duration::max()) {
+        const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(age);
+        registry.gauge({"key_confirmation_age_ms"}) = static_cast<std::uint64_t>(whole.count());
+    }
     for (const auto& [service, routes] : table->routes()) {
         registry.gauge({"backend_servers", "service", service.str()}) = routes->endpoints.size();
         registry.gauge({"retries_saved", "service", service.str()}) =
--- a/src/savorywheel/node/node_metric_source.hpp
+++ b/src/savorywheel/node/node_metric_source.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/metrics/metric_source.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/traffic/gate.hpp>
+#include <savorywheel/traffic/key_confirmation.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
 
 namespace savorywheel {
@@ -20,6 +21,9 @@
         retry_budget& retries;
         /** @brief Provides the routing table in force. */
         const routing_table_holder& tables;
+        /** @brief Proven time of the API keys. */
+        const key_confirmation& keys;
+        const clock& time;
     };
 
     /** @param env Dependencies. */
--- a/src/savorywheel/settings/node_settings.hpp
+++ b/src/savorywheel/settings/node_settings.hpp
@@ -51,6 +51,11 @@
     std::optional<std::chrono::milliseconds> stop_grace;
     /** @brief Idle timeout of a caller's connection. */
     std::chrono::seconds idle_timeout{60};
+    /**
+     * @brief Maximum age of what a node knows of API keys, above which it refuses requests with
+     * one; none for no limit.
+     */
+    std::optional<std::chrono::milliseconds> key_confirmation_limit;
     /** @brief Retry limits for the whole mesh. */
     retry_limits retries;
 };
--- a/src/savorywheel/settings/node_settings_reader.cpp
+++ b/src/savorywheel/settings/node_settings_reader.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/config/name_rules.hpp>
 #include <savorywheel/config/yaml_cursor.hpp>
+#include <savorywheel/core/duration_text.hpp>
 #include <savorywheel/settings/node_settings_reader.hpp>
 
 #include <fmt/format.h>
@@ -149,6 +150,27 @@
     }
 }
 
+/** Reads a number of milliseconds, or a duration with its unit such as 5000ms. */
+void read_key_limit(const yaml_cursor& root, node_settings& settings)
+{
+    constexpr std::string_view key = "key_confirmation_limit_ms";
+    if (!root.has(key)) {
+        return;
+    }
+    const auto text = root.text(key);
+    const bool has_unit = text.find_first_not_of("0123456789") != std::string::npos;
+    const auto limit = parse_duration(has_unit ? text : text + "ms");
+    if (!limit || *limit < min_key_confirmation_limit ||
+        *limit > std::chrono::milliseconds{max_settings_milliseconds}) {
+        root.report_error(key, fmt::format("\"{}\"", text),
+                          fmt::format("{} to {} milliseconds, such as 5000 or 5000ms",
+                                      min_key_confirmation_limit.count(),
+                                      max_settings_milliseconds));
+        return;
+    }
+    settings.key_confirmation_limit = limit;
+}
+
 void read_addresses(const yaml_cursor& root, node_settings& settings)
 {
     if (const auto listen = root.map("listen")) {
@@ -190,7 +212,7 @@
     root->expect_keys({"name", "failure_domain", "region", "address", "ports", "store", "seeds",
                        "operators", "log_level", "listen", "caller_service", "backend_timeout_ms",
                        "stop_notice_ms", "stop_limit_ms", "stop_grace_ms", "idle_timeout_ms",
-                       "retries"});
+                       "retries", "key_confirmation_limit_ms"});
     settings.name = node_id{read_name(*root, "name")};
     settings.domain = failure_domain{read_name(*root, "failure_domain")};
     settings.region = region_name{read_name(*root, "region")};
@@ -210,6 +232,7 @@
     settings.idle_timeout = std::chrono::ceil<std::chrono::seconds>(
         read_milliseconds(*root, "idle_timeout_ms", settings.idle_timeout));
     read_retries(*root, settings);
+    read_key_limit(*root, settings);
     return settings;
 }
 
--- a/src/savorywheel/settings/node_settings_reader.hpp
+++ b/src/savorywheel/settings/node_settings_reader.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/core/findings.hpp>
 #include <savorywheel/settings/node_settings.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
@@ -16,6 +17,12 @@
 /** @brief Maximum of settings that are durations, in milliseconds. */
 inline constexpr std::int64_t max_settings_milliseconds = 600'000;
 
+/**
+ * @brief Minimum of the limit on the age of what a node knows of API keys: the safety margin and
+ * one read of the store in a remote region must fit in it.
+ */
+inline constexpr std::chrono::milliseconds min_key_confirmation_limit{500};
+
 /** @brief Minimum length of an operator's key, in bytes. */
 inline constexpr std::size_t min_operator_key_bytes = 16;
 
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds configuration_retry_after{300};
 /** A stopping node has usually been replaced or restarted after this time. */
 constexpr std::chrono::milliseconds restart_retry_after{500};
+/** A node that reaches the store or a member again has usually confirmed its keys by then. */
+constexpr std::chrono::milliseconds key_retry_after{500};
 /** A single refusal may be chance; after two, the version is probably at capacity. */
 constexpr std::size_t refusals_before_spillover = 2;
 
@@ -38,9 +40,9 @@
 
 proxy_handler::proxy_handler(environment env)
     : environment_{env}, calls_{env.metrics.count("calls")}, retries_{env.metrics.count("retries")},
-      calls_not_run_{env.metrics.count("calls_not_run")}, calls_unknown_{env.metrics.count(
-                                                              "calls_unknown")},
-      latency_{env.metrics.latency("call")}, call_log_{env.log, env.time}
+      calls_not_run_{env.metrics.count("calls_not_run")},
+      calls_unknown_{env.metrics.count("calls_unknown")}, latency_{env.metrics.latency("call")},
+      call_log_{env.log, env.time}, key_log_{env.log, env.time}
 {
     for (std::size_t i = 0; i < rejection_kind_count; ++i) {
         const std::string cause{label_of(static_cast<rejection_kind>(i))};
@@ -58,11 +60,13 @@
     context->respond = std::move(respond);
     context->cancel_signal = cancel_signal;
     context->call.request_id = options.request_id;
+    // Read before the routing table is taken, which therefore contains what the time refers to.
+    const bool keys_confirmed = environment_.keys.allows(environment_.time);
     if (const auto cause = find_route(*context)) {
         reject(*context, *cause);
         return;
     }
-    if (const auto cause = authorize(*context, options.key)) {
+    if (const auto cause = authorize(*context, options.key, keys_confirmed)) {
         reject(*context, *cause);
         return;
     }
@@ -85,12 +89,18 @@
 }
 
 std::optional<rejection> proxy_handler::authorize(call_context& context,
-                                                  std::optional<std::string_view> key)
+                                                  std::optional<std::string_view> key,
+                                                  bool keys_confirmed)
 {
     const auto& tenants = context.table->tenants();
     if (!tenants) {
         return std::nullopt;
     }
+    if (key && !keys_confirmed && !context.route->is_public) {
+        return rejection{rejection_kind::unconfirmed,
+                         "this node cannot tell whether the API key is still in force",
+                         key_retry_after};
+    }
     context.tenant = key ? tenants->find(*key) : nullptr;
     if (context.tenant != nullptr) {
         context.call.tenant = context.tenant->name;
@@ -353,7 +363,12 @@
 {
     ++(cause.may_have_run() ? calls_unknown_ : calls_not_run_);
     ++*rejections_.at(static_cast<std::size_t>(cause.kind));
-    call_log_.log_rejected(context, cause);
+    if (cause.kind == rejection_kind::unauthorized) {
+        key_log_.write(context, cause);
+    }
+    else {
+        call_log_.log_rejected(context, cause);
+    }
     context.respond(environment_.header_codec.reject(cause));
 }
 
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -15,7 +15,9 @@
 #include <savorywheel/traffic/call_observer.hpp>
 #include <savorywheel/traffic/call_transport.hpp>
 #include <savorywheel/traffic/caller_header_codec.hpp>
+#include <savorywheel/traffic/key_confirmation.hpp>
 #include <savorywheel/traffic/proxy_call_log.hpp>
+#include <savorywheel/traffic/rejected_key_log.hpp>
 #include <savorywheel/traffic/rejection.hpp>
 #include <savorywheel/traffic/response_sizes.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
@@ -44,6 +46,8 @@
         retry_budget& retries;
         /** @brief Quotas of tenants. */
         tenant_quota& quota;
+        /** @brief Whether API keys may be accepted. */
+        const key_confirmation& keys;
         /** @brief Sends calls to other nodes. */
         call_transport& transport;
         /** @brief Receives the outcome of each attempt. */
@@ -75,9 +79,12 @@
     using context_pointer = std::shared_ptr<call_context>;
 
     [[nodiscard]] std::optional<rejection> find_route(call_context& context);
-    /** Identifies the tenant by the API key that the request states. */
-    [[nodiscard]] std::optional<rejection> authorize(call_context& context,
-                                                     std::optional<std::string_view> key);
+    /**
+     * Identifies the tenant by the API key that the request states.
+     * @param keys_confirmed Whether keys could be accepted before the routing table was taken.
+     */
+    [[nodiscard]] std::optional<rejection>
+    authorize(call_context& context, std::optional<std::string_view> key, bool keys_confirmed);
     /** Executes the call if the quota of its tenant allows it. */
     void execute_within_quota(const context_pointer& context);
     void execute(const context_pointer& context);
@@ -105,6 +112,7 @@
     std::array<counter*, rejection_kind_count> rejections_{};
     latency_recorder& latency_;
     proxy_call_log call_log_;
+    rejected_key_log key_log_;
     /** Used on the traffic thread only. */
     response_sizes response_sizes_;
     std::atomic<bool> draining_{};
--- a/test/savorywheel/node/confirmation_service_test.cpp
+++ b/test/savorywheel/node/confirmation_service_test.cpp
@@ -49,12 +49,23 @@
     }
 };
 
-struct null_listener final : membership_listener {
+struct proof_listener final : membership_listener {
     void on_member_changed(const member_update& /*update*/) override {}
     void on_head_received(const network_endpoint& /*peer*/,
                           const configuration_head& /*head*/) override
     {
     }
+    void on_proven(duration as_of) override
+    {
+        proven = as_of;
+        version =
+            documents == nullptr ? config_version{} : documents->documents().configuration.version;
+    }
+
+    std::optional<duration> proven;
+    const document_service* documents{};
+    /** Version of the documents when the time was proven. */
+    config_version version;
 };
 
 struct silent_connection final : frame_sink {
@@ -109,6 +120,7 @@
         static_cast<void>(members_.finish_sync(others));
         documents_.post_objects("config/main", std::vector{stored_object{"config/main", "9", 9}});
         loop_.run_pending();
+        listener_.documents = &documents_;
         service_.start();
         service_.on_members_changed();
     }
@@ -158,7 +170,7 @@
     recording_datagrams datagrams_;
     request_client requests_;
     recording_event_log log_;
-    null_listener listener_;
+    proof_listener listener_;
     swim_agent members_{make_record(0),
                         {},
                         {},
@@ -171,8 +183,11 @@
                                 orders_,
                                 {loop_, quota_, random_, store_, network_, requests_, log_, [] {},
                                  [](bool /*reachable*/) {}, [] {}}};
+    key_confirmation keys_;
+    /** Of the node's settings in tests of the additional reads. */
+    key_confirmation keys_limit_{5s};
     confirmation_service service_{
-        {loop_, quota_, random_, store_, datagrams_, log_, members_, documents_}};
+        {loop_, quota_, random_, store_, datagrams_, log_, members_, documents_, keys_}};
 };
 
 } // namespace
@@ -223,6 +238,72 @@
     EXPECT_GT(entries, 0U);
 }
 
+// Confirmations state an age that does not contain the time in the network, so they prove nothing.
+TEST_F(confirmation_service_test, only_a_check_of_its_own_proves_a_time_to_the_node)
+{
+    for (int i = 0; i < 5; ++i) {
+        advance_time(400ms);
+        receive(make_message(9));
+        EXPECT_EQ(listener_.proven, std::nullopt);
+    }
+    advance_time(2s);
+    const auto sent_at = time_.since_boot();
+    ASSERT_TRUE(wait_until([this] {
+        loop_.run_pending();
+        return listener_.proven.has_value();
+    }));
+    EXPECT_EQ(listener_.proven, sent_at);
+    EXPECT_EQ(listener_.version, config_version{12});
+}
+
+TEST_F(confirmation_service_test, node_reads_the_store_itself_at_half_of_the_limit_of_the_keys)
+{
+    service_.stop();
+    keys_limit_.advance(time_.since_boot());
+    confirmation_service subject{
+        {loop_, quota_, random_, store_, datagrams_, log_, members_, documents_, keys_limit_}};
+    subject.start();
+    const auto confirm = [&] {
+        EXPECT_TRUE(subject.on_datagram(encode(make_message(9))));
+        loop_.run_pending();
+    };
+    for (int i = 0; i < 6; ++i) {
+        advance_time(400ms);
+        confirm();
+    }
+    EXPECT_EQ(listener_.proven, std::nullopt);
+    datagrams_.sent.clear();
+    advance_time(100ms);
+    ASSERT_TRUE(wait_until([this] {
+        loop_.run_pending();
+        return listener_.proven.has_value();
+    }));
+    EXPECT_TRUE(datagrams_.sent.empty());
+    EXPECT_EQ(log_.count(event_id::keys_unconfirmed), 0U);
+    subject.stop();
+}
+
+TEST_F(confirmation_service_test, loss_and_return_of_the_proven_time_are_logged)
+{
+    service_.stop();
+    keys_limit_.advance(time_.since_boot());
+    confirmation_service subject{
+        {loop_, quota_, random_, store_, datagrams_, log_, members_, documents_, keys_limit_}};
+    subject.start();
+    time_.suspend(1min);
+    advance_time(3s);
+    EXPECT_EQ(log_.count(event_id::keys_unconfirmed), 1U);
+    ASSERT_TRUE(wait_until([this] {
+        loop_.run_pending();
+        return listener_.proven.has_value();
+    }));
+    keys_limit_.advance(*listener_.proven);
+    advance_time(2500ms);
+    EXPECT_EQ(log_.count(event_id::keys_unconfirmed), 1U);
+    EXPECT_EQ(log_.count(event_id::keys_confirmed), 1U);
+    subject.stop();
+}
+
 // Checks of many nodes at the same time sent as many messages to every node.
 TEST_F(confirmation_service_test,
        confirmations_that_say_the_same_at_the_same_time_are_passed_on_once)
--- a/test/savorywheel/node/node_metric_source_test.cpp
+++ b/test/savorywheel/node/node_metric_source_test.cpp
@@ -25,11 +25,15 @@
     tables.publish(std::make_shared<const routing_table>(
         config_version{130}, routing_table::route_map{}, std::make_shared<const host_table>(),
         config_version{17}));
-    node_metric_source subject{{control, backend_gate, retries, tables}};
+    key_confirmation keys;
+    time.advance(std::chrono::seconds{9});
+    keys.advance(std::chrono::seconds{7});
+    node_metric_source subject{{control, backend_gate, retries, tables, keys, time}};
     metric_registry registry;
     subject.collect(registry);
     EXPECT_EQ(registry.gauge({"state_in_force"}), 130U);
     EXPECT_EQ(registry.gauge({"operator_version_in_force"}), 17U);
+    EXPECT_EQ(registry.gauge({"key_confirmation_age_ms"}), 2000U);
 }
 
 } // namespace savorywheel::test
--- a/test/savorywheel/settings/node_settings_faults_test.cpp
+++ b/test/savorywheel/settings/node_settings_faults_test.cpp
@@ -54,6 +54,26 @@
     EXPECT_EQ(settings.operators.size(), 2U);
 }
 
+// The platform's template gives the limit as a text with its unit.
+TEST(node_settings_faults, key_confirmation_limit_is_a_number_or_a_duration)
+{
+    findings report;
+    EXPECT_EQ(read_node_settings(settings_with("", ""), report).key_confirmation_limit,
+              std::nullopt);
+    for (const auto* text : {"5000", "\"5000ms\"", "5s"}) {
+        const auto line = std::string{"region: east\nkey_confirmation_limit_ms: "} + text;
+        EXPECT_EQ(
+            read_node_settings(settings_with("region: east", line), report).key_confirmation_limit,
+            std::chrono::milliseconds{5000})
+            << text;
+    }
+    EXPECT_EQ(report.render("s"), "");
+    for (const auto* text : {"-1", "100", "5 minutes", "nan", "601s"}) {
+        const auto line = std::string{"region: east\nkey_confirmation_limit_ms: "} + text;
+        EXPECT_NE(faults_of(settings_with("region: east", line)), "") << text;
+    }
+}
+
 TEST(node_settings_faults, each_fault_is_reported_with_its_position)
 {
     const std::vector<fault_case> cases{
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -138,8 +138,8 @@
 
     [[nodiscard]] proxy_handler::environment environment(const caller_header_codec& codec)
     {
-        return {time,  tables,   versions, endpoints, loads, health, retries,
-                quota, outbound, observer, metrics,   log,   random, codec};
+        return {time, tables,   versions, endpoints, loads, health, retries, quota,
+                keys, outbound, observer, metrics,   log,   random, codec};
     }
 
     manual_clock& time;
@@ -153,6 +153,7 @@
         failure_domain{"d"}, region_name{"r"}, {loads, health, random, time}};
     retry_budget retries;
     unlimited_quota quota;
+    key_confirmation keys{std::chrono::milliseconds{5000}};
     evidence_recorder observer{region_name{"r"}};
     metric_registry metrics;
     recording_event_log log;
@@ -187,6 +188,53 @@
     http_request last;
 };
 
+constexpr std::string_view clinic_key = "clinic-key-7f3a91";
+
+/** @return Table with a public and another route, and with the tenant clinic if it is to have one.
+ */
+std::shared_ptr<const routing_table> make_tenant_table(std::uint64_t version,
+                                                       std::vector<key_digest> keys)
+{
+    const auto plain = make_table(true, 2);
+    host_route closed;
+    closed.path = "/orders/";
+    closed.timeout = std::chrono::milliseconds{1000};
+    closed.shares = {{service_name{"bookdesk"}, 1}};
+    auto open = closed;
+    open.path = "/open/";
+    open.is_public = true;
+    const auto hosts = std::make_shared<const host_table>(
+        std::vector<virtual_host>{{"a.example", {closed, open}}});
+    const std::vector<tenant_spec> tenants{{tenant_name{"clinic"}, std::move(keys), 2, 0.0, 0.0}};
+    return std::make_shared<const routing_table>(config_version{version}, plain->routes(), hosts,
+                                                 config_version{version}, caller_limits{},
+                                                 std::make_shared<const tenant_table>(tenants));
+}
+
+/** Proxy of a mesh with the tenant clinic. */
+struct tenant_proxy {
+    http_response handle(std::string target, std::vector<http_header> headers)
+    {
+        headers.push_back({"Host", "a.example"});
+        return test::handle(fixture.proxy, {"GET", std::move(target), std::move(headers), {}});
+    }
+
+    http_response handle_with_key(std::string target, std::string_view key = clinic_key)
+    {
+        return handle(std::move(target), {{"X-Savorywheel-Key", std::string{key}}});
+    }
+
+    /** @return The value that the backend server received. */
+    std::string forwarded(std::string_view name) const
+    {
+        return std::string{find_header(transport.last.headers, name)};
+    }
+
+    manual_clock time;
+    recording_transport transport;
+    proxy_fixture fixture{transport, time, make_tenant_table(2, {digest_of_key(clinic_key)})};
+};
+
 /** Refuses calls to one version for lack of capacity, and responds to the others. */
 class overloaded_version_transport final : public immediate_transport {
 public:
@@ -375,6 +423,104 @@
     EXPECT_EQ(fixture.metrics.count({"rejections", "cause", "stopping"}), 1U);
 }
 
+TEST(proxy_tenants, request_without_a_valid_key_gets_401_after_the_route_lookup)
+{
+    tenant_proxy subject;
+    subject.fixture.keys.advance(duration::zero());
+    EXPECT_EQ(subject.handle("/orders/1", {}).status, 401);
+    EXPECT_EQ(subject.handle_with_key("/orders/1", "clinic-key-7f3a92").status, 401);
+    EXPECT_EQ(subject.handle_with_key("/orders/1", "").status, 401);
+    EXPECT_EQ(subject.handle("/unknown/1", {}).status, 404);
+    EXPECT_EQ(subject.handle_with_key("/orders/1").status, 200);
+    EXPECT_EQ(subject.fixture.metrics.count({"rejections", "cause", "unauthorized"}), 3U);
+}
+
+// A backend server must be able to trust the tenant header, and never sees a key.
+TEST(proxy_tenants, backend_server_receives_the_tenant_and_never_the_key)
+{
+    tenant_proxy subject;
+    subject.fixture.keys.advance(duration::zero());
+    const http_header forged{"x-savorywheel-TENANT", "bank"};
+    const http_header key{"X-Savorywheel-Key", std::string{clinic_key}};
+    const http_header unknown{"X-Savorywheel-Key", "other"};
+    EXPECT_EQ(subject.handle("/orders/1", {forged, key, unknown}).status, 200);
+    EXPECT_EQ(subject.forwarded("x-savorywheel-tenant"), "clinic");
+    EXPECT_EQ(subject.forwarded("x-savorywheel-key"), "");
+    EXPECT_EQ(subject.handle("/open/1", {key}).status, 200);
+    EXPECT_EQ(subject.forwarded("x-savorywheel-tenant"), "clinic");
+    for (const auto& headers : std::vector<std::vector<http_header>>{{forged}, {forged, unknown}}) {
+        EXPECT_EQ(subject.handle("/open/1", headers).status, 200);
+        EXPECT_EQ(subject.forwarded("x-savorywheel-tenant"), "");
+        EXPECT_EQ(subject.forwarded("x-savorywheel-key"), "");
+    }
+}
+
+TEST(proxy_tenants, without_tenants_both_headers_are_ordinary_headers)
+{
+    manual_clock time;
+    recording_transport transport;
+    proxy_fixture fixture{transport, time, true, 1};
+    time.advance(std::chrono::minutes{1});
+    EXPECT_EQ(test::handle(fixture.proxy, {"GET",
+                                           "/",
+                                           {{"Host", "bookdesk"},
+                                            {"X-Savorywheel-Key", "any"},
+                                            {"X-Savorywheel-Tenant", "any"}},
+                                           {}})
+                  .status,
+              200);
+    EXPECT_EQ(find_header(transport.last.headers, "X-Savorywheel-Key"), "any");
+    EXPECT_EQ(find_header(transport.last.headers, "X-Savorywheel-Tenant"), "any");
+}
+
+// One caller with a removed key displaced the log lines of all other calls.
+TEST(proxy_tenants, rejected_keys_are_logged_once_per_second_without_the_key)
+{
+    tenant_proxy subject;
+    subject.fixture.keys.advance(duration::zero());
+    for (int i = 0; i < 500; ++i) {
+        static_cast<void>(subject.handle_with_key("/orders/secret-target", "secret-key"));
+    }
+    EXPECT_EQ(subject.fixture.log.count(event_id::api_key_rejected), 1U);
+    EXPECT_EQ(subject.fixture.log.count(event_id::call_not_run), 0U);
+    subject.time.advance(std::chrono::seconds{1});
+    static_cast<void>(subject.handle_with_key("/orders/1", "secret-key"));
+    EXPECT_EQ(subject.fixture.log.count(event_id::api_key_rejected), 2U);
+    EXPECT_EQ(subject.fixture.log.last_field("rejected"), "500");
+    EXPECT_EQ(subject.fixture.log.last_field("route"), "/orders/");
+}
+
+// A revoked key was accepted without an end by a node that is cut off from the store and its peers.
+TEST(proxy_tenants, node_that_is_cut_off_refuses_keys_before_the_limit)
+{
+    tenant_proxy subject;
+    EXPECT_EQ(subject.handle_with_key("/orders/1").status, 503);
+    subject.fixture.keys.advance(duration::zero());
+    subject.time.advance(std::chrono::milliseconds{4700});
+    EXPECT_EQ(subject.handle_with_key("/orders/1").status, 200);
+    subject.time.advance(std::chrono::milliseconds{50});
+    EXPECT_EQ(subject.handle_with_key("/orders/1").status, 503);
+    EXPECT_EQ(subject.handle("/orders/1", {}).status, 401);
+    EXPECT_EQ(subject.handle_with_key("/open/1").status, 200);
+    EXPECT_EQ(subject.forwarded("x-savorywheel-tenant"), "clinic");
+    EXPECT_EQ(subject.fixture.metrics.count({"rejections", "cause", "unconfirmed"}), 2U);
+    subject.fixture.tables.publish(make_tenant_table(3, {}));
+    subject.fixture.keys.advance(std::chrono::milliseconds{4740});
+    EXPECT_EQ(subject.handle_with_key("/orders/1").status, 401);
+}
+
+// The monotonic clock stops while a VM is suspended, so that the age seemed to be small.
+TEST(proxy_tenants, node_that_was_suspended_refuses_keys)
+{
+    tenant_proxy subject;
+    subject.fixture.keys.advance(duration::zero());
+    subject.time.advance(std::chrono::milliseconds{100});
+    EXPECT_EQ(subject.handle_with_key("/orders/1").status, 200);
+    subject.time.suspend(std::chrono::milliseconds{4650});
+    EXPECT_EQ(subject.handle_with_key("/orders/1").status, 503);
+    EXPECT_EQ(subject.handle_with_key("/open/1").status, 200);
+}
+
 TEST(proof_graceful_stop, proxy_refuses_requests_that_it_could_not_finish)
 {
     manual_clock time;
--- a/test/support/manual_clock.hpp
+++ b/test/support/manual_clock.hpp
@@ -15,6 +15,11 @@
         return monotonic_time{duration{ticks_}};
     }
 
+    [[nodiscard]] duration since_boot() const noexcept override
+    {
+        return duration{ticks_ + suspended_};
+    }
+
     [[nodiscard]] calendar_time calendar_now() const noexcept override
     {
         return start_ + std::chrono::duration_cast<std::chrono::milliseconds>(duration{ticks_});
@@ -23,8 +28,12 @@
     /** @brief Advances the monotonic and the calendar time. */
     void advance(duration step) noexcept { ticks_ += step.count(); }
 
+    /** @brief Advances only the time since the start of the VM, as if the VM was suspended. */
+    void suspend(duration length) noexcept { suspended_ += length.count(); }
+
 private:
     std::atomic<duration::rep> ticks_{};
+    std::atomic<duration::rep> suspended_{};
     calendar_time start_{std::chrono::sys_days{std::chrono::year{2026} / 1 / 1}};
 };
 
