Check the tenants of a configuration before it takes effect

Cause: a rate that was not a number was read as no limit, a list of tenants that was not a list as no tenants, and a key of two tenants belonged to one of them by chance.

A tenant may have no list of keys.

--- a/src/savorywheel/encoding/json_fields.cpp
+++ b/src/savorywheel/encoding/json_fields.cpp
@@ -1,6 +1,8 @@
 #include <savorywheel/encoding/json_depth.hpp>
 #include <savorywheel/encoding/json_fields.hpp>
 
+#include <limits>
+
 namespace savorywheel {
 
 namespace {
@@ -43,6 +45,12 @@
     return value->get<std::string>();
 }
 
+std::optional<std::string_view> text_of(const json& value)
+{
+    return value.is_string() ? std::optional<std::string_view>{value.get_ref<const std::string&>()}
+                             : std::nullopt;
+}
+
 std::optional<std::uint64_t> number_field(const json& object, const char* key)
 {
     const auto* value = find(object, key);
@@ -59,6 +67,19 @@
                                                   : std::nullopt;
 }
 
+double real_field_or(const json& object, const char* key, double fallback)
+{
+    return has_field(object, key)
+               ? real_field(object, key).value_or(std::numeric_limits<double>::quiet_NaN())
+               : fallback;
+}
+
+bool has_field(const json& object, const char* key)
+{
+    const auto* value = find(object, key);
+    return value != nullptr && !value->is_null();
+}
+
 std::optional<bool> bool_field(const json& object, const char* key)
 {
     const auto* value = find(object, key);
--- a/src/savorywheel/encoding/json_fields.hpp
+++ b/src/savorywheel/encoding/json_fields.hpp
@@ -26,6 +26,9 @@
 /** @return The string field with the given key; nothing if absent or of another type. */
 [[nodiscard]] std::optional<std::string> text_field(const json& object, const char* key);
 
+/** @return The string, which the value owns; nothing if it is of another type. */
+[[nodiscard]] std::optional<std::string_view> text_of(const json& value);
+
 /** @return The unsigned integer field with the given key; nothing if absent or of another type. */
 [[nodiscard]] std::optional<std::uint64_t> number_field(const json& object, const char* key);
 
@@ -41,6 +44,14 @@
 /** @return The numeric field with the given key; nothing if absent or of another type. */
 [[nodiscard]] std::optional<double> real_field(const json& object, const char* key);
 
+/**
+ * @return The numeric field; the fallback if it is absent or null, NaN if it is of another type.
+ */
+[[nodiscard]] double real_field_or(const json& object, const char* key, double fallback);
+
+/** @return True if the object has the field and its value is not null. */
+[[nodiscard]] bool has_field(const json& object, const char* key);
+
 /** @return The boolean field with the given key; nothing if absent or of another type. */
 [[nodiscard]] std::optional<bool> bool_field(const json& object, const char* key);
 
--- a/test/platform/headers_test.cpp
+++ b/test/platform/headers_test.cpp
@@ -149,4 +149,39 @@
     EXPECT_EQ(subject.reject({rejection_kind::expired, "deadline passed", {}}).status, 504);
 }
 
+TEST(platform_caller_header_codec, tenant_replaces_the_key_and_what_the_caller_claims)
+{
+    const platform_caller_header_codec subject{service_name{"callers"}};
+    http_request request{"GET",
+                         "/x/1",
+                         {{"savorywheel-KEY", "k-1"},
+                          {"Savorywheel-Tenant-Id", "bank"},
+                          {"Savorywheel-Key", "k-2"},
+                          {"savorywheel-tenant-id", "shop"}},
+                         {}};
+    EXPECT_EQ(subject.read(request).key, "k-1");
+    subject.set_tenant(request, tenant_name{"clinic"});
+    EXPECT_EQ(find_header_value(request.headers, "Savorywheel-Key"), std::nullopt);
+    EXPECT_EQ(std::ranges::count_if(request.headers,
+                                    [](const auto& header) {
+                                        return equal_ignoring_case(header.name,
+                                                                   "Savorywheel-Tenant-Id");
+                                    }),
+              1);
+    EXPECT_EQ(find_header(request.headers, "Savorywheel-Tenant-Id"), "clinic");
+    subject.set_tenant(request, {});
+    EXPECT_EQ(find_header_value(request.headers, "Savorywheel-Tenant-Id"), std::nullopt);
+}
+
+// Without tenants in the configuration, the proxy does not call set_tenant().
+TEST(platform_caller_header_codec, rewriting_alone_keeps_the_headers_of_tenants)
+{
+    const platform_caller_header_codec subject{service_name{"callers"}};
+    http_request request{
+        "GET", "/x/1", {{"Savorywheel-Key", "k-1"}, {"Savorywheel-Tenant-Id", "bank"}}, {}};
+    subject.rewrite_headers(request);
+    EXPECT_EQ(find_header(request.headers, "Savorywheel-Key"), "k-1");
+    EXPECT_EQ(find_header(request.headers, "Savorywheel-Tenant-Id"), "bank");
+}
+
 } // namespace savorywheel::platform::test
--- a/test/platform/main_configuration_decoder_test.cpp
+++ b/test/platform/main_configuration_decoder_test.cpp
@@ -1,3 +1,4 @@
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <platform/main_configuration_decoder.hpp>
 #include <rapidcheck.h>
@@ -34,6 +35,68 @@
     EXPECT_EQ(routes[1].shares, (std::vector<service_share>{{service_name{"b"}, 1}}));
 }
 
+TEST(main_configuration_decoder, decodes_tenants_and_public_routes)
+{
+    std::string text{document};
+    text.insert(
+        text.find("\"limits\""),
+        R"("tenants":[{"name":"clinic","api-keys":["k 1","k2"],"priority":1,"rate-per-s":2.5,
+"burst":3},{"name":"bank","api-keys":[],"burst":7},{"name":"shop"}],)");
+    text.insert(text.find("\"new-field\""), "\"public\":true,");
+    const auto result = main_configuration_decoder{}.decode(text);
+    ASSERT_TRUE(result) << result.reason().message;
+    ASSERT_EQ(result->tenants.size(), 3U);
+    const tenant_spec clinic{
+        tenant_name{"clinic"}, {digest_of_key("k 1"), digest_of_key("k2")}, 1, 2.5, 3.0};
+    EXPECT_EQ(result->tenants[0], clinic);
+    EXPECT_EQ(result->tenants[1], (tenant_spec{tenant_name{"bank"}, {}, 0, 0.0, 7.0}));
+    EXPECT_FALSE(result->hosts.front().routes[0].is_public);
+    EXPECT_TRUE(result->hosts.front().routes[1].is_public);
+}
+
+// A rate that was not a number was read as no limit, and a list that was not one as no tenants.
+TEST(main_configuration_decoder, faulty_tenants_are_refused_with_their_place_and_without_a_key)
+{
+    const std::vector<std::pair<std::string, std::string>> cases{
+        {R"([{"name":"a"},{"name":"a"}])", "tenants/1/name: found tenant \"a\" twice"},
+        {R"([{"name":"a","api-keys":["secret"]},{"name":"b","api-keys":["x","secret"]}])",
+         "tenants/1/api-keys/1: found a key of tenant \"a\""},
+        {R"([{"name":"a","api-keys":["x",""]}])", "tenants/0/api-keys/1: found an empty key"},
+        {R"([{"name":"a","api-keys":["secret\r\n"]}])", "tenants/0/api-keys/0: found a key that"},
+        {R"([{"name":"a","api-keys":["secret\u007f"]}])", "tenants/0/api-keys/0: found a key that"},
+        {R"([{"name":"a","api-keys":[7]}])", "tenants/0/api-keys/0: found a value that"},
+        {R"([{"name":"a","rate-per-s":-1}])", "tenants/0/rate-per-s: found -1"},
+        {R"([{"name":"a","rate-per-s":"secret"}])", "tenants/0/rate-per-s: found nan"},
+        {R"([{"name":"a","burst":1.1e9}])", "tenants/0/burst: found 1100000000"},
+        {R"([{"name":"a","priority":-1}])", "tenants/0/priority: found no whole number"},
+        {R"([{"name":"a\r\nx: y"}])", "tenants/0/name: found a name that"},
+        {R"([{"name":"a","api-keys":"secret"}])", "missing or invalid name or api-keys"},
+        {R"({"name":"a"})", "missing or invalid list of tenants"}};
+    for (const auto& [tenants, expected] : cases) {
+        std::string text{document};
+        text.insert(text.find("\"limits\""), "\"tenants\":" + tenants + ",");
+        const auto result = main_configuration_decoder{}.decode(text);
+        ASSERT_FALSE(result) << tenants;
+        EXPECT_EQ(result.reason().code, failure_code::malformed) << tenants;
+        EXPECT_TRUE(result.reason().message.starts_with(expected)) << result.reason().message;
+        EXPECT_EQ(result.reason().message.find("secret"), std::string::npos);
+    }
+}
+
+TEST(main_configuration_decoder, accepts_ten_thousand_tenants)
+{
+    std::string tenants;
+    for (int i = 0; i < 10'000; ++i) {
+        tenants += fmt::format(R"({}{{"name":"t{}","api-keys":["k{}"],"rate-per-s":{}}})",
+                               i == 0 ? "" : ",", i, i, i);
+    }
+    std::string text{document};
+    text.insert(text.find("\"limits\""), "\"tenants\":[" + tenants + "],");
+    const auto result = main_configuration_decoder{}.decode(text);
+    ASSERT_TRUE(result) << result.reason().message;
+    EXPECT_EQ(result->tenants.size(), 10'000U);
+}
+
 TEST(main_configuration_decoder, decodes_downloads_as_idempotent)
 {
     std::string text{document};
