--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -126,6 +126,13 @@
                       "The HTTP server rejected a request before it was routed."},
     event_description{event_id::http_library_error, warning,
                       "The HTTP library reported an error; it may have sent a response."},
+    event_description{event_id::queued_call_displaced, info,
+                      "A queued call was refused because the queue is full and a call of higher "
+                      "rank arrived."},
+    event_description{event_id::queued_call_hopeless, info,
+                      "A queued call was refused because it can no longer finish in time."},
+    event_description{event_id::slots_held_by_abandoned_calls, warning,
+                      "All slots are held by calls that were given up and may still run."},
     event_description{event_id::change_accepted, info, "A change of configuration was accepted."},
     event_description{event_id::change_refused, info, "A change of configuration was refused."},
     event_description{event_id::change_outcome_unknown, warning,
