--- a/src/savorywheel/traffic/gate_call.hpp
+++ b/src/savorywheel/traffic/gate_call.hpp
@@ -3,7 +3,9 @@
 
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/http/cancellation.hpp>
+#include <savorywheel/traffic/call_class.hpp>
 #include <savorywheel/traffic/call_request.hpp>
+#include <savorywheel/traffic/expected_service.hpp>
 #include <savorywheel/traffic/received_response.hpp>
 #include <savorywheel/traffic/request_digest.hpp>
 #include <savorywheel/transport/frame_sink.hpp>
@@ -24,6 +26,12 @@
     monotonic_time deadline;
     monotonic_time arrived;
     request_digest digest{};
+    /** @brief What was expected of the call when it arrived. */
+    expected_service expected;
+    /** @brief Class in the queue. */
+    call_class placement{call_class::on_time};
+    /** @brief A start after this time is not worth waiting for. */
+    monotonic_time latest_start{monotonic_time::max()};
     /** @brief When it started to run; unset while queued. */
     monotonic_time started;
     /** @brief What the backend server sent; nothing if there was no response. */
