Admit calls by expected work, and refuse queued ones that became hopeless

The expected wait was a mean multiplied by a count. It now follows from what the running calls still need and the expected work of those ahead, and the call must finish by a high quantile of its route. A call that misses its target latency waits behind those that meet theirs, and only if it starts within a quarter of its time. A full queue drops its last call for one of higher rank. Calls in the queue are refused with a time to retry as soon as they cannot finish, also while all slots are busy: before, they were held until a slot became free, and their callers got 504.

Calls that were given up keep their slot for the time that they probably still run, since a backend server need not notice that its connection was closed. A timed-out call counts as a service time of at least its length. A route without a target latency is no longer reported as late on a retry.

gate_load::work is filled in; the queue, the classes and what was removed are metrics.

--- a/src/savorywheel/node/node_metric_source.cpp
+++ b/src/savorywheel/node/node_metric_source.cpp
@@ -44,6 +44,7 @@
     registry.gauge({"gate_running"}) = gate.running();
     registry.gauge({"gate_waiting"}) = gate.waiting();
     registry.gauge({"gate_silent"}) = gate.silent() ? 1 : 0;
+    collect_queue(registry);
     for (std::size_t i = 1; i < call_refusal_count; ++i) {
         const auto reason = static_cast<call_refusal>(i);
         registry.count({"gate_refusals", "reason", std::string{label_of(reason)}}) =
@@ -56,6 +57,27 @@
     }
 }
 
+void node_metric_source::collect_queue(metric_registry& registry)
+{
+    const auto counts = environment_.backend_gate.counts();
+    for (std::size_t i = 0; i < counted_priorities; ++i) {
+        const auto priority = std::to_string(i) + (i + 1 == counted_priorities ? "+" : "");
+        registry.gauge({"gate_waiting_by_tenant_priority", "priority", priority}) =
+            counts.waiting_by_tenant_priority.at(i);
+        registry.gauge({"gate_waiting_by_priority", "priority", priority}) =
+            counts.waiting_by_priority.at(i);
+    }
+    for (std::size_t i = 0; i < call_class_count; ++i) {
+        const auto placement = static_cast<call_class>(i);
+        registry.count({"gate_admitted", "class", std::string{label_of(placement)}}) =
+            counts.admitted.at(i);
+    }
+    registry.count({"gate_removed", "cause", "displaced"}) = counts.displaced;
+    registry.count({"gate_removed", "cause", "hopeless"}) = counts.hopeless;
+    registry.gauge({"gate_abandoned"}) = counts.abandoned;
+    registry.gauge({"gate_work_us"}) = counts.work_us;
+}
+
 void node_metric_source::collect_routing(metric_registry& registry)
 {
     const auto table = environment_.tables.current();
--- a/src/savorywheel/node/node_metric_source.hpp
+++ b/src/savorywheel/node/node_metric_source.hpp
@@ -30,6 +30,7 @@
 private:
     void collect_members(metric_registry& registry);
     void collect_gate(metric_registry& registry);
+    void collect_queue(metric_registry& registry);
     void collect_routing(metric_registry& registry);
 
     environment environment_;
--- a/src/savorywheel/traffic/admission_check.cpp
+++ b/src/savorywheel/traffic/admission_check.cpp
@@ -14,7 +14,10 @@
 constexpr int service_time_margin = 2;
 /** A caller that retries sooner finds the queue unchanged. */
 constexpr std::chrono::milliseconds min_retry_after{50};
-constexpr std::chrono::milliseconds max_retry_after{1000};
+/** The longest queue, of four calls to a slot, drains in this time if a call takes a second. */
+constexpr std::chrono::milliseconds max_retry_after{4000};
+/** The caller keeps three quarters of its time to try another node. */
+constexpr int late_start_divisor = 4;
 
 } // namespace
 
@@ -27,8 +30,7 @@
         return call_refusal::overload;
     }
     const auto wait = expected_wait();
-    const bool late =
-        wait > duration::zero() && wait + service_time * service_time_margin > time_limit();
+    const bool late = wait > duration::zero() && wait + expected_run() > time_limit();
     return late ? call_refusal::overload : call_refusal::none;
 }
 
@@ -40,14 +42,34 @@
     return std::min(target_remaining, remaining);
 }
 
+bool admission_check::target_missed() const noexcept
+{
+    return target_remaining < duration::zero() ||
+           (target_remaining > duration::zero() && target_remaining < service_time);
+}
+
+bool admission_check::starts_soon() const noexcept
+{
+    return expected_wait() <= remaining / late_start_divisor;
+}
+
+duration admission_check::expected_run() const noexcept
+{
+    return high_service_time > duration::zero() ? high_service_time
+                                                : service_time * service_time_margin;
+}
+
 duration admission_check::retry_after() const noexcept
 {
-    const duration excess = expected_wait() + service_time * service_time_margin - time_limit();
+    const duration excess = expected_wait() + expected_run() - time_limit();
     return std::clamp<duration>(excess, min_retry_after, max_retry_after);
 }
 
 duration admission_check::expected_wait() const noexcept
 {
+    if (start) {
+        return *start;
+    }
     const auto ahead = running + waiting;
     if (slots == 0 || ahead < slots) {
         return duration::zero();
--- a/src/savorywheel/traffic/admission_check.hpp
+++ b/src/savorywheel/traffic/admission_check.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace savorywheel {
 
@@ -26,6 +27,10 @@
     std::size_t waiting{};
     /** @brief Mean service time of a call; zero if unknown. */
     duration service_time{};
+    /** @brief A high quantile of the service time; twice the mean if zero. */
+    duration high_service_time{};
+    /** @brief Time in the queue by the expected work ahead; from the counts if absent. */
+    std::optional<duration> start{};
     /** @brief Time until the deadline of the call. */
     duration remaining{};
     /** @brief Time until the route's target latency is exceeded; zero if unknown. */
@@ -39,11 +44,20 @@
     /** @return Maximum expected time to completion with which a call is admitted. */
     [[nodiscard]] duration time_limit() const noexcept;
 
-    /** @return Time after which a retry of the call would probably be admitted; 50 ms to 1 s. */
+    /** @return True if the call is unlikely to meet its target latency even without a queue. */
+    [[nodiscard]] bool target_missed() const noexcept;
+
+    /** @return True if a call that misses its target latency starts soon enough to wait for it. */
+    [[nodiscard]] bool starts_soon() const noexcept;
+
+    /** @return Time after which a retry of the call would probably be admitted; 50 ms to 4 s. */
     [[nodiscard]] duration retry_after() const noexcept;
 
     /** @return Expected time in the queue. */
     [[nodiscard]] duration expected_wait() const noexcept;
+
+    /** @return Time after the start by which the call has probably finished. */
+    [[nodiscard]] duration expected_run() const noexcept;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/call_request.hpp
+++ b/src/savorywheel/traffic/call_request.hpp
@@ -22,7 +22,8 @@
     std::chrono::milliseconds remaining{};
     /** @brief Deadline by the receiving node's clock; the call must not start after it. */
     peer_time expires{};
-    /** @brief Time until the route's target latency is exceeded; zero if unknown. */
+    /** @brief Time until the route's target latency is exceeded; negative if it has been, zero if
+     * unknown. */
     std::chrono::milliseconds target_remaining{};
     /** @brief Path prefix of the route; calls of one route have similar service times. */
     std::string route;
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr std::uint32_t max_slots = 256;
+/** Bounds the checks of a queue whose next change is overdue; a refusal need not be more exact. */
+constexpr std::chrono::milliseconds min_check_period{10};
+/** Bounds the sleep in case the clock of the gate is not the one of the condition variable. */
+constexpr std::chrono::seconds max_check_period{1};
 
 void respond(frame_sink& target, std::uint64_t correlation, const call_response& response)
 {
@@ -39,6 +43,9 @@
     while (threads_.size() < slots && !stopping_) {
         threads_.emplace_back([this] { run(); });
     }
+    if (!threads_.empty() && !watcher_.joinable() && !stopping_) {
+        watcher_ = std::thread{[this] { watch_queue(); }};
+    }
     work_available_.notify_all();
 }
 
@@ -72,6 +79,14 @@
             thread.join();
         }
     }
+    {
+        const std::scoped_lock lock{mutex_};
+        watch_ended_ = true;
+    }
+    check_needed_.notify_all();
+    if (watcher_.joinable()) {
+        watcher_.join();
+    }
 }
 
 std::uint32_t gate::running() const
@@ -92,6 +107,12 @@
     return state_.slots();
 }
 
+gate_counts gate::counts() const
+{
+    const std::scoped_lock lock{mutex_};
+    return state_.counts(environment_.time.now());
+}
+
 bool gate::silent() const
 {
     const std::scoped_lock lock{mutex_};
@@ -168,13 +189,25 @@
     }
     {
         const std::scoped_lock lock{mutex_};
-        response.load = state_.load();
+        response.load = state_.load(environment_.time.now());
     }
     ++refusals_.at(static_cast<std::size_t>(reason));
     call_log_.log_refused(item, response);
     respond(*item.connection, item.correlation, response);
 }
 
+/** Refuses calls that were removed from the queue. */
+void gate::refuse_queued(event_id cause, std::span<const call_pointer> items)
+{
+    for (const auto& item : items) {
+        std::unique_lock lock{mutex_};
+        const auto retry_after = state_.retry_after(*item, environment_.time.now());
+        lock.unlock();
+        call_log_.log_removed(cause, *item);
+        refuse(*item, call_refusal::overload, retry_after);
+    }
+}
+
 void gate::admit(call_pointer item)
 {
     std::unique_lock lock{mutex_};
@@ -195,9 +228,22 @@
         refuse(*item, reason, retry_after);
     }
     else {
-        state_.push(std::move(item));
+        const auto latest_start = item->latest_start;
+        const auto expiring = state_.push(std::move(item)) ? state_.remove_expiring(now)
+                                                           : std::vector<call_pointer>{};
+        const auto displaced = state_.remove_displaced();
+        const bool check_sooner = !state_.has_work() && latest_start < next_check_;
+        const bool held = state_.held_by_abandoned_calls();
         lock.unlock();
         work_available_.notify_one();
+        if (check_sooner) {
+            check_needed_.notify_one();
+        }
+        if (held) {
+            call_log_.log_held();
+        }
+        refuse_queued(event_id::queued_call_displaced, displaced);
+        refuse_queued(event_id::queued_call_hopeless, expiring);
     }
     for (const auto& dropped : removed) {
         refuse(*dropped, call_refusal::silent, std::nullopt);
@@ -247,9 +293,7 @@
             state_.start(item, now);
         }
         lock.unlock();
-        for (const auto& dropped : expiring) {
-            refuse(*dropped, call_refusal::overload, std::nullopt);
-        }
+        refuse_queued(event_id::queued_call_hopeless, expiring);
         if (runs) {
             run_call(item, *backend);
         }
@@ -260,6 +304,38 @@
     }
 }
 
+/**
+ * The threads of the slots check the queue when a slot becomes free. While all slots are busy with
+ * calls that take longer than expected, this thread refuses queued calls before their deadlines.
+ */
+void gate::watch_queue()
+{
+    set_thread_name("gate-queue");
+    std::unique_lock lock{mutex_};
+    while (!watch_ended_) {
+        const auto now = environment_.time.now();
+        const auto expiring = state_.remove_expiring(now);
+        if (state_.has_work()) {
+            work_available_.notify_one();
+        }
+        if (!expiring.empty()) {
+            lock.unlock();
+            refuse_queued(event_id::queued_call_hopeless, expiring);
+            lock.lock();
+            continue;
+        }
+        const auto check = state_.next_check();
+        next_check_ = check.value_or(monotonic_time::max());
+        if (check) {
+            check_needed_.wait_for(
+                lock, std::clamp<duration>(*check - now, min_check_period, max_check_period));
+        }
+        else {
+            check_needed_.wait(lock);
+        }
+    }
+}
+
 void gate::run_call(const call_pointer& item, const backend_server& backend)
 {
     auto response = call_response::unknown("unexpected error at the gate");
@@ -269,11 +345,10 @@
     call_log_.log_finished(*item, backend, response);
     {
         const std::scoped_lock lock{mutex_};
-        const bool answered = response.result == call_result::answered;
-        if (state_.end(item, answered, environment_.time.now())) {
+        if (state_.end(item, response, environment_.time.now())) {
             environment_.log.write(event_id::backend_responsive, backend.identity);
         }
-        response.load = state_.load();
+        response.load = state_.load(environment_.time.now());
     }
     work_available_.notify_one();
     respond(*item->connection, item->correlation, response);
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -15,6 +15,7 @@
 #include <condition_variable>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <thread>
 #include <vector>
 
@@ -25,7 +26,7 @@
  *
  * All calls to the backend server pass the gate. It has one thread per slot, each of which runs one
  * call at a time, and refuses calls that are not expected to finish before their deadline. A
- * refused call was not run.
+ * refused call was not run. Another thread refuses queued calls while all slots are busy.
  */
 class gate final : public frame_handler {
 public:
@@ -71,6 +72,9 @@
     /** @return Number of concurrent calls of the backend server; zero if there is none. */
     [[nodiscard]] std::uint32_t slots() const;
 
+    /** @return Queue and totals for metrics. */
+    [[nodiscard]] gate_counts counts() const;
+
     /** @return True if the backend server responds to none of its calls. */
     [[nodiscard]] bool silent() const;
 
@@ -99,10 +103,12 @@
                          std::span<const std::byte> payload);
     void refuse_malformed(frame_sink& connection, std::string_view reason);
     void refuse(const gate_call& item, call_refusal reason, std::optional<duration> retry_after);
+    void refuse_queued(event_id cause, std::span<const call_pointer> items);
     void admit(call_pointer item);
     [[nodiscard]] std::vector<call_pointer> remove_queued_if_silent(monotonic_time now);
     void cancel_if(const gate_state::call_predicate& predicate);
     void run();
+    void watch_queue();
     void run_call(const call_pointer& item, const backend_server& backend);
 
     environment environment_;
@@ -111,11 +117,16 @@
     mutable std::mutex mutex_;
     std::condition_variable work_available_;
     std::condition_variable call_ended_;
+    std::condition_variable check_needed_;
     gate_state state_;
     std::array<std::atomic<std::uint64_t>, call_refusal_count> refusals_{};
     bool stopping_{};
     monotonic_time latest_deadline_{monotonic_time::max()};
+    /** When the next check of the queue is due. */
+    monotonic_time next_check_{monotonic_time::max()};
+    bool watch_ended_{};
     std::vector<std::thread> threads_;
+    std::thread watcher_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/gate_call_log.cpp
+++ b/src/savorywheel/traffic/gate_call_log.cpp
@@ -14,17 +14,41 @@
             {"service", item.call.service.str()},
             {"version", item.call.version.str()},
             {"rank", std::to_string(item.call.priority)},
+            {"tenant", item.call.tenant.str()},
+            {"tenant_rank", std::to_string(item.call.tenant_priority)},
             {"left_ms", format_milliseconds(item.deadline - time_.now())},
-            {"preferred_ms", std::to_string(item.call.target_remaining.count())}};
+            {"preferred_ms", std::to_string(item.call.target_remaining.count())},
+            {"expected_ms", format_milliseconds(item.expected.mean)}};
         if (response.load) {
             fields.push_back({"running", std::to_string(response.load->running)});
             fields.push_back({"waiting", std::to_string(response.load->waiting)});
+            fields.push_back({"work_ms", format_milliseconds(response.load->work)});
             fields.push_back({"service_ms", format_milliseconds(response.load->service_time)});
         }
         return fields;
     });
 }
 
+void gate_call_log::log_removed(event_id cause, const gate_call& item)
+{
+    call_log_.write(cause, item.call.service.str(), [&] {
+        return std::vector<log_field>{
+            {"request", item.call.request_id},
+            {"tenant", item.call.tenant.str()},
+            {"tenant_rank", std::to_string(item.call.tenant_priority)},
+            {"rank", std::to_string(item.call.priority)},
+            {"waited_ms", format_milliseconds(time_.now() - item.arrived)},
+            {"left_ms", format_milliseconds(item.deadline - time_.now())},
+            {"expected_ms", format_milliseconds(item.expected.mean)}};
+    });
+}
+
+void gate_call_log::log_held()
+{
+    call_log_.write(event_id::slots_held_by_abandoned_calls, "no slot is free",
+                    [] { return std::vector<log_field>{}; });
+}
+
 void gate_call_log::log_finished(const gate_call& item, const backend_server& backend,
                                  const call_response& response)
 {
--- a/src/savorywheel/traffic/gate_call_log.hpp
+++ b/src/savorywheel/traffic/gate_call_log.hpp
@@ -22,6 +22,12 @@
     /** @brief Logs a refused call. */
     void log_refused(const gate_call& item, const call_response& response);
 
+    /** @brief Logs why a queued call is refused. */
+    void log_removed(event_id cause, const gate_call& item);
+
+    /** @brief Logs that calls which were given up hold all free slots. */
+    void log_held();
+
     /** @brief Logs the outcome of a call that was run. */
     void log_finished(const gate_call& item, const backend_server& backend,
                       const call_response& response);
--- a/src/savorywheel/traffic/gate_state.cpp
+++ b/src/savorywheel/traffic/gate_state.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/traffic/gate_state.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace savorywheel {
@@ -8,6 +9,26 @@
 
 /** Calls with less than half of the mean service time left are not expected to finish. */
 constexpr int min_remaining_divisor = 2;
+/** Expected rest of a call that has run for its mean or longer; log-normal, spread 0.5 to 0.8. */
+constexpr int overdue_divisor = 2;
+/** A late call is refused when half of its time has passed, so that its caller can retry. */
+constexpr int late_hold_divisor = 2;
+/** Calls of one slot in the queue. */
+constexpr std::size_t max_queued_per_slot = 4;
+/** A service of a mesh with tenants gets calls with tenants far more often than this. */
+constexpr std::chrono::seconds tenants_remembered{60};
+
+duration rest_of(const gate_call& item, monotonic_time now)
+{
+    const auto& mean = item.expected.mean;
+    return std::max<duration>(mean - (now - item.started), mean / overdue_divisor);
+}
+
+template<std::size_t Size>
+void count_priority(std::array<std::uint64_t, Size>& counts, std::uint32_t priority)
+{
+    ++counts.at(std::min<std::size_t>(priority, Size - 1));
+}
 
 } // namespace
 
@@ -19,17 +40,32 @@
     backend_ = std::move(backend);
 }
 
-gate_load gate_state::load() const
+gate_load gate_state::load(monotonic_time now) const
 {
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
     return {running(), static_cast<std::uint32_t>(queue_.size()),
-            std::chrono::duration_cast<std::chrono::microseconds>(service_time_.mean())};
+            duration_cast<microseconds>(service_time_.mean()),
+            duration_cast<microseconds>(running_work(now) + queue_.work())};
 }
 
-call_refusal gate_state::decide(const gate_call& item, bool crashing, monotonic_time now)
+gate_counts gate_state::counts(monotonic_time now) const
+{
+    auto counts = counts_;
+    queue_.for_each([&counts](const gate_call& item) {
+        count_priority(counts.waiting_by_tenant_priority, item.call.tenant_priority);
+        count_priority(counts.waiting_by_priority, item.call.priority);
+    });
+    counts.abandoned = abandoned_.count();
+    counts.work_us = static_cast<std::uint64_t>(load(now).work.count());
+    return counts;
+}
+
+call_refusal gate_state::decide(gate_call& item, bool crashing, monotonic_time now)
 {
     auto reason = refusal_at_start(item, crashing);
     if (reason == call_refusal::none) {
-        reason = admission_check_of(item, now).decide();
+        reason = place(item, now);
     }
     if (reason == call_refusal::none && silence_detector_.silent() &&
         !silence_detector_.allow_probe(now)) {
@@ -38,6 +74,55 @@
     return reason;
 }
 
+/** Decides whether and in which class the call may be queued, and until when it is worth it. */
+call_refusal gate_state::place(gate_call& item, monotonic_time now)
+{
+    abandoned_.remove_ended(now);
+    if (!item.call.tenant.str().empty()) {
+        tenants_seen_until_ = now + tenants_remembered;
+    }
+    item.expected = service_times_.expect(item.call.route);
+    item.latest_start = item.deadline - item.expected.mean / min_remaining_divisor;
+    item.placement = is_express(item, now) ? call_class::express : call_class::on_time;
+    auto check = admission_check_of(item, item.placement, now);
+    if (item.placement == call_class::express) {
+        // The caller of an inner call prefers a late response to none.
+        check.highest_priority = true;
+        return check.decide();
+    }
+    if (check.target_missed()) {
+        return place_late(item, now);
+    }
+    check.highest_priority = false;
+    const auto reason = check.decide();
+    const bool may_be_late =
+        item.call.priority == 0 && item.call.target_remaining > duration::zero();
+    return reason == call_refusal::overload && may_be_late ? place_late(item, now) : reason;
+}
+
+/** Places a call behind those that meet their target latency, if it starts soon even there. */
+call_refusal gate_state::place_late(gate_call& item, monotonic_time now) const
+{
+    item.placement = call_class::late;
+    const auto check = admission_check_of(item, call_class::late, now);
+    const auto reason = check.decide();
+    if (reason != call_refusal::none) {
+        return reason;
+    }
+    item.latest_start = std::min(item.latest_start, now + check.remaining / late_hold_divisor);
+    return check.starts_soon() ? call_refusal::none : call_refusal::overload;
+}
+
+/**
+ * A mesh with tenants requires a key except on public routes, which backend servers use for calls
+ * that they make while they run another one. Without tenants, such calls are known by their work.
+ * A tenant's short calls are not express: they would evade its fair share.
+ */
+bool gate_state::is_express(const gate_call& item, monotonic_time now) const
+{
+    return item.call.tenant.str().empty() && (item.expected.is_short || now < tenants_seen_until_);
+}
+
 call_refusal gate_state::refusal_at_start(const gate_call& item, bool crashing) const
 {
     if (!backend_) {
@@ -57,13 +142,45 @@
 
 duration gate_state::retry_after(const gate_call& item, monotonic_time now) const
 {
-    return admission_check_of(item, now).retry_after();
+    return admission_check_of(item, item.placement, now).retry_after();
+}
+
+bool gate_state::push(call_pointer item)
+{
+    ++counts_.admitted.at(static_cast<std::size_t>(item->placement));
+    return queue_.push(std::move(item));
+}
+
+std::vector<gate_state::call_pointer> gate_state::remove_displaced()
+{
+    std::vector<call_pointer> removed;
+    while (backend_ && queue_.size() > max_queued_per_slot * slots()) {
+        removed.push_back(queue_.pop_last());
+    }
+    counts_.displaced += removed.size();
+    return removed;
 }
 
 std::vector<gate_state::call_pointer> gate_state::remove_expiring(monotonic_time now)
 {
-    const auto latest = now + service_time_.mean() / min_remaining_divisor;
-    return queue_.remove_if([latest](const gate_call& item) { return latest > item.deadline; });
+    abandoned_.remove_ended(now);
+    const auto rest = average_rest(now);
+    auto removed = queue_.remove_if([&](const gate_call& item, const queue_ahead& ahead) {
+        return now + start_after(ahead, rest) > item.latest_start;
+    });
+    counts_.hopeless += removed.size();
+    return removed;
+}
+
+std::optional<monotonic_time> gate_state::next_check() const
+{
+    if (queue_.empty()) {
+        return std::nullopt;
+    }
+    auto first = abandoned_.next_end().value_or(monotonic_time::max());
+    queue_.for_each(
+        [&first](const gate_call& item) { first = std::min(first, item.latest_start); });
+    return first;
 }
 
 std::vector<gate_state::call_pointer> gate_state::remove_queued_if_silent(monotonic_time now)
@@ -73,10 +190,13 @@
     }
     std::vector<monotonic_time> started;
     started.reserve(running_.size());
+    // Long calls that run at the same time are not silence.
+    auto service_time = service_time_.mean();
     for (const auto& item : running_) {
         started.push_back(item->started);
+        service_time = std::max(service_time, item->expected.mean);
     }
-    if (!silence_detector_.update(started, service_time_.mean(), now)) {
+    if (!silence_detector_.update(started, service_time, now)) {
         return {};
     }
     return queue_.remove_if([](const gate_call& /*item*/) { return true; });
@@ -88,13 +208,23 @@
     running_.push_back(item);
 }
 
-bool gate_state::end(const call_pointer& item, bool answered, monotonic_time now)
+bool gate_state::end(const call_pointer& item, const call_response& response, monotonic_time now)
 {
     std::erase(running_, item);
-    if (!answered) {
+    const auto ran = now - item->started;
+    if (response.result != call_result::answered) {
+        const bool given_up = item->cancel_signal.cancelled() || now >= item->deadline;
+        if (response.result == call_result::unknown && !item->received && given_up) {
+            abandoned_.add(now + rest_of(*item, now));
+            if (ran > item->expected.mean) {
+                // Its service time is at least this; without it, a slow server would look fast.
+                service_times_.record(item->call.route, ran);
+            }
+        }
         return false;
     }
-    service_time_.record(now - item->started);
+    service_time_.record(ran);
+    service_times_.record(item->call.route, ran);
     const bool was_silent = silence_detector_.silent();
     silence_detector_.record_response(now);
     return was_silent;
@@ -110,17 +240,54 @@
     }
 }
 
-admission_check gate_state::admission_check_of(const gate_call& item, monotonic_time now) const
+admission_check gate_state::admission_check_of(const gate_call& item, call_class placement,
+                                               monotonic_time now) const
 {
+    const auto ahead = queue_.ahead_of(queue_.rank_of(item, placement));
     admission_check inputs;
     inputs.slots = slots();
-    inputs.running = running();
-    inputs.waiting = queue_.count_ahead_of(item.call.priority);
-    inputs.service_time = service_time_.mean();
+    inputs.running = running() + abandoned_.count();
+    inputs.waiting = ahead.calls;
+    inputs.service_time = item.expected.mean;
+    inputs.high_service_time = item.expected.high;
+    inputs.start = start_after(ahead, average_rest(now));
     inputs.remaining = item.deadline - now;
-    inputs.target_remaining = item.call.target_remaining;
+    // Of a late call, only the deadline counts.
+    inputs.target_remaining =
+        placement == call_class::late ? duration::zero() : duration{item.call.target_remaining};
     inputs.highest_priority = item.call.priority == 0;
     return inputs;
 }
 
+/**
+ * Returns the expected time until a slot is free after the calls ahead. When the first slot becomes
+ * free, the others are busy with about as much as they are on average now, so only the share of one
+ * running call counts. With equal calls this is the mean time multiplied by their position, over
+ * the slots.
+ */
+duration gate_state::start_after(const queue_ahead& ahead, duration rest) const
+{
+    const auto busy = running() + abandoned_.count();
+    if (slots() == 0 || busy + ahead.calls < slots()) {
+        return duration::zero();
+    }
+    return (rest + ahead.work) / static_cast<duration::rep>(slots());
+}
+
+/** Returns the average of what the running calls still need. */
+duration gate_state::average_rest(monotonic_time now) const
+{
+    return running_.empty() ? duration::zero()
+                            : running_work(now) / static_cast<duration::rep>(running_.size());
+}
+
+duration gate_state::running_work(monotonic_time now) const
+{
+    auto work = duration::zero();
+    for (const auto& item : running_) {
+        work += rest_of(*item, now);
+    }
+    return work;
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -265,8 +265,11 @@
         return;
     }
     context->call.remaining = remaining;
-    context->call.target_remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-        context->started + context->route->target_latency - sent_at);
+    const auto target_latency = context->route->target_latency;
+    context->call.target_remaining = target_latency > std::chrono::milliseconds::zero()
+                                         ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                                               context->started + target_latency - sent_at)
+                                         : std::chrono::milliseconds::zero();
     context->tried_nodes.push_back(endpoint.node);
     environment_.loads.begin(endpoint.node);
     environment_.transport.call(endpoint.peer, context->call, context->deadline,
