Let two nodes of each region watch the documents, and announce what they hear

Each of 83 nodes had two waiting watches, so every change cost a store call and a copy of the configuration per node. Now the members decide who watches: two live nodes of a region that can reach the store, all nodes of a mesh of at most 24, none that knows no other node. A watcher announces the head at once along the trees of the confirmations, with 60 ms between the ranks of the watchers. An announcement proves no time and puts off no check, which stay the fallback. A node that does not watch fetches from its parent in the tree at once; before it waited up to 0.8 s for its own watch. The end of the duty cancels the waiting watch.

--- a/src/savorywheel/distribution/document_watcher.cpp
+++ b/src/savorywheel/distribution/document_watcher.cpp
@@ -42,14 +42,50 @@
     {
         const std::scoped_lock lock{mutex_};
         stopping_ = true;
+        cancel_watch();
     }
     wake_.notify_all();
 }
 
+void document_watcher::set_watching(bool watching)
+{
+    {
+        const std::scoped_lock lock{mutex_};
+        watching_ = watching;
+        if (!watching) {
+            cancel_watch();
+        }
+    }
+    wake_.notify_all();
+}
+
+void document_watcher::renew()
+{
+    const std::scoped_lock lock{mutex_};
+    if (watch_) {
+        cancel_watch();
+        reread_ = true;
+    }
+}
+
+void document_watcher::cancel_watch()
+{
+    if (watch_) {
+        watch_->cancel();
+    }
+}
+
+bool document_watcher::wait_for_work()
+{
+    std::unique_lock lock{mutex_};
+    wake_.wait(lock, [this] { return stopping_ || watching_ || !revision_; });
+    return !stopping_;
+}
+
 void document_watcher::run()
 {
     set_thread_name("document-watch");
-    while (true) {
+    while (wait_for_work()) {
         const auto answered = revision_ ? follow() : read();
         if (answered && !*answered) {
             continue;
@@ -76,7 +112,26 @@
 outcome<bool> document_watcher::follow()
 {
     const auto started = environment_.time.now();
-    auto listed = environment_.store.watch(prefix_, *revision_, next_wait());
+    const auto cancel_signal = std::make_shared<cancellation>();
+    {
+        const std::scoped_lock lock{mutex_};
+        if (!watching_ || stopping_) {
+            return false;
+        }
+        watch_ = cancel_signal;
+    }
+    auto listed =
+        environment_.store.watch_until_cancelled(prefix_, *revision_, next_wait(), *cancel_signal);
+    {
+        const std::scoped_lock lock{mutex_};
+        watch_.reset();
+        if (!listed && std::exchange(reread_, false)) {
+            revision_.reset();
+        }
+    }
+    if (!listed && cancel_signal->cancelled()) {
+        return false;
+    }
     if (!listed) {
         // If the store has compacted this revision, only a full list returns the newest values.
         const auto revision = *std::exchange(revision_, std::nullopt);
--- a/src/savorywheel/distribution/document_watcher.hpp
+++ b/src/savorywheel/distribution/document_watcher.hpp
@@ -8,6 +8,7 @@
 
 #include <condition_variable>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -23,6 +24,7 @@
  * @brief Thread that watches the objects below a key prefix of the object store.
  *
  * It owns no state except its revision; changed objects reach the control thread by callback.
+ * It reads the objects once after its start, and then watches them only while it is told to.
  * Changes in quick succession are batched into one store request. A watch without a response at the
  * end of its wait is on a silent connection; the objects are then read on another one.
  */
@@ -53,20 +55,34 @@
     document_watcher& operator=(document_watcher&&) = delete;
     ~document_watcher();
 
-    /** @brief Starts the thread. */
+    /** @brief Starts the thread, which reads the objects. */
     void start();
 
-    /** @brief Ends the thread once the store request in flight completes; does not block. */
+    /**
+     * @brief Starts the watch after the last revision that was read, or ends it at once.
+     *
+     * Without a watch, no requests are sent after the first successful read.
+     */
+    void set_watching(bool watching);
+
+    /** @brief Gives up the waiting watch and its connection, and reads the objects on another. */
+    void renew();
+
+    /** @brief Ends the watch and the thread, after a read in flight; does not block. */
     void stop();
 
 private:
     void run();
     [[nodiscard]] outcome<bool> read();
-    /** Returns false if the watch got no response in time. */
+    /** Returns false if the watch was cancelled or got no response in time. */
     [[nodiscard]] outcome<bool> follow();
     [[nodiscard]] std::chrono::milliseconds next_wait();
     void log_silence(monotonic_time started, std::uint64_t revision);
     void deliver(object_list listed);
+    /** Waits until there is something to do; returns false on shutdown. */
+    [[nodiscard]] bool wait_for_work();
+    /** Cancels the waiting watch; call with the mutex locked. */
+    void cancel_watch();
     /** Sleeps; returns false on shutdown. */
     [[nodiscard]] bool pause(std::chrono::milliseconds length);
     [[nodiscard]] std::chrono::milliseconds next_retry_delay();
@@ -78,6 +94,11 @@
     std::mutex mutex_;
     std::condition_variable wake_;
     bool stopping_{};
+    bool watching_{};
+    /** True if the objects are to be read after the watch in flight was cancelled. */
+    bool reread_{};
+    /** The watch in flight. */
+    std::shared_ptr<cancellation> watch_;
     std::thread thread_;
 };
 
--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -81,6 +81,7 @@
 {
     archive(cereal::make_nvp("protocol", message.protocol));
     archive_enum(archive, "tree", message.tree, spread_tree::last_tree);
+    archive_enum(archive, "purpose", message.purpose, confirmation_purpose::last_purpose);
     archive(cereal::make_nvp("id", message.id), cereal::make_nvp("origin", message.origin),
             cereal::make_nvp("origin_peer", message.origin_peer),
             cereal::make_nvp("sender_peer", message.sender_peer),
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -78,6 +78,16 @@
                       "are the newest."},
     event_description{event_id::documents_confirmed, info,
                       "The documents of this node are confirmed with the platform's store again."},
+    event_description{event_id::documents_watched, info,
+                      "This node watches the documents in the platform's store."},
+    event_description{event_id::documents_not_watched, info,
+                      "This node no longer watches the documents; other nodes tell it of changes."},
+    event_description{event_id::document_delta_refused, warning,
+                      "A peer sent changes to another configuration than this node's; the whole "
+                      "configuration is fetched."},
+    event_description{event_id::watch_renewed, info,
+                      "Other nodes heard of a change that a watch of this node did not deliver; it "
+                      "is renewed on another connection."},
     event_description{event_id::member_alive, info, "A node joined or responds again."},
     event_description{event_id::member_suspect, info, "A node did not respond to a probe."},
     event_description{event_id::member_dead, warning, "A node failed or left."},
--- a/src/savorywheel/node/confirmation_service.cpp
+++ b/src/savorywheel/node/confirmation_service.cpp
@@ -20,6 +20,11 @@
  * checks at the same time do not cost as many messages to every node. Half of a period.
  */
 constexpr milliseconds min_confirmation_gap{400};
+/**
+ * Time between the announcements of two watchers that hear the same change. Longer than a hop
+ * between regions, so that the first one spares the others theirs.
+ */
+constexpr milliseconds announcement_step{60};
 /** Older messages are not passed on. */
 constexpr std::uint32_t max_message_age_ms = 5000;
 /** More identifiers than the messages that arrive within max_message_age_ms along a tree. */
@@ -59,6 +64,7 @@
 {
     running_ = false;
     timer_.reset();
+    announcement_timer_.reset();
 }
 
 void confirmation_service::on_members_changed()
@@ -147,13 +153,9 @@
 
 void confirmation_service::spread(const store_confirmation& confirmation)
 {
-    const auto& self = environment_.members.self();
-    confirmation_message message;
+    auto message = make_message(confirmation.head);
     message.id = confirmation.id;
-    message.origin = {self.id, self.region};
-    message.origin_peer = self.peer;
     message.revision = confirmation.revision;
-    message.head = confirmation.head;
     for (const auto tree : {spread_tree::first, spread_tree::second}) {
         message.tree = tree;
         const auto age = environment_.loop.time().now() - confirmation.as_of;
@@ -162,6 +164,64 @@
     }
 }
 
+confirmation_message confirmation_service::make_message(const configuration_head& head) const
+{
+    const auto& self = environment_.members.self();
+    confirmation_message message;
+    message.origin = {self.id, self.region};
+    message.origin_peer = self.peer;
+    message.head = head;
+    return message;
+}
+
+void confirmation_service::announce()
+{
+    if (!running_ || choice_.role != watch_role::watcher) {
+        return;
+    }
+    const auto delay = announcement_step * static_cast<std::int64_t>(choice_.rank);
+    announcement_timer_ =
+        environment_.loop.timers().after(delay, [this] { spread_announcement(); });
+}
+
+void confirmation_service::spread_announcement()
+{
+    const auto head = environment_.documents.documents().head();
+    if (announcements_.knows(head) || (confirmation_ && confirmation_->head == head)) {
+        return;
+    }
+    auto message = make_message(head);
+    message.purpose = confirmation_purpose::announce;
+    message.id = environment_.random.below(std::numeric_limits<std::uint64_t>::max());
+    static_cast<void>(announcements_.admit(message));
+    for (const auto tree : {spread_tree::first, spread_tree::second}) {
+        message.tree = tree;
+        pass_on(message);
+    }
+}
+
+void confirmation_service::receive_announcement(const confirmation_message& message)
+{
+    environment_.documents.on_head_received(message.sender_peer, message.head, head_route::tree);
+    environment_.documents.on_head_received(message.origin_peer, message.head, head_route::tree);
+    if (announcements_.admit(message)) {
+        pass_on(message);
+    }
+}
+
+bool confirmation_service::is_first(const confirmation_message& message)
+{
+    auto& known = received_.at(static_cast<std::size_t>(message.tree));
+    if (std::ranges::find(known, message.id) != known.end()) {
+        return false;
+    }
+    known.push_back(message.id);
+    if (known.size() > remembered_ids) {
+        known.pop_front();
+    }
+    return true;
+}
+
 bool confirmation_service::is_redundant(const store_confirmation& confirmation) const
 {
     return confirmation_ && confirmation_->id != confirmation.id &&
@@ -184,24 +244,20 @@
 void confirmation_service::receive(const confirmation_message& message)
 {
     if (!running_ || message.age_ms > max_message_age_ms ||
-        message.origin.node == environment_.members.self().id) {
+        message.origin.node == environment_.members.self().id || !is_first(message)) {
         return;
     }
-    auto& known = received_.at(static_cast<std::size_t>(message.tree));
-    if (std::ranges::find(known, message.id) != known.end()) {
+    if (message.purpose == confirmation_purpose::announce) {
+        receive_announcement(message);
         return;
     }
-    known.push_back(message.id);
-    if (known.size() > remembered_ids) {
-        known.pop_front();
-    }
     const auto as_of = environment_.loop.time().now() - milliseconds{message.age_ms};
     const store_confirmation confirmation{message.id, message.origin.node, as_of, message.revision,
                                           message.head};
     const bool redundant = is_redundant(confirmation);
     record(confirmation);
-    environment_.documents.on_head_received(message.sender_peer, message.head);
-    environment_.documents.on_head_received(message.origin_peer, message.head);
+    environment_.documents.on_head_received(message.sender_peer, message.head, head_route::tree);
+    environment_.documents.on_head_received(message.origin_peer, message.head, head_route::tree);
     if (!redundant) {
         pass_on(message);
     }
--- a/src/savorywheel/node/confirmation_service.hpp
+++ b/src/savorywheel/node/confirmation_service.hpp
@@ -9,7 +9,9 @@
 #include <savorywheel/distribution/spread_tree.hpp>
 #include <savorywheel/distribution/store_check.hpp>
 #include <savorywheel/distribution/store_confirmation.hpp>
+#include <savorywheel/distribution/watcher_choice.hpp>
 #include <savorywheel/membership/swim_agent.hpp>
+#include <savorywheel/node/announcement_filter.hpp>
 #include <savorywheel/node/document_service.hpp>
 #include <savorywheel/transport/datagram_channel.hpp>
 
@@ -61,6 +63,17 @@
     /** @brief Checks the store soon, as the documents that a peer reported do not arrive. */
     void check_now();
 
+    /** @brief Sets the place of this node among the watchers. */
+    void set_choice(const watcher_choice& choice) noexcept { choice_ = choice; }
+
+    /**
+     * @brief Tells all nodes the head of the documents, which a watch has just changed.
+     *
+     * The watchers speak in the order of their ranks, and only until one was heard. In a small
+     * mesh, where every node watches, none does.
+     */
+    void announce();
+
     /**
      * @brief Decodes and queues a datagram; may be called from any thread.
      * @return Failure with code `malformed` if it is not a confirmation_message, or `overload` if
@@ -77,7 +90,12 @@
     void check();
     void on_checked(const outcome<store_check_result>& result);
     void receive(const confirmation_message& message);
+    void receive_announcement(const confirmation_message& message);
+    void spread_announcement();
     void spread(const store_confirmation& confirmation);
+    [[nodiscard]] confirmation_message make_message(const configuration_head& head) const;
+    /** Returns false if a message arrived along its tree before. */
+    [[nodiscard]] bool is_first(const confirmation_message& message);
     void pass_on(confirmation_message message);
     /** True if this node knows a confirmation of another check that says the same. */
     [[nodiscard]] bool is_redundant(const store_confirmation& confirmation) const;
@@ -99,6 +117,9 @@
     std::vector<node_id> candidates_;
     std::array<recent_ids, 2> received_;
     subscription timer_;
+    watcher_choice choice_;
+    announcement_filter announcements_;
+    subscription announcement_timer_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -12,7 +12,7 @@
       confirmations_{confirmation_service::environment{
           environment_.loop, environment_.quota, environment_.random, environment_.store,
           environment_.datagrams, environment_.log, environment_.members, documents_}},
-      directory_{environment_.members.self(), directory_environment()}
+      duty_{watch_environment()}, directory_{environment_.members.self(), directory_environment()}
 {
 }
 
@@ -27,7 +27,17 @@
             environment_.log,
             [this] { apply(); },
             [this](bool reachable) { on_store_health(reachable); },
-            [this] { confirmations_.check_now(); }};
+            [this] { confirmations_.check_now(); },
+            [this] { confirmations_.announce(); }};
+}
+
+watch_duty::environment document_config_provider::watch_environment()
+{
+    return {environment_.loop, environment_.log, environment_.members,
+            [this](const watcher_choice& choice) {
+                documents_.set_role(choice.role);
+                confirmations_.set_choice(choice);
+            }};
 }
 
 member_directory::environment document_config_provider::directory_environment()
@@ -45,6 +55,7 @@
 {
     documents_.start();
     confirmations_.start();
+    duty_.start();
     directory_.start();
 }
 
@@ -52,12 +63,14 @@
 {
     documents_.stop();
     confirmations_.stop();
+    duty_.stop();
     directory_.stop();
 }
 
 void document_config_provider::on_members_changed()
 {
     confirmations_.on_members_changed();
+    duty_.on_members_changed();
     if (orders_.depends_on_members()) {
         apply();
     }
@@ -96,6 +109,7 @@
     if (record.store_reachable != reachable) {
         record.store_reachable = reachable;
         environment_.members.update_self(std::move(record));
+        duty_.on_members_changed();
     }
 }
 
--- a/src/savorywheel/node/document_config_provider.hpp
+++ b/src/savorywheel/node/document_config_provider.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/node/confirmation_service.hpp>
 #include <savorywheel/node/document_service.hpp>
 #include <savorywheel/node/member_directory.hpp>
+#include <savorywheel/node/watch_duty.hpp>
 #include <savorywheel/rollout/mesh_state_builder.hpp>
 
 #include <functional>
@@ -76,12 +77,14 @@
 private:
     [[nodiscard]] document_service::environment document_environment();
     [[nodiscard]] member_directory::environment directory_environment();
+    [[nodiscard]] watch_duty::environment watch_environment();
     void apply();
     void on_store_health(bool reachable);
 
     environment environment_;
     document_service documents_;
     confirmation_service confirmations_;
+    watch_duty duty_;
     member_directory directory_;
     mesh_state_builder orders_;
     /** State last passed to the callback. */
--- a/src/savorywheel/node/document_fetcher.cpp
+++ b/src/savorywheel/node/document_fetcher.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-void document_fetcher::add_source(const network_endpoint& peer, const configuration_head& remote)
+void document_fetcher::add_source(const network_endpoint& peer, const configuration_head& remote,
+                                  duration delay)
 {
     if (!environment_.documents.lacks_any_of(remote)) {
         return;
@@ -29,9 +30,14 @@
     const auto known = std::ranges::find(sources_, peer, &source::peer);
     if (known != sources_.end()) {
         known->head = remote;
+        if (known->request == 0) {
+            // A peer that was reported by a probe may now be the parent in a tree.
+            known->due = std::min(known->due, environment_.loop.time().now() + delay);
+            wait();
+        }
     }
     else if (make_room()) {
-        const auto due = environment_.loop.time().now() + environment_.watch_delay(remote);
+        const auto due = environment_.loop.time().now() + delay;
         sources_.push_back({peer, remote, due, 0, {}});
         wait();
     }
--- a/src/savorywheel/node/document_fetcher.hpp
+++ b/src/savorywheel/node/document_fetcher.hpp
@@ -32,8 +32,6 @@
         event_log& log;
         /** @brief This node's documents. */
         const operator_documents& documents;
-        /** @brief Returns the time for which a watch may still deliver what a head contains. */
-        std::function<duration(const configuration_head& remote)> watch_delay;
         /** @brief Receives the documents of a peer. */
         std::function<void(const network_endpoint& peer, const operator_documents& received)>
             received;
@@ -50,8 +48,9 @@
      * @brief Fetches from a peer, unless other sources deliver the documents sooner.
      * @param peer Peer that has, or is about to have, documents that this node lacks.
      * @param remote Head of these documents.
+     * @param delay Time for which another source may still deliver them.
      */
-    void add_source(const network_endpoint& peer, const configuration_head& remote);
+    void add_source(const network_endpoint& peer, const configuration_head& remote, duration delay);
 
     /** @brief Ends the fetch if this node lacks nothing any more. */
     void on_documents_changed();
@@ -66,7 +65,7 @@
     struct source {
         network_endpoint peer;
         configuration_head head;
-        /** End of the time for which a watch may still deliver the documents. */
+        /** End of the time for which another source may still deliver the documents. */
         monotonic_time due;
         /** Request that was sent to the peer; zero if there is none. */
         std::uint64_t request{};
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -13,6 +13,8 @@
 
 /** Delay before a fetch from a peer, in which a working watch usually delivers the change. */
 constexpr std::chrono::milliseconds watch_grace_period{100};
+/** Delay before a fetch from a prober, in which the head usually arrives along a tree. */
+constexpr std::chrono::milliseconds tree_grace_period{100};
 /** Time from the start of a watch to its response if there are changes already. */
 constexpr std::chrono::milliseconds watch_response_time{200};
 /** Further requests are answered at once, without the documents that this node lacks. */
@@ -41,9 +43,12 @@
             environment_.log,
             environment_.loop.time(),
             [this, prefix = std::move(prefix), &delivered_at](std::vector<stored_object> objects) {
-                environment_.loop.post(
-                    [this, &delivered_at] { delivered_at = environment_.loop.time().now(); });
-                post_objects(prefix, std::move(objects));
+                environment_.loop.post([this, prefix, &delivered_at, items = std::move(objects)] {
+                    delivered_at = environment_.loop.time().now();
+                    if (merge_objects(prefix, items) && environment_.change_watched) {
+                        environment_.change_watched();
+                    }
+                });
             },
             [this](const outcome<bool>& store_result) {
                 environment_.loop.post([this, store_result] { on_store_health(store_result); });
@@ -57,7 +62,6 @@
             environment_.requests,
             environment_.log,
             documents_,
-            [this](const configuration_head& remote) { return watch_delay(remote); },
             [this](const network_endpoint& peer, const operator_documents& received) {
                 if (documents_.merge(received)) {
                     on_documents_changed(to_string(peer));
@@ -78,6 +82,13 @@
     order_watcher_.start();
 }
 
+void document_service::set_role(watch_role role)
+{
+    role_ = role;
+    configuration_watcher_.set_watching(watches(role));
+    order_watcher_.set_watching(watches(role));
+}
+
 void document_service::stop()
 {
     fetcher_.stop();
@@ -92,7 +103,7 @@
     });
 }
 
-void document_service::merge_objects(std::string_view prefix,
+bool document_service::merge_objects(std::string_view prefix,
                                      std::span<const stored_object> objects)
 {
     const bool is_configuration = prefix == decoder_.key();
@@ -103,6 +114,7 @@
     if (changed) {
         on_documents_changed("the store");
     }
+    return changed;
 }
 
 void document_service::on_documents_changed(std::string source)
@@ -169,20 +181,25 @@
 }
 
 void document_service::on_head_received(const network_endpoint& peer,
-                                        const configuration_head& remote)
+                                        const configuration_head& remote, head_route route)
 {
     if (!documents_.lacks_any_of(remote)) {
         return;
     }
     log_newer_head(peer, remote);
-    fetcher_.add_source(peer, remote);
+    fetcher_.add_source(peer, remote, fetch_delay(remote, route));
 }
 
-duration document_service::watch_delay(const configuration_head& remote) const
+duration document_service::fetch_delay(const configuration_head& remote, head_route route) const
 {
     if (!store_reachable_.value_or(false)) {
         return duration::zero();
     }
+    if (role_ != watch_role::everyone) {
+        // The documents follow the message down the tree. That of a prober may come from another
+        // region, and the message of the tree is on its way.
+        return route == head_route::tree ? duration::zero() : tree_grace_period;
+    }
     // After a delivery, the next watch starts at the end of the batch window.
     const bool lacks_configuration = remote.operator_version > documents_.configuration.version;
     const auto delivered_at =
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -5,8 +5,10 @@
 #include <savorywheel/core/event_quota.hpp>
 #include <savorywheel/distribution/configuration_decoder.hpp>
 #include <savorywheel/distribution/document_watcher.hpp>
+#include <savorywheel/distribution/head_route.hpp>
 #include <savorywheel/distribution/operator_documents.hpp>
 #include <savorywheel/distribution/order_codec.hpp>
+#include <savorywheel/distribution/watch_role.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/node/document_fetcher.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
@@ -26,9 +28,9 @@
  * @brief Replicates the configuration and rollout orders from the hosting platform's object store.
  *
  * A document is an object that operators write to the object store: the configuration, or a rollout
- * order to move a service's traffic to another version. Each node watches these objects. A node
- * whose watch does not deliver a change learns of it from the messages of its peers, and fetches it
- * from one of them.
+ * order to move a service's traffic to another version. The nodes that are chosen as watchers watch
+ * these objects. The others, and a node whose watch does not deliver a change, learn of it from the
+ * messages of their peers, and fetch it from one of them.
  * @warning Call all member functions on the control thread, except on_frame() and on_closed().
  */
 class document_service final : public frame_handler {
@@ -56,6 +58,8 @@
         std::function<void(bool)> store_health;
         /** @brief Called on the control thread if a peer with newer documents does not respond. */
         std::function<void()> fetch_delayed;
+        /** @brief Called on the control thread after a watch has delivered a change. */
+        std::function<void()> change_watched{};
     };
 
     /**
@@ -66,9 +70,12 @@
     document_service(const configuration_decoder& decoder, const order_codec& rollout_order_codec,
                      environment env);
 
-    /** @brief Starts the watches. */
+    /** @brief Reads the documents; starts the watches if the role requires it. */
     void start();
 
+    /** @brief Starts or ends the watches. */
+    void set_role(watch_role role);
+
     /** @brief Stops the watches and a pending fetch. */
     void stop();
 
@@ -76,8 +83,10 @@
      * @brief Schedules a fetch if a peer may have newer documents.
      * @param peer Peer to fetch from.
      * @param remote Summary of the documents that the peer has, or is about to have.
+     * @param route How the summary arrived.
      */
-    void on_head_received(const network_endpoint& peer, const configuration_head& remote);
+    void on_head_received(const network_endpoint& peer, const configuration_head& remote,
+                          head_route route = head_route::probe);
 
     /**
      * @brief Queues objects that were read from the store; may be called from any thread.
@@ -113,11 +122,12 @@
     [[nodiscard]] document_watcher::environment watcher_environment(std::string prefix,
                                                                     monotonic_time& delivered_at);
     [[nodiscard]] document_fetcher::environment fetcher_environment();
-    void merge_objects(std::string_view prefix, std::span<const stored_object> objects);
+    /** Returns false if none of the objects is newer than this node's. */
+    bool merge_objects(std::string_view prefix, std::span<const stored_object> objects);
     void on_documents_changed(std::string source);
     void answer(const waiting_request& item);
     void answer_waiting();
-    [[nodiscard]] duration watch_delay(const configuration_head& remote) const;
+    [[nodiscard]] duration fetch_delay(const configuration_head& remote, head_route route) const;
     [[nodiscard]] bool merge_configuration(const stored_object& object);
     [[nodiscard]] bool merge_order(const stored_object& object);
     void log_invalid_object(const stored_object& object, const failure& reason);
@@ -128,6 +138,7 @@
     const order_codec& order_codec_;
     environment environment_;
     operator_documents documents_;
+    watch_role role_{watch_role::alone};
     std::optional<bool> store_reachable_;
     std::string source_;
     /** Last head that was logged as newer than this node's. */
--- a/src/savorywheel/store/metered_object_store.cpp
+++ b/src/savorywheel/store/metered_object_store.cpp
@@ -44,6 +44,20 @@
     return counted(watches_, inner_.watch(prefix, after, max_wait));
 }
 
+outcome<object_list> metered_object_store::watch_until_cancelled(std::string_view prefix,
+                                                                 std::uint64_t after,
+                                                                 std::chrono::milliseconds max_wait,
+                                                                 cancellation& cancel_signal)
+{
+    auto result = inner_.watch_until_cancelled(prefix, after, max_wait, cancel_signal);
+    if (cancel_signal.cancelled()) {
+        // Not a failure of the store.
+        watches_ += 1;
+        return result;
+    }
+    return counted(watches_, std::move(result));
+}
+
 outcome<object_list> metered_object_store::read(std::string_view prefix,
                                                 std::optional<std::uint64_t> after,
                                                 std::chrono::milliseconds timeout)
--- a/src/savorywheel/store/metered_object_store.hpp
+++ b/src/savorywheel/store/metered_object_store.hpp
@@ -31,6 +31,10 @@
                                             std::string_view after) override;
     [[nodiscard]] outcome<object_list> watch(std::string_view prefix, std::uint64_t after,
                                              std::chrono::milliseconds max_wait) override;
+    [[nodiscard]] outcome<object_list> watch_until_cancelled(std::string_view prefix,
+                                                             std::uint64_t after,
+                                                             std::chrono::milliseconds max_wait,
+                                                             cancellation& cancel_signal) override;
     [[nodiscard]] outcome<object_list> read(std::string_view prefix,
                                             std::optional<std::uint64_t> after,
                                             std::chrono::milliseconds timeout) override;
--- a/src/savorywheel/store/object_store.hpp
+++ b/src/savorywheel/store/object_store.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_STORE_OBJECT_STORE_HPP
 
 #include <savorywheel/core/outcome.hpp>
+#include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/store/object_list.hpp>
 #include <savorywheel/store/stored_object.hpp>
 
@@ -72,6 +73,21 @@
     [[nodiscard]] virtual outcome<object_list> watch(std::string_view prefix, std::uint64_t after,
                                                      std::chrono::milliseconds max_wait) = 0;
 
+    /**
+     * @brief Waits as watch() does, until it is cancelled.
+     *
+     * The default implementation cannot be cancelled.
+     * @param cancel_signal Cancelling it ends the wait, and gives up its connection.
+     * @return As watch(); any failure after cancellation.
+     */
+    [[nodiscard]] virtual outcome<object_list>
+    watch_until_cancelled(std::string_view prefix, std::uint64_t after,
+                          std::chrono::milliseconds max_wait, cancellation& cancel_signal)
+    {
+        static_cast<void>(cancel_signal);
+        return watch(prefix, after, max_wait);
+    }
+
     /**
      * @brief Reads the newest objects without waiting for changes.
      *
--- a/test/savorywheel/node/confirmation_service_test.cpp
+++ b/test/savorywheel/node/confirmation_service_test.cpp
@@ -273,6 +273,74 @@
     EXPECT_EQ(network_.asked.at(1), make_record(3).peer);
 }
 
+TEST_F(confirmation_service_test, first_watcher_announces_a_change_to_both_trees_at_once)
+{
+    service_.set_choice({watch_role::watcher, 0});
+    service_.announce();
+    advance_time(1ms);
+    EXPECT_EQ(datagrams_.sent.size(), 14U);
+    for (const auto& [peer, message] : datagrams_.sent) {
+        EXPECT_EQ(message.purpose, confirmation_purpose::announce);
+        EXPECT_EQ(message.head, documents_.documents().head());
+    }
+}
+
+// Six watchers that hear the same change would send six messages to every node.
+TEST_F(confirmation_service_test, later_watcher_is_silent_if_an_earlier_one_was_heard)
+{
+    service_.set_choice({watch_role::watcher, 3});
+    service_.announce();
+    advance_time(100ms);
+    EXPECT_TRUE(datagrams_.sent.empty());
+    auto message = make_message(9);
+    message.purpose = confirmation_purpose::announce;
+    message.head = documents_.documents().head();
+    receive(message);
+    advance_time(500ms);
+    EXPECT_TRUE(datagrams_.sent.empty());
+    // None of the earlier watchers was heard.
+    documents_.post_objects("config/main", std::vector{stored_object{"config/main", "10", 10}});
+    loop_.run_pending();
+    service_.announce();
+    advance_time(200ms);
+    EXPECT_EQ(datagrams_.sent.size(), 14U);
+}
+
+// A watch proves nothing about the time of its response, so an announcement must not put off
+// checks.
+TEST_F(confirmation_service_test, announcement_fetches_the_documents_and_defers_no_check)
+{
+    for (int i = 0; i < 4; ++i) {
+        advance_time(400ms);
+        auto message = make_message(15);
+        message.purpose = confirmation_purpose::announce;
+        message.age_ms = 0;
+        receive(message);
+    }
+    EXPECT_FALSE(network_.asked.empty());
+    EXPECT_TRUE(wait_until([this] {
+        loop_.run_pending();
+        return documents_.documents().configuration.version == config_version{12};
+    }));
+}
+
+TEST_F(confirmation_service_test, of_two_announcements_of_a_head_the_lower_origin_is_passed_on)
+{
+    confirmation_message low = make_message(15);
+    low.purpose = confirmation_purpose::announce;
+    auto high = low;
+    high.origin.node = node_id{"n99"};
+    high.id = 1000;
+    announcement_filter filter;
+    EXPECT_TRUE(filter.admit(high));
+    EXPECT_TRUE(filter.admit(low));
+    EXPECT_FALSE(filter.admit(high));
+    low.tree = spread_tree::second;
+    EXPECT_TRUE(filter.admit(low));
+    high.head.digest = 99;
+    EXPECT_TRUE(filter.admit(high));
+}
+
 TEST_F(confirmation_service_test, malformed_datagram_is_reported)
 {
     auto bytes = encode(make_message(9));
--- a/test/savorywheel/node/document_service_test.cpp
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -87,6 +87,7 @@
     explicit document_fixture(std::vector<stored_object> objects)
         : expected_{objects.size()}, store_{std::move(objects)}
     {
+        service_.set_role(watch_role::everyone);
         service_.start();
         EXPECT_TRUE(wait_until([this] {
             loop_.run_pending();
@@ -116,6 +117,14 @@
         advance_time(500ms);
     }
 
+    void set_role(watch_role role) { service_.set_role(role); }
+
+    /** Reports the head of a peer as a message along a tree does. */
+    void report_head_by_tree(const network_endpoint& peer, const operator_documents& remote)
+    {
+        service_.on_head_received(peer, remote.head(), head_route::tree);
+    }
+
     /** Reports the head of a peer without waiting. */
     void report_head(const network_endpoint& peer, const operator_documents& remote)
     {
@@ -312,6 +321,21 @@
     EXPECT_TRUE(fixture.asked().empty());
 }
 
+// A node that does not watch waited for its own watch, at each hop of a tree.
+TEST(document_service, node_that_does_not_watch_fetches_from_its_parent_at_once)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const network_endpoint prober{"10.0.0.3", 7000};
+    const network_endpoint parent{"10.0.0.4", 7000};
+    fixture.set_role(watch_role::follower);
+    fixture.report_head(prober, make_documents(100, 101));
+    fixture.advance_time(50ms);
+    EXPECT_TRUE(fixture.asked().empty());
+    fixture.report_head_by_tree(parent, make_documents(100, 101));
+    fixture.advance_time(1ms);
+    EXPECT_EQ(fixture.asked(), std::vector{parent});
+}
+
 // A configuration was never fetched while a working watch of the orders delivered changes.
 TEST(document_service, orders_that_change_do_not_delay_the_fetch_of_a_configuration)
 {
