--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -28,23 +28,23 @@
       environment_{std::move(env)}, fetcher_{fetcher_environment()},
       configuration_watcher_{
           std::string{decoder.key()},
-          watcher_environment(std::string{decoder.key()}, configuration_delivered_at_)},
+          watcher_environment(std::string{decoder.key()}, configuration_deliveries_)},
       order_watcher_{
           std::string{rollout_order_codec.prefix()},
-          watcher_environment(std::string{rollout_order_codec.prefix()}, orders_delivered_at_)}
+          watcher_environment(std::string{rollout_order_codec.prefix()}, order_deliveries_)}
 {
 }
 
 document_watcher::environment document_service::watcher_environment(std::string prefix,
-                                                                    monotonic_time& delivered_at)
+                                                                    delivery_monitor& deliveries)
 {
     return {environment_.store,
             environment_.random,
             environment_.log,
             environment_.loop.time(),
-            [this, prefix = std::move(prefix), &delivered_at](std::vector<stored_object> objects) {
-                environment_.loop.post([this, prefix, &delivered_at, items = std::move(objects)] {
-                    delivered_at = environment_.loop.time().now();
+            [this, prefix = std::move(prefix), &deliveries](std::vector<stored_object> objects) {
+                environment_.loop.post([this, prefix, &deliveries, items = std::move(objects)] {
+                    deliveries.record_delivery(environment_.loop.time().now());
                     if (merge_objects(prefix, items) && environment_.change_watched) {
                         environment_.change_watched();
                     }
@@ -63,7 +63,9 @@
             environment_.log,
             documents_,
             [this](const network_endpoint& peer, const operator_documents& received) {
+                const auto previous = documents_.revision;
                 if (documents_.merge(received)) {
+                    expect_delivery(previous);
                     on_documents_changed(to_string(peer));
                 }
             },
@@ -87,11 +89,14 @@
     role_ = role;
     configuration_watcher_.set_watching(watches(role));
     order_watcher_.set_watching(watches(role));
+    configuration_deliveries_.reset();
+    order_deliveries_.reset();
 }
 
 void document_service::stop()
 {
     fetcher_.stop();
+    delivery_timer_.reset();
     configuration_watcher_.stop();
     order_watcher_.stop();
 }
@@ -117,6 +122,35 @@
     return changed;
 }
 
+void document_service::expect_delivery(std::uint64_t previous_revision)
+{
+    if (!watches(role_)) {
+        return;
+    }
+    const auto changed_by_peer = previous_revision != documents_.revision;
+    (changed_by_peer ? configuration_deliveries_ : order_deliveries_)
+        .expect_delivery(environment_.loop.time().now());
+    delivery_timer_ =
+        environment_.loop.timers().after(delivery_limit, [this] { renew_overdue_watches(); });
+}
+
+void document_service::renew_overdue_watches()
+{
+    const auto now = environment_.loop.time().now();
+    if (configuration_deliveries_.take_overdue(now)) {
+        renew(configuration_watcher_, decoder_.key());
+    }
+    if (order_deliveries_.take_overdue(now)) {
+        renew(order_watcher_, order_codec_.prefix());
+    }
+}
+
+void document_service::renew(document_watcher& watcher, std::string_view prefix)
+{
+    environment_.log.write(event_id::watch_renewed, std::string{prefix});
+    watcher.renew();
+}
+
 void document_service::on_documents_changed(std::string source)
 {
     source_ = std::move(source);
@@ -202,9 +236,8 @@
     }
     // After a delivery, the next watch starts at the end of the batch window.
     const bool lacks_configuration = remote.operator_version > documents_.configuration.version;
-    const auto delivered_at =
-        lacks_configuration ? configuration_delivered_at_ : orders_delivered_at_;
-    const auto next_delivery = delivered_at + watch_batch_window + watch_response_time;
+    const auto& deliveries = lacks_configuration ? configuration_deliveries_ : order_deliveries_;
+    const auto next_delivery = deliveries.delivered_at() + watch_batch_window + watch_response_time;
     return std::max<duration>(watch_grace_period, next_delivery - environment_.loop.time().now());
 }
 
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/core/control_loop.hpp>
 #include <savorywheel/core/event_quota.hpp>
 #include <savorywheel/distribution/configuration_decoder.hpp>
+#include <savorywheel/distribution/delivery_monitor.hpp>
 #include <savorywheel/distribution/document_watcher.hpp>
 #include <savorywheel/distribution/head_route.hpp>
 #include <savorywheel/distribution/operator_documents.hpp>
@@ -120,7 +121,7 @@
     };
 
     [[nodiscard]] document_watcher::environment watcher_environment(std::string prefix,
-                                                                    monotonic_time& delivered_at);
+                                                                    delivery_monitor& deliveries);
     [[nodiscard]] document_fetcher::environment fetcher_environment();
     /** Returns false if none of the objects is newer than this node's. */
     bool merge_objects(std::string_view prefix, std::span<const stored_object> objects);
@@ -131,6 +132,10 @@
     [[nodiscard]] bool merge_configuration(const stored_object& object);
     [[nodiscard]] bool merge_order(const stored_object& object);
     void log_invalid_object(const stored_object& object, const failure& reason);
+    /** Expects the watches to deliver as well what another source has just brought. */
+    void expect_delivery(std::uint64_t previous_revision);
+    void renew_overdue_watches();
+    void renew(document_watcher& watcher, std::string_view prefix);
     /** Logs the first report of each head that this node lacks. */
     void log_newer_head(const network_endpoint& peer, const configuration_head& remote);
 
@@ -143,14 +148,13 @@
     std::string source_;
     /** Last head that was logged as newer than this node's. */
     configuration_head newest_reported_;
-    /** Time of the last change that the watch of the configuration delivered. */
-    monotonic_time configuration_delivered_at_;
-    /** Time of the last change that the watch of the orders delivered. */
-    monotonic_time orders_delivered_at_;
+    delivery_monitor configuration_deliveries_;
+    delivery_monitor order_deliveries_;
     document_fetcher fetcher_;
     std::vector<waiting_request> waiting_requests_;
     document_watcher configuration_watcher_;
     document_watcher order_watcher_;
+    subscription delivery_timer_;
 };
 
 } // namespace savorywheel
--- a/test/savorywheel/node/document_service_test.cpp
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -117,6 +117,8 @@
         advance_time(500ms);
     }
 
+    [[nodiscard]] const recording_event_log& log() const noexcept { return log_; }
+
     void set_role(watch_role role) { service_.set_role(role); }
 
     /** Reports the head of a peer as a message along a tree does. */
@@ -336,6 +338,21 @@
     EXPECT_EQ(fixture.asked(), std::vector{parent});
 }
 
+// A watch on a silent connection waited for up to 26 s, and its node heard by its peers only.
+TEST(document_service, watch_that_does_not_deliver_what_a_peer_had_is_renewed)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const auto remote = make_documents(100, 101);
+    fixture.report_head(remote);
+    fixture.answer(fixture.requests().front(), remote);
+    fixture.advance_time(1400ms);
+    EXPECT_EQ(fixture.log().count(event_id::watch_renewed), 0U);
+    fixture.advance_time(200ms);
+    EXPECT_EQ(fixture.log().count(event_id::watch_renewed), 1U);
+    fixture.advance_time(5s);
+    EXPECT_EQ(fixture.log().count(event_id::watch_renewed), 1U);
+}
+
 // A configuration was never fetched while a working watch of the orders delivered changes.
 TEST(document_service, orders_that_change_do_not_delay_the_fetch_of_a_configuration)
 {
