--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -13,6 +13,8 @@
 
 /** Delay before a fetch from a peer, in which a working watch usually delivers the change. */
 constexpr std::chrono::milliseconds watch_grace_period{100};
+/** Delay before a fetch from a prober, in which the head usually arrives along a tree. */
+constexpr std::chrono::milliseconds tree_grace_period{100};
 /** Time from the start of a watch to its response if there are changes already. */
 constexpr std::chrono::milliseconds watch_response_time{200};
 /** Further requests are answered at once, without the documents that this node lacks. */
@@ -26,24 +28,27 @@
       environment_{std::move(env)}, fetcher_{fetcher_environment()},
       configuration_watcher_{
           std::string{decoder.key()},
-          watcher_environment(std::string{decoder.key()}, configuration_delivered_at_)},
+          watcher_environment(std::string{decoder.key()}, configuration_deliveries_)},
       order_watcher_{
           std::string{rollout_order_codec.prefix()},
-          watcher_environment(std::string{rollout_order_codec.prefix()}, orders_delivered_at_)}
+          watcher_environment(std::string{rollout_order_codec.prefix()}, order_deliveries_)}
 {
 }
 
 document_watcher::environment document_service::watcher_environment(std::string prefix,
-                                                                    monotonic_time& delivered_at)
+                                                                    delivery_monitor& deliveries)
 {
     return {environment_.store,
             environment_.random,
             environment_.log,
             environment_.loop.time(),
-            [this, prefix = std::move(prefix), &delivered_at](std::vector<stored_object> objects) {
-                environment_.loop.post(
-                    [this, &delivered_at] { delivered_at = environment_.loop.time().now(); });
-                post_objects(prefix, std::move(objects));
+            [this, prefix = std::move(prefix), &deliveries](std::vector<stored_object> objects) {
+                environment_.loop.post([this, prefix, &deliveries, items = std::move(objects)] {
+                    deliveries.record_delivery(environment_.loop.time().now());
+                    if (merge_objects(prefix, items) && environment_.change_watched) {
+                        environment_.change_watched();
+                    }
+                });
             },
             [this](const outcome<bool>& store_result) {
                 environment_.loop.post([this, store_result] { on_store_health(store_result); });
@@ -57,9 +62,10 @@
             environment_.requests,
             environment_.log,
             documents_,
-            [this](const configuration_head& remote) { return watch_delay(remote); },
             [this](const network_endpoint& peer, const operator_documents& received) {
+                const auto previous = documents_.revision;
                 if (documents_.merge(received)) {
+                    expect_delivery(previous);
                     on_documents_changed(to_string(peer));
                 }
             },
@@ -78,9 +84,19 @@
     order_watcher_.start();
 }
 
+void document_service::set_role(watch_role role)
+{
+    role_ = role;
+    configuration_watcher_.set_watching(watches(role));
+    order_watcher_.set_watching(watches(role));
+    configuration_deliveries_.reset();
+    order_deliveries_.reset();
+}
+
 void document_service::stop()
 {
     fetcher_.stop();
+    delivery_timer_.reset();
     configuration_watcher_.stop();
     order_watcher_.stop();
 }
@@ -92,7 +108,7 @@
     });
 }
 
-void document_service::merge_objects(std::string_view prefix,
+bool document_service::merge_objects(std::string_view prefix,
                                      std::span<const stored_object> objects)
 {
     const bool is_configuration = prefix == decoder_.key();
@@ -103,6 +119,36 @@
     if (changed) {
         on_documents_changed("the store");
     }
+    return changed;
+}
+
+void document_service::expect_delivery(std::uint64_t previous_revision)
+{
+    if (!watches(role_)) {
+        return;
+    }
+    const auto changed_by_peer = previous_revision != documents_.revision;
+    (changed_by_peer ? configuration_deliveries_ : order_deliveries_)
+        .expect_delivery(environment_.loop.time().now());
+    delivery_timer_ =
+        environment_.loop.timers().after(delivery_limit, [this] { renew_overdue_watches(); });
+}
+
+void document_service::renew_overdue_watches()
+{
+    const auto now = environment_.loop.time().now();
+    if (configuration_deliveries_.take_overdue(now)) {
+        renew(configuration_watcher_, decoder_.key());
+    }
+    if (order_deliveries_.take_overdue(now)) {
+        renew(order_watcher_, order_codec_.prefix());
+    }
+}
+
+void document_service::renew(document_watcher& watcher, std::string_view prefix)
+{
+    environment_.log.write(event_id::watch_renewed, std::string{prefix});
+    watcher.renew();
 }
 
 void document_service::on_documents_changed(std::string source)
@@ -169,25 +215,29 @@
 }
 
 void document_service::on_head_received(const network_endpoint& peer,
-                                        const configuration_head& remote)
+                                        const configuration_head& remote, head_route route)
 {
     if (!documents_.lacks_any_of(remote)) {
         return;
     }
     log_newer_head(peer, remote);
-    fetcher_.add_source(peer, remote);
+    fetcher_.add_source(peer, remote, fetch_delay(remote, route));
 }
 
-duration document_service::watch_delay(const configuration_head& remote) const
+duration document_service::fetch_delay(const configuration_head& remote, head_route route) const
 {
     if (!store_reachable_.value_or(false)) {
         return duration::zero();
     }
+    if (role_ != watch_role::everyone) {
+        // The documents follow the message down the tree. That of a prober may come from another
+        // region, and the message of the tree is on its way.
+        return route == head_route::tree ? duration::zero() : tree_grace_period;
+    }
     // After a delivery, the next watch starts at the end of the batch window.
     const bool lacks_configuration = remote.operator_version > documents_.configuration.version;
-    const auto delivered_at =
-        lacks_configuration ? configuration_delivered_at_ : orders_delivered_at_;
-    const auto next_delivery = delivered_at + watch_batch_window + watch_response_time;
+    const auto& deliveries = lacks_configuration ? configuration_deliveries_ : order_deliveries_;
+    const auto next_delivery = deliveries.delivered_at() + watch_batch_window + watch_response_time;
     return std::max<duration>(watch_grace_period, next_delivery - environment_.loop.time().now());
 }
 
