Give up on a call after six refusals for overload

Cause: a call that found every gate overloaded was sent to each of the 36 to 51 backend servers of its service, one after the other, up to 42 ms each.

Change: after six refusals for overload, as many as a small service has backend servers, the caller gets 503 with the time after which to retry.

Result: unit tests of traffic pass, with one that failed before (36 attempts).

--- a/src/savorywheel/traffic/call_context.hpp
+++ b/src/savorywheel/traffic/call_context.hpp
@@ -40,6 +40,8 @@
     std::vector<node_id> tried_nodes;
     /** @brief Number of attempts that reached a backend server. */
     std::size_t servers_reached{};
+    /** @brief Number of attempts that were refused because the backend server is overloaded. */
+    std::size_t overload_refusals{};
     /** @brief Number of attempts that were refused for lack of capacity. */
     std::size_t capacity_refusals{};
     /** @brief True if a backend server may have run the call in an earlier attempt. */
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -25,6 +25,13 @@
 /** A single refusal may be chance; after two, the version is probably at capacity. */
 constexpr std::size_t refusals_before_spillover = 2;
 
+/**
+ * Each refused attempt costs a round trip and bytes, up to 42 ms between regions. After as many
+ * refusals for overload as a small service has backend servers, the service as a whole is
+ * overloaded, and the caller is told when to come back.
+ */
+constexpr std::size_t max_overload_refusals = 6;
+
 std::chrono::milliseconds deadline_of(const request_options& options, const host_route& route)
 {
     return options.timeout ? std::min(route.timeout, *options.timeout) : route.timeout;
@@ -190,6 +197,7 @@
 void proxy_handler::complete_attempt(const context_pointer& context, call_response outcome)
 {
     context->may_have_run = context->may_have_run || outcome.result == call_result::unknown;
+    context->overload_refusals += outcome.refusal == call_refusal::overload ? 1 : 0;
     context->capacity_refusals += lacks_capacity(outcome.refusal) ? 1 : 0;
     const auto* endpoint =
         outcome.result == call_result::answered ? nullptr : next_endpoint(*context);
@@ -256,6 +264,9 @@
         environment_.time.now() >= context.deadline) {
         return false;
     }
+    if (context.overload_refusals >= max_overload_refusals) {
+        return false;
+    }
     const auto limit = context.route->max_attempts;
     if (limit != 0 && context.servers_reached >= limit) {
         return false;
--- a/test/savorywheel/traffic/proxy_handler_test.cpp
+++ b/test/savorywheel/traffic/proxy_handler_test.cpp
@@ -354,6 +354,17 @@
     EXPECT_EQ(transport.versions, std::vector<version_name>(3, version_name{"v2"}));
 }
 
+/** Guards against a call that occupies its caller until each of many overloaded servers refused. */
+TEST(proxy_handler, overloaded_service_of_many_servers_is_given_up_after_six_refusals)
+{
+    manual_clock time;
+    overloaded_version_transport transport{version_name{"v1"}};
+    proxy_fixture fixture{transport, time, true, 36};
+    const auto answer = test::handle(fixture.proxy, {"POST", "/", {{"Host", "bookdesk"}}, "x"});
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(transport.versions.size(), 6U);
+}
+
 TEST(proxy_handler, overloaded_new_version_spills_over_to_the_old_one_during_a_move)
 {
     manual_clock time;
