Accept tenants and public routes in the mesh's own text

Cause: a mesh with the ordered log could not have tenants.

Change: the text may contain tenants and public routes; commits, checkpoints and the state contain them, and diff tells the changes. The ordered log and the archived text have digests in place of keys; the text that is read back shows them as sha256:HEX, which is accepted again. A key that cannot be replaced safely is a finding, and no finding contains a key. Objects of earlier releases are read as having no tenants.

--- a/apps/ctl/report_printer.cpp
+++ b/apps/ctl/report_printer.cpp
@@ -84,6 +84,9 @@
     for (const auto& line : report.domains) {
         text += line + '\n';
     }
+    for (const auto& line : report.tenants) {
+        text += line + '\n';
+    }
     for (const auto& service : report.services) {
         text += fmt::format("service {} {}\n", service.service.str(), service.change);
         for (const auto& detail : service.details) {
--- a/src/savorywheel/admin/change_planner.cpp
+++ b/src/savorywheel/admin/change_planner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <span>
 
 namespace savorywheel {
 
@@ -87,6 +88,12 @@
     if (!std::ranges::equal(state.domains(), desired.domains)) {
         change.domains = desired.domains;
     }
+    const std::span<const tenant_spec> tenants =
+        state.tenants() ? std::span<const tenant_spec>{*state.tenants()}
+                        : std::span<const tenant_spec>{};
+    if (!std::ranges::equal(tenants, desired.tenants)) {
+        change.tenants = desired.tenants;
+    }
     return change;
 }
 
--- a/src/savorywheel/admin/change_service.cpp
+++ b/src/savorywheel/admin/change_service.cpp
@@ -32,7 +32,7 @@
     if (!request.well_formed()) {
         return submit(request, metadata); // Refused with its findings before any write.
     }
-    if (const auto stored = store_text(metadata.operation, text); !stored) {
+    if (const auto stored = store_text(metadata.operation, request.text_without_keys()); !stored) {
         return refused(metadata.operation, stored.reason().message);
     }
     auto report = submit(request, metadata);
--- a/src/savorywheel/admin/change_submitter.cpp
+++ b/src/savorywheel/admin/change_submitter.cpp
@@ -15,7 +15,7 @@
 
 bool changes_nothing(const commit& change)
 {
-    return change.upserts.empty() && change.removals.empty() && !change.domains;
+    return change.upserts.empty() && change.removals.empty() && !change.domains && !change.tenants;
 }
 
 } // namespace
--- a/src/savorywheel/admin/diff_report.hpp
+++ b/src/savorywheel/admin/diff_report.hpp
@@ -20,6 +20,8 @@
     std::vector<std::string> domains;
     /** @brief Services that change or have an override in force. */
     std::vector<service_difference> services;
+    /** @brief One line per changed tenant; no line contains a key. */
+    std::vector<std::string> tenants;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/admin/difference_finder.hpp
+++ b/src/savorywheel/admin/difference_finder.hpp
@@ -20,6 +20,7 @@
 
 private:
     void compare_domains(std::span<const domain_spec> desired, diff_report& report) const;
+    void compare_tenants(std::span<const tenant_spec> desired, diff_report& report) const;
     void compare_services(std::span<const service_spec> desired, diff_report& report) const;
     void find_removed(std::span<const service_spec> desired, diff_report& report) const;
 
--- a/src/savorywheel/admin/query_handler.cpp
+++ b/src/savorywheel/admin/query_handler.cpp
@@ -21,6 +21,7 @@
     }
     report->domains.clear();
     report->services.clear();
+    report->tenants.clear();
     return make_json_response(admin_status::ok, encode_json(*report));
 }
 
--- a/src/savorywheel/admin/service_comparison.cpp
+++ b/src/savorywheel/admin/service_comparison.cpp
@@ -20,7 +20,7 @@
 
 std::string describe_route(const route_spec& route)
 {
-    return fmt::format("{}, deadline {} ms, calls {}",
+    return fmt::format("{}{}, deadline {} ms, calls {}", route.is_public ? "public, " : "",
                        route.idempotent ? "idempotent" : "not idempotent", route.deadline.count(),
                        describe_names(route.calls));
 }
--- a/src/savorywheel/admin/text_change.hpp
+++ b/src/savorywheel/admin/text_change.hpp
@@ -26,6 +26,12 @@
     /** @return Desired state given by the text; complete only if it is well formed. */
     [[nodiscard]] const mesh_spec& desired() const noexcept { return desired_; }
 
+    /** @return The text to keep, with digests in place of API keys. */
+    [[nodiscard]] const std::string& text_without_keys() const noexcept
+    {
+        return reader_.text_without_keys();
+    }
+
     [[nodiscard]] outcome<commit> plan(const mesh_state& state, calendar_time now,
                                        findings& report) const override;
 
--- a/src/savorywheel/config/commit.hpp
+++ b/src/savorywheel/config/commit.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/config/commit_kind.hpp>
 #include <savorywheel/config/domain_spec.hpp>
 #include <savorywheel/config/service_state.hpp>
+#include <savorywheel/config/tenant_spec.hpp>
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/config_version.hpp>
 #include <savorywheel/core/names.hpp>
@@ -37,6 +38,8 @@
     std::vector<service_name> removals;
     /** @brief New list of failure domains; std::nullopt if unchanged. */
     std::optional<std::vector<domain_spec>> domains;
+    /** @brief New list of tenants; std::nullopt if unchanged. */
+    std::optional<std::vector<tenant_spec>> tenants;
 
     [[nodiscard]] friend bool operator==(const commit&, const commit&) = default;
 };
--- a/src/savorywheel/config/key_digest.hpp
+++ b/src/savorywheel/config/key_digest.hpp
@@ -3,6 +3,8 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
 
 namespace savorywheel {
@@ -22,6 +24,12 @@
 /** @return Digest of an API key. */
 [[nodiscard]] key_digest digest_of_key(std::string_view key) noexcept;
 
+/** @return The digest as text, such as "sha256:00112233445566778899aabbccddeeff". */
+[[nodiscard]] std::string to_string(const key_digest& digest);
+
+/** @return The digest that to_string() wrote; nothing for another text. */
+[[nodiscard]] std::optional<key_digest> parse_key_digest(std::string_view text);
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/config/mesh_spec_parser.hpp
+++ b/src/savorywheel/config/mesh_spec_parser.hpp
@@ -6,10 +6,14 @@
 #include <savorywheel/core/findings.hpp>
 
 #include <cstddef>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace savorywheel {
 
+class yaml_cursor;
+
 /** @brief Maximum size of a configuration text, in bytes: the platform's limit per value. */
 inline constexpr std::size_t max_config_text_bytes = 1'000'000;
 
@@ -27,8 +31,18 @@
     /** @return Positions of the parts in the text that was parsed last. */
     [[nodiscard]] const position_index& positions() const noexcept { return positions_; }
 
+    /** @return The text that was parsed last, with digests in place of API keys. */
+    [[nodiscard]] const std::string& text_without_keys() const noexcept
+    {
+        return text_without_keys_;
+    }
+
 private:
+    [[nodiscard]] std::vector<tenant_spec> read_tenants(const yaml_cursor& root,
+                                                        std::string_view text, findings& report);
+
     position_index positions_;
+    std::string text_without_keys_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/config/mesh_state.cpp
+++ b/src/savorywheel/config/mesh_state.cpp
@@ -19,9 +19,10 @@
 } // namespace
 
 mesh_state::mesh_state(config_version version, std::vector<domain_spec> domains,
-                       std::span<const service_state> services)
+                       std::span<const service_state> services, std::vector<tenant_spec> tenants)
     : version_{version}, domains_{std::move(domains)}
 {
+    set_tenants(std::move(tenants));
     for (const auto& service : services) {
         services_.emplace(service.spec.name, std::make_shared<const service_state>(service));
     }
@@ -32,9 +33,7 @@
       hosts_{std::make_shared<const std::vector<virtual_host>>(source.hosts)}, limits_{
                                                                                    source.limits}
 {
-    if (!source.tenants.empty()) {
-        tenants_ = std::make_shared<const std::vector<tenant_spec>>(source.tenants);
-    }
+    set_tenants(source.tenants);
     std::map<service_name, service_state> services;
     for (const auto& name : source.services) {
         services[name].spec.name = name;
@@ -71,6 +70,9 @@
     if (change.domains) {
         next.domains_ = *change.domains;
     }
+    if (change.tenants) {
+        next.set_tenants(*change.tenants);
+    }
     for (const auto& removal : change.removals) {
         if (next.services_.erase(removal) == 0) {
             return failure{failure_code::invalid_argument,
@@ -105,6 +107,13 @@
            std::ranges::equal(left.services_, right.services_, equal_service);
 }
 
+void mesh_state::set_tenants(std::vector<tenant_spec> tenants)
+{
+    tenants_ = tenants.empty()
+                   ? nullptr
+                   : std::make_shared<const std::vector<tenant_spec>>(std::move(tenants));
+}
+
 outcome<bool> mesh_state::check_references() const
 {
     for (const auto& [name, service] : services_) {
--- a/src/savorywheel/config/mesh_state.hpp
+++ b/src/savorywheel/config/mesh_state.hpp
@@ -27,7 +27,7 @@
 
     /** @brief Creates a state from the contents of a checkpoint. */
     mesh_state(config_version version, std::vector<domain_spec> domains,
-               std::span<const service_state> services);
+               std::span<const service_state> services, std::vector<tenant_spec> tenants = {});
 
     /**
      * @brief Applies a commit atomically.
@@ -81,6 +81,7 @@
 
 private:
     [[nodiscard]] outcome<bool> check_references() const;
+    void set_tenants(std::vector<tenant_spec> tenants);
 
     config_version version_;
     config_version operator_version_;
--- a/src/savorywheel/config/mesh_validator.cpp
+++ b/src/savorywheel/config/mesh_validator.cpp
@@ -2,6 +2,7 @@
 #include <savorywheel/config/mesh_validator.hpp>
 #include <savorywheel/config/name_rules.hpp>
 #include <savorywheel/config/service_validator.hpp>
+#include <savorywheel/config/tenant_rules.hpp>
 
 #include <fmt/format.h>
 
@@ -38,6 +39,16 @@
     }
 }
 
+void check_tenants(const mesh_spec& spec, const position_index& positions, findings& report)
+{
+    tenant_rules rules;
+    rules.check(spec.tenants);
+    for (const auto& fault : rules.faults()) {
+        report.add(positions.find(place_of(fault, "keys", "rate_per_s")), fault.found,
+                   fault.expected);
+    }
+}
+
 service_index index_services(const mesh_spec& spec, const position_index& positions,
                              findings& report)
 {
@@ -109,6 +120,7 @@
 void mesh_validator::check(const mesh_spec& spec, findings& report) const
 {
     check_domains(spec, positions_, report);
+    check_tenants(spec, positions_, report);
     const auto index = index_services(spec, positions_, report);
     const auto graph = check_dependencies(spec, index, positions_, report);
     for (const auto& cycle : cycle_finder{graph}.find()) {
--- a/src/savorywheel/config/route_spec.hpp
+++ b/src/savorywheel/config/route_spec.hpp
@@ -19,6 +19,8 @@
     std::chrono::milliseconds deadline{};
     /** @brief Services that the route calls; each must be a dependency of the service. */
     std::vector<service_name> calls;
+    /** @brief True if requests need no API key. */
+    bool is_public{};
 
     [[nodiscard]] friend bool operator==(const route_spec&, const route_spec&) = default;
 };
--- a/src/savorywheel/config/tenant_rules.cpp
+++ b/src/savorywheel/config/tenant_rules.cpp
@@ -58,6 +58,12 @@
     ++key_;
 }
 
+void tenant_rules::add_digest(tenant_spec& tenant, const key_digest& digest)
+{
+    tenant.keys.push_back(digest);
+    ++key_;
+}
+
 void tenant_rules::set_priority(tenant_spec& tenant, std::optional<std::uint32_t> priority)
 {
     if (!priority) {
--- a/src/savorywheel/config/tenant_rules.hpp
+++ b/src/savorywheel/config/tenant_rules.hpp
@@ -35,6 +35,9 @@
      */
     void add_key(tenant_spec& tenant, std::optional<std::string_view> key);
 
+    /** @brief Adds a key of which the text states the digest. */
+    void add_digest(tenant_spec& tenant, const key_digest& digest);
+
     /**
      * @brief Sets the priority of the tenant that is read, or records a fault.
      * @param priority Value in the configuration; none if it is not a whole number of 32 bits.
--- a/src/savorywheel/config/yaml_cursor.cpp
+++ b/src/savorywheel/config/yaml_cursor.cpp
@@ -166,6 +166,26 @@
     return values;
 }
 
+std::vector<std::string> yaml_cursor::secret_list(std::string_view key) const
+{
+    const auto list = child(key);
+    if (list.IsDefined() && !list.IsSequence()) {
+        report_error(key, "a value that is not a list", "a list of texts");
+        return {};
+    }
+    std::vector<std::string> values;
+    for (std::size_t i = 0; list.IsDefined() && i < list.size(); ++i) {
+        positions_->record(fmt::format("{}{}/{}", path_, key, i), position_at(list[i].Mark()));
+        values.push_back(list[i].IsScalar() ? list[i].Scalar() : std::string{});
+    }
+    return values;
+}
+
+double yaml_cursor::decimal_or(std::string_view key, double fallback) const
+{
+    return has(key) ? decimal(key) : fallback;
+}
+
 std::vector<yaml_cursor> yaml_cursor::map_list(std::string_view key) const
 {
     const auto list = child(key);
--- a/src/savorywheel/config/yaml_cursor.hpp
+++ b/src/savorywheel/config/yaml_cursor.hpp
@@ -67,6 +67,15 @@
     /** @return Elements of an optional list of strings. */
     [[nodiscard]] std::vector<std::string> text_list(std::string_view key) const;
 
+    /**
+     * @return Elements of an optional list of secrets, which no message quotes; an element that is
+     * not a text is empty.
+     */
+    [[nodiscard]] std::vector<std::string> secret_list(std::string_view key) const;
+
+    /** @return Number under an optional key, or the fallback. */
+    [[nodiscard]] double decimal_or(std::string_view key, double fallback) const;
+
     /** @return Cursors on the elements of an optional list of maps. */
     [[nodiscard]] std::vector<yaml_cursor> map_list(std::string_view key) const;
 
--- a/src/savorywheel/distribution/checkpoint.hpp
+++ b/src/savorywheel/distribution/checkpoint.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/config/domain_spec.hpp>
 #include <savorywheel/config/service_state.hpp>
+#include <savorywheel/config/tenant_spec.hpp>
 #include <savorywheel/core/config_version.hpp>
 
 #include <vector>
@@ -14,6 +15,7 @@
     config_version version;
     std::vector<domain_spec> domains;
     std::vector<service_state> services;
+    std::vector<tenant_spec> tenants{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/distribution/checkpoint_reader.cpp
+++ b/src/savorywheel/distribution/checkpoint_reader.cpp
@@ -53,6 +53,7 @@
         }
         std::ranges::move(shard->domains, std::back_inserter(assembled.domains));
         std::ranges::move(shard->services, std::back_inserter(assembled.services));
+        std::ranges::move(shard->tenants, std::back_inserter(assembled.tenants));
     }
     return assembled;
 }
--- a/src/savorywheel/distribution/checkpoint_writer.cpp
+++ b/src/savorywheel/distribution/checkpoint_writer.cpp
@@ -14,6 +14,8 @@
 
 /** Services per shard to start from; halved until the encoded shard fits. */
 constexpr std::size_t initial_shard_services = 256;
+/** Tenants per shard; one with 20 keys takes about 1,200 bytes. */
+constexpr std::size_t shard_tenants = 256;
 
 /** Encodes as many services as fit into one shard and removes them from the front of the span. */
 std::string encode_shard(checkpoint shard, std::span<const service_state>& rest)
@@ -37,7 +39,14 @@
 {
     std::vector<std::string> shards;
     std::span<const service_state> rest{point.services};
-    checkpoint shard{point.version, point.domains, {}};
+    std::span<const tenant_spec> tenants{point.tenants};
+    while (!tenants.empty()) {
+        const auto part = tenants.first(std::min(tenants.size(), shard_tenants));
+        shards.push_back(
+            encode_json(checkpoint{point.version, {}, {}, {part.begin(), part.end()}}));
+        tenants = tenants.subspan(part.size());
+    }
+    checkpoint shard{point.version, point.domains, {}, {}};
     do {
         shards.push_back(encode_shard(shard, rest));
         shard.domains.clear();
--- a/src/savorywheel/distribution/commit_log.cpp
+++ b/src/savorywheel/distribution/commit_log.cpp
@@ -8,7 +8,8 @@
 {
     apply_result result;
     if (batch.base && batch.base->version > state_.version()) {
-        state_ = mesh_state{batch.base->version, batch.base->domains, batch.base->services};
+        state_ = mesh_state{batch.base->version, batch.base->domains, batch.base->services,
+                            batch.base->tenants};
         commits_.clear();
         result.advanced = true;
     }
@@ -57,6 +58,9 @@
     for (const auto& [name, service] : state_.services()) {
         point.services.push_back(*service);
     }
+    if (state_.tenants()) {
+        point.tenants = *state_.tenants();
+    }
     return point;
 }
 
--- a/src/savorywheel/encoding/admin_archive.hpp
+++ b/src/savorywheel/encoding/admin_archive.hpp
@@ -125,6 +125,7 @@
     archive(
         cereal::make_nvp("version", report.version), cereal::make_nvp("findings", report.findings),
         cereal::make_nvp("domains", report.domains), cereal::make_nvp("services", report.services));
+    archive_added(archive, "tenants", report.tenants);
 }
 
 template<typename Archive>
--- a/src/savorywheel/encoding/config_archive.hpp
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -7,8 +7,56 @@
 #include <savorywheel/config/rollout_record.hpp>
 #include <savorywheel/encoding/core_archive.hpp>
 
+#include <cereal/details/traits.hpp>
+
+#include <string_view>
+
 namespace savorywheel {
 
+/**
+ * Archives a field that earlier releases did not write: absent in their JSON objects, it keeps its
+ * value. The binary messages of one protocol version always contain it.
+ */
+template<typename Archive, typename Value>
+void archive_added(Archive& archive, const char* name, Value& value)
+{
+    if constexpr (requires { archive.getNodeName(); }) {
+        const char* next = archive.getNodeName();
+        if (next == nullptr || std::string_view{next} != name) {
+            return;
+        }
+    }
+    archive(cereal::make_nvp(name, value));
+}
+
+template<typename Archive>
+void serialize(Archive& archive, key_digest& digest)
+{
+    if constexpr (cereal::traits::is_text_archive<Archive>::value) {
+        auto text = to_string(digest);
+        archive(cereal::make_nvp("digest", text));
+        const auto parsed = parse_key_digest(text);
+        if (!parsed) {
+            throw cereal::Exception{"malformed digest of a key"};
+        }
+        digest = *parsed;
+    }
+    else {
+        for (auto& value : digest.bytes) {
+            archive(value);
+        }
+    }
+}
+
+template<typename Archive>
+void serialize(Archive& archive, tenant_spec& tenant)
+{
+    archive(cereal::make_nvp("name", tenant.name), cereal::make_nvp("keys", tenant.keys),
+            cereal::make_nvp("priority", tenant.priority),
+            cereal::make_nvp("rate_per_s", tenant.rate_per_s),
+            cereal::make_nvp("burst", tenant.burst));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, version_weight& weight)
 {
@@ -22,6 +70,7 @@
     archive(cereal::make_nvp("path", route.path), cereal::make_nvp("idempotent", route.idempotent),
             cereal::make_nvp("deadline_ms", route.deadline),
             cereal::make_nvp("calls", route.calls));
+    archive_added(archive, "public", route.is_public);
 }
 
 template<typename Archive>
@@ -80,6 +129,7 @@
     archive_enum(archive, "kind", item.kind, commit_kind::last_kind);
     archive(cereal::make_nvp("reason", item.reason), cereal::make_nvp("upserts", item.upserts),
             cereal::make_nvp("removals", item.removals), cereal::make_nvp("domains", item.domains));
+    archive_added(archive, "tenants", item.tenants);
 }
 
 template<typename Archive>
@@ -115,23 +165,6 @@
             cereal::make_nvp("idle_timeout_ms", limits.idle_timeout));
 }
 
-template<typename Archive>
-void serialize(Archive& archive, key_digest& digest)
-{
-    for (auto& value : digest.bytes) {
-        archive(value);
-    }
-}
-
-template<typename Archive>
-void serialize(Archive& archive, tenant_spec& tenant)
-{
-    archive(cereal::make_nvp("name", tenant.name), cereal::make_nvp("keys", tenant.keys),
-            cereal::make_nvp("priority", tenant.priority),
-            cereal::make_nvp("rate_per_s", tenant.rate_per_s),
-            cereal::make_nvp("burst", tenant.burst));
-}
-
 template<typename Archive>
 void serialize(Archive& archive, operator_configuration& item)
 {
--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -20,6 +20,7 @@
 {
     archive(cereal::make_nvp("version", point.version), cereal::make_nvp("domains", point.domains),
             cereal::make_nvp("services", point.services));
+    archive_added(archive, "tenants", point.tenants);
 }
 
 template<typename Archive>
--- a/src/savorywheel/routing/host_table.cpp
+++ b/src/savorywheel/routing/host_table.cpp
@@ -23,6 +23,7 @@
     route.path = spec.path;
     route.kind = spec.idempotent ? route_kind::idempotent : route_kind::non_idempotent;
     route.timeout = spec.deadline;
+    route.is_public = spec.is_public;
     route.shares = {{service, 1}};
     return route;
 }
--- a/test/savorywheel/admin/admin_handler_test.cpp
+++ b/test/savorywheel/admin/admin_handler_test.cpp
@@ -89,6 +89,30 @@
     EXPECT_EQ(store_.list("texts/", "")->objects.size(), 1U);
 }
 
+// The archived text and the commits outlive a key, and any node can read them.
+TEST_F(admin_handler_test, no_object_in_the_store_contains_an_api_key)
+{
+    const auto text = "tenants: [{name: clinic, keys: [\"secret-1\"]}]\n" + std::string{mesh_text};
+    EXPECT_EQ(send("PUT", "/config", text).status, 200);
+    for (const auto& object : store_.list("", "")->objects) {
+        EXPECT_EQ(object.value.find("secret"), std::string::npos) << object.key;
+    }
+    const auto digest = to_string(digest_of_key("secret-1"));
+    const auto read_back = send("GET", "/config").body;
+    EXPECT_NE(read_back.find(digest), std::string::npos);
+    const auto change = decode_json<commit>(store_.list("commits/", "")->objects[0].value);
+    ASSERT_TRUE(change && change->tenants);
+    ASSERT_EQ(change->tenants->size(), 1U);
+    EXPECT_EQ(change->tenants->front().keys, std::vector{digest_of_key("secret-1")});
+    control_.set_configuration(*mesh_state{}.apply(*change));
+    const auto same = decode_json<diff_report>(send("POST", "/diff", read_back, {}).body);
+    ASSERT_TRUE(same);
+    EXPECT_TRUE(same->tenants.empty());
+    const auto removal = decode_json<diff_report>(send("POST", "/diff", mesh_text, {}).body);
+    ASSERT_TRUE(removal);
+    EXPECT_EQ(removal->tenants, std::vector<std::string>{"tenant clinic removed"});
+}
+
 TEST_F(admin_handler_test, repeated_operation_is_executed_once)
 {
     const std::vector<http_header> headers{{"X-Savorywheel-Key", good_key},
--- a/test/savorywheel/encoding/codec_test.cpp
+++ b/test/savorywheel/encoding/codec_test.cpp
@@ -24,6 +24,7 @@
     state.spec.routes.push_back({"/check", true, std::chrono::milliseconds{800}, {}});
     state.weights.push_back({version_name{"v1"}, 1000});
     item.upserts.push_back(state);
+    item.tenants = {{tenant_name{"clinic"}, {digest_of_key("k")}, 1, 2.5, 3.0}};
     return item;
 }
 
@@ -57,4 +58,33 @@
     static_cast<void>(decode<membership_message>(view));
 }
 
+// The ordered log and the checkpoints of earlier releases have no tenants and public routes.
+TEST(codec, commit_of_an_earlier_release_has_no_tenants)
+{
+    auto item = sample_commit();
+    item.upserts.push_back(item.upserts.front());
+    item.tenants.reset();
+    auto text = encode_json(item);
+    for (const std::string_view added :
+         {",\n\"public\": false", ",\n\"tenants\": {\n\"nullopt\": true\n}"}) {
+        while (text.find(added) != std::string::npos) {
+            text.erase(text.find(added), added.size());
+        }
+    }
+    ASSERT_EQ(text.find("public"), std::string::npos) << text;
+    ASSERT_EQ(text.find("tenants"), std::string::npos);
+    const auto result = decode_json<commit>(text);
+    ASSERT_TRUE(result) << result.reason().message;
+    EXPECT_EQ(*result, item);
+}
+
+TEST(codec, malformed_digest_of_a_key_is_refused)
+{
+    auto text = encode_json(sample_commit());
+    const auto place = text.find("sha256:");
+    ASSERT_NE(place, std::string::npos);
+    text[place + 10] = 'x';
+    EXPECT_FALSE(decode_json<commit>(text));
+}
+
 } // namespace savorywheel::test
