--- a/src/savorywheel/traffic/admission_check.cpp
+++ b/src/savorywheel/traffic/admission_check.cpp
@@ -16,8 +16,11 @@
 constexpr std::chrono::milliseconds min_retry_after{50};
 /** The longest queue, of four calls to a slot, drains in this time if a call takes a second. */
 constexpr std::chrono::milliseconds max_retry_after{4000};
-/** The caller keeps three quarters of its time to try another node. */
-constexpr int late_start_divisor = 4;
+/**
+ * A late call is worth little, and each one that runs makes calls behind it late. With an eighth
+ * instead of a sixteenth, 78 instead of 82 of 100 calls were in time at 1.1 of the capacity.
+ */
+constexpr int late_start_divisor = 16;
 
 } // namespace
 
--- a/src/savorywheel/traffic/call_queue.cpp
+++ b/src/savorywheel/traffic/call_queue.cpp
@@ -5,17 +5,24 @@
 
 namespace savorywheel {
 
+namespace {
+
+/** Pairs of priorities with calls; a mesh has a few of each kind. */
+constexpr std::size_t max_lanes = 64;
+
+} // namespace
+
 bool call_queue::push(call_pointer item)
 {
     const auto& call = item->call;
-    const auto placement = item->placement;
+    const auto rank = rank_of(*item, item->placement);
+    ++arrivals_;
     auto& lane = lanes_[{call.tenant_priority, call.priority}];
-    queue_rank rank{call.tenant_priority, call.priority, placement, 0.0, ++arrivals_};
-    if (placement == call_class::express) {
+    if (item->placement == call_class::express) {
         ++lane.express;
     }
     else {
-        rank.start_tag = lane.clock.add(call.tenant, item->expected.mean, call.tenant_weight);
+        lane.clock.add(call.tenant, item->expected.mean, call.tenant_weight);
     }
     ++lane.size;
     work_ += item->expected.mean;
@@ -43,7 +50,8 @@
         !lane.share.exhausted()) {
         return first;
     }
-    return calls_.lower_bound({rank.tenant_priority, rank.priority, call_class::on_time, 0.0, 0});
+    return calls_.lower_bound(
+        {rank.tenant_priority, rank.priority, false, call_class::on_time, 0.0, 0});
 }
 
 call_queue::call_pointer call_queue::remove(call_map::iterator position, bool starts)
@@ -63,13 +71,14 @@
         }
     }
     else if (starts) {
-        lane.clock.advance(rank.start_tag);
+        lane.clock.advance(work);
         lane.share.earn(work);
     }
     else {
-        lane.clock.take_back(item->call.tenant, rank.start_tag, work, item->call.tenant_weight);
+        lane.clock.take_back(item->call.tenant, work, item->call.tenant_weight);
     }
-    if (lane.size == 0) {
+    // The history of the tenants outlives a queue that is empty for a moment.
+    if (lane.size == 0 && (lane.clock.size() == 0 || lanes_.size() > max_lanes)) {
         lanes_.erase(found);
     }
     return item;
@@ -78,10 +87,13 @@
 queue_rank call_queue::rank_of(const gate_call& item, call_class placement) const
 {
     const auto& call = item.call;
-    queue_rank rank{call.tenant_priority, call.priority, placement, 0.0, arrivals_ + 1};
+    queue_rank rank{call.tenant_priority, call.priority, false, placement, 0.0, arrivals_ + 1};
     const auto found = lanes_.find({call.tenant_priority, call.priority});
     if (placement != call_class::express && found != lanes_.end()) {
-        rank.start_tag = found->second.clock.start_tag(call.tenant);
+        const auto& clock = found->second.clock;
+        rank.start_tag = clock.start_tag(call.tenant, call.tenant_weight);
+        // Without a tenant there is nobody to share with.
+        rank.beyond_share = !call.tenant.str().empty() && clock.is_beyond_share(rank.start_tag);
     }
     return rank;
 }
@@ -99,7 +111,7 @@
 
 std::size_t call_queue::count_ahead_of(std::uint32_t priority) const
 {
-    return ahead_of({0, priority + 1, call_class::express, 0.0, 0}).calls;
+    return ahead_of({0, priority + 1, false, call_class::express, 0.0, 0}).calls;
 }
 
 void call_queue::for_each(const std::function<void(const gate_call&)>& visit) const
--- a/src/savorywheel/traffic/fair_clock.hpp
+++ b/src/savorywheel/traffic/fair_clock.hpp
@@ -4,39 +4,58 @@
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/names.hpp>
 
+#include <cstdint>
 #include <map>
+#include <set>
+#include <utility>
 
 namespace savorywheel {
 
 /**
- * @brief Start-time fair queueing among tenants, by expected work.
+ * @brief Virtual time of weighted fair queueing among tenants, by expected work.
  *
  * A call starts at the virtual time, or at the virtual finish time of its tenant's previous call if
  * that is later; it finishes by its work divided by the tenant's weight after it. Calls run in the
- * order of their start tags. A tenant that sends more than its share advances only its own tags.
+ * order of their start tags. A tenant that sends more than its share advances only its own tags;
+ * a burst of a few calls does not, so that tenants with few calls are not put off by their own.
+ * The virtual time advances with the work that starts, divided by the weights of the tenants that
+ * have had more than others; a tenant is forgotten once the virtual time has reached its tag.
  */
 class fair_clock {
 public:
     /** @return Start tag of the next call of the tenant. */
-    [[nodiscard]] double start_tag(const tenant_name& tenant) const;
+    [[nodiscard]] double start_tag(const tenant_name& tenant, std::uint32_t weight) const;
 
-    /**
-     * @brief Adds the work of a call that joins the queue.
-     * @return Its start tag.
-     */
-    double add(const tenant_name& tenant, duration work, std::uint32_t weight);
+    /** @return True if a call with this start tag is beyond the share of its tenant. */
+    [[nodiscard]] bool is_beyond_share(double start_tag) const noexcept
+    {
+        return start_tag > virtual_time_;
+    }
 
-    /** @brief Takes back the last added call of the tenant, which left the queue without running.
-     */
-    void take_back(const tenant_name& tenant, double start_tag, duration work,
-                   std::uint32_t weight);
+    /** @brief Adds the work of a call that joins the queue. */
+    void add(const tenant_name& tenant, duration work, std::uint32_t weight);
 
-    /** @brief Advances the virtual time to the tag of a call that starts to run. */
-    void advance(double start_tag);
+    /** @brief Takes back the work of a call that left the queue without running. */
+    void take_back(const tenant_name& tenant, duration work, std::uint32_t weight);
+
+    /** @brief Advances the virtual time by the work of a call that starts to run. */
+    void advance(duration work);
+
+    /** @return Number of tenants that have had more than others. */
+    [[nodiscard]] std::size_t size() const noexcept { return tenants_.size(); }
 
 private:
-    /** Virtual finish time of the last call by tenant; absent if it is in the past. */
-    std::map<tenant_name, double> finish_tags_;
+    struct entry {
+        double finish_tag{};
+        std::uint32_t weight{};
+    };
+
+    void set_finish_tag(const tenant_name& tenant, double finish_tag, std::uint32_t weight);
+    void remove_past();
+
+    std::map<tenant_name, entry> tenants_;
+    std::set<std::pair<double, tenant_name>> by_finish_tag_;
+    double weights_{};
     double virtual_time_{};
 };
 
--- a/src/savorywheel/traffic/gate_state.cpp
+++ b/src/savorywheel/traffic/gate_state.cpp
@@ -11,17 +11,25 @@
 constexpr int min_remaining_divisor = 2;
 /** Expected rest of a call that has run for its mean or longer; log-normal, spread 0.5 to 0.8. */
 constexpr int overdue_divisor = 2;
-/** A late call is refused when half of its time has passed, so that its caller can retry. */
-constexpr int late_hold_divisor = 2;
+/** The rest of a call that has run for several times its mean grows with that time. */
+constexpr int overdue_tail_divisor = 4;
+/** A late call that calls in time overtake is refused after this part of its time, to be retried.
+ */
+constexpr int late_hold_divisor = 8;
+/** A server that responds to nothing must be probed again soon after its calls have timed out. */
+constexpr duration max_abandoned_hold{std::chrono::seconds{1}};
 /** Calls of one slot in the queue. */
 constexpr std::size_t max_queued_per_slot = 4;
+/** Half of the queue, so that a flood of express calls leaves places to others. */
+constexpr std::size_t max_express_per_slot = max_queued_per_slot / 2;
 /** A service of a mesh with tenants gets calls with tenants far more often than this. */
 constexpr std::chrono::seconds tenants_remembered{60};
 
 duration rest_of(const gate_call& item, monotonic_time now)
 {
     const auto& mean = item.expected.mean;
-    return std::max<duration>(mean - (now - item.started), mean / overdue_divisor);
+    const auto ran = now - item.started;
+    return std::max<duration>({mean - ran, mean / overdue_divisor, ran / overdue_tail_divisor});
 }
 
 template<std::size_t Size>
@@ -36,6 +44,7 @@
 {
     if (!backend || !backend_ || backend->identity != backend_->identity) {
         silence_detector_.reset();
+        abandoned_ = {};
     }
     backend_ = std::move(backend);
 }
@@ -88,7 +97,8 @@
     if (item.placement == call_class::express) {
         // The caller of an inner call prefers a late response to none.
         check.highest_priority = true;
-        return check.decide();
+        return check.waiting >= max_express_per_slot * slots() ? call_refusal::overload
+                                                               : check.decide();
     }
     if (check.target_missed()) {
         return place_late(item, now);
@@ -215,7 +225,8 @@
     if (response.result != call_result::answered) {
         const bool given_up = item->cancel_signal.cancelled() || now >= item->deadline;
         if (response.result == call_result::unknown && !item->received && given_up) {
-            abandoned_.add(now + rest_of(*item, now));
+            const auto rest = std::max(rest_of(*item, now), std::min(ran, max_abandoned_hold));
+            abandoned_.add(now + rest);
             if (ran > item->expected.mean) {
                 // Its service time is at least this; without it, a slow server would look fast.
                 service_times_.record(item->call.route, ran);
--- a/src/savorywheel/traffic/queue_rank.hpp
+++ b/src/savorywheel/traffic/queue_rank.hpp
@@ -14,6 +14,8 @@
     std::uint32_t tenant_priority{};
     /** @brief Priority of the route; 0 is the highest. */
     std::uint32_t priority{};
+    /** @brief True if the tenant has had more than its share; others go first, even late ones. */
+    bool beyond_share{};
     call_class placement{call_class::on_time};
     /** @brief Virtual start time among the tenants; see fair_clock. */
     double start_tag{};
