Answer peers with the difference from their configuration, and compress whole ones

A node sent the whole configuration of 154 KB to each peer that lacked the last change of one route. Now it keeps the last 16 configurations and sends the difference from the one that the request names, by segments of lists, so that the order of routes is exact; every other requester gets the whole configuration, compressed by zlib if that is smaller. A difference from another base is refused (SW2037) and the whole configuration is fetched once; one from a base that was replaced since the request is asked for again. The size after decompression and the number of items are limited. An answer is encoded once for all children of a tree.

--- a/src/savorywheel/distribution/document_request.hpp
+++ b/src/savorywheel/distribution/document_request.hpp
@@ -13,6 +13,9 @@
     config_version version;
     /** @brief Revision of that configuration. */
     std::uint64_t revision{};
+
+    [[nodiscard]] friend bool operator==(const document_request&,
+                                         const document_request&) = default;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/distribution/operator_documents.cpp
+++ b/src/savorywheel/distribution/operator_documents.cpp
@@ -46,11 +46,16 @@
            (remote.operator_version > own.operator_version || remote.version >= own.version);
 }
 
+bool operator_documents::is_newer(config_version candidate,
+                                  std::uint64_t candidate_revision) const noexcept
+{
+    return std::tuple{candidate, candidate_revision} > std::tuple{configuration.version, revision};
+}
+
 bool operator_documents::merge(const operator_configuration& candidate,
                                std::uint64_t candidate_revision)
 {
-    if (std::tuple{candidate.version, candidate_revision} <=
-        std::tuple{configuration.version, revision}) {
+    if (!is_newer(candidate.version, candidate_revision)) {
         return false;
     }
     configuration = candidate;
--- a/src/savorywheel/distribution/operator_documents.hpp
+++ b/src/savorywheel/distribution/operator_documents.hpp
@@ -42,6 +42,10 @@
      */
     [[nodiscard]] bool lacks_any_of(const configuration_head& remote) const;
 
+    /** @return True if the candidate has a newer version, or a newer revision of the same one. */
+    [[nodiscard]] bool is_newer(config_version candidate,
+                                std::uint64_t candidate_revision) const noexcept;
+
     /**
      * @brief Replaces the configuration if the candidate has a newer version, or a newer revision
      * of the same version.
--- a/src/savorywheel/encoding/config_archive.hpp
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ENCODING_CONFIG_ARCHIVE_HPP
 
 #include <savorywheel/config/commit.hpp>
+#include <savorywheel/config/configuration_delta.hpp>
 #include <savorywheel/config/operator_configuration.hpp>
 #include <savorywheel/config/rollout_order.hpp>
 #include <savorywheel/config/rollout_record.hpp>
@@ -140,6 +141,29 @@
             cereal::make_nvp("tenants", item.tenants));
 }
 
+template<typename Archive, typename Change>
+void serialize(Archive& archive, list_segment<Change>& segment)
+{
+    archive(cereal::make_nvp("first", segment.first), cereal::make_nvp("count", segment.count),
+            cereal::make_nvp("added", segment.added));
+}
+
+template<typename Archive>
+void serialize(Archive& archive, host_delta& item)
+{
+    archive(cereal::make_nvp("host", item.host), cereal::make_nvp("routes", item.routes));
+}
+
+template<typename Archive>
+void serialize(Archive& archive, configuration_delta& item)
+{
+    archive(cereal::make_nvp("base_version", item.base_version),
+            cereal::make_nvp("base_revision", item.base_revision),
+            cereal::make_nvp("version", item.version), cereal::make_nvp("services", item.services),
+            cereal::make_nvp("hosts", item.hosts), cereal::make_nvp("limits", item.limits),
+            cereal::make_nvp("tenants", item.tenants));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, rollout_record& item)
 {
--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/distribution/commit_fetch_message.hpp>
 #include <savorywheel/distribution/commit_push_message.hpp>
 #include <savorywheel/distribution/confirmation_message.hpp>
+#include <savorywheel/distribution/document_answer.hpp>
 #include <savorywheel/distribution/document_request.hpp>
 #include <savorywheel/distribution/floor_message.hpp>
 #include <savorywheel/distribution/head_message.hpp>
@@ -103,6 +104,12 @@
             cereal::make_nvp("revision", item.revision), cereal::make_nvp("orders", item.orders));
 }
 
+template<typename Archive>
+void serialize(Archive& archive, document_answer& item)
+{
+    archive(cereal::make_nvp("documents", item.documents), cereal::make_nvp("delta", item.delta));
+}
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/node/document_fetcher.cpp
+++ b/src/savorywheel/node/document_fetcher.cpp
@@ -1,6 +1,9 @@
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/encoding/document_answer_codec.hpp>
 #include <savorywheel/node/document_fetcher.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <memory>
 #include <utility>
@@ -38,7 +41,7 @@
     }
     else if (make_room()) {
         const auto due = environment_.loop.time().now() + delay;
-        sources_.push_back({peer, remote, due, 0, {}});
+        sources_.push_back({peer, remote, due, 0, {}, {}});
         wait();
     }
 }
@@ -136,30 +139,51 @@
         const auto request = std::make_shared<std::uint64_t>();
         const auto peer = next->peer;
         next->asked_at = now;
+        next->base = whole_needed_ ? document_request{} : environment_.documents.request();
         next->request = *request = environment_.requests.submit(
             environment_.network.connection_to(peer), frame_kind::configuration_get,
-            encode(environment_.documents.request()),
-            [this, peer, request](request_client::response answer) {
-                environment_.loop.post([this, peer, request, item = std::move(answer)] {
-                    on_response(peer, *request, item);
-                });
+            encode(next->base), [this, request](request_client::response answer) {
+                environment_.loop.post(
+                    [this, request, item = std::move(answer)] { on_response(*request, item); });
             });
     }
     wait();
 }
 
-void document_fetcher::on_response(const network_endpoint& peer, std::uint64_t request,
-                                   const request_client::response& answer)
+void document_fetcher::merge(const source& responded, const document_answer& remote)
+{
+    const auto base = environment_.documents.request();
+    const auto merged = environment_.received(responded.peer, remote);
+    if (merged) {
+        whole_needed_ = false;
+        return;
+    }
+    if (responded.base != base && responded.base != document_request{}) {
+        // This node has got another configuration since its request, so it asks from that one.
+        add_source(responded.peer, responded.head, duration::zero());
+        return;
+    }
+    environment_.log.write(
+        event_id::document_delta_refused,
+        fmt::format("{}: {}", to_string(responded.peer), merged.reason().message));
+    // Once more without a base; a peer that sends a difference even then is not asked again.
+    if (!std::exchange(whole_needed_, true)) {
+        add_source(responded.peer, responded.head, duration::zero());
+    }
+}
+
+void document_fetcher::on_response(std::uint64_t request, const request_client::response& answer)
 {
     const auto responded = std::ranges::find(sources_, request, &source::request);
     if (responded == sources_.end()) {
         return;
     }
+    const auto source_asked = *responded;
     sources_.erase(responded);
     const auto remote =
-        answer ? decode<operator_documents>(*answer) : outcome<operator_documents>{answer.reason()};
+        answer ? decode_document_answer(*answer) : outcome<document_answer>{answer.reason()};
     if (remote) {
-        environment_.received(peer, *remote);
+        merge(source_asked, *remote);
     }
     else {
         environment_.log.write(event_id::configuration_fetch_failed, remote.reason().message);
--- a/src/savorywheel/node/document_fetcher.hpp
+++ b/src/savorywheel/node/document_fetcher.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_NODE_DOCUMENT_FETCHER_HPP
 
 #include <savorywheel/core/control_loop.hpp>
+#include <savorywheel/distribution/document_answer.hpp>
 #include <savorywheel/distribution/operator_documents.hpp>
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/transport/peer_network.hpp>
@@ -32,8 +33,11 @@
         event_log& log;
         /** @brief This node's documents. */
         const operator_documents& documents;
-        /** @brief Receives the documents of a peer. */
-        std::function<void(const network_endpoint& peer, const operator_documents& received)>
+        /**
+         * @brief Merges the answer of a peer; returns a failure if its difference does not apply to
+         * this node's configuration.
+         */
+        std::function<outcome<bool>(const network_endpoint& peer, const document_answer& received)>
             received;
         /** @brief Called once for each fetch in which a peer has not responded in time. */
         std::function<void()> delayed;
@@ -70,6 +74,8 @@
         /** Request that was sent to the peer; zero if there is none. */
         std::uint64_t request{};
         monotonic_time asked_at;
+        /** Configuration that the request named. */
+        document_request base;
     };
 
     /** Makes room for another source in place of the one that was asked first; false if none was.
@@ -78,13 +84,15 @@
     /** Waits until the next source is due and the last one has had its time. */
     void wait();
     void ask_next();
-    void on_response(const network_endpoint& peer, std::uint64_t request,
-                     const request_client::response& answer);
+    void on_response(std::uint64_t request, const request_client::response& answer);
+    void merge(const source& responded, const document_answer& remote);
     void remove_useless_sources();
 
     environment environment_;
     std::vector<source> sources_;
     bool delay_reported_{};
+    /** True after a difference that could not be applied. */
+    bool whole_needed_{};
     subscription timer_;
 };
 
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -62,12 +62,8 @@
             environment_.requests,
             environment_.log,
             documents_,
-            [this](const network_endpoint& peer, const operator_documents& received) {
-                const auto previous = documents_.revision;
-                if (documents_.merge(received)) {
-                    expect_delivery(previous);
-                    on_documents_changed(to_string(peer));
-                }
+            [this](const network_endpoint& peer, const document_answer& received) {
+                return merge_answer(peer, received);
             },
             [this] { environment_.fetch_delayed(); },
             [this] { answer_waiting(); }};
@@ -87,6 +83,7 @@
 void document_service::set_role(watch_role role)
 {
     role_ = role;
+    counters_.watching = watches(role) ? 1 : 0;
     configuration_watcher_.set_watching(watches(role));
     order_watcher_.set_watching(watches(role));
     configuration_deliveries_.reset();
@@ -154,6 +151,7 @@
 void document_service::on_documents_changed(std::string source)
 {
     source_ = std::move(source);
+    answers_.on_documents_changed();
     environment_.changed();
     fetcher_.on_documents_changed();
     answer_waiting();
@@ -171,7 +169,7 @@
         log_invalid_object(object, candidate.reason());
         return false;
     }
-    if (!documents_.merge(*candidate, object.revision)) {
+    if (!replace_configuration(*candidate, object.revision)) {
         return false;
     }
     for (const auto& route : candidate->unknown_kinds) {
@@ -181,6 +179,42 @@
     return true;
 }
 
+bool document_service::replace_configuration(const operator_configuration& candidate,
+                                             std::uint64_t revision)
+{
+    if (!documents_.is_newer(candidate.version, revision)) {
+        return false;
+    }
+    answers_.before_replacement();
+    return documents_.merge(candidate, revision);
+}
+
+outcome<bool> document_service::merge_answer(const network_endpoint& peer,
+                                             const document_answer& received)
+{
+    const auto previous = documents_.revision;
+    const auto& remote = received.documents;
+    outcome<bool> configuration = false;
+    if (!received.delta) {
+        configuration = replace_configuration(remote.configuration, remote.revision);
+    }
+    else if (documents_.is_newer(received.delta->version, remote.revision)) {
+        const auto candidate = apply_configuration_delta(documents_.configuration,
+                                                         documents_.revision, *received.delta);
+        configuration = candidate ? replace_configuration(*candidate, remote.revision)
+                                  : outcome<bool>{candidate.reason()};
+    }
+    bool changed = configuration && *configuration;
+    for (const auto& order : remote.orders) {
+        changed = documents_.merge(order) || changed;
+    }
+    if (changed) {
+        expect_delivery(previous);
+        on_documents_changed(to_string(peer));
+    }
+    return configuration;
+}
+
 bool document_service::merge_order(const stored_object& object)
 {
     const auto candidate = order_codec_.decode(object);
@@ -267,7 +301,7 @@
     }
     environment_.quota.post(payload.size(), [this, connection, correlation, wanted = *request] {
         const waiting_request item{connection, correlation, wanted};
-        const bool is_newer = documents_.answer(wanted).revision != 0;
+        const bool is_newer = answers_.has_newer(wanted);
         if (!is_newer && fetcher_.active() && waiting_requests_.size() < max_waiting_requests) {
             waiting_requests_.push_back(item);
             return;
@@ -279,7 +313,7 @@
 void document_service::answer(const waiting_request& item)
 {
     item.connection->send(frame_kind::configuration_value, item.correlation,
-                          encode(documents_.answer(item.request)));
+                          answers_.answer(item.request));
 }
 
 void document_service::answer_waiting()
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -11,6 +11,7 @@
 #include <savorywheel/distribution/order_codec.hpp>
 #include <savorywheel/distribution/watch_role.hpp>
 #include <savorywheel/log/event_log.hpp>
+#include <savorywheel/node/document_answers.hpp>
 #include <savorywheel/node/document_fetcher.hpp>
 #include <savorywheel/transport/frame_handler.hpp>
 #include <savorywheel/transport/peer_network.hpp>
@@ -108,6 +109,9 @@
     /** @return This node's copy of the documents. */
     [[nodiscard]] const operator_documents& documents() const noexcept { return documents_; }
 
+    /** @return Counters of the documents that were sent to peers; may be read by any thread. */
+    [[nodiscard]] const document_counters& counters() const noexcept { return counters_; }
+
     void on_frame(const std::shared_ptr<frame_sink>& connection, frame_kind kind,
                   std::uint64_t correlation, std::span<const std::byte> payload) override;
     void on_closed(const frame_sink& connection, bool established) override;
@@ -130,6 +134,10 @@
     void answer_waiting();
     [[nodiscard]] duration fetch_delay(const configuration_head& remote, head_route route) const;
     [[nodiscard]] bool merge_configuration(const stored_object& object);
+    /** Merges a peer's answer; fails if its difference does not apply to this configuration. */
+    outcome<bool> merge_answer(const network_endpoint& peer, const document_answer& received);
+    [[nodiscard]] bool replace_configuration(const operator_configuration& candidate,
+                                             std::uint64_t revision);
     [[nodiscard]] bool merge_order(const stored_object& object);
     void log_invalid_object(const stored_object& object, const failure& reason);
     /** Expects the watches to deliver as well what another source has just brought. */
@@ -143,6 +151,8 @@
     const order_codec& order_codec_;
     environment environment_;
     operator_documents documents_;
+    document_counters counters_;
+    document_answers answers_{documents_, counters_};
     watch_role role_{watch_role::alone};
     std::optional<bool> store_reachable_;
     std::string source_;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -224,8 +224,9 @@
                                           loop_, random_, store_, worker_, datagrams_, network_,
                                           requests_, tables_, gate_, evidence_, ejections_, meter_,
                                           log_, retries_, front_.configuration(), front_.orders()}};
-    node_metric_source state_metrics_{
-        node_metric_source::environment{control_, gate_, retries_, tables_}};
+    node_metric_source state_metrics_{node_metric_source::environment{
+        control_, gate_, retries_, tables_,
+        control_.documents() == nullptr ? nullptr : &control_.documents()->counters()}};
     load_table loads_;
     endpoint_health health_{time_};
     weighted_version_selector weighted_versions_{random_};
--- a/src/savorywheel/node/node_metric_source.cpp
+++ b/src/savorywheel/node/node_metric_source.cpp
@@ -21,6 +21,7 @@
     collect_members(registry);
     collect_gate(registry);
     collect_routing(registry);
+    collect_documents(registry);
 }
 
 /** Gauges of members keep their last values while the control thread does not answer. */
@@ -68,4 +69,17 @@
     }
 }
 
+void node_metric_source::collect_documents(metric_registry& registry)
+{
+    if (environment_.documents == nullptr) {
+        return;
+    }
+    const auto& sent = *environment_.documents;
+    registry.gauge({"documents_watched"}) = sent.watching.load();
+    registry.count({"document_answers", "form", "whole"}) = sent.whole_answers.load();
+    registry.count({"document_answers", "form", "delta"}) = sent.delta_answers.load();
+    registry.count({"document_answer_bytes", "form", "whole"}) = sent.whole_bytes.load();
+    registry.count({"document_answer_bytes", "form", "delta"}) = sent.delta_bytes.load();
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/node/node_metric_source.hpp
+++ b/src/savorywheel/node/node_metric_source.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/admin/node_control.hpp>
 #include <savorywheel/metrics/metric_source.hpp>
+#include <savorywheel/node/document_counters.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/traffic/gate.hpp>
 #include <savorywheel/traffic/retry_budget.hpp>
@@ -20,6 +21,8 @@
         retry_budget& retries;
         /** @brief Provides the routing table in force. */
         const routing_table_holder& tables;
+        /** @brief Documents sent to peers; nullptr without documents of operators. */
+        const document_counters* documents{};
     };
 
     /** @param env Dependencies. */
@@ -31,6 +34,7 @@
     void collect_members(metric_registry& registry);
     void collect_gate(metric_registry& registry);
     void collect_routing(metric_registry& registry);
+    void collect_documents(metric_registry& registry);
 
     environment environment_;
 };
--- a/test/savorywheel/node/document_service_test.cpp
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/core/seeded_random.hpp>
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/encoding/document_answer_codec.hpp>
 #include <savorywheel/node/document_service.hpp>
 
 #include <gtest/gtest.h>
@@ -164,9 +165,14 @@
     [[nodiscard]] int delays() const noexcept { return delays_; }
 
     void answer(std::uint64_t correlation, const operator_documents& remote)
+    {
+        answer(correlation, document_answer{remote, std::nullopt});
+    }
+
+    void answer(std::uint64_t correlation, const document_answer& remote)
     {
         requests_.on_frame(network_.connection, frame_kind::configuration_value, correlation,
-                           encode(remote));
+                           encode_document_answer(remote));
         loop_.run_pending();
     }
 
@@ -175,6 +181,13 @@
         return network_.connection->correlations;
     }
 
+    [[nodiscard]] document_request last_request() const
+    {
+        return *decode<document_request>(network_.connection->last_payload);
+    }
+
+    [[nodiscard]] const document_counters& counters() const { return service_.counters(); }
+
     [[nodiscard]] const operator_documents& documents() const { return service_.documents(); }
 
 private:
@@ -378,9 +391,76 @@
     fixture.advance_time(100ms);
     fixture.answer(fixture.requests().front(), remote);
     ASSERT_EQ(waiting->correlations.size(), 1U);
-    const auto answered = decode<operator_documents>(waiting->last_payload);
+    const auto answered = decode_document_answer(waiting->last_payload);
+    ASSERT_TRUE(answered);
+    EXPECT_EQ(answered->documents.revision, 100);
+}
+
+// Each node received the whole configuration for each change of one route.
+TEST(document_service, peer_with_a_known_configuration_gets_the_difference)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    fixture.deliver({"config/main", "100", 100});
+    const auto known = fixture.receive_request(make_documents(90, 15));
+    ASSERT_EQ(known->correlations.size(), 1U);
+    auto answered = decode_document_answer(known->last_payload);
     ASSERT_TRUE(answered);
-    EXPECT_EQ(answered->revision, 100);
+    ASSERT_TRUE(answered->delta);
+    EXPECT_EQ(answered->delta->base_revision, 90);
+    EXPECT_EQ(answered->documents.revision, 100);
+    EXPECT_EQ(answered->documents.configuration.version, config_version{});
+    // A requester without a configuration, or with one that this node never had.
+    for (const auto& requester : {operator_documents{}, make_documents(80, 15)}) {
+        const auto unknown = fixture.receive_request(requester);
+        answered = decode_document_answer(unknown->last_payload);
+        ASSERT_TRUE(answered);
+        EXPECT_FALSE(answered->delta);
+        EXPECT_EQ(answered->documents.configuration.version, config_version{1000});
+    }
+    EXPECT_EQ(fixture.counters().delta_answers, 1U);
+    EXPECT_EQ(fixture.counters().whole_answers, 2U);
+}
+
+TEST(document_service, difference_from_another_configuration_is_refused_and_the_whole_one_fetched)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const auto remote = make_documents(100, 101);
+    fixture.report_head(remote);
+    ASSERT_EQ(fixture.requests().size(), 1U);
+    document_answer wrong{
+        {{}, 100, {}},
+        make_configuration_delta(make_documents(80, 1).configuration, 80, remote.configuration)};
+    fixture.answer(fixture.requests().back(), wrong);
+    fixture.advance_time(1ms);
+    EXPECT_EQ(fixture.documents().revision, 90);
+    EXPECT_EQ(fixture.log().count(event_id::document_delta_refused), 1U);
+    ASSERT_EQ(fixture.requests().size(), 2U);
+    EXPECT_EQ(fixture.last_request(), document_request{});
+    // A peer that insists is not asked forever.
+    fixture.answer(fixture.requests().back(), wrong);
+    fixture.advance_time(10s);
+    EXPECT_EQ(fixture.requests().size(), 2U);
+    fixture.report_head(remote);
+    fixture.answer(fixture.requests().back(), remote);
+    EXPECT_EQ(fixture.documents().revision, 100);
+}
+
+TEST(document_service, difference_from_a_configuration_replaced_meanwhile_is_asked_for_again)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const auto remote = make_documents(100, 101);
+    fixture.report_head(remote);
+    ASSERT_EQ(fixture.requests().size(), 1U);
+    fixture.deliver({"config/main", "95", 95});
+    const auto base = make_documents(90, 1);
+    fixture.answer(
+        fixture.requests().back(),
+        document_answer{{{}, 100, {}},
+                        make_configuration_delta(base.configuration, 90, remote.configuration)});
+    fixture.advance_time(1ms);
+    ASSERT_EQ(fixture.requests().size(), 2U);
+    EXPECT_EQ(fixture.last_request(), (document_request{config_version{950}, 95}));
+    EXPECT_EQ(fixture.log().count(event_id::document_delta_refused), 0U);
 }
 
 TEST(document_service, answers_waiting_peers_when_its_own_fetch_fails)
