--- a/test/platform/proxied_mesh.cpp
+++ b/test/platform/proxied_mesh.cpp
@@ -125,19 +125,26 @@
     return connection.send(request) ? connection.read_status() : 0;
 }
 
+std::uint64_t proxied_mesh::metric(int node, const std::string& name) const
+{
+    raw_http_connection connection{{address_of(node), 7615}};
+    if (!connection.send("GET /metrics HTTP/1.1\r\nHost: admin\r\n\r\n") ||
+        connection.read_status() != 200) {
+        return 0;
+    }
+    const auto key = "\n" + name + " ";
+    const auto position = connection.body().find(key);
+    return position == std::string::npos
+               ? 0
+               : std::stoull(connection.body().substr(position + key.size(), 20));
+}
+
 std::uint64_t proxied_mesh::sum_of_metric(const std::string& name) const
 {
     std::uint64_t sum = 0;
     for (int node = 0; node < node_count(); ++node) {
-        raw_http_connection connection{{address_of(node), 7615}};
-        if (!connection.send("GET /metrics HTTP/1.1\r\nHost: admin\r\n\r\n") ||
-            connection.read_status() != 200) {
-            continue;
-        }
-        const auto key = "\n" + name + " ";
-        const auto position = connection.body().find(key);
-        if (position != std::string::npos) {
-            sum += std::stoull(connection.body().substr(position + key.size(), 20));
+        if (nodes_.at(static_cast<std::size_t>(node)) != nullptr) {
+            sum += metric(node, name);
         }
     }
     return sum;
--- a/test/platform/proxied_mesh.hpp
+++ b/test/platform/proxied_mesh.hpp
@@ -51,6 +51,9 @@
     /** @return The store, whose requests and bytes can be read. */
     [[nodiscard]] const metadata_store_server& store() const noexcept { return store_; }
 
+    /** @return A metric without labels of a node; zero if the node does not respond. */
+    [[nodiscard]] std::uint64_t metric(int node, const std::string& name) const;
+
     /** @return Sum over all nodes of a metric without labels. */
     [[nodiscard]] std::uint64_t sum_of_metric(const std::string& name) const;
 
--- a/test/platform/silent_store_test.cpp
+++ b/test/platform/silent_store_test.cpp
@@ -3,6 +3,7 @@
 #include <platform/proxied_mesh.hpp>
 
 #include <thread>
+#include <vector>
 
 namespace savorywheel::platform::test {
 
@@ -60,4 +61,29 @@
     }
 }
 
+// With two watchers in each region, all other nodes depend on what these and the checks tell them.
+TEST(silent_store, few_watchers_of_a_larger_mesh_may_be_silent_or_die_before_a_change)
+{
+    constexpr auto silence_before_change = 750ms;
+    constexpr int nodes = 30;
+    proxied_mesh mesh{nodes, 155};
+    std::this_thread::sleep_for(2 * settling_time);
+    std::vector<int> watchers;
+    for (int node = 0; node < nodes; ++node) {
+        if (mesh.metric(node, "savorywheel_documents_watched") == 1) {
+            watchers.push_back(node);
+        }
+    }
+    EXPECT_EQ(watchers.size(), 6U);
+    EXPECT_EQ(count_late_refusals(mesh, 7), 0);
+    mesh.silence_connections();
+    std::this_thread::sleep_for(silence_before_change);
+    EXPECT_EQ(count_late_refusals(mesh, 9), 0);
+    std::this_thread::sleep_for(settling_time);
+    for (const int node : watchers) {
+        mesh.kill_node(node);
+    }
+    EXPECT_EQ(count_late_refusals(mesh, 11), 0);
+}
+
 } // namespace savorywheel::platform::test
