--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -62,12 +62,8 @@
             environment_.requests,
             environment_.log,
             documents_,
-            [this](const network_endpoint& peer, const operator_documents& received) {
-                const auto previous = documents_.revision;
-                if (documents_.merge(received)) {
-                    expect_delivery(previous);
-                    on_documents_changed(to_string(peer));
-                }
+            [this](const network_endpoint& peer, const document_answer& received) {
+                return merge_answer(peer, received);
             },
             [this] { environment_.fetch_delayed(); },
             [this] { answer_waiting(); }};
@@ -84,11 +80,14 @@
     order_watcher_.start();
 }
 
-void document_service::set_role(watch_role role)
+void document_service::set_choice(const watcher_choice& choice)
 {
-    role_ = role;
-    configuration_watcher_.set_watching(watches(role));
-    order_watcher_.set_watching(watches(role));
+    role_ = choice.role;
+    const bool watching = watches(role_);
+    counters_.watching = watching ? 1 : 0;
+    const auto window = choice.rank == 0 ? watch_batch_window : standby_batch_window;
+    configuration_watcher_.set_watching(watching, window);
+    order_watcher_.set_watching(watching, window);
     configuration_deliveries_.reset();
     order_deliveries_.reset();
 }
@@ -154,6 +153,7 @@
 void document_service::on_documents_changed(std::string source)
 {
     source_ = std::move(source);
+    answers_.on_documents_changed();
     environment_.changed();
     fetcher_.on_documents_changed();
     answer_waiting();
@@ -166,21 +166,59 @@
         log_invalid_object(object, {failure_code::malformed, "not the configuration"});
         return false;
     }
-    const auto candidate = decoder_.decode(object.value);
+    auto candidate = decoder_.decode(object.value);
     if (!candidate) {
         log_invalid_object(object, candidate.reason());
         return false;
     }
-    if (!documents_.merge(*candidate, object.revision)) {
+    if (!replace_configuration(std::move(*candidate), object.revision)) {
         return false;
     }
-    for (const auto& route : candidate->unknown_kinds) {
+    const auto& accepted = documents_.configuration;
+    for (const auto& route : accepted.unknown_kinds) {
         environment_.log.write(event_id::route_kind_unknown,
-                               fmt::format("version {}, {}", candidate->version.number, route));
+                               fmt::format("version {}, {}", accepted.version.number, route));
     }
     return true;
 }
 
+bool document_service::replace_configuration(operator_configuration candidate,
+                                             std::uint64_t revision)
+{
+    if (!documents_.is_newer(candidate.version, revision)) {
+        return false;
+    }
+    answers_.keep(std::exchange(documents_.configuration, std::move(candidate)),
+                  std::exchange(documents_.revision, revision));
+    return true;
+}
+
+outcome<bool> document_service::merge_answer(const network_endpoint& peer,
+                                             const document_answer& received)
+{
+    const auto previous = documents_.revision;
+    const auto& remote = received.documents;
+    outcome<bool> configuration = false;
+    if (!received.delta) {
+        configuration = replace_configuration(remote.configuration, remote.revision);
+    }
+    else if (documents_.is_newer(received.delta->version, remote.revision)) {
+        auto candidate = apply_configuration_delta(documents_.configuration, documents_.revision,
+                                                   *received.delta);
+        configuration = candidate ? replace_configuration(std::move(*candidate), remote.revision)
+                                  : outcome<bool>{candidate.reason()};
+    }
+    bool changed = configuration && *configuration;
+    for (const auto& order : remote.orders) {
+        changed = documents_.merge(order) || changed;
+    }
+    if (changed) {
+        expect_delivery(previous);
+        on_documents_changed(to_string(peer));
+    }
+    return configuration;
+}
+
 bool document_service::merge_order(const stored_object& object)
 {
     const auto candidate = order_codec_.decode(object);
@@ -267,7 +305,7 @@
     }
     environment_.quota.post(payload.size(), [this, connection, correlation, wanted = *request] {
         const waiting_request item{connection, correlation, wanted};
-        const bool is_newer = documents_.answer(wanted).revision != 0;
+        const bool is_newer = answers_.has_newer(wanted);
         if (!is_newer && fetcher_.active() && waiting_requests_.size() < max_waiting_requests) {
             waiting_requests_.push_back(item);
             return;
@@ -279,7 +317,7 @@
 void document_service::answer(const waiting_request& item)
 {
     item.connection->send(frame_kind::configuration_value, item.correlation,
-                          encode(documents_.answer(item.request)));
+                          answers_.answer(item.request));
 }
 
 void document_service::answer_waiting()
--- a/src/savorywheel/node/node_metric_source.hpp
+++ b/src/savorywheel/node/node_metric_source.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/admin/node_control.hpp>
 #include <savorywheel/metrics/metric_source.hpp>
+#include <savorywheel/node/document_counters.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
 #include <savorywheel/traffic/gate.hpp>
 #include <savorywheel/traffic/key_confirmation.hpp>
@@ -24,6 +25,8 @@
         /** @brief Proven time of the API keys. */
         const key_confirmation& keys;
         const clock& time;
+        /** @brief Documents sent to peers; nullptr without documents of operators. */
+        const document_counters* documents{};
     };
 
     /** @param env Dependencies. */
@@ -36,6 +39,7 @@
     void collect_gate(metric_registry& registry);
     void collect_queue(metric_registry& registry);
     void collect_routing(metric_registry& registry);
+    void collect_documents(metric_registry& registry);
 
     environment environment_;
 };
