Refuse responses whose status is not 100 to 599

Cause: libcurl rejects most invalid status lines, but accepts 600, 999 and 200x (as 200), and the client passed them on as responses. Change: the status line is checked before its fields are read; the outcome of such a call is unknown.

--- a/src/savorywheel/http/curl_transfer.cpp
+++ b/src/savorywheel/http/curl_transfer.cpp
@@ -294,8 +294,10 @@
         return size * count;
     }
     transfer.violation_ =
-        fmt::format("the response's header exceeds {} bytes or {} interim responses",
-                    transfer.limits_.max_header_bytes, transfer.limits_.max_interim_responses);
+        transfer.head_.has_valid_status()
+            ? fmt::format("the response's header exceeds {} bytes or {} interim responses",
+                          transfer.limits_.max_header_bytes, transfer.limits_.max_interim_responses)
+            : "the response has no valid status";
     return 0;
 }
 
--- a/src/savorywheel/http/response_head.cpp
+++ b/src/savorywheel/http/response_head.cpp
@@ -1,6 +1,9 @@
 #include <savorywheel/http/response_head.hpp>
 
+#include <charconv>
+#include <optional>
 #include <string>
+#include <system_error>
 
 namespace savorywheel {
 
@@ -15,6 +18,26 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
+/**
+ * @return Status code of a line "HTTP/1.1 200 OK", whose text after the code may be missing; none
+ * unless it has three digits and is 100 to 599 (RFC 9110, 15).
+ */
+std::optional<int> parse_status(std::string_view status_line)
+{
+    constexpr std::size_t digits = 3;
+    const auto space = status_line.find(' ');
+    if (space == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto rest = trim(status_line.substr(space));
+    const auto code = rest.substr(0, rest.find(' '));
+    int status{};
+    const auto parsed = std::from_chars(code.data(), code.data() + code.size(), status);
+    const bool valid = code.size() == digits && parsed.ec == std::errc{} &&
+                       parsed.ptr == code.data() + code.size() && status >= 100 && status <= 599;
+    return valid ? std::optional{status} : std::nullopt;
+}
+
 } // namespace
 
 bool response_head::add_line(std::string_view line)
@@ -36,13 +59,14 @@
     else {
         add_field(line);
     }
-    return interim_responses_ <= limits_.max_interim_responses;
+    return valid_ && interim_responses_ <= limits_.max_interim_responses;
 }
 
 void response_head::start(std::string_view status_line)
 {
-    const auto space = status_line.find(' ');
-    interim_ = space != std::string_view::npos && trim(status_line.substr(space)).starts_with('1');
+    const auto status = parse_status(status_line);
+    valid_ = valid_ && status;
+    interim_ = status && *status < 200;
     interim_responses_ += interim_ ? 1 : 0;
     started_ = true;
     fields_.clear();
--- a/src/savorywheel/http/response_head.hpp
+++ b/src/savorywheel/http/response_head.hpp
@@ -23,10 +23,13 @@
 
     /**
      * @brief Reads the next line; it may end with CRLF.
-     * @return False if the header exceeds its limits.
+     * @return False if the header exceeds its limits or its status is not one of a response.
      */
     [[nodiscard]] bool add_line(std::string_view line);
 
+    /** @return False after a status line whose status is not 100 to 599. */
+    [[nodiscard]] bool has_valid_status() const noexcept { return valid_; }
+
     /** @return True after the empty line that ends the header of the final response. */
     [[nodiscard]] bool complete() const noexcept { return complete_; }
 
@@ -48,6 +51,7 @@
     bool started_{};
     bool interim_{};
     bool complete_{};
+    bool valid_{true};
 };
 
 } // namespace savorywheel
