Compose the revisions of the platform's store with its era

A store that was restored from a backup uses its revisions again, so that nodes would take the newest objects for old ones, and a conditional write could replace another object under the same number. The adapter reads the header Store-Era and composes era << 40 | revision; calls with a revision of an ended era are answered without a call. Era 0 leaves every number as it was. The stand-in and the fakes have a restore operation.

--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -78,6 +78,17 @@
                       "are the newest."},
     event_description{event_id::documents_confirmed, info,
                       "The documents of this node are confirmed with the platform's store again."},
+    event_description{event_id::store_restored, warning,
+                      "The platform's store was restored from a backup; this node writes its "
+                      "entries again."},
+    event_description{event_id::older_configuration_kept, warning,
+                      "The restored store has an older configuration than this node; the newer one "
+                      "stays in force."},
+    event_description{event_id::rollout_record_kept, warning,
+                      "The restored store has an older record of a rollout than this node; the "
+                      "newer one stays in force."},
+    event_description{event_id::rollout_record_rewritten, info,
+                      "The record of a rollout was written again to the restored store."},
     event_description{event_id::member_alive, info, "A node joined or responds again."},
     event_description{event_id::member_suspect, info, "A node did not respond to a probe."},
     event_description{event_id::member_dead, warning, "A node failed or left."},
--- a/src/savorywheel/store/metered_object_store.cpp
+++ b/src/savorywheel/store/metered_object_store.cpp
@@ -7,7 +7,7 @@
 metered_object_store::metered_object_store(object_store& inner, metric_registry& registry)
     : inner_{inner}, reads_{registry.count("store_reads")}, writes_{registry.count("store_writes")},
       watches_{registry.count("store_watches")}, checks_{registry.count("store_checks")},
-      failures_{registry.count("store_failures")}
+      failures_{registry.count("store_failures")}, era_{registry.gauge({"store_era"})}
 {
 }
 
@@ -55,6 +55,7 @@
 Result metered_object_store::counted(counter& calls, Result result)
 {
     calls += 1;
+    era_ = inner_.era().value_or(0);
     if (!result) {
         failures_ += 1;
     }
--- a/src/savorywheel/store/metered_object_store.hpp
+++ b/src/savorywheel/store/metered_object_store.hpp
@@ -34,6 +34,10 @@
     [[nodiscard]] outcome<object_list> read(std::string_view prefix,
                                             std::optional<std::uint64_t> after,
                                             std::chrono::milliseconds timeout) override;
+    [[nodiscard]] std::optional<std::uint64_t> era() const noexcept override
+    {
+        return inner_.era();
+    }
 
 private:
     using counter = metric_registry::counter;
@@ -47,6 +51,7 @@
     counter& watches_;
     counter& checks_;
     counter& failures_;
+    counter& era_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/store/object_store.hpp
+++ b/src/savorywheel/store/object_store.hpp
@@ -88,6 +88,14 @@
         static_cast<void>(timeout);
         return after ? watch(prefix, *after, std::chrono::milliseconds::zero()) : list(prefix, {});
     }
+
+    /**
+     * @brief Number of times that the store was restored from a backup, as of its latest response.
+     *
+     * Thread-safe; makes no call.
+     * @return Zero for a store that does not report it; none before the first response.
+     */
+    [[nodiscard]] virtual std::optional<std::uint64_t> era() const noexcept { return 0; }
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/store/store_failure.cpp
+++ b/src/savorywheel/store/store_failure.cpp
@@ -23,4 +23,9 @@
     }
 }
 
+failure lost_revision(failure_code code)
+{
+    return {code, "the store was restored from a backup and has lost the revision"};
+}
+
 } // namespace savorywheel
--- a/src/savorywheel/store/store_failure.hpp
+++ b/src/savorywheel/store/store_failure.hpp
@@ -14,6 +14,9 @@
  */
 [[nodiscard]] failure store_failure(int status);
 
+/** @return Failure of a call with a revision of an era that has ended. */
+[[nodiscard]] failure lost_revision(failure_code code);
+
 } // namespace savorywheel
 
 #endif
--- a/standin/node/delayed_object_store.hpp
+++ b/standin/node/delayed_object_store.hpp
@@ -29,6 +29,10 @@
                                             std::string_view after) override;
     [[nodiscard]] outcome<object_list> watch(std::string_view prefix, std::uint64_t after,
                                              std::chrono::milliseconds max_wait) override;
+    [[nodiscard]] std::optional<std::uint64_t> era() const noexcept override
+    {
+        return inner_.era();
+    }
 
 private:
     object_store& inner_;
--- a/standin/platform/in_memory_object_store.cpp
+++ b/standin/platform/in_memory_object_store.cpp
@@ -93,14 +93,37 @@
 {
     std::unique_lock lock{mutex_};
     object_list result;
+    const auto started_in = era_.load();
+    if (started_in > 0 && after > revision_) {
+        return failure{failure_code::not_found, "no such revision"};
+    }
     changed_.wait_for(lock, max_wait, [&] {
         result = objects_after(prefix, after);
-        return stopping_ || !result.objects.empty();
+        return stopping_ || era_ != started_in || !result.objects.empty();
     });
+    if (era_ != started_in) {
+        return failure{failure_code::not_found, "the store was restored"};
+    }
     result.revision = revision_;
     return result;
 }
 
+void in_memory_object_store::back_up()
+{
+    const std::scoped_lock lock{mutex_};
+    saved_objects_ = objects_;
+    saved_revision_ = revision_;
+}
+
+void in_memory_object_store::restore()
+{
+    const std::scoped_lock lock{mutex_};
+    objects_ = saved_objects_;
+    revision_ = saved_revision_;
+    ++era_;
+    changed_.notify_all();
+}
+
 void in_memory_object_store::stop()
 {
     const std::scoped_lock lock{mutex_};
--- a/standin/platform/in_memory_object_store.hpp
+++ b/standin/platform/in_memory_object_store.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/store/object_store.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -25,6 +26,18 @@
     [[nodiscard]] outcome<object_list> watch(std::string_view prefix, std::uint64_t after,
                                              std::chrono::milliseconds max_wait) override;
 
+    /** @brief Saves a copy of all objects and the revision counter. */
+    void back_up();
+
+    /**
+     * @brief Returns to the saved copy, with its revision counter, and raises the era.
+     *
+     * Pending watches end with not_found, as later ones from revisions above the counter do.
+     */
+    void restore();
+
+    [[nodiscard]] std::optional<std::uint64_t> era() const noexcept override { return era_; }
+
     /** @brief Ends pending watches; later watches return immediately. */
     void stop();
 
@@ -35,6 +48,9 @@
     std::condition_variable changed_;
     std::map<std::string, stored_object, std::less<>> objects_;
     std::uint64_t revision_{};
+    std::map<std::string, stored_object, std::less<>> saved_objects_;
+    std::uint64_t saved_revision_{};
+    std::atomic<std::uint64_t> era_{};
     bool stopping_{};
 };
 
--- a/standin/platform/platform_handler.cpp
+++ b/standin/platform/platform_handler.cpp
@@ -76,8 +76,23 @@
 }
 
 http_response platform_handler::handle(const http_request& request)
+{
+    auto response = respond(request);
+    response.headers.push_back({"Store-Era", std::to_string(store_.era().value_or(0))});
+    return response;
+}
+
+http_response platform_handler::respond(const http_request& request)
 {
     const auto path = path_of(request.target);
+    if (path == "/backup") {
+        store_.back_up();
+        return text_response(status_ok, "saved\n");
+    }
+    if (path == "/restore") {
+        store_.restore();
+        return text_response(status_ok, "restored\n");
+    }
     if (path == "/fault") {
         return set_faults(request);
     }
--- a/standin/platform/platform_handler.hpp
+++ b/standin/platform/platform_handler.hpp
@@ -17,8 +17,10 @@
  * @brief HTTP interface of the platform stand-in.
  *
  * `PUT /fault?down=0|1&lost_answers=N&delay_ms=N&reads_per_second=N&writes_per_second=N` sets its
- * faults and rate limits; `GET /metrics` returns its call counters. A call above its rate limit is
- * rejected with 429 and has no effect; a watch counts as one read, regardless of its duration.
+ * faults and rate limits; `PUT /backup` saves a copy of the objects, and `PUT /restore`
+ * returns to it and raises the era; `GET /metrics` returns its call counters. A call above its rate
+ * limit is rejected with 429 and has no effect; a watch counts as one read, regardless of its
+ * duration.
  */
 class platform_handler final : public http_handler {
 public:
@@ -32,6 +34,7 @@
     [[nodiscard]] http_response handle(const http_request& request) override;
 
 private:
+    [[nodiscard]] http_response respond(const http_request& request);
     [[nodiscard]] http_response set_faults(const http_request& request);
     [[nodiscard]] http_response serve(const http_request& request);
     [[nodiscard]] http_response write(const http_request& request, std::string_view key);
--- a/test/platform/fake_metadata_store.cpp
+++ b/test/platform/fake_metadata_store.cpp
@@ -40,7 +40,11 @@
         action.mapped()();
     }
     if (faults_.empty()) {
-        return handle(request);
+        auto response = handle(request);
+        if (const auto era = store_.era().value_or(0); era > 0) {
+            response.headers.push_back({"Store-Era", std::to_string(era)});
+        }
+        return response;
     }
     const auto fault = faults_.front();
     faults_.pop_front();
@@ -79,6 +83,16 @@
     oldest_revision_ = revision;
 }
 
+void fake_metadata_store::back_up()
+{
+    store_.back_up();
+}
+
+void fake_metadata_store::restore()
+{
+    store_.restore();
+}
+
 std::uint64_t fake_metadata_store::put(const std::string& kind, const std::string& name,
                                        const json& object)
 {
@@ -179,6 +193,9 @@
     }
     const auto changes =
         store_.watch(parsed_target.kind + '/', after, std::chrono::milliseconds{0});
+    if (!changes) {
+        return {status_gone, {}, {}};
+    }
     json events = json::array();
     for (const auto& object : changes->objects) {
         events.push_back({{"object", with_revision(object)}, {"deleted", false}});
--- a/test/platform/fake_metadata_store.hpp
+++ b/test/platform/fake_metadata_store.hpp
@@ -44,6 +44,14 @@
     /** @brief Discards history before a revision; watches from earlier ones fail with 410. */
     void truncate_history(std::uint64_t revision);
 
+    /** @brief Saves a copy of all objects and the revision counter. */
+    void back_up();
+
+    /**
+     * @brief Returns to the saved copy and raises the era, which all responses state from then on.
+     */
+    void restore();
+
     /** @brief Creates or replaces an object, as operators do. */
     std::uint64_t put(const std::string& kind, const std::string& name, const json& object);
 
--- a/test/platform/metadata_store_server.cpp
+++ b/test/platform/metadata_store_server.cpp
@@ -51,12 +51,24 @@
     changed_.notify_all();
 }
 
+void metadata_store_server::restore()
+{
+    store_.restore();
+    {
+        const std::scoped_lock lock{mutex_};
+        ++changes_;
+        ++restores_;
+    }
+    changed_.notify_all();
+}
+
 http_response metadata_store_server::handle(const http_request& request)
 {
     const auto end = std::chrono::steady_clock::now() + wait_of(request.target);
     while (true) {
         std::unique_lock lock{mutex_};
         const auto known = changes_;
+        const auto restores = restores_;
         lock.unlock();
         auto response = store_.send({}, request, {});
         const bool is_final = !response || response->status != status_ok ||
@@ -65,10 +77,16 @@
             return response ? *response : http_response{status_unavailable, {}, {}};
         }
         lock.lock();
+        if (restores_ != restores) {
+            return {status_gone, {}, {}};
+        }
         if (!changed_.wait_until(lock, end, [&] { return stopping_ || changes_ != known; }) ||
             stopping_) {
             return *response;
         }
+        if (restores_ != restores) {
+            return {status_gone, {}, {}};
+        }
     }
 }
 
--- a/test/platform/metadata_store_server.hpp
+++ b/test/platform/metadata_store_server.hpp
@@ -26,6 +26,12 @@
     /** @brief Creates or replaces an object, as operators do. */
     void put(const std::string& kind, const std::string& name, const json& object);
 
+    /** @brief Saves a copy of all objects. */
+    void back_up() { store_.back_up(); }
+
+    /** @brief Returns to the saved copy, raises the era and ends waiting watches with 410. */
+    void restore();
+
     [[nodiscard]] http_response handle(const http_request& request) override;
 
 private:
@@ -34,6 +40,7 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     std::uint64_t changes_{};
+    std::uint64_t restores_{};
     bool stopping_{};
     savorywheel::test::loop_http_server server_{*this};
 };
--- a/test/platform/object_api_store_test.cpp
+++ b/test/platform/object_api_store_test.cpp
@@ -137,4 +137,88 @@
     EXPECT_EQ(all->objects.back().value, "good");
 }
 
+/** Guards against revisions that go back, by which nodes would take the newest objects for old. */
+TEST_F(object_api_store_test, revisions_grow_across_a_restore)
+{
+    fake_store_.put("config", "main", {{"spec", 1}});
+    fake_store_.back_up();
+    fake_store_.put("config", "main", {{"spec", 2}});
+    const auto before = subject_.get("config/main");
+    ASSERT_TRUE(before);
+    EXPECT_EQ(before->revision, 2U);
+    EXPECT_EQ(subject_.era(), 0U);
+    fake_store_.restore();
+    const auto after = subject_.get("config/main");
+    ASSERT_TRUE(after);
+    EXPECT_EQ(subject_.era(), 1U);
+    EXPECT_EQ(after->revision, (std::uint64_t{1} << 40U) + 1);
+    const auto listed = subject_.list("config/", {});
+    ASSERT_TRUE(listed);
+    EXPECT_EQ(listed->revision, (std::uint64_t{1} << 40U) + 1);
+    const auto created = subject_.create("nodes/a", "1");
+    ASSERT_TRUE(created);
+    const auto updated = subject_.update("nodes/a", "2", *created);
+    ASSERT_TRUE(updated);
+    EXPECT_EQ(*updated, (std::uint64_t{1} << 40U) + 3);
+    const auto watched = subject_.watch("nodes/", *created, no_wait);
+    ASSERT_TRUE(watched);
+    EXPECT_EQ(watched->revision, *updated);
+    EXPECT_TRUE(subject_.remove("nodes/a", *updated));
+}
+
+/** Guards against a write that replaces another object under a revision that was used again. */
+TEST_F(object_api_store_test, revision_of_an_ended_era_is_answered_without_a_call)
+{
+    fake_store_.back_up();
+    const auto created = subject_.create("nodes/a", "1");
+    ASSERT_TRUE(created);
+    fake_store_.restore();
+    const auto other = fake_store_.put("nodes", "a", {{"spec", "other"}});
+    ASSERT_EQ(other, *created);
+    ASSERT_TRUE(subject_.list("nodes/", {}));
+    const auto calls = fake_store_.calls().size();
+    EXPECT_EQ(subject_.update("nodes/a", "2", *created).reason().code, failure_code::conflict);
+    EXPECT_EQ(subject_.update("nodes/a/status", "{}", *created).reason().code,
+              failure_code::conflict);
+    EXPECT_EQ(subject_.remove("nodes/a", *created).reason().code, failure_code::conflict);
+    EXPECT_EQ(subject_.watch("nodes/", *created, no_wait).reason().code, failure_code::not_found);
+    EXPECT_EQ(subject_.read("nodes/", *created, std::chrono::seconds{1}).reason().code,
+              failure_code::not_found);
+    EXPECT_EQ(fake_store_.calls().size(), calls);
+    EXPECT_EQ(subject_.get("nodes/a")->value, "other");
+}
+
+/** Guards against changes that a watch skips, as its revision was used again before the call. */
+TEST_F(object_api_store_test, first_call_after_a_restore_is_not_taken_for_an_answer_of_its_era)
+{
+    fake_store_.back_up();
+    const auto created = subject_.create("nodes/a", "1");
+    ASSERT_TRUE(created);
+    fake_store_.restore();
+    fake_store_.put("nodes", "a", {{"spec", "other"}});
+    EXPECT_EQ(subject_.watch("nodes/", *created, no_wait).reason().code, failure_code::not_found);
+    fake_store_.back_up();
+    const auto read = subject_.get("nodes/a");
+    ASSERT_TRUE(read);
+    fake_store_.restore();
+    EXPECT_EQ(subject_.update("nodes/a", "2", read->revision).reason().code,
+              failure_code::unknown_outcome);
+}
+
+/** Guards against an order of the eras by the arrival of delayed responses. */
+TEST(store_era, latest_era_is_never_lowered)
+{
+    store_era subject;
+    EXPECT_FALSE(subject.latest());
+    EXPECT_FALSE(subject.has_ended(7));
+    EXPECT_EQ(subject.observe("2"), 2U);
+    EXPECT_EQ(subject.observe("1"), 1U);
+    EXPECT_EQ(subject.observe(""), 0U);
+    EXPECT_EQ(subject.observe("-1"), 0U);
+    EXPECT_EQ(subject.observe("99999999999999999999"), 0U);
+    EXPECT_EQ(subject.latest(), 2U);
+    EXPECT_TRUE(subject.has_ended(store_revision{1, 7}.composed()));
+    EXPECT_FALSE(subject.has_ended(store_revision{2, 0}.composed()));
+}
+
 } // namespace savorywheel::platform::test
