Leases: nobody acquires one for a lifetime after the store was restored

The restored store may show another holder, a released lease or none while the last holder is still active. The option exclusive of lease_manager::environment applies the same wait after each start, for leases whose two holders would do harm.

--- a/src/savorywheel/distribution/lease_manager.cpp
+++ b/src/savorywheel/distribution/lease_manager.cpp
@@ -68,30 +68,49 @@
     drop_if_expired();
     environment_.store.submit([this](object_store& store) {
         auto object = store.get(key_);
-        environment_.loop.post([this, object = std::move(object)] {
+        environment_.loop.post([this, object = std::move(object), era = store.era()] {
             if (running_) {
-                on_read(object);
+                on_read(object, era);
             }
         });
     });
 }
 
-void lease_manager::on_read(const outcome<stored_object>& object)
+bool lease_manager::observe_era(std::optional<std::uint64_t> era)
+{
+    if (!era || era_ == era) {
+        return false;
+    }
+    const bool restored = era_.has_value();
+    era_ = era;
+    if (restored || environment_.exclusive) {
+        acquire_from_ = environment_.loop.time().now() + self_.lifetime;
+    }
+    return restored;
+}
+
+void lease_manager::on_read(const outcome<stored_object>& object, std::optional<std::uint64_t> era)
 {
     drop_if_expired();
+    if (!object && object.reason().code != failure_code::not_found) {
+        back_off();
+        return;
+    }
+    const bool restored = observe_era(era);
     if (!object) {
-        if (object.reason().code == failure_code::not_found) {
+        if (may_acquire()) {
             acquire_or_renew(1, std::nullopt);
-            return;
         }
-        back_off();
+        else {
+            schedule(renewal_period());
+        }
         return;
     }
     consecutive_failures_ = 0;
     const auto now = environment_.loop.time().now();
     const auto present = decode_lease(*object);
-    if (present &&
-        (!observed_ || observed_->term != present->term || observed_->holder != present->holder)) {
+    if (present && (restored || !observed_ || observed_->term != present->term ||
+                    observed_->holder != present->holder)) {
         observed_ = *present;
         observed_at_ = now;
     }
@@ -100,7 +119,7 @@
         predecessor_ = present.value();
     }
     const bool expired = !present || now - observed_at_ >= observed_->lifetime;
-    if (own || expired) {
+    if (own || (expired && may_acquire())) {
         const auto last_term = present ? present->term : observed_ ? observed_->term : 0;
         acquire_or_renew(last_term + 1, object->revision);
         return;
@@ -117,18 +136,20 @@
         const auto value = encode_json(record);
         const auto written =
             expected ? store.update(key_, value, *expected) : store.create(key_, value);
-        environment_.loop.post([this, written, started, record] {
+        environment_.loop.post([this, written, started, record, era = store.era()] {
             if (running_) {
-                on_written(written, started, record);
+                on_written(written, started, record, era);
             }
         });
     });
 }
 
 void lease_manager::on_written(const outcome<std::uint64_t>& written, monotonic_time started,
-                               lease_record record)
+                               lease_record record, std::optional<std::uint64_t> era)
 {
-    if (written) {
+    // A write that was decided in an earlier era may have replaced nothing of what was read.
+    const bool restored = written && observe_era(era);
+    if (written && !restored) {
         consecutive_failures_ = 0;
         revision_ = *written;
         observed_ = std::move(record);
--- a/src/savorywheel/distribution/lease_manager.hpp
+++ b/src/savorywheel/distribution/lease_manager.hpp
@@ -19,6 +19,9 @@
  * A lease of another holder has expired if its term has not grown for its lifetime on this node's
  * own clock, so clocks of different nodes are never compared. A holder that cannot renew drops the
  * lease before its lifetime ends.
+ *
+ * A store that was restored from a backup may have lost the lease of an active holder. For one
+ * lifetime after the change of era was observed, nobody acquires the lease.
  * @warning Control thread only.
  */
 class lease_manager {
@@ -33,6 +36,14 @@
         store_worker& store;
         /** @brief Source of the jitter between attempts. */
         random_source& random;
+        /**
+         * @brief True for a lease whose two holders would do harm.
+         *
+         * After a start, such a lease is not acquired before one lifetime has passed since the
+         * first response of the store, whatever state the lease has: the store may have been
+         * restored from a backup just before, and a holder that it no longer knows may be active.
+         */
+        bool exclusive{false};
     };
 
     /**
@@ -68,10 +79,16 @@
 private:
     void schedule(duration delay);
     void attempt();
-    void on_read(const outcome<stored_object>& object);
+    void on_read(const outcome<stored_object>& object, std::optional<std::uint64_t> era);
+    /** Delays an acquisition in a new era; returns true if the era has changed. */
+    bool observe_era(std::optional<std::uint64_t> era);
+    [[nodiscard]] bool may_acquire() const noexcept
+    {
+        return environment_.loop.time().now() >= acquire_from_;
+    }
     void acquire_or_renew(std::uint64_t term, std::optional<std::uint64_t> expected);
     void on_written(const outcome<std::uint64_t>& written, monotonic_time started,
-                    lease_record record);
+                    lease_record record, std::optional<std::uint64_t> era);
     /** Writes a record with a lifetime of zero. */
     void release();
     /** Schedules the next attempt with exponential backoff and jitter. */
@@ -90,6 +107,9 @@
     std::uint64_t revision_{};
     monotonic_time observed_at_;
     monotonic_time valid_until_;
+    /** Era of the store in its last response to this manager, if any. */
+    std::optional<std::uint64_t> era_;
+    monotonic_time acquire_from_;
     bool held_{};
     bool running_{};
     unsigned consecutive_failures_{};
--- a/test/savorywheel/distribution/lease_manager_test.cpp
+++ b/test/savorywheel/distribution/lease_manager_test.cpp
@@ -108,4 +108,90 @@
     fixture_.finish_store_calls();
 }
 
+/** Guards against a second holder of a lease that a restored store has lost. */
+TEST_F(lease_manager_pair, nobody_acquires_a_lease_for_a_lifetime_after_a_restore)
+{
+    store_.back_up();
+    auto first = make_manager("a");
+    first.start();
+    fixture_.advance_time(lifetime);
+    ASSERT_TRUE(first.held());
+    auto second = make_manager("b");
+    second.start();
+    fixture_.advance_time(lifetime / 2);
+    ASSERT_FALSE(second.held());
+    store_.restore();
+    int held = 0;
+    for (milliseconds passed{}; passed < lifetime; passed += milliseconds{50}) {
+        fixture_.advance_time(milliseconds{50});
+        EXPECT_FALSE(second.held()) << passed.count();
+        held += first.held() ? 1 : 0;
+        EXPECT_FALSE(first.held() && second.held());
+    }
+    // The holder keeps the lease to its end, as others wait for longer.
+    EXPECT_GT(held, 0);
+    fixture_.advance_time(lifetime);
+    EXPECT_NE(first.held(), second.held());
+    first.stop();
+    second.stop();
+    fixture_.finish_store_calls();
+}
+
+/** Guards against a holder that the backup shows as released while it is active. */
+TEST_F(lease_manager_pair, released_lease_in_a_backup_is_not_acquired_at_once)
+{
+    auto first = make_manager("a");
+    first.start();
+    fixture_.advance_time(milliseconds{500});
+    first.stop();
+    fixture_.finish_store_calls();
+    store_.back_up();
+    auto second = make_manager("b");
+    second.start();
+    fixture_.advance_time(lifetime);
+    ASSERT_TRUE(second.held());
+    auto third = make_manager("c");
+    third.start();
+    fixture_.advance_time(lifetime / 2);
+    store_.restore();
+    for (milliseconds passed{}; passed < lifetime; passed += milliseconds{50}) {
+        fixture_.advance_time(milliseconds{50});
+        EXPECT_FALSE(third.held()) << passed.count();
+    }
+    second.stop();
+    third.stop();
+    fixture_.finish_store_calls();
+}
+
+/** Guards against a node that starts just after a restore and knows nothing of the holder. */
+TEST_F(lease_manager_pair, exclusive_lease_is_not_acquired_for_a_lifetime_after_a_start)
+{
+    for (const bool exists : {false, true}) {
+        if (exists) {
+            lease_record released;
+            released.holder = node_id{"old"};
+            released.term = 1000;
+            const auto known = store_.get("leases/test");
+            ASSERT_TRUE(known);
+            ASSERT_TRUE(store_.update("leases/test", encode_json(released), known->revision));
+        }
+        lease_record self;
+        self.holder = node_id{"a"};
+        self.lifetime = lifetime;
+        lease_manager subject{
+            "leases/test", self,
+            lease_manager::environment{fixture_.loop(), fixture_.worker(), fixture_.random(), true},
+            [](bool /*held*/) {}};
+        subject.start();
+        for (milliseconds passed{}; passed < lifetime; passed += milliseconds{50}) {
+            fixture_.advance_time(milliseconds{50});
+            EXPECT_FALSE(subject.held()) << passed.count();
+        }
+        fixture_.advance_time(lifetime);
+        EXPECT_TRUE(subject.held());
+        subject.stop();
+        fixture_.finish_store_calls();
+    }
+}
+
 } // namespace savorywheel::test
