Keep newer documents and records across a restore of the store, and write entries again

The older configuration of a backup raises only the revision of the newer one; a rollout's record that had got further is kept, and written again by the first live members of a ranking; the node's directory entry and departures are written again (a departure that the store had lost was retried for ever). From era 1 on, the digest of the documents includes versions and progress, so that nodes that saw different eras converge.

--- a/src/savorywheel/distribution/operator_documents.hpp
+++ b/src/savorywheel/distribution/operator_documents.hpp
@@ -8,6 +8,7 @@
 #include <savorywheel/distribution/document_request.hpp>
 
 #include <cstdint>
+#include <set>
 #include <vector>
 
 namespace savorywheel {
@@ -19,6 +20,12 @@
  * Each document has its own revision and is merged last-writer-wins. Nodes with different documents
  * have different heads; each pair of them becomes equal once the nodes that lack documents of the
  * other have fetched them.
+ *
+ * The store may be restored from a backup, in a later era of its revisions. Then the newest
+ * revision may belong to an older document. A node keeps the newer version of the configuration,
+ * and the record of a rollout that had got further, under the newest revision that any node has
+ * seen. Revision sums therefore never decrease, and documents are merged in any order with the
+ * same result. In era 0, heads are computed from the revisions alone.
  */
 struct operator_documents {
     operator_configuration configuration;
@@ -26,6 +33,17 @@
     std::uint64_t revision{};
     /** @brief Rollout orders, at most one per service. */
     std::vector<rollout_order> orders;
+    /**
+     * @brief Orders with records that another order from a restored store has replaced.
+     *
+     * The replacing order may be from the backup, and the replaced one is then written again,
+     * without its record. Only known to this node; not sent to peers.
+     */
+    std::vector<rollout_order> replaced;
+    /** @brief True if an older configuration has the newest revision. */
+    bool unwritten_configuration{};
+    /** @brief Services whose record at the newest revision is behind the one in `orders`. */
+    std::set<service_name> unwritten_records;
 
     /** @return Sum of the revisions of all documents. */
     [[nodiscard]] config_version revision_sum() const noexcept;
@@ -45,12 +63,15 @@
     /**
      * @brief Replaces the configuration if the candidate has a newer version, or a newer revision
      * of the same version.
-     * @return False if the candidate is not newer.
+     * @return False if the candidate is not newer. True as well if only the revision is newer since
+     * the store was restored; the configuration is kept then.
      */
     bool merge(const operator_configuration& candidate, std::uint64_t candidate_revision);
 
     /**
      * @brief Adds an order, or replaces the order of its service if the candidate is newer.
+     *
+     * The record is kept if it had got further than that of a candidate from a restored store.
      * @return False if the candidate is not newer.
      */
     bool merge(const rollout_order& candidate);
@@ -69,6 +90,10 @@
 
     /** @return The order for a service; nullptr if there is none. */
     [[nodiscard]] const rollout_order* find_order(const service_name& service) const noexcept;
+
+private:
+    void replace(rollout_order& known, const rollout_order& candidate);
+    [[nodiscard]] bool merge_record(rollout_order& known, const rollout_order& candidate);
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/backend_registry.cpp
+++ b/src/savorywheel/node/backend_registry.cpp
@@ -46,6 +46,13 @@
         [this] { monitor_.release_unconfirmed(); });
 }
 
+void backend_registry::on_store_restored()
+{
+    if (departures_) {
+        departures_->on_store_restored();
+    }
+}
+
 void backend_registry::stop()
 {
     monitor_.stop();
--- a/src/savorywheel/node/backend_registry.hpp
+++ b/src/savorywheel/node/backend_registry.hpp
@@ -45,6 +45,9 @@
     /** @copydoc backend_monitor::stop */
     void stop();
 
+    /** @brief Writes the departures again; call after the store was restored from a backup. */
+    void on_store_restored();
+
     /** @brief Applies an announcement that has no sequence number; does not block. */
     void announce(const backend_server& backend);
 
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -115,7 +115,8 @@
         document_config_provider::environment{
             environment_.loop, quota_, environment_.random, environment_.store, environment_.worker,
             environment_.datagrams, environment_.network, environment_.requests, environment_.log,
-            membership_.agent(), [this](const mesh_state& state) { apply_state(state); }});
+            membership_.agent(), [this](const mesh_state& state) { apply_state(state); },
+            [this] { backend_.on_store_restored(); }});
 }
 
 outcome<bool> control_plane::on_datagram(std::span<const std::byte> payload)
--- a/src/savorywheel/node/departure_store.cpp
+++ b/src/savorywheel/node/departure_store.cpp
@@ -41,6 +41,15 @@
     submit_write();
 }
 
+void departure_store::on_store_restored()
+{
+    if (is_read_ && !wanted_.items.empty()) {
+        stored_.value = {};
+        waiting_.emplace_back([] {});
+        submit_write();
+    }
+}
+
 void departure_store::read()
 {
     environment_.worker.submit([this, key = key_](object_store& store) {
@@ -129,7 +138,12 @@
     }
     // An earlier write whose response was lost has changed the revision.
     const auto known = store.get(key);
-    return known ? store.update(key, text, known->revision) : known.reason();
+    if (known) {
+        return store.update(key, text, known->revision);
+    }
+    // A store that was restored from a backup may have lost the object.
+    return known.reason().code == failure_code::not_found ? store.create(key, text)
+                                                          : known.reason();
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/node/departure_store.hpp
+++ b/src/savorywheel/node/departure_store.hpp
@@ -60,6 +60,9 @@
      */
     void write(std::span<const backend_departure> departures, callback written);
 
+    /** @brief Writes the departures again, since a restored store may have lost them. */
+    void on_store_restored();
+
 private:
     /** The object in the store; its revision is none if it does not exist. */
     struct stored {
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -12,7 +12,9 @@
       confirmations_{confirmation_service::environment{
           environment_.loop, environment_.quota, environment_.random, environment_.store,
           environment_.datagrams, environment_.log, environment_.members, documents_}},
-      directory_{environment_.members.self(), directory_environment()}
+      directory_{environment_.members.self(), directory_environment()}, restores_{
+                                                                            restore_environment(
+                                                                                orders)}
 {
 }
 
@@ -41,17 +43,36 @@
         [this](std::span<const network_endpoint> peers) { environment_.members.add_seeds(peers); }};
 }
 
+restore_monitor::environment
+document_config_provider::restore_environment(const order_codec& orders)
+{
+    return {environment_.loop,
+            environment_.store,
+            environment_.worker,
+            environment_.log,
+            orders,
+            environment_.members.self().id,
+            [this]() -> const member_table& { return environment_.members.table(); },
+            [this]() -> const operator_documents& { return documents_.documents(); },
+            [this] {
+                directory_.on_store_restored();
+                environment_.store_restored();
+            }};
+}
+
 void document_config_provider::start()
 {
     documents_.start();
     confirmations_.start();
     directory_.start();
+    restores_.start();
 }
 
 void document_config_provider::stop()
 {
     documents_.stop();
     confirmations_.stop();
+    restores_.stop();
     directory_.stop();
 }
 
--- a/src/savorywheel/node/document_config_provider.hpp
+++ b/src/savorywheel/node/document_config_provider.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/node/confirmation_service.hpp>
 #include <savorywheel/node/document_service.hpp>
 #include <savorywheel/node/member_directory.hpp>
+#include <savorywheel/node/restore_monitor.hpp>
 #include <savorywheel/rollout/mesh_state_builder.hpp>
 
 #include <functional>
@@ -45,6 +46,8 @@
         swim_agent& members;
         /** @brief Receives the states to use for routing. */
         state_callback state_changed;
+        /** @brief Called after the store was restored from a backup. */
+        std::function<void()> store_restored;
     };
 
     /**
@@ -76,6 +79,7 @@
 private:
     [[nodiscard]] document_service::environment document_environment();
     [[nodiscard]] member_directory::environment directory_environment();
+    [[nodiscard]] restore_monitor::environment restore_environment(const order_codec& orders);
     void apply();
     void on_store_health(bool reachable);
 
@@ -83,6 +87,7 @@
     document_service documents_;
     confirmation_service confirmations_;
     member_directory directory_;
+    restore_monitor restores_;
     mesh_state_builder orders_;
     /** State last passed to the callback. */
     std::optional<mesh_state> last_state_;
--- a/src/savorywheel/node/member_directory.cpp
+++ b/src/savorywheel/node/member_directory.cpp
@@ -86,8 +86,19 @@
     search();
 }
 
+void member_directory::on_store_restored()
+{
+    if (stopped_) {
+        return;
+    }
+    registered_ = false;
+    delay_ = min_delay;
+    search();
+}
+
 void member_directory::stop()
 {
+    stopped_ = true;
     timer_.reset();
     environment_.worker.submit([&log = environment_.log, self = self_.id](object_store& store) {
         if (const auto removed = unregister_node(store, self); !removed) {
--- a/src/savorywheel/node/member_directory.hpp
+++ b/src/savorywheel/node/member_directory.hpp
@@ -53,6 +53,9 @@
     /** @brief Ends the search and removes this node's entry. */
     void stop();
 
+    /** @brief Registers this node again, since a restored store may have lost its entry. */
+    void on_store_restored();
+
 private:
     struct result {
         void add_entries(std::span<const stored_object> objects, const node_id& self);
@@ -70,6 +73,7 @@
     member_record self_;
     environment environment_;
     bool registered_{};
+    bool stopped_{};
     std::chrono::milliseconds delay_;
     subscription timer_;
 };
--- a/test/platform/departure_store_test.cpp
+++ b/test/platform/departure_store_test.cpp
@@ -127,4 +127,30 @@
     EXPECT_EQ(fake_store_.calls().size(), calls);
 }
 
+/** Guards against departures that are unknown after a restore and a restart of the node. */
+TEST_F(departure_store_test, departures_are_written_again_after_a_restore)
+{
+    for (const bool has_backup : {false, true}) {
+        auto subject = make_subject();
+        start(subject);
+        fixture_.advance_time(milliseconds{100});
+        if (has_backup) {
+            subject.write(std::vector{departures_.front()}, [] {});
+            fixture_.advance_time(milliseconds{100});
+        }
+        fake_store_.back_up();
+        subject.write(departures_, [this] { written_ = true; });
+        fixture_.advance_time(milliseconds{100});
+        ASSERT_TRUE(written_);
+        fake_store_.restore();
+        ASSERT_NE(read_after_restart(), departures_);
+        subject.on_store_restored();
+        fixture_.advance_time(milliseconds{100});
+        EXPECT_EQ(read_after_restart(), departures_);
+        const auto known = store_.get("departures/a");
+        ASSERT_TRUE(known);
+        ASSERT_TRUE(store_.remove("departures/a", known->revision));
+    }
+}
+
 } // namespace savorywheel::platform::test
--- a/test/platform/member_directory_test.cpp
+++ b/test/platform/member_directory_test.cpp
@@ -122,4 +122,20 @@
     EXPECT_EQ(log_.count(event_id::directory_unreachable), before + 1);
 }
 
+/** Guards against nodes that nobody can find after a restore. */
+TEST_F(member_directory_test, entry_is_written_again_after_a_restore)
+{
+    discovered_.push_back({"127.0.0.1", 1002});
+    fake_store_.back_up();
+    auto subject = make_directory(make_record("a", 1001));
+    subject.start();
+    fixture_.advance_time(milliseconds{100});
+    ASSERT_TRUE(store_.get("nodes/a"));
+    fake_store_.restore();
+    ASSERT_FALSE(store_.get("nodes/a"));
+    subject.on_store_restored();
+    fixture_.advance_time(milliseconds{100});
+    EXPECT_TRUE(store_.get("nodes/a"));
+}
+
 } // namespace savorywheel::platform::test
