--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -94,6 +94,17 @@
     event_description{event_id::watch_renewed, info,
                       "Other nodes heard of a change that a watch of this node did not deliver; it "
                       "is renewed on another connection."},
+    event_description{event_id::store_restored, warning,
+                      "The platform's store was restored from a backup; this node writes its "
+                      "entries again."},
+    event_description{event_id::older_configuration_kept, warning,
+                      "The restored store has an older configuration than this node; the newer one "
+                      "stays in force."},
+    event_description{event_id::rollout_record_kept, warning,
+                      "The restored store has an older record of a rollout than this node; the "
+                      "newer one stays in force."},
+    event_description{event_id::rollout_record_rewritten, info,
+                      "The record of a rollout was written again to the restored store."},
     event_description{event_id::member_alive, info, "A node joined or responds again."},
     event_description{event_id::member_suspect, info, "A node did not respond to a probe."},
     event_description{event_id::member_dead, warning, "A node failed or left."},
--- a/test/platform/metadata_store_server.hpp
+++ b/test/platform/metadata_store_server.hpp
@@ -32,6 +32,11 @@
 
     /** @return Bytes of the bodies of all responses so far. */
     [[nodiscard]] std::uint64_t bytes() const noexcept { return bytes_; }
+    /** @brief Saves a copy of all objects. */
+    void back_up() { store_.back_up(); }
+
+    /** @brief Returns to the saved copy, raises the era and ends waiting watches with 410. */
+    void restore();
 
     [[nodiscard]] http_response handle(const http_request& request) override;
 
@@ -45,6 +50,7 @@
     std::uint64_t changes_{};
     std::atomic<std::uint64_t> calls_{};
     std::atomic<std::uint64_t> bytes_{};
+    std::uint64_t restores_{};
     bool stopping_{};
     savorywheel::test::loop_http_server server_{*this};
 };
