Select endpoints by expected cost where gates report their work

With reports of work, the cost of an endpoint has the expected work of the call's kind times the slowness of the endpoint, and the wait that follows from the remaining work. Among endpoints within 1/64 of the least cost a random one is selected, and one without a report is assumed to be as fast as the fastest, so that it is tried. Without such reports the rule by number of calls applies as before. The gate states the service time of each call; the caller's time contains network and queueing.

--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -74,7 +74,7 @@
     archive(cereal::make_nvp("reason", call.reason), cereal::make_nvp("response", call.response),
             cereal::make_nvp("reached_server", call.reached_server),
             cereal::make_nvp("retry_after_ms", call.retry_after),
-            cereal::make_nvp("load", call.load));
+            cereal::make_nvp("load", call.load), cereal::make_nvp("run_time_us", call.run_time));
 }
 
 template<typename Archive>
--- a/src/savorywheel/routing/call_profile.hpp
+++ b/src/savorywheel/routing/call_profile.hpp
@@ -2,6 +2,7 @@
 #define SAVORYWHEEL_ROUTING_CALL_PROFILE_HPP
 
 #include <savorywheel/core/clock.hpp>
+#include <savorywheel/routing/expected_work.hpp>
 
 #include <cstddef>
 
@@ -13,6 +14,8 @@
     std::size_t bytes{};
     /** @brief Time until the route's target latency is exceeded; zero if the route has none. */
     duration target_remaining{};
+    /** @brief Expected service time at average speed; a mean of zero if unknown. */
+    expected_work work{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/endpoint_cost.cpp
+++ b/src/savorywheel/routing/endpoint_cost.cpp
@@ -19,10 +19,14 @@
 constexpr std::size_t kilobyte = 1024;
 /** Price of a response that is certainly late, expressed as latency. */
 constexpr milliseconds late_price{600};
-/** Latencies vary by about half of their mean in either direction. */
-constexpr double latency_spread = 0.5;
+/** Bounds of the deviation; an estimate of a few calls may be too small or too large. */
+constexpr double min_spread = 0.2;
+constexpr double max_spread = 0.8;
 /** Relative increase of the service time when all slots are in use. */
 constexpr double slowdown_at_full_load = 0.5;
+/** The part of it that learned service times do not contain, as they are those at the usual load.
+ */
+constexpr double unlearned_slowdown = 0.25;
 /** Calls take about twice as long at a backend server that has just started. */
 constexpr int warming_factor = 2;
 
@@ -54,8 +58,9 @@
 {
     const auto run_time = warming ? service_time * warming_factor : service_time;
     const auto utilization = slots == 0 ? 1.0 : std::min(calls / slots, 1.0);
+    const auto slowdown = by_work ? unlearned_slowdown : slowdown_at_full_load;
     const auto at_endpoint =
-        run_time + scaled(run_time, slowdown_at_full_load * utilization) + expected_queue_wait();
+        run_time + scaled(run_time, slowdown * utilization) + expected_queue_wait();
     switch (distance) {
     case endpoint_distance::same_domain:
         break;
@@ -74,7 +79,11 @@
     }
     const std::chrono::duration<double> expected = latency();
     const std::chrono::duration<double> allowed = target_remaining;
-    const auto probability = std::clamp(expected / allowed - latency_spread, 0.0, 1.0);
+    // Rises from 0 to 1 while the expected latency rises from (1 - spread) to (1 + spread) of the
+    // allowed one.
+    const auto deviation = std::clamp(spread, min_spread, max_spread);
+    const auto probability =
+        std::clamp((expected / allowed - (1.0 - deviation)) / (2 * deviation), 0.0, 1.0);
     return scaled(late_price, probability);
 }
 
@@ -83,7 +92,8 @@
     if (slots == 0 || calls < slots) {
         return duration::zero();
     }
-    return scaled(service_time, (calls - slots + 1) / slots);
+    const auto each = by_work ? scaled(work, 1.0 / calls) : service_time;
+    return scaled(each, (calls - slots + 1) / slots);
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/endpoint_cost.hpp
+++ b/src/savorywheel/routing/endpoint_cost.hpp
@@ -25,7 +25,7 @@
     std::uint32_t slots{};
     /** @brief Estimated number of calls running or queued at the endpoint. */
     double calls{};
-    /** @brief Mean service time of a call at the endpoint. */
+    /** @brief Expected service time of the call at the endpoint. */
     duration service_time{};
     /** @brief Size of the request body and of the expected response body, in bytes. */
     std::size_t bytes{};
@@ -33,6 +33,12 @@
     bool warming{};
     /** @brief Time until the route's target latency is exceeded; zero if the route has none. */
     duration target_remaining{};
+    /** @brief True if the service time is that of the call's kind, and the work is known. */
+    bool by_work{};
+    /** @brief Estimated time that the calls at the endpoint still need. */
+    duration work{};
+    /** @brief Deviation of latencies relative to their mean. */
+    double spread{0.5};
 
     /** @return Estimated time until the response, plus the prices of traffic and lateness. */
     [[nodiscard]] duration total() const noexcept;
--- a/src/savorywheel/routing/endpoint_health.cpp
+++ b/src/savorywheel/routing/endpoint_health.cpp
@@ -73,6 +73,26 @@
     return found != records_.end() && clock_.now() < found->second.excluded_until;
 }
 
+void endpoint_health::read(std::span<endpoint_candidate> candidates) const
+{
+    const std::scoped_lock lock{mutex_};
+    const auto now = clock_.now();
+    for (auto& candidate : candidates) {
+        const auto found = records_.find(candidate.endpoint->node);
+        if (found == records_.end()) {
+            candidate.standing = endpoint_standing::sound;
+        }
+        else if (now < found->second.excluded_until) {
+            candidate.standing = endpoint_standing::excluded;
+        }
+        else {
+            candidate.standing = now < found->second.at_capacity_until
+                                     ? endpoint_standing::at_capacity
+                                     : endpoint_standing::sound;
+        }
+    }
+}
+
 bool endpoint_health::at_capacity(const node_id& endpoint) const
 {
     const std::scoped_lock lock{mutex_};
--- a/src/savorywheel/routing/endpoint_health.hpp
+++ b/src/savorywheel/routing/endpoint_health.hpp
@@ -3,9 +3,11 @@
 
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/names.hpp>
+#include <savorywheel/routing/endpoint_candidate.hpp>
 
-#include <map>
 #include <mutex>
+#include <span>
+#include <unordered_map>
 
 namespace savorywheel {
 
@@ -41,6 +43,9 @@
     /** @return True if the endpoint is currently excluded from load balancing. */
     [[nodiscard]] bool is_excluded(const node_id& endpoint) const;
 
+    /** @brief Sets the standing of all candidates, under one lock. */
+    void read(std::span<endpoint_candidate> candidates) const;
+
     /** @return True if the endpoint has recently refused a call for lack of capacity. */
     [[nodiscard]] bool at_capacity(const node_id& endpoint) const;
 
@@ -62,7 +67,7 @@
 
     const clock& clock_;
     mutable std::mutex mutex_;
-    std::map<node_id, record> records_;
+    std::unordered_map<node_id, record> records_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/locality_endpoint_selector.cpp
+++ b/src/savorywheel/routing/locality_endpoint_selector.cpp
@@ -13,6 +13,31 @@
 /** One call in so many to a version under rollout goes to a standby endpoint, so that each of its
  * backend servers is tried before it has its full load. */
 constexpr std::uint64_t standby_call_interval = 16;
+/** Costs that differ by less than 1/64 are equal within the accuracy of the estimates. */
+constexpr int margin_divisor = 64;
+
+/** Service time assumed for endpoints without a report; optimistic, so that they are tried. */
+duration least_reported_service_time(std::span<const endpoint_candidate> candidates)
+{
+    duration lowest{};
+    for (const auto& candidate : candidates) {
+        const auto reported = candidate.load.service_time;
+        if (reported > duration::zero() && (lowest == duration::zero() || reported < lowest)) {
+            lowest = reported;
+        }
+    }
+    return lowest;
+}
+
+/** Slowness assumed for endpoints without a report, for the same reason. */
+double least_slowness(std::span<const endpoint_candidate> candidates)
+{
+    double lowest = 1.0;
+    for (const auto& candidate : candidates) {
+        lowest = std::min(lowest, candidate.load.slowness);
+    }
+    return lowest;
+}
 
 } // namespace
 
@@ -22,25 +47,28 @@
                                                          const call_profile& call)
 {
     const bool to_standby = selects_standby(endpoints, version);
-    std::vector<const route_endpoint*> available;
-    std::vector<const route_endpoint*> all;
+    std::vector<endpoint_candidate> all;
+    all.reserve(endpoints.size());
     for (const auto& endpoint : endpoints) {
-        if (endpoint.version != version || endpoint.standby != to_standby ||
-            std::ranges::find(tried, endpoint.node) != tried.end()) {
-            continue;
-        }
-        all.push_back(&endpoint);
-        if (!environment_.health.is_excluded(endpoint.node)) {
-            available.push_back(&endpoint);
+        if (endpoint.version == version && endpoint.standby == to_standby &&
+            std::ranges::find(tried, endpoint.node) == tried.end()) {
+            all.push_back({&endpoint});
         }
     }
+    environment_.health.read(all);
+    environment_.loads.read(all, environment_.time.now());
+    const auto first_excluded =
+        std::stable_partition(all.begin(), all.end(), [](const auto& candidate) {
+            return candidate.standing != endpoint_standing::excluded;
+        });
+    const candidate_span available{all.begin(), first_excluded};
     if (const auto* best = select_least_cost(available, call)) {
         return best;
     }
     if (const auto* nearest_endpoint = select_nearest_with_capacity(available)) {
         return nearest_endpoint;
     }
-    return select_less_loaded(available.empty() ? all : available);
+    return select_less_loaded(available.empty() ? candidate_span{all} : available);
 }
 
 bool locality_endpoint_selector::selects_standby(std::span<const route_endpoint> endpoints,
@@ -53,13 +81,13 @@
 }
 
 const route_endpoint*
-locality_endpoint_selector::select_nearest_with_capacity(endpoint_pointers candidates)
+locality_endpoint_selector::select_nearest_with_capacity(candidate_span candidates)
 {
     constexpr std::size_t distances = 3;
-    std::array<std::vector<const route_endpoint*>, distances> free;
-    for (const auto* endpoint : candidates) {
-        if (has_capacity(*endpoint)) {
-            free[static_cast<std::size_t>(distance_to(*endpoint))].push_back(endpoint);
+    std::array<std::vector<endpoint_candidate>, distances> free;
+    for (const auto& candidate : candidates) {
+        if (has_capacity(candidate)) {
+            free[static_cast<std::size_t>(distance_to(*candidate.endpoint))].push_back(candidate);
         }
     }
     const auto nearest =
@@ -67,48 +95,57 @@
     return nearest == free.end() ? nullptr : select_less_loaded(*nearest);
 }
 
-const route_endpoint* locality_endpoint_selector::select_least_cost(endpoint_pointers candidates,
+const route_endpoint* locality_endpoint_selector::select_least_cost(candidate_span candidates,
                                                                     const call_profile& call)
 {
     const auto default_service_time = least_reported_service_time(candidates);
     if (default_service_time == duration::zero()) {
         return nullptr;
     }
-    const auto now = environment_.time.now();
-    const route_endpoint* best = nullptr;
-    duration lowest{};
-    for (const auto* endpoint : candidates) {
-        const auto reported = environment_.loads.service_time(endpoint->node);
-        const endpoint_cost cost{distance_to(*endpoint),
-                                 endpoint->slots,
-                                 environment_.loads.expected_calls(endpoint->node, now),
-                                 reported == duration::zero() ? default_service_time : reported,
-                                 call.bytes,
-                                 endpoint->state == server_state::warming,
-                                 call.target_remaining};
-        auto total = cost.total();
-        if (environment_.health.at_capacity(endpoint->node)) {
-            total += cost.service_time;
+    const auto default_slowness = least_slowness(candidates);
+    const bool by_work = std::ranges::any_of(
+        candidates, [](const auto& candidate) { return candidate.load.reports_work; });
+    for (auto& candidate : candidates) {
+        const auto& endpoint = *candidate.endpoint;
+        const auto& load = candidate.load;
+        endpoint_cost cost{distance_to(endpoint),
+                           endpoint.slots,
+                           load.calls,
+                           load.service_time == duration::zero() ? default_service_time
+                                                                 : load.service_time,
+                           call.bytes,
+                           endpoint.state == server_state::warming,
+                           call.target_remaining};
+        if (by_work) {
+            cost.by_work = true;
+            cost.work = load.work;
+            if (call.work.mean > duration::zero()) {
+                cost.service_time = std::chrono::duration_cast<duration>(
+                    call.work.mean *
+                    (load.service_time == duration::zero() ? default_slowness : load.slowness));
+                cost.spread = call.work.spread;
+            }
         }
-        if (best == nullptr || total < lowest) {
-            best = endpoint;
-            lowest = total;
+        candidate.cost = cost.total();
+        if (candidate.standing == endpoint_standing::at_capacity) {
+            candidate.cost += cost.service_time;
         }
     }
-    return best;
+    return by_work ? select_near_least(candidates)
+                   : std::ranges::min_element(candidates, {}, &endpoint_candidate::cost)->endpoint;
 }
 
-/** Service time assumed for endpoints without a report; optimistic, so that they are tried. */
-duration locality_endpoint_selector::least_reported_service_time(endpoint_pointers candidates) const
+const route_endpoint* locality_endpoint_selector::select_near_least(candidate_span candidates)
 {
-    duration lowest{};
-    for (const auto* endpoint : candidates) {
-        const auto reported = environment_.loads.service_time(endpoint->node);
-        if (reported > duration::zero() && (lowest == duration::zero() || reported < lowest)) {
-            lowest = reported;
-        }
-    }
-    return lowest;
+    const auto lowest = std::ranges::min(candidates, {}, &endpoint_candidate::cost).cost;
+    const auto limit = lowest + lowest / margin_divisor;
+    const auto is_near = [limit](const auto& candidate) { return candidate.cost <= limit; };
+    auto skipped = environment_.random.below(
+        static_cast<std::uint64_t>(std::ranges::count_if(candidates, is_near)));
+    return std::ranges::find_if(
+               candidates,
+               [&](const auto& candidate) { return is_near(candidate) && skipped-- == 0; })
+        ->endpoint;
 }
 
 endpoint_distance
@@ -121,34 +158,34 @@
                                       : endpoint_distance::other_region;
 }
 
-bool locality_endpoint_selector::has_capacity(const route_endpoint& endpoint) const
+bool locality_endpoint_selector::has_capacity(const endpoint_candidate& candidate)
 {
+    const auto& endpoint = *candidate.endpoint;
     const auto slots = endpoint.state == server_state::warming
                            ? std::max(endpoint.slots / warming_divisor, 1U)
                            : endpoint.slots;
-    return !environment_.health.at_capacity(endpoint.node) &&
-           environment_.loads.in_flight(endpoint.node) < slots;
+    return candidate.standing != endpoint_standing::at_capacity && candidate.load.in_flight < slots;
 }
 
-double locality_endpoint_selector::load_of(const route_endpoint& endpoint)
+double locality_endpoint_selector::load_of(const endpoint_candidate& candidate)
 {
-    return (environment_.loads.in_flight(endpoint.node) + 1) /
-           environment_.health.slow_start_weight(endpoint.node);
+    return (candidate.load.in_flight + 1) /
+           environment_.health.slow_start_weight(candidate.endpoint->node);
 }
 
-const route_endpoint* locality_endpoint_selector::select_less_loaded(endpoint_pointers candidates)
+const route_endpoint* locality_endpoint_selector::select_less_loaded(candidate_span candidates)
 {
     if (candidates.empty()) {
         return nullptr;
     }
     if (candidates.size() == 1) {
-        return candidates.front();
+        return candidates.front().endpoint;
     }
     const auto position = environment_.random.below(candidates.size());
     const auto step = 1 + environment_.random.below(candidates.size() - 1);
-    const auto* first = candidates[position];
-    const auto* second = candidates[(position + step) % candidates.size()];
-    return load_of(*second) < load_of(*first) ? second : first;
+    const auto& first = candidates[position];
+    const auto& second = candidates[(position + step) % candidates.size()];
+    return (load_of(second) < load_of(first) ? second : first).endpoint;
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/routing/locality_endpoint_selector.hpp
+++ b/src/savorywheel/routing/locality_endpoint_selector.hpp
@@ -19,13 +19,17 @@
  * in the own region, and the less loaded of two random candidates is selected. A farther group is
  * used only if each nearer endpoint is excluded, has recently refused a call for lack of capacity,
  * or has as many calls of this node in flight as it has slots.
+ *
+ * If a gate reports its remaining work, costs are those of the expected work of the call, and a
+ * random one of the endpoints with nearly the least cost is selected, so that nodes with the same
+ * reports do not all select the same endpoint. Otherwise costs are those of the number of calls.
  */
 class locality_endpoint_selector final : public endpoint_selector {
 public:
     /** @brief Dependencies; all must outlive the selector. */
     struct environment {
         /** @brief Estimated loads of endpoints. */
-        const load_table& loads;
+        load_table& loads;
         /** @brief Passive health checks. */
         endpoint_health& health;
         random_source& random;
@@ -48,20 +52,21 @@
                                                const call_profile& call) override;
 
 private:
-    using endpoint_pointers = std::span<const route_endpoint* const>;
+    using candidate_span = std::span<endpoint_candidate>;
 
     [[nodiscard]] bool selects_standby(std::span<const route_endpoint> endpoints,
                                        const version_name& version);
     [[nodiscard]] endpoint_distance distance_to(const route_endpoint& endpoint) const noexcept;
-    [[nodiscard]] bool has_capacity(const route_endpoint& endpoint) const;
-    [[nodiscard]] double load_of(const route_endpoint& endpoint);
-    [[nodiscard]] const route_endpoint* select_less_loaded(endpoint_pointers candidates);
+    [[nodiscard]] static bool has_capacity(const endpoint_candidate& candidate);
+    [[nodiscard]] double load_of(const endpoint_candidate& candidate);
+    [[nodiscard]] const route_endpoint* select_less_loaded(candidate_span candidates);
     /** @return The endpoint of least cost; nullptr if none has reported its load. */
-    [[nodiscard]] const route_endpoint* select_least_cost(endpoint_pointers candidates,
+    [[nodiscard]] const route_endpoint* select_least_cost(candidate_span candidates,
                                                           const call_profile& call);
+    /** @return A random one of the endpoints whose cost is within a margin of the least. */
+    [[nodiscard]] const route_endpoint* select_near_least(candidate_span candidates);
     /** @return The less loaded of two nearest endpoints with capacity; nullptr if none has any. */
-    [[nodiscard]] const route_endpoint* select_nearest_with_capacity(endpoint_pointers candidates);
-    [[nodiscard]] duration least_reported_service_time(endpoint_pointers candidates) const;
+    [[nodiscard]] const route_endpoint* select_nearest_with_capacity(candidate_span candidates);
 
     failure_domain domain_;
     region_name region_;
--- a/src/savorywheel/traffic/call_response.hpp
+++ b/src/savorywheel/traffic/call_response.hpp
@@ -28,6 +28,8 @@
     std::optional<std::chrono::milliseconds> retry_after{};
     /** @brief Load of the backend server, if its gate responded. */
     std::optional<gate_load> load{};
+    /** @brief Time that the call took at the backend server, without queueing; zero if unknown. */
+    std::chrono::microseconds run_time{};
 
     /** @return The outcome of a call that was not run. */
     [[nodiscard]] static call_response not_run(call_refusal refusal, std::string reason)
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -274,6 +274,8 @@
             environment_.log.write(event_id::backend_responsive, backend.identity);
         }
         response.load = state_.load();
+        response.run_time = std::chrono::duration_cast<std::chrono::microseconds>(
+            environment_.time.now() - item->started);
     }
     work_available_.notify_one();
     respond(*item->connection, item->correlation, response);
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -38,9 +38,9 @@
 
 proxy_handler::proxy_handler(environment env)
     : environment_{env}, calls_{env.metrics.count("calls")}, retries_{env.metrics.count("retries")},
-      calls_not_run_{env.metrics.count("calls_not_run")}, calls_unknown_{env.metrics.count(
-                                                              "calls_unknown")},
-      latency_{env.metrics.latency("call")}, call_log_{env.log, env.time}
+      calls_not_run_{env.metrics.count("calls_not_run")},
+      calls_unknown_{env.metrics.count("calls_unknown")}, latency_{env.metrics.latency("call")},
+      call_log_{env.log, env.time}, placement_{env.loads, env.metrics}
 {
     for (std::size_t i = 0; i < rejection_kind_count; ++i) {
         const std::string cause{label_of(static_cast<rejection_kind>(i))};
@@ -225,6 +225,7 @@
     call_profile profile;
     profile.bytes = context.call.request.body.size() +
                     response_sizes_.expected(context.call.service, context.route->path);
+    profile.work = placement_.expected(context.call);
     if (target_latency > std::chrono::milliseconds::zero()) {
         profile.target_remaining = context.started + target_latency - environment_.time.now();
     }
@@ -268,29 +269,26 @@
     context->call.target_remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
         context->started + context->route->target_latency - sent_at);
     context->tried_nodes.push_back(endpoint.node);
-    environment_.loads.begin(endpoint.node);
+    const auto sent = placement_.begin(context->call, endpoint.node, sent_at);
     environment_.transport.call(endpoint.peer, context->call, context->deadline,
                                 context->cancel_signal,
-                                [this, context, &endpoint, sent_at](call_response outcome) {
-                                    record_attempt(*context, endpoint, outcome, sent_at);
+                                [this, context, &endpoint, sent](call_response outcome) {
+                                    record_attempt(*context, endpoint, outcome, sent);
                                     complete_attempt(context, std::move(outcome));
                                 });
 }
 
 void proxy_handler::record_attempt(call_context& context, const route_endpoint& endpoint,
-                                   const call_response& outcome, monotonic_time sent_at)
+                                   const call_response& outcome, const sent_call& sent)
 {
     const auto now = environment_.time.now();
-    environment_.loads.end(endpoint.node);
-    if (outcome.load) {
-        environment_.loads.report(endpoint.node, *outcome.load, now);
-    }
+    placement_.end(context.call, endpoint.node, sent, outcome, now);
     context.servers_reached += outcome.reached_server ? 1 : 0;
     if (!context.cancel_signal->cancelled()) {
         record_outcome(endpoint.node, context.call, outcome);
         environment_.observer.on_attempt({context.call.service, context.call.version,
                                           context.route->path, endpoint.node, endpoint.region,
-                                          outcome.result, outcome.response.status, now - sent_at});
+                                          outcome.result, outcome.response.status, now - sent.at});
     }
 }
 
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -13,6 +13,7 @@
 #include <savorywheel/routing/version_selector.hpp>
 #include <savorywheel/traffic/call_context.hpp>
 #include <savorywheel/traffic/call_observer.hpp>
+#include <savorywheel/traffic/call_placement.hpp>
 #include <savorywheel/traffic/call_transport.hpp>
 #include <savorywheel/traffic/caller_header_codec.hpp>
 #include <savorywheel/traffic/proxy_call_log.hpp>
@@ -88,7 +89,7 @@
                                                const std::optional<version_name>& version);
     void attempt(const context_pointer& context, const route_endpoint& endpoint);
     void record_attempt(call_context& context, const route_endpoint& endpoint,
-                        const call_response& outcome, monotonic_time sent_at);
+                        const call_response& outcome, const sent_call& sent);
     /** Retries the call at another endpoint, or responds to the caller. */
     void complete_attempt(const context_pointer& context, call_response outcome);
     [[nodiscard]] bool may_retry(const call_context& context, const call_response& outcome);
@@ -107,6 +108,8 @@
     proxy_call_log call_log_;
     /** Used on the traffic thread only. */
     response_sizes response_sizes_;
+    /** Used on the traffic thread only. */
+    call_placement placement_;
     std::atomic<bool> draining_{};
     std::atomic<monotonic_time> latest_deadline_{monotonic_time::max()};
 };
--- a/test/savorywheel/routing/locality_endpoint_selector_test.cpp
+++ b/test/savorywheel/routing/locality_endpoint_selector_test.cpp
@@ -122,4 +122,60 @@
     EXPECT_GT(share_of_new(), 0.4);
 }
 
+TEST(locality_endpoint_selector, prefers_many_short_calls_to_few_long_ones)
+{
+    using std::chrono::milliseconds;
+    selector_fixture mesh;
+    const std::vector endpoints{make_endpoint("few", 0), make_endpoint("many", 0)};
+    mesh.loads.report(endpoints[0].node, {2, 1, milliseconds{100}, milliseconds{1800}},
+                      mesh.time.now());
+    mesh.loads.report(endpoints[1].node, {2, 3, milliseconds{100}, milliseconds{150}},
+                      mesh.time.now());
+    call_profile call;
+    call.work = {milliseconds{100}, milliseconds{100}};
+    EXPECT_EQ(mesh.subject.select(endpoints, version, {}, call)->node, endpoints[1].node);
+}
+
+// Guards against nodes with the same reports that all send their next call to the same endpoint, as
+// after a start, when no endpoint but one has reported.
+TEST(locality_endpoint_selector, endpoints_of_equal_cost_are_selected_at_random)
+{
+    using std::chrono::milliseconds;
+    selector_fixture mesh;
+    constexpr int endpoint_count = 8;
+    std::vector<route_endpoint> endpoints;
+    endpoints.reserve(endpoint_count);
+    for (int i = 0; i < endpoint_count; ++i) {
+        endpoints.push_back(make_endpoint(std::to_string(i), 0));
+    }
+    mesh.loads.report(endpoints[0].node, {1, 0, milliseconds{100}, milliseconds{50}},
+                      mesh.time.now());
+    call_profile call;
+    call.work = {milliseconds{100}, milliseconds{100}};
+    std::map<node_id, int> selected;
+    constexpr int calls = 800;
+    for (int i = 0; i < calls; ++i) {
+        ++selected[mesh.subject.select(endpoints, version, {}, call)->node];
+    }
+    EXPECT_GE(selected.size(), endpoint_count - 1U);
+    EXPECT_TRUE(
+        std::ranges::all_of(selected, [](const auto& item) { return item.second < calls / 4; }));
+}
+
+// The rule by count does not depend on what was learned of calls, and has no random ties.
+TEST(locality_endpoint_selector, without_reports_of_work_the_first_of_the_least_cost_is_selected)
+{
+    using std::chrono::milliseconds;
+    selector_fixture mesh;
+    const std::vector endpoints{make_endpoint("a", 0), make_endpoint("b", 0)};
+    for (const auto& endpoint : endpoints) {
+        mesh.loads.report(endpoint.node, {1, 0, milliseconds{100}, {}}, mesh.time.now());
+    }
+    call_profile call;
+    call.work = {milliseconds{500}, milliseconds{500}};
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(mesh.subject.select(endpoints, version, {}, call)->node, endpoints[0].node);
+    }
+}
+
 } // namespace savorywheel::test
