--- a/test/savorywheel/traffic/gate_test.cpp
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -123,6 +123,22 @@
     EXPECT_EQ(mesh.sink->response(5)->result, call_result::answered);
 }
 
+// Guards against proxies that learn the time in the queue as the work of a call.
+TEST(gate, states_the_service_time_of_a_call_without_its_time_in_the_queue)
+{
+    gate_fixture mesh{1};
+    ASSERT_TRUE(mesh.fill(1, milliseconds{10'000}));
+    mesh.submit(2, milliseconds{10'000});
+    mesh.time.advance(milliseconds{120});
+    mesh.client.release(1);
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.client.count("2") == 1; }));
+    mesh.time.advance(milliseconds{30});
+    mesh.client.release(1);
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.sink->responses() == 2; }));
+    EXPECT_EQ(mesh.sink->response(1)->run_time, milliseconds{120});
+    EXPECT_EQ(mesh.sink->response(2)->run_time, milliseconds{30});
+}
+
 TEST(gate, refuses_as_absent_after_the_backend_server_is_removed)
 {
     constexpr std::uint32_t slots = 3;
