--- a/src/savorywheel/encoding/json_fields.cpp
+++ b/src/savorywheel/encoding/json_fields.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/core/duration_text.hpp>
 #include <savorywheel/encoding/json_depth.hpp>
 #include <savorywheel/encoding/json_fields.hpp>
 
@@ -87,6 +88,12 @@
                                                    : std::nullopt;
 }
 
+std::optional<std::chrono::milliseconds> duration_field(const json& object, const char* key)
+{
+    const auto text = text_field(object, key);
+    return text ? parse_duration(*text) : std::nullopt;
+}
+
 const json* list_field(const json& object, const char* key)
 {
     const auto* value = find(object, key);
--- a/src/savorywheel/encoding/json_fields.hpp
+++ b/src/savorywheel/encoding/json_fields.hpp
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <concepts>
 #include <cstdint>
 #include <optional>
@@ -55,6 +56,10 @@
 /** @return The boolean field with the given key; nothing if absent or of another type. */
 [[nodiscard]] std::optional<bool> bool_field(const json& object, const char* key);
 
+/** @return The duration under a key, such as "1500ms" or "2.5s"; nothing if missing or invalid. */
+[[nodiscard]] std::optional<std::chrono::milliseconds> duration_field(const json& object,
+                                                                      const char* key);
+
 /** @return The array field with the given key; nullptr if absent or of another type. */
 [[nodiscard]] const json* list_field(const json& object, const char* key);
 
--- a/test/platform/duration_field_test.cpp
+++ b/test/platform/duration_field_test.cpp
@@ -1,5 +1,4 @@
 #include <gtest/gtest.h>
-#include <platform/duration_field.hpp>
 
 namespace savorywheel::platform::test {
 
