--- a/src/savorywheel/routing/call_class.hpp
+++ b/src/savorywheel/routing/work_class.hpp
@@ -1,5 +1,5 @@
-#ifndef SAVORYWHEEL_ROUTING_CALL_CLASS_HPP
-#define SAVORYWHEEL_ROUTING_CALL_CLASS_HPP
+#ifndef SAVORYWHEEL_ROUTING_WORK_CLASS_HPP
+#define SAVORYWHEEL_ROUTING_WORK_CLASS_HPP
 
 #include <cstddef>
 #include <string_view>
@@ -7,7 +7,7 @@
 namespace savorywheel {
 
 /** @brief Properties of a call that tell how much work it causes; refers to strings of the call. */
-struct call_class {
+struct work_class {
     std::string_view service;
     /** @brief Path prefix of the route. */
     std::string_view route;
--- a/src/savorywheel/routing/work_estimate.cpp
+++ b/src/savorywheel/routing/work_estimate.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-void work_estimate::record(const call_class& call, duration work)
+void work_estimate::record(const work_class& call, duration work)
 {
     if (work <= duration::zero()) {
         return;
@@ -45,7 +45,7 @@
     }
 }
 
-expected_work work_estimate::expected(const call_class& call) const
+expected_work work_estimate::expected(const work_class& call) const
 {
     const std::array known{find({call.service, call.route, size_class_of(call.body_bytes)}),
                            find({call.service, call.route, any_size}),
--- a/src/savorywheel/routing/work_estimate.hpp
+++ b/src/savorywheel/routing/work_estimate.hpp
@@ -1,7 +1,7 @@
 #ifndef SAVORYWHEEL_ROUTING_WORK_ESTIMATE_HPP
 #define SAVORYWHEEL_ROUTING_WORK_ESTIMATE_HPP
 
-#include <savorywheel/routing/call_class.hpp>
+#include <savorywheel/routing/work_class.hpp>
 #include <savorywheel/routing/decayed_mean.hpp>
 #include <savorywheel/routing/expected_work.hpp>
 
@@ -31,10 +31,10 @@
      * @param call Its class.
      * @param work Its service time, divided by the slowness of its backend server.
      */
-    void record(const call_class& call, duration work);
+    void record(const work_class& call, duration work);
 
     /** @return The expected work; a mean of zero if no call to the service is known. */
-    [[nodiscard]] expected_work expected(const call_class& call) const;
+    [[nodiscard]] expected_work expected(const work_class& call) const;
 
     /** @return Number of classes that are kept. */
     [[nodiscard]] std::size_t classes() const noexcept { return items_.size(); }
--- a/src/savorywheel/traffic/call_placement.cpp
+++ b/src/savorywheel/traffic/call_placement.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-call_class class_of(const call_request& call)
+work_class class_of(const call_request& call)
 {
     return {call.service.str(), call.route, call.request.body.size()};
 }
--- a/test/platform/duration_field_test.cpp
+++ b/test/savorywheel/encoding/duration_field_test.cpp
@@ -1,6 +1,8 @@
+#include <savorywheel/encoding/json_fields.hpp>
+
 #include <gtest/gtest.h>
 
-namespace savorywheel::platform::test {
+namespace savorywheel::test {
 
 namespace {
 
@@ -31,4 +33,4 @@
     EXPECT_FALSE(duration_field(json::array(), "timeout"));
 }
 
-} // namespace savorywheel::platform::test
+} // namespace savorywheel::test
--- a/test/savorywheel/routing/work_estimate_test.cpp
+++ b/test/savorywheel/routing/work_estimate_test.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-void record(work_estimate& subject, const call_class& call, milliseconds work, int times)
+void record(work_estimate& subject, const work_class& call, milliseconds work, int times)
 {
     for (int i = 0; i < times; ++i) {
         subject.record(call, work);
--- a/test/support/placement_simulation.cpp
+++ b/test/support/placement_simulation.cpp
@@ -302,7 +302,7 @@
     origin.loads.end(node, call.sent);
     origin.loads.report(node, call.load, time_.now());
     if (rule_ == placement_rule::work) {
-        const call_class known{service.str(), call.kind->route, 0};
+        const work_class known{service.str(), call.kind->route, 0};
         const auto slowness = origin.loads.load_of(node, time_.now()).slowness;
         origin.loads.record_run(node, call.run_time, origin.work.expected(known).typical,
                                 call.latency);
