--- a/src/savorywheel/distribution/configuration_history.hpp
+++ b/src/savorywheel/distribution/configuration_history.hpp
@@ -15,7 +15,7 @@
  * @brief Configurations kept for differences.
  *
  * A node that misses more than these has missed a burst of 16 batches, 10 s, and gets the whole
- * configuration. 16 of 800 routes take about 5 MB.
+ * configuration. 16 of 800 routes take about 3 MB.
  */
 inline constexpr std::size_t max_previous_configurations = 16;
 
