--- a/src/savorywheel/encoding/document_answer_codec.hpp
+++ b/src/savorywheel/encoding/document_answer_codec.hpp
@@ -11,7 +11,7 @@
 namespace savorywheel {
 
 /** @brief Largest answer after decompression: as much as a frame may contain. */
-inline constexpr std::size_t max_document_answer_bytes = 16U * 1024U * 1024U;
+inline constexpr std::size_t max_document_answer_bytes = std::size_t{16} * 1024 * 1024;
 
 /** @brief Encodes an answer, compressed if that is smaller. */
 [[nodiscard]] std::vector<std::byte> encode_document_answer(const document_answer& answer);
