--- a/test/platform/metadata_store_server.cpp
+++ b/test/platform/metadata_store_server.cpp
@@ -53,6 +53,9 @@
 
 http_response metadata_store_server::handle(const http_request& request)
 {
+    if (!available_) {
+        return {status_unavailable, {}, {}};
+    }
     const auto end = std::chrono::steady_clock::now() + wait_of(request.target);
     while (true) {
         std::unique_lock lock{mutex_};
--- a/test/platform/metadata_store_server.hpp
+++ b/test/platform/metadata_store_server.hpp
@@ -6,6 +6,7 @@
 #include <platform/fake_metadata_store.hpp>
 #include <support/loop_http_server.hpp>
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 
@@ -26,6 +27,9 @@
     /** @brief Creates or replaces an object, as operators do. */
     void put(const std::string& kind, const std::string& name, const json& object);
 
+    /** @brief Refuses all calls with 503, or responds to them again. */
+    void set_available(bool available) noexcept { available_ = available; }
+
     [[nodiscard]] http_response handle(const http_request& request) override;
 
 private:
@@ -35,6 +39,7 @@
     std::condition_variable changed_;
     std::uint64_t changes_{};
     bool stopping_{};
+    std::atomic<bool> available_{true};
     savorywheel::test::loop_http_server server_{*this};
 };
 
--- a/test/platform/proxied_mesh.cpp
+++ b/test/platform/proxied_mesh.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <ctime>
 #include <fstream>
+#include <utility>
 
 namespace savorywheel::platform::test {
 
@@ -61,9 +62,10 @@
 
 } // namespace
 
-proxied_mesh::proxied_mesh(int node_count, int network)
-    : network_{network}, folder_{std::filesystem::temp_directory_path() /
-                                 fmt::format("savorywheel-proxied-{}", ::getpid())}
+proxied_mesh::proxied_mesh(int node_count, int network, std::string settings)
+    : network_{network}, settings_{std::move(settings)},
+      folder_{std::filesystem::temp_directory_path() /
+              fmt::format("savorywheel-proxied-{}", ::getpid())}
 {
     store_.put("config", "main", configuration(5, {"/first/"}));
     std::filesystem::create_directories(folder_);
@@ -95,8 +97,9 @@
         "name: n{0:03}\nfailure_domain: domain-{1}\nregion: region-{2}\n"
         "listen: {{traffic: \"{3}:8629\", admin: \"{3}:7615\", peer: \"{3}:7600\", "
         "announcements: \"{3}:8620\", readiness: \"{3}:8625\"}}\n"
-        "caller_service: desk\nstore: \"{4}\"\nretries: {{per_call: 0.1, saved_by_mesh: 64}}\n",
-        node, node % domain_count, node % region_count, address, to_string(proxy_.endpoint()));
+        "caller_service: desk\nstore: \"{4}\"\nretries: {{per_call: 0.1, saved_by_mesh: 64}}\n{5}",
+        node, node % domain_count, node % region_count, address, to_string(proxy_.endpoint()),
+        settings_);
     const std::array arguments{std::string{"--settings"}, path.string()};
     return std::make_unique<child_process>("savorywheel-platform-node", arguments,
                                            log_of(node).string());
@@ -112,6 +115,26 @@
     store_.put("config", "main", configuration(version, {"/first/", prefix}));
 }
 
+void proxied_mesh::set_tenant(int version, const std::string& api_key)
+{
+    auto document = configuration(version, {"/first/", "/open/"});
+    auto& spec = document["spec"];
+    spec["virtual-hosts"][0]["path-rules"][1]["public"] = true;
+    const json tenant{{"name", "clinic"}, {"api-keys", json::array({api_key})}};
+    spec["tenants"] = json::array({tenant});
+    store_.put("config", "main", document);
+}
+
+std::pair<int, std::string> proxied_mesh::request_with_key(int node, const std::string& path,
+                                                           const std::string& api_key) const
+{
+    raw_http_connection connection{{address_of(node), 8629}};
+    const auto request = fmt::format(
+        "GET {} HTTP/1.1\r\nHost: desk.example\r\nSavorywheel-Key: {}\r\n\r\n", path, api_key);
+    const auto status = connection.send(request) ? connection.read_status() : 0;
+    return {status, connection.body()};
+}
+
 std::string proxied_mesh::address_of(int node) const
 {
     return fmt::format("127.{}.{}.{}", network_, node / nodes_per_block,
--- a/test/platform/proxied_mesh.hpp
+++ b/test/platform/proxied_mesh.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace savorywheel::platform::test {
@@ -25,8 +26,9 @@
      * @param node_count Number of nodes.
      * @param network Second number of the nodes' addresses; unique among tests that run in
      * parallel.
+     * @param settings Additional lines of the nodes' settings.
      */
-    proxied_mesh(int node_count, int network);
+    proxied_mesh(int node_count, int network, std::string settings = {});
     proxied_mesh(const proxied_mesh&) = delete;
     proxied_mesh& operator=(const proxied_mesh&) = delete;
     proxied_mesh(proxied_mesh&&) = delete;
@@ -39,12 +41,22 @@
     /** @brief Makes the open connections to the store silent; new ones work. */
     void silence_connections() { proxy_.blackhole_open_connections(); }
 
+    /** @brief Makes the store refuse all calls, or respond to them again. */
+    void set_store_available(bool available) { store_.set_available(available); }
+
     /** @brief Ends a node without notice. */
     void kill_node(int node);
 
     /** @brief Writes a configuration with the given route beside the first one. */
     void add_route(int version, const std::string& prefix);
 
+    /** @brief Writes a configuration with one tenant, one closed route and one public one. */
+    void set_tenant(int version, const std::string& api_key);
+
+    /** @return Status and body of a request with an API key. */
+    [[nodiscard]] std::pair<int, std::string> request_with_key(int node, const std::string& path,
+                                                               const std::string& api_key) const;
+
     /** @return Status of a request; 503 for a route without a backend server, 404 for none. */
     [[nodiscard]] int status_of(int node, const std::string& path) const;
 
@@ -61,6 +73,7 @@
     [[nodiscard]] std::filesystem::path log_of(int node) const;
 
     int network_;
+    std::string settings_;
     metadata_store_server store_;
     savorywheel::test::blackhole_proxy proxy_{store_.endpoint()};
     std::filesystem::path folder_;
