--- a/src/savorywheel/config/key_digest.cpp
+++ b/src/savorywheel/config/key_digest.cpp
@@ -17,7 +17,7 @@
 
 key_digest digest_of_key(std::string_view key) noexcept
 {
-    sha256_ctx context;
+    sha256_ctx context{};
     sha256_init(&context);
     sha256_update(&context, key.size(), reinterpret_cast<const std::uint8_t*>(key.data()));
     key_digest result;
