--- a/test/savorywheel/routing/host_table_test.cpp
+++ b/test/savorywheel/routing/host_table_test.cpp
@@ -30,6 +30,18 @@
     EXPECT_EQ(table.match("c.example", "/x/"), nullptr);
 }
 
+// A public route of the mesh's own text needed an API key.
+TEST(host_table, routes_of_a_service_are_public_where_its_text_says_so)
+{
+    auto state = std::make_shared<service_state>();
+    state->spec.name = service_name{"desk"};
+    state->spec.routes = {{"/closed", true, std::chrono::milliseconds{1000}, {}},
+                          {"/open", true, std::chrono::milliseconds{1000}, {}, true}};
+    const host_table table{mesh_state::service_map{{state->spec.name, state}}};
+    EXPECT_FALSE(table.match("desk", "/closed")->is_public);
+    EXPECT_TRUE(table.match("desk", "/open")->is_public);
+}
+
 TEST(host_table, agrees_with_linear_search)
 {
     EXPECT_TRUE(rc::check([] {
