--- a/test/platform/metadata_store_server.hpp
+++ b/test/platform/metadata_store_server.hpp
@@ -37,6 +37,8 @@
 
     /** @brief Returns to the saved copy, raises the era and ends waiting watches with 410. */
     void restore();
+    /** @brief Refuses all calls with 503, or responds to them again. */
+    void set_available(bool available) noexcept { available_ = available; }
 
     [[nodiscard]] http_response handle(const http_request& request) override;
 
@@ -52,6 +54,7 @@
     std::atomic<std::uint64_t> bytes_{};
     std::uint64_t restores_{};
     bool stopping_{};
+    std::atomic<bool> available_{true};
     savorywheel::test::loop_http_server server_{*this};
 };
 
