--- a/test/platform/proxied_mesh.cpp
+++ b/test/platform/proxied_mesh.cpp
@@ -1,3 +1,5 @@
+#include <savorywheel/http/http_status.hpp>
+
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <platform/proxied_mesh.hpp>
@@ -112,6 +114,17 @@
     store_.put("config", "main", configuration(version, {"/first/", prefix}));
 }
 
+bool proxied_mesh::has_entry(int node)
+{
+    const auto target = fmt::format("/objects/nodes/n{:03}", node);
+    return store_.handle({"GET", target, {}, {}}).status == status_ok;
+}
+
+void proxied_mesh::restart_node(int node)
+{
+    nodes_.at(static_cast<std::size_t>(node)) = start_node(node);
+}
+
 std::string proxied_mesh::address_of(int node) const
 {
     return fmt::format("127.{}.{}.{}", network_, node / nodes_per_block,
--- a/test/platform/proxied_mesh.hpp
+++ b/test/platform/proxied_mesh.hpp
@@ -45,6 +45,18 @@
     /** @brief Writes a configuration with the given route beside the first one. */
     void add_route(int version, const std::string& prefix);
 
+    /** @brief Saves a copy of the store's objects. */
+    void back_up_store() { store_.back_up(); }
+
+    /** @brief Restores the store from the copy. */
+    void restore_store() { store_.restore(); }
+
+    /** @return True if the store's directory has an entry of the node. */
+    [[nodiscard]] bool has_entry(int node);
+
+    /** @brief Starts a node that was killed. */
+    void restart_node(int node);
+
     /** @return Status of a request; 503 for a route without a backend server, 404 for none. */
     [[nodiscard]] int status_of(int node, const std::string& path) const;
 
--- a/test/platform/store_restore_test.cpp
+++ b/test/platform/store_restore_test.cpp
@@ -1,6 +1,8 @@
 #include <savorywheel/core/event_quota.hpp>
 #include <savorywheel/distribution/store_check.hpp>
 #include <savorywheel/node/document_service.hpp>
+#include <savorywheel/node/order_appender.hpp>
+#include <savorywheel/rollout/mesh_state_builder.hpp>
 #include <savorywheel/store/store_revision.hpp>
 
 #include <gtest/gtest.h>
@@ -136,4 +138,74 @@
     EXPECT_EQ(store_revision::of(objects.front().revision), (store_revision{1, 1}));
 }
 
+/** Guards against a step that was decided before the restore and overwrites another order. */
+TEST_F(store_restore_test, step_of_an_ended_era_is_refused_until_the_order_is_read_again)
+{
+    fake_store_.back_up();
+    fake_store_.put("rollouts", "plugboard", order("v2"));
+    operator_documents known;
+    const auto read_order = [&] {
+        known.merge(orders_.decode(*store_.get("rollouts/plugboard"))->order);
+    };
+    read_order();
+    order_appender subject{{fixture_.worker(), fixture_.loop(), orders_,
+                            [&]() -> const operator_documents& { return known; }}};
+    service_state service;
+    service.spec.name = service_name{"plugboard"};
+    service.move.emplace();
+    service.move->to = {{version_name{"v3"}, weight_sum_permille}};
+    service.weights = service.move->to;
+    commit step;
+    step.upserts.push_back(service);
+    std::optional<outcome<bool>> written;
+    const auto append = [&] {
+        subject.append(step, [&](const outcome<bool>& result) { written = result; });
+        fixture_.finish_store_calls();
+        fixture_.loop().run_pending();
+    };
+    fake_store_.restore();
+    fake_store_.put("rollouts", "plugboard", order("v3"));
+    static_cast<void>(store_.get("config/main"));
+    append();
+    ASSERT_TRUE(written);
+    ASSERT_FALSE(*written);
+    EXPECT_EQ(written->reason().code, failure_code::conflict);
+    EXPECT_FALSE(orders_.decode(*store_.get("rollouts/plugboard"))->order.record);
+    read_order();
+    append();
+    EXPECT_TRUE(*written);
+    EXPECT_TRUE(orders_.decode(*store_.get("rollouts/plugboard"))->order.record);
+}
+
+/** Guards against routing tables that are refused since the sum of revisions went back. */
+TEST_F(store_restore_test, version_of_the_state_never_goes_back)
+{
+    operator_documents known;
+    mesh_state_builder builder;
+    const member_table members;
+    config_version last;
+    const auto read_all = [&] {
+        known.merge(*decoder_.decode(store_.get("config/main")->value),
+                    store_.get("config/main")->revision);
+        if (const auto object = store_.get("rollouts/plugboard")) {
+            known.merge(orders_.decode(*object)->order);
+        }
+        const auto sum = known.revision_sum();
+        EXPECT_GE(sum, last);
+        last = sum;
+        EXPECT_EQ(builder.build(known, members, {}).version(), sum);
+    };
+    fake_store_.put("config", "main", configuration(1));
+    fake_store_.back_up();
+    read_all();
+    for (std::uint64_t version = 2; version < 5; ++version) {
+        fake_store_.put("rollouts", "plugboard", order("v" + std::to_string(version)));
+        fake_store_.put("config", "main", configuration(version));
+        read_all();
+        fake_store_.restore();
+        read_all();
+    }
+    EXPECT_EQ(known.configuration.version, config_version{4});
+}
+
 } // namespace savorywheel::platform::test
