--- a/test/savorywheel/http/invalid_status_test.cpp
+++ b/test/savorywheel/http/invalid_status_test.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/http/curl_http_client.hpp>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <support/scripted_server.hpp>
 
@@ -15,7 +16,7 @@
                                      "", "0", "+20", "200x", "20 0"}) {
         for (const std::string rest : {" OK\r\nContent-Length: 5\r\n\r\nhello",
                                        "\r\nContent-Length: 5\r\n\r\nhello", " OK\r\n\r\nhello"}) {
-            const auto line = "HTTP/1.1 " + status + rest;
+            const auto line = fmt::format("HTTP/1.1 {}{}", status, rest);
             for (const auto framing :
                  {response_framing::explicit_only, response_framing::allow_close_delimited}) {
                 scripted_server server{{{line}}};
