Decide about tokens of tenants' quotas

Equal shares per node refuse a tenant whose clients sit on few nodes. A node reports what it holds and what it used; what is in neither goes back into the bucket, so lost grants lose nothing.

--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -163,6 +163,15 @@
                       "A new version is suspected of a fault; its share does not grow."},
     event_description{event_id::suspicion_ended, info,
                       "A new version is no longer suspected of a fault."},
+    event_description{event_id::quota_lease_gained, info,
+                      "This node now coordinates the quotas of a shard of the tenants."},
+    event_description{event_id::quota_lease_lost, info,
+                      "This node no longer coordinates the quotas of a shard of the tenants."},
+    event_description{event_id::quota_unknown, warning,
+                      "No coordinator answers for a shard of the tenants; requests beyond the "
+                      "tokens at hand get 503."},
+    event_description{event_id::quota_known, info,
+                      "A coordinator answers for a shard of the tenants again."},
 };
 
 } // namespace
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -82,7 +82,11 @@
     override_by_unknown_author = 6011,
     predecessor_evidence_unreadable = 6012,
     version_suspected = 6013,
-    suspicion_ended = 6014
+    suspicion_ended = 6014,
+    quota_lease_gained = 7001,
+    quota_lease_lost = 7002,
+    quota_unknown = 7003,
+    quota_known = 7004
 };
 
 } // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/quota/quota_terms.cpp
@@ -0,0 +1,30 @@
+#include <savorywheel/quota/quota_terms.hpp>
+
+#include <algorithm>
+
+namespace savorywheel {
+
+namespace {
+
+/** The bucket holds this much of the rate besides the burst, since nodes request in batches. */
+constexpr double batch_seconds = 0.2;
+/** Lets a tenant without a burst collect a whole token while others are being granted. */
+constexpr double batch_tokens = 2;
+/** Part of the permitted excess that is not used, against the rounding of tokens and times. */
+constexpr double reserve = 3;
+
+} // namespace
+
+quota_terms make_quota_terms(const quota_settings& settings, double rate, double burst) noexcept
+{
+    const auto window = std::chrono::duration<double>(settings.window).count();
+    const double excess = settings.over * (rate * window + burst) + settings.slack;
+    const double batch = std::clamp(excess - reserve - 1, 0.0, batch_seconds * rate + batch_tokens);
+    quota_terms terms;
+    terms.rate = rate;
+    terms.capacity = std::max(1.0, burst + batch);
+    terms.max_outstanding = std::max(1.0, excess - batch - reserve);
+    return terms;
+}
+
+} // namespace savorywheel
--- /dev/null
+++ b/src/savorywheel/quota/tenant_stock.cpp
@@ -0,0 +1,89 @@
+#include <savorywheel/quota/quota_terms.hpp>
+#include <savorywheel/quota/tenant_stock.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace savorywheel {
+
+namespace {
+
+/** Bridges a lost datagram, its retransmission, and a round trip between regions. */
+constexpr double stock_seconds = 0.4;
+/** Below this rate, a spare token would usually expire before the next request. */
+constexpr double min_rate_for_spare = 0.25;
+constexpr double max_wanted = 1e6;
+
+} // namespace
+
+std::optional<quota_token> tenant_stock::take(duration now) noexcept
+{
+    demand_.record(now);
+    return take_for_waiting(now);
+}
+
+std::optional<quota_token> tenant_stock::take_for_waiting(duration now) noexcept
+{
+    const auto expires = lots_.take(now);
+    if (!expires) {
+        return std::nullopt;
+    }
+    ++used_;
+    return quota_token{*expires, reports_};
+}
+
+void tenant_stock::put_back(const quota_token& token, duration now) noexcept
+{
+    if (now >= token.expires) {
+        return;
+    }
+    if (token.reports == reports_) {
+        // The coordinator has not heard of the use.
+        --used_;
+        lots_.add(1, token.expires);
+        return;
+    }
+    ++not_run_;
+}
+
+double tenant_stock::target(duration now) const noexcept
+{
+    const auto rate = demand_.per_second(now);
+    return std::min(max_wanted,
+                    std::ceil(rate * stock_seconds) + (rate >= min_rate_for_spare ? 1.0 : 0.0));
+}
+
+bool tenant_stock::is_low(duration now) noexcept
+{
+    return now >= exhausted_until_ && 2 * lots_.count(now) < target(now);
+}
+
+quota_request_item tenant_stock::report(std::uint64_t tenant, std::uint32_t waiting,
+                                        duration now) noexcept
+{
+    ++reports_;
+    quota_request_item item;
+    item.tenant = tenant;
+    item.held = lots_.count(now);
+    item.used = used_;
+    item.not_run = std::exchange(not_run_, 0);
+    reported_used_ = used_;
+    const auto needed = static_cast<std::uint32_t>(target(now)) + waiting;
+    item.wanted = needed - std::min(needed, item.held);
+    return item;
+}
+
+void tenant_stock::receive(const quota_grant_item& grant, duration sent_at, duration now) noexcept
+{
+    if (grant.state == quota_grant_state::unknown) {
+        return;
+    }
+    used_ -= std::exchange(reported_used_, 0);
+    lots_.add(grant.tokens, sent_at + token_lifetime);
+    exhausted_until_ = grant.state == quota_grant_state::exhausted
+                           ? now + std::chrono::milliseconds{grant.retry_after_ms}
+                           : duration::zero();
+}
+
+} // namespace savorywheel
