Exchange tokens of tenants' quotas between nodes

A node requests tokens from the holder of a shard's lease, in datagrams, and decides about requests on its traffic thread with the tokens at hand.

The lease manager no longer backs off while it holds the lease: after one failed call, the next attempt came up to 1.67 s later, so that a lease of 2.5 s expired.

--- a/src/savorywheel/distribution/lease_manager.cpp
+++ b/src/savorywheel/distribution/lease_manager.cpp
@@ -137,7 +137,7 @@
         set_held(environment_.loop.time().now() < valid_until_);
     }
     drop_if_expired();
-    schedule(renewal_period());
+    schedule(written || !held_ ? renewal_period() : retry_period());
 }
 
 void lease_manager::release()
@@ -154,6 +154,10 @@
 
 void lease_manager::back_off()
 {
+    if (held_) {
+        schedule(retry_period());
+        return;
+    }
     consecutive_failures_ = std::min(consecutive_failures_ + 1, max_backoff_doublings);
     const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(renewal_period()) *
                          (1U << consecutive_failures_);
--- a/src/savorywheel/distribution/lease_manager.hpp
+++ b/src/savorywheel/distribution/lease_manager.hpp
@@ -74,11 +74,13 @@
                     lease_record record);
     /** Writes a record with a lifetime of zero. */
     void release();
-    /** Schedules the next attempt with exponential backoff and jitter. */
+    /** Schedules the next attempt, with exponential backoff and jitter unless the lease is held. */
     void back_off();
     void set_held(bool held);
     void drop_if_expired();
     [[nodiscard]] duration renewal_period() const noexcept { return self_.lifetime / 3; }
+    /** After a failed renewal; the lease must not expire because one call to the store failed. */
+    [[nodiscard]] duration retry_period() const noexcept { return renewal_period() / 2; }
 
     std::string key_;
     lease_record self_;
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -46,7 +46,8 @@
                backend_registry::environment{env.loop, env.worker, env.log, env.decoder != nullptr},
                [this](const auto& backend) { on_backend_changed(backend); }},
       appender_{make_appender()}, rollouts_{make_node_lease(settings), rollout_environment()},
-      heads_{env.tables, env.network, env.requests}, documents_{make_documents()}
+      heads_{env.tables, env.network, env.requests}, documents_{make_documents()},
+      quotas_{settings.quota, make_node_lease(settings), quota_environment()}
 {
 }
 
@@ -95,6 +96,19 @@
             [this]() -> const member_table& { return membership_.agent().table(); }};
 }
 
+quota_service::environment control_plane::quota_environment()
+{
+    return {environment_.loop,
+            quota_,
+            environment_.datagrams,
+            environment_.quota_grants,
+            {{{environment_.loop, environment_.worker, environment_.random}, environment_.log},
+             [this]() -> const member_record& { return membership_.agent().self(); },
+             [this]() -> const member_table& { return membership_.agent().table(); },
+             environment_.tables,
+             environment_.quotas}};
+}
+
 std::unique_ptr<commit_appender> control_plane::make_appender()
 {
     if (environment_.orders == nullptr) {
@@ -120,6 +134,9 @@
 
 outcome<bool> control_plane::on_datagram(std::span<const std::byte> payload)
 {
+    if (quota_service::handles(payload)) {
+        return quotas_.on_datagram(payload);
+    }
     const bool is_confirmation =
         !payload.empty() && payload.front() == std::byte{confirmation_protocol};
     return is_confirmation && documents_ ? documents_->confirmations().on_datagram(payload)
@@ -138,6 +155,7 @@
         ordered_log_.start();
     }
     rollouts_.start();
+    quotas_.start();
 }
 
 void control_plane::leave()
@@ -149,6 +167,7 @@
         ordered_log_.stop();
     }
     rollouts_.stop();
+    quotas_.stop();
     membership_.agent().leave();
     backend_.stop();
 }
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -11,6 +11,7 @@
 #include <savorywheel/node/head_service.hpp>
 #include <savorywheel/node/log_config_provider.hpp>
 #include <savorywheel/node/membership_service.hpp>
+#include <savorywheel/node/quota_service.hpp>
 #include <savorywheel/node/rollout_service.hpp>
 #include <savorywheel/node/table_publisher.hpp>
 #include <savorywheel/rollout/commit_appender.hpp>
@@ -60,6 +61,9 @@
         const configuration_decoder* decoder;
         /** @brief Decodes the operators' rollout orders; nullptr if the decoder is. */
         const order_codec* orders;
+        /** @brief Receives the grants of tokens for this node. */
+        quota_grant_sink& quota_grants;
+        quota_metrics& quotas;
     };
 
     /**
@@ -101,6 +105,9 @@
         return documents_ ? &documents_->documents() : nullptr;
     }
 
+    /** @return Receiver of the traffic thread's requests for tokens. */
+    [[nodiscard]] quota_request_sink& quotas() noexcept { return quotas_; }
+
     [[nodiscard]] outcome<node_state_dump> dump() override;
     [[nodiscard]] outcome<mesh_state> configuration() override;
     [[nodiscard]] outcome<std::deque<commit>> history() override;
@@ -119,6 +126,7 @@
     [[nodiscard]] std::unique_ptr<document_config_provider> make_documents();
     [[nodiscard]] std::unique_ptr<commit_appender> make_appender();
     [[nodiscard]] rollout_service::environment rollout_environment();
+    [[nodiscard]] quota_service::environment quota_environment();
     void apply_state(const mesh_state& state);
     void on_backend_changed(const std::optional<backend_server>& backend);
 
@@ -135,6 +143,7 @@
     rollout_service rollouts_;
     head_service heads_;
     std::unique_ptr<document_config_provider> documents_;
+    quota_service quotas_;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -18,6 +18,7 @@
 #include <savorywheel/node/readiness_handler.hpp>
 #include <savorywheel/node/stop_schedule.hpp>
 #include <savorywheel/node/traffic_server_limits.hpp>
+#include <savorywheel/quota/shared_quota.hpp>
 #include <savorywheel/routing/ejection_aware_version_selector.hpp>
 #include <savorywheel/routing/locality_endpoint_selector.hpp>
 #include <savorywheel/routing/weighted_version_selector.hpp>
@@ -26,7 +27,6 @@
 #include <savorywheel/traffic/peer_call_transport.hpp>
 #include <savorywheel/traffic/peer_crash_reporter.hpp>
 #include <savorywheel/traffic/proxy_handler.hpp>
-#include <savorywheel/traffic/unlimited_quota.hpp>
 #include <savorywheel/transport/asio_datagram_channel.hpp>
 #include <savorywheel/transport/asio_peer_network.hpp>
 #include <savorywheel/transport/frame_router.hpp>
@@ -63,6 +63,8 @@
         tables_.set_listener(caller_limits_);
         metrics_.add_source(process_metrics_);
         metrics_.add_source(state_metrics_);
+        metrics_.add_source(quota_metrics_);
+        quota_.connect(control_.quotas());
         router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_report},
                     gate_);
         router_.add({frame_kind::call_response, frame_kind::crash_acknowledged,
@@ -220,10 +222,14 @@
     evidence_recorder evidence_{settings_.region};
     version_ejections ejections_;
     retry_budget retries_{settings_.retries};
-    control_plane control_{settings_, control_plane::environment{
-                                          loop_, random_, store_, worker_, datagrams_, network_,
-                                          requests_, tables_, gate_, evidence_, ejections_, meter_,
-                                          log_, retries_, front_.configuration(), front_.orders()}};
+    quota_metrics quota_metrics_{metrics_, time_};
+    shared_quota quota_{settings_.quota.shards,
+                        shared_quota::environment{time_, traffic_loop_, quota_metrics_}};
+    control_plane control_{
+        settings_, control_plane::environment{loop_, random_, store_, worker_, datagrams_, network_,
+                                              requests_, tables_, gate_, evidence_, ejections_,
+                                              meter_, log_, retries_, front_.configuration(),
+                                              front_.orders(), quota_, quota_metrics_}};
     node_metric_source state_metrics_{
         node_metric_source::environment{control_, gate_, retries_, tables_}};
     load_table loads_;
@@ -235,7 +241,6 @@
         locality_endpoint_selector::environment{loads_, health_, random_, time_}};
     peer_call_transport transport_{
         peer_call_transport::environment{network_, requests_, time_, traffic_loop_}};
-    unlimited_quota quota_;
     proxy_handler proxy_{proxy_handler::environment{
         time_, tables_, versions_, endpoints_, loads_, health_, retries_, quota_, transport_,
         evidence_, metrics_, log_, random_, front_.callers()}};
--- a/src/savorywheel/settings/node_settings.hpp
+++ b/src/savorywheel/settings/node_settings.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/core/names.hpp>
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/log/event_severity.hpp>
+#include <savorywheel/quota/quota_settings.hpp>
 #include <savorywheel/settings/operator_key.hpp>
 #include <savorywheel/traffic/retry_limits.hpp>
 
@@ -53,6 +54,8 @@
     std::chrono::seconds idle_timeout{60};
     /** @brief Retry limits for the whole mesh. */
     retry_limits retries;
+    /** @brief Quotas of tenants; equal at all nodes. */
+    quota_settings quota;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/settings/node_settings_reader.cpp
+++ b/src/savorywheel/settings/node_settings_reader.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/config/name_rules.hpp>
 #include <savorywheel/config/yaml_cursor.hpp>
+#include <savorywheel/core/duration_text.hpp>
 #include <savorywheel/settings/node_settings_reader.hpp>
 
 #include <fmt/format.h>
@@ -149,6 +150,61 @@
     }
 }
 
+/** More shards than nodes are of no use; this many are enough for 40,000 nodes. */
+constexpr std::int64_t max_quota_shards = 1024;
+/** A shorter one has less than the messages between nodes take. */
+constexpr std::chrono::milliseconds min_quota_window{1000};
+/** As for the limits of tenants. */
+constexpr double max_quota_excess = 1e9;
+
+void read_quota_window(const yaml_cursor& quota, quota_settings& settings)
+{
+    const auto text = quota.text("window");
+    const auto window = parse_duration(text);
+    if (!window || *window < min_quota_window) {
+        quota.report_error(
+            "window", fmt::format("\"{}\"", text),
+            fmt::format("a time of at least {} ms, such as 5s", min_quota_window.count()));
+        return;
+    }
+    settings.window = *window;
+}
+
+double read_excess(const yaml_cursor& quota, std::string_view key, double fallback)
+{
+    if (!quota.has(key)) {
+        return fallback;
+    }
+    const auto number = quota.decimal(key);
+    if (!(number >= 0 && number <= max_quota_excess)) {
+        quota.report_error(key, fmt::format("{}", number), "a number from 0 to 1e9");
+        return fallback;
+    }
+    return number;
+}
+
+void read_quota(const yaml_cursor& root, quota_settings& settings)
+{
+    const auto quota = root.map("quota");
+    if (!quota) {
+        return;
+    }
+    quota->expect_keys({"shards", "window", "over", "slack"});
+    const auto shards = quota->number_or("shards", settings.shards);
+    if (shards < 1 || shards > max_quota_shards) {
+        quota->report_error("shards", fmt::format("{}", shards),
+                            fmt::format("a number from 1 to {}", max_quota_shards));
+    }
+    else {
+        settings.shards = static_cast<std::uint32_t>(shards);
+    }
+    if (quota->has("window")) {
+        read_quota_window(*quota, settings);
+    }
+    settings.over = read_excess(*quota, "over", settings.over);
+    settings.slack = read_excess(*quota, "slack", settings.slack);
+}
+
 void read_addresses(const yaml_cursor& root, node_settings& settings)
 {
     if (const auto listen = root.map("listen")) {
@@ -190,7 +246,7 @@
     root->expect_keys({"name", "failure_domain", "region", "address", "ports", "store", "seeds",
                        "operators", "log_level", "listen", "caller_service", "backend_timeout_ms",
                        "stop_notice_ms", "stop_limit_ms", "stop_grace_ms", "idle_timeout_ms",
-                       "retries"});
+                       "retries", "quota"});
     settings.name = node_id{read_name(*root, "name")};
     settings.domain = failure_domain{read_name(*root, "failure_domain")};
     settings.region = region_name{read_name(*root, "region")};
@@ -210,6 +266,7 @@
     settings.idle_timeout = std::chrono::ceil<std::chrono::seconds>(
         read_milliseconds(*root, "idle_timeout_ms", settings.idle_timeout));
     read_retries(*root, settings);
+    read_quota(*root, settings.quota);
     return settings;
 }
 
--- a/src/savorywheel/traffic/call_context.hpp
+++ b/src/savorywheel/traffic/call_context.hpp
@@ -7,9 +7,11 @@
 #include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/routing/routing_table.hpp>
 #include <savorywheel/traffic/call_request.hpp>
+#include <savorywheel/traffic/quota_token.hpp>
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace savorywheel {
@@ -24,8 +26,8 @@
     const host_route* route{};
     /** @brief Tenant of the caller, in the routing table; nullptr if it has none. */
     const tenant_entry* tenant{};
-    /** @brief True if the call holds a token of its tenant's quota. */
-    bool holds_token{};
+    /** @brief Token of its tenant's quota that the call holds. */
+    std::optional<quota_token> token;
     /** @brief The call as it is sent to the node co-located with a backend server. */
     call_request call;
     /** @brief When the request was received. */
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -113,15 +113,15 @@
         execute(context);
         return;
     }
-    if (environment_.quota.try_acquire(*tenant)) {
-        context->holds_token = true;
+    context->token = environment_.quota.try_acquire(*tenant);
+    if (context->token) {
         execute(context);
         return;
     }
     environment_.quota.acquire(*tenant, [this, context](const quota_decision& decision) {
         switch (decision.outcome) {
         case quota_decision::result::granted:
-            context->holds_token = true;
+            context->token = decision.token;
             execute(context);
             break;
         case quota_decision::result::exhausted:
@@ -338,8 +338,8 @@
     }
     rejection cause{rejection_kind::unknown, std::move(outcome.reason), outcome.retry_after};
     if (outcome.result == call_result::not_run) {
-        if (context.holds_token) {
-            environment_.quota.give_back(*context.tenant);
+        if (context.token) {
+            environment_.quota.give_back(*context.tenant, *context.token);
         }
         cause.kind = rejection_kind::not_run;
     }
--- a/src/savorywheel/traffic/quota_decision.hpp
+++ b/src/savorywheel/traffic/quota_decision.hpp
@@ -1,6 +1,8 @@
 #ifndef SAVORYWHEEL_TRAFFIC_QUOTA_DECISION_HPP
 #define SAVORYWHEEL_TRAFFIC_QUOTA_DECISION_HPP
 
+#include <savorywheel/traffic/quota_token.hpp>
+
 #include <chrono>
 #include <cstdint>
 
@@ -17,6 +19,8 @@
     result outcome{result::granted};
     /** @brief Time after which a retry would be granted; zero if granted. */
     std::chrono::milliseconds retry_after{};
+    /** @brief Token of the request, if granted. */
+    quota_token token{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/tenant_quota.hpp
+++ b/src/savorywheel/traffic/tenant_quota.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/traffic/quota_decision.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace savorywheel {
 
@@ -26,9 +27,9 @@
 
     /**
      * @brief Takes a token for a request if one is at hand.
-     * @return True if the request counts towards the quota from now on.
+     * @return The token; std::nullopt if there is none.
      */
-    [[nodiscard]] virtual bool try_acquire(const tenant_entry& tenant) = 0;
+    [[nodiscard]] virtual std::optional<quota_token> try_acquire(const tenant_entry& tenant) = 0;
 
     /**
      * @brief Decides about a request for which try_acquire() had no token; may wait a short time.
@@ -38,7 +39,7 @@
     virtual void acquire(const tenant_entry& tenant, callback decided) = 0;
 
     /** @brief Returns the token of a request that was not run and will not be run. */
-    virtual void give_back(const tenant_entry& tenant) = 0;
+    virtual void give_back(const tenant_entry& tenant, const quota_token& token) = 0;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/unlimited_quota.hpp
+++ b/src/savorywheel/traffic/unlimited_quota.hpp
@@ -8,11 +8,14 @@
 /** @brief Grants each request. */
 class unlimited_quota final : public tenant_quota {
 public:
-    [[nodiscard]] bool try_acquire(const tenant_entry& /*tenant*/) override { return true; }
+    [[nodiscard]] std::optional<quota_token> try_acquire(const tenant_entry& /*tenant*/) override
+    {
+        return quota_token{};
+    }
 
     void acquire(const tenant_entry& /*tenant*/, callback decided) override { decided({}); }
 
-    void give_back(const tenant_entry& /*tenant*/) override {}
+    void give_back(const tenant_entry& /*tenant*/, const quota_token& /*token*/) override {}
 };
 
 } // namespace savorywheel
--- a/test/savorywheel/settings/node_settings_faults_test.cpp
+++ b/test/savorywheel/settings/node_settings_faults_test.cpp
@@ -70,6 +70,10 @@
         {"name: bob", "name: ann", "found operator ann twice"},
         {"key: fedcba9876543210", "key: 0123456789abcdef", "found the key of ann under \"key\""},
         {"seeds: [127.0.0.1:7002]", "seeds: [here]", "found \"here\" under \"seeds\""},
+        {"log_level: warning", "quota: {shards: 0}", "expected a number from 1 to 1024"},
+        {"log_level: warning", "quota: {window: 2}", "expected a time of at least 1000 ms"},
+        {"log_level: warning", "quota: {over: -0.1}", "expected a number from 0 to 1e9"},
+        {"log_level: warning", "quota: {slack: .nan}", "expected a number from 0 to 1e9"},
         {"ports: {", "ports: [", "not YAML"}};
     for (const auto& item : cases) {
         const auto report = faults_of(settings_with(item.line, item.replacement));
