--- a/src/savorywheel/quota/coordinator_choice.cpp
+++ b/src/savorywheel/quota/coordinator_choice.cpp
@@ -48,6 +48,7 @@
         first.resize(std::min(first.size(), coordinator_candidate_count));
     }
     std::vector<network_endpoint> peers;
+    peers.reserve(first.size());
     for (auto& entry : first) {
         peers.push_back(std::move(entry.second));
     }
--- a/src/savorywheel/quota/quota_terms.cpp
+++ b/src/savorywheel/quota/quota_terms.cpp
@@ -8,8 +8,11 @@
 
 /** The bucket holds this much of the rate besides the burst, since nodes request in batches. */
 constexpr double batch_seconds = 0.2;
-/** Lets a tenant without a burst collect a whole token while others are being granted. */
-constexpr double batch_tokens = 2;
+/**
+ * A small tenant needs a few tokens more, since nodes hold some that are needed at others. With 2,
+ * a tenant of 5 per s on three nodes was refused about once in 60 at 1/1.6 of its limit.
+ */
+constexpr double batch_tokens = 6;
 /** Part of the permitted excess that is not used, against the rounding of tokens and times. */
 constexpr double reserve = 3;
 
--- a/src/savorywheel/quota/shared_quota.cpp
+++ b/src/savorywheel/quota/shared_quota.cpp
@@ -20,6 +20,8 @@
 constexpr milliseconds unknown_retry_after{500};
 /** Each holds a request in memory; more arrive in max_wait only at a node without a coordinator. */
 constexpr std::size_t max_waiting = 1024;
+/** A single one may be due to lost datagrams. */
+constexpr unsigned failures_of_unreachable = 2;
 
 } // namespace
 
@@ -45,7 +47,7 @@
     auto& state = shards_[shard];
     stock_.begin_wait(tenant.id);
     schedule_request(shard);
-    if (state.unreachable || waiting_ >= max_waiting) {
+    if (unreachable(state) || waiting_ >= max_waiting) {
         stock_.end_wait(tenant.id);
         decide(decided, {quota_decision::result::unknown, unknown_retry_after, {}});
         return;
@@ -68,7 +70,7 @@
     environment_.loop.post([this, shard, granted = std::move(items), sent_at] {
         auto& state = shards_.at(shard);
         state.request_open = false;
-        state.unreachable = false;
+        state.failures = 0;
         stock_.receive(granted, sent_at, environment_.time.since_boot());
         environment_.metrics.record_grant();
         environment_.metrics.set_tokens(stock_.size());
@@ -82,12 +84,17 @@
     environment_.loop.post([this, shard] {
         auto& state = shards_.at(shard);
         state.request_open = false;
-        state.unreachable = true;
+        ++state.failures;
         settle(shard);
         schedule_request(shard);
     });
 }
 
+bool shared_quota::unreachable(const shard_state& shard) noexcept
+{
+    return shard.failures >= failures_of_unreachable;
+}
+
 quota_decision shared_quota::refusal(std::uint64_t tenant, duration now) const
 {
     const auto wait = std::chrono::ceil<milliseconds>(stock_.exhausted_until(tenant) - now);
@@ -107,7 +114,7 @@
         return;
     }
     const auto now = environment_.time.now();
-    const bool urgent = !state.waiting.empty() && !state.unreachable;
+    const bool urgent = !state.waiting.empty() && !unreachable(state);
     const auto due = state.last_request == monotonic_time::min()
                          ? now
                          : state.last_request + (urgent ? urgent_request_gap : request_gap);
@@ -175,7 +182,7 @@
         stock_.end_wait(item.tenant);
         return refusal(item.tenant, now);
     }
-    if (shard.unreachable || environment_.time.now() >= item.expires) {
+    if (unreachable(shard) || environment_.time.now() >= item.expires) {
         stock_.end_wait(item.tenant);
         return quota_decision{quota_decision::result::unknown, unknown_retry_after, {}};
     }
--- a/src/savorywheel/quota/shared_quota.hpp
+++ b/src/savorywheel/quota/shared_quota.hpp
@@ -59,14 +59,16 @@
         /** In the order of their arrival, and so of their expiry. */
         std::deque<waiting_request> waiting;
         bool request_open{};
-        /** True after a request without an answer, until the next grant. */
-        bool unreachable{};
+        /** Requests without an answer since the last grant. */
+        unsigned failures{};
         monotonic_time last_request{monotonic_time::min()};
         monotonic_time next_request{monotonic_time::max()};
         subscription request_timer;
         subscription expiry_timer;
     };
 
+    /** True if requests need not wait, as no coordinator seems to answer. */
+    [[nodiscard]] static bool unreachable(const shard_state& shard) noexcept;
     [[nodiscard]] quota_decision refusal(std::uint64_t tenant, duration now) const;
     void decide(const callback& decided, const quota_decision& decision);
     void schedule_request(std::uint32_t shard);
--- a/src/savorywheel/quota/tenant_stock.cpp
+++ b/src/savorywheel/quota/tenant_stock.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/** Bridges a lost datagram, its retransmission, and a round trip between regions. */
-constexpr double stock_seconds = 0.4;
+/** A third of a second between requests, and what low_seconds covers. */
+constexpr double stock_seconds = 0.5;
+/** A lost datagram, its retransmission after 150 ms, and a round trip between regions. */
+constexpr double low_seconds = 0.2;
 /** Below this rate, a spare token would usually expire before the next request. */
 constexpr double min_rate_for_spare = 0.25;
 constexpr double max_wanted = 1e6;
@@ -56,7 +58,8 @@
 
 bool tenant_stock::is_low(duration now) noexcept
 {
-    return now >= exhausted_until_ && 2 * lots_.count(now) < target(now);
+    return now >= exhausted_until_ &&
+           lots_.count(now) < target(now) * (low_seconds / stock_seconds);
 }
 
 quota_request_item tenant_stock::report(std::uint64_t tenant, std::uint32_t waiting,
--- a/test/measure/quota_cost.cpp
+++ b/test/measure/quota_cost.cpp
@@ -78,6 +78,7 @@
     {
         ++requests;
         std::vector<quota_grant_item> grants;
+        grants.reserve(items.size());
         for (const auto& item : items) {
             grants.push_back({item.tenant, quota_grant_state::granted, 100'000, 0});
         }
--- a/test/savorywheel/node/quota_mesh.cpp
+++ b/test/savorywheel/node/quota_mesh.cpp
@@ -159,6 +159,14 @@
     members_.merge({ended.record, member_status::dead}, time_.now());
 }
 
+void quota_mesh::stop(std::size_t node)
+{
+    auto& leaving = *nodes_.at(node);
+    leaving.service.stop();
+    leaving.metrics.set_coordinated(0);
+    members_.merge({leaving.record, member_status::dead}, time_.now());
+}
+
 std::set<std::size_t> quota_mesh::coordinators() const
 {
     std::set<std::size_t> found;
--- a/test/savorywheel/node/quota_mesh.hpp
+++ b/test/savorywheel/node/quota_mesh.hpp
@@ -60,6 +60,9 @@
     /** @brief Ends a node without notice: it reaches neither the others nor the store. */
     void crash(std::size_t node);
 
+    /** @brief Stops a node as planned: it releases its leases and leaves. */
+    void stop(std::size_t node);
+
     /** @brief Makes the store unavailable to all nodes. */
     void set_store_available(bool available) { store_available_ = available; }
 
--- a/test/savorywheel/node/quota_mesh_test.cpp
+++ b/test/savorywheel/node/quota_mesh_test.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <utility>
+
 namespace savorywheel::test {
 
 namespace {
@@ -25,6 +27,43 @@
 /** Demand of a tenant in normal operation, as a part of its limit. */
 constexpr double normal_demand = 1 / 1.6;
 
+/**
+ * Ends all coordinators of 83 nodes under normal demand, and waits for their successors and for
+ * their buckets, which begin empty and gain 0.375 of the rate, so that a full one takes 4 s.
+ */
+template<typename Change>
+void change_coordinators(Change change, duration wait)
+{
+    const std::vector<double> rates{5, 20, 60, 150, 580};
+    quota_mesh mesh{83, make_tenants(rates)};
+    mesh.advance(10s);
+    const auto before = mesh.coordinators();
+    for (std::size_t i = 0; i < rates.size(); ++i) {
+        std::vector<std::size_t> nodes;
+        for (std::size_t node = i; nodes.size() < 3; node += 20) {
+            nodes.push_back(before.contains(node) ? node + 10 : node);
+        }
+        mesh.add_traffic(i, nodes, rates[i] * normal_demand);
+    }
+    mesh.advance(20s);
+    for (const auto node : mesh.coordinators()) {
+        change(mesh, node);
+    }
+    mesh.advance(wait);
+    for (std::size_t i = 0; i < rates.size(); ++i) {
+        auto& result = mesh.results(i);
+        fmt::print("{} per s: {} refused, {} unknown\n", rates[i],
+                   std::exchange(result.refused, 0U), std::exchange(result.unknown, 0U));
+    }
+    mesh.advance(40s);
+    for (std::size_t i = 0; i < rates.size(); ++i) {
+        const auto& result = mesh.results(i);
+        EXPECT_LE(100.0 * static_cast<double>(result.refused + result.unknown),
+                  rates[i] * normal_demand * 40);
+        EXPECT_LE(mesh.worst_excess(i), 0);
+    }
+}
+
 } // namespace
 
 // Equal shares per node would refuse most requests of a tenant whose clients sit on few nodes.
@@ -58,6 +97,28 @@
     }
 }
 
+// Nodes hold tokens of a small tenant that are needed at others; many tenants, as each has few
+// requests.
+TEST(quota_mesh, small_tenants_below_their_limits_are_refused_less_than_once_in_100)
+{
+    constexpr std::size_t tenants = 30;
+    quota_mesh mesh{83, make_tenants(std::vector<double>(tenants, 5.0))};
+    mesh.advance(10s);
+    for (std::size_t i = 0; i < tenants; ++i) {
+        mesh.add_traffic(i, {i, 20 + i, 40 + i}, 5 * normal_demand);
+    }
+    mesh.advance(60s);
+    std::size_t refused = 0;
+    std::size_t accepted = 0;
+    for (std::size_t i = 0; i < tenants; ++i) {
+        refused += mesh.results(i).refused + mesh.results(i).unknown;
+        accepted += mesh.results(i).accepted.size();
+        EXPECT_LE(mesh.worst_excess(i), 0);
+    }
+    fmt::print("30 tenants of 5 per s: {} accepted, {} refused\n", accepted, refused);
+    EXPECT_LE(100 * refused, accepted);
+}
+
 TEST(quota_mesh, surge_is_refused_and_uses_the_whole_quota)
 {
     quota_mesh mesh{8, make_tenants({50, 50})};
@@ -107,6 +168,17 @@
     EXPECT_GT(mesh.log().count(event_id::quota_known), 0U);
 }
 
+// Rolling restarts stop coordinators often; what a change costs is printed for the design note.
+TEST(quota_mesh, requests_below_the_limit_are_granted_again_soon_after_a_planned_change)
+{
+    change_coordinators([](quota_mesh& mesh, std::size_t node) { mesh.stop(node); }, 6s);
+}
+
+TEST(quota_mesh, requests_below_the_limit_are_granted_again_soon_after_a_crash)
+{
+    change_coordinators([](quota_mesh& mesh, std::size_t node) { mesh.crash(node); }, 10s);
+}
+
 // A partitioned node must not go on with tokens of its own, nor hold callers for long.
 TEST(quota_mesh, node_partitioned_from_the_coordinator_answers_unknown_until_it_returns)
 {
@@ -133,8 +205,9 @@
     EXPECT_LE(mesh.worst_excess(0), 0);
 }
 
-// A renewal every 833 ms and a repetition after 417 ms leave 1,250 ms of a lease of 2,500 ms; a call
-// to the store takes 100 ms here. Before, the backoff after one failed call let the lease expire.
+// A renewal every 833 ms and a repetition after 417 ms leave 1,250 ms of a lease of 2,500 ms; a
+// call to the store takes 100 ms here. Before, the backoff after one failed call let the lease
+// expire.
 TEST(quota_mesh, store_outage_of_a_second_has_no_effect_and_a_longer_one_ends_grants)
 {
     quota_mesh mesh{8, make_tenants({50})};
