Count outstanding tokens while the bucket of a new coordinator fills

A coordinator counts outstanding tokens against the capacity for one lifetime. It filled the bucket lazily and only then, after it had subtracted what the node reported as used, so the tokens of the report were gained twice.

--- a/src/savorywheel/quota/tenant_ledger.cpp
+++ b/src/savorywheel/quota/tenant_ledger.cpp
@@ -25,6 +25,8 @@
 quota_grant_item tenant_ledger::decide(std::uint64_t session, const quota_request_item& item,
                                        const circumstances& when)
 {
+    // The bucket has filled while the tokens were outstanding that are about to be subtracted.
+    fill(when);
     expire(when.now);
     auto& owner = holding_of(session);
     apply_report(owner, item, when);
@@ -72,8 +74,6 @@
     const auto gone = owner.tokens - kept;
     outstanding_ -= gone;
     owner.tokens = kept;
-    // After the expiry of unused tokens, the bucket must not lose what it gained meanwhile.
-    fill(when);
     bucket_.add(gone - std::min(gone, item.used), terms_.capacity);
     if (item.not_run == 0 || !when.recent) {
         return;
--- a/test/savorywheel/quota/quota_ledger_test.cpp
+++ b/test/savorywheel/quota/quota_ledger_test.cpp
@@ -106,6 +106,18 @@
     EXPECT_EQ(request(1, {tenant, 100, 0, held + more, 0}).tokens, std::min(rest - more, most));
 }
 
+// A bucket that fills between two requests must not gain what is outstanding until the second one.
+TEST_F(quota_ledger_test, report_of_uses_after_a_change_does_not_fill_the_bucket)
+{
+    now_ += 600ms;
+    EXPECT_EQ(request(1, {tenant, 20, 0, 0, 0}).tokens, 20U);
+    now_ += 2s;
+    EXPECT_EQ(request(1, {tenant, 0, 0, 20, 0}).tokens, 0U);
+    const auto rest = static_cast<std::uint32_t>(terms_.capacity) - 20;
+    EXPECT_EQ(request(1, {tenant, 20, 0, 0, 0}).tokens, 20U);
+    EXPECT_EQ(request(1, {tenant, 100, 0, 20, 0}).tokens, rest - 20);
+}
+
 // Tokens of the last two coordinators may be valid; with those of a third, the bound would fail.
 TEST_F(quota_ledger_test, grants_nothing_for_one_lifetime_after_an_unsettled_predecessor)
 {
