Ask again for an exhausted quota after one second

A node refused requests until the time that the coordinator had stated, up to 60 s, also after the limit was raised.

--- a/src/savorywheel/quota/shared_quota.cpp
+++ b/src/savorywheel/quota/shared_quota.cpp
@@ -39,7 +39,7 @@
 void shared_quota::acquire(const tenant_entry& tenant, callback decided)
 {
     const auto now = environment_.time.since_boot();
-    if (stock_.exhausted_until(tenant.id) > now) {
+    if (stock_.refused_until(tenant.id) > now) {
         decide(decided, refusal(tenant.id, now));
         return;
     }
@@ -178,7 +178,7 @@
     if (const auto token = stock_.take_for_waiting(item.tenant, now)) {
         return quota_decision{quota_decision::result::granted, {}, *token};
     }
-    if (stock_.exhausted_until(item.tenant) > now) {
+    if (stock_.refused_until(item.tenant) > now) {
         stock_.end_wait(item.tenant);
         return refusal(item.tenant, now);
     }
--- a/src/savorywheel/quota/tenant_stock.cpp
+++ b/src/savorywheel/quota/tenant_stock.cpp
@@ -16,6 +16,8 @@
 /** Below this rate, a spare token would usually expire before the next request. */
 constexpr double min_rate_for_spare = 0.25;
 constexpr double max_wanted = 1e6;
+/** The limit may be raised, or tokens come back, before the time that the coordinator stated. */
+constexpr std::chrono::milliseconds max_refusal{1000};
 
 } // namespace
 
@@ -58,8 +60,7 @@
 
 bool tenant_stock::is_low(duration now) noexcept
 {
-    return now >= exhausted_until_ &&
-           lots_.count(now) < target(now) * (low_seconds / stock_seconds);
+    return now >= refused_until_ && lots_.count(now) < target(now) * (low_seconds / stock_seconds);
 }
 
 quota_request_item tenant_stock::report(std::uint64_t tenant, std::uint32_t waiting,
@@ -87,6 +88,7 @@
     exhausted_until_ = grant.state == quota_grant_state::exhausted
                            ? now + std::chrono::milliseconds{grant.retry_after_ms}
                            : duration::zero();
+    refused_until_ = std::min<duration>(exhausted_until_, now + max_refusal);
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/quota/tenant_stock.hpp
+++ b/src/savorywheel/quota/tenant_stock.hpp
@@ -47,6 +47,9 @@
     /** @return When the quota has a token again, if the coordinator said that it has none. */
     [[nodiscard]] duration exhausted_until() const noexcept { return exhausted_until_; }
 
+    /** @return Until when requests are refused without asking the coordinator again. */
+    [[nodiscard]] duration refused_until() const noexcept { return refused_until_; }
+
     /** @return Valid tokens. */
     [[nodiscard]] std::uint32_t count(duration now) noexcept { return lots_.count(now); }
 
@@ -56,6 +59,7 @@
     token_lots lots_;
     demand_estimate demand_;
     duration exhausted_until_{};
+    duration refused_until_{};
     std::uint64_t reports_{};
     /** Used since the last report that was answered. */
     std::uint32_t used_{};
--- a/src/savorywheel/quota/token_stock.cpp
+++ b/src/savorywheel/quota/token_stock.cpp
@@ -52,6 +52,12 @@
     return found == entries_.end() ? duration::zero() : found->second.stock.exhausted_until();
 }
 
+duration token_stock::refused_until(std::uint64_t tenant) const
+{
+    const auto found = entries_.find(tenant);
+    return found == entries_.end() ? duration::zero() : found->second.stock.refused_until();
+}
+
 std::vector<quota_request_item> token_stock::prepare(std::uint32_t shard, duration now)
 {
     auto& listed = lists_.at(shard);
--- a/src/savorywheel/quota/token_stock.hpp
+++ b/src/savorywheel/quota/token_stock.hpp
@@ -44,6 +44,10 @@
     /** @return When the tenant's quota has a token again; a time in the past if it may have one. */
     [[nodiscard]] duration exhausted_until(std::uint64_t tenant) const;
 
+    /** @return Until when the tenant's requests are refused without asking the coordinator again.
+     */
+    [[nodiscard]] duration refused_until(std::uint64_t tenant) const;
+
     /** @return True if something should be requested from the shard. */
     [[nodiscard]] bool has_requests(std::uint32_t shard) const { return !lists_.at(shard).empty(); }
 
--- a/test/platform/proxied_mesh.cpp
+++ b/test/platform/proxied_mesh.cpp
@@ -112,6 +112,34 @@
     store_.put("config", "main", configuration(version, {"/first/", prefix}));
 }
 
+void proxied_mesh::add_tenant(int version, double rate, double burst)
+{
+    auto document = configuration(version, {"/first/"});
+    document["spec"]["tenants"] = {
+        {{"name", "t"}, {"api-keys", {"key-1"}}, {"rate-per-s", rate}, {"burst", burst}}};
+    store_.put("config", "main", document);
+}
+
+std::size_t proxied_mesh::count_events(const std::string& event) const
+{
+    std::size_t count = 0;
+    for (int node = 0; node < node_count(); ++node) {
+        std::ifstream log{log_of(node)};
+        for (std::string line; std::getline(log, line);) {
+            count += line.find(event) != std::string::npos ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+int proxied_mesh::status_with_key(int node, const std::string& path) const
+{
+    raw_http_connection connection{{address_of(node), 8629}};
+    const auto request = fmt::format(
+        "GET {} HTTP/1.1\r\nHost: desk.example\r\nSavorywheel-Key: key-1\r\n\r\n", path);
+    return connection.send(request) ? connection.read_status() : 0;
+}
+
 std::string proxied_mesh::address_of(int node) const
 {
     return fmt::format("127.{}.{}.{}", network_, node / nodes_per_block,
--- a/test/platform/proxied_mesh.hpp
+++ b/test/platform/proxied_mesh.hpp
@@ -45,6 +45,15 @@
     /** @brief Writes a configuration with the given route beside the first one. */
     void add_route(int version, const std::string& prefix);
 
+    /** @brief Writes a configuration with one tenant, whose key is "key-1". */
+    void add_tenant(int version, double rate, double burst);
+
+    /** @return Number of lines of an event, such as "SW2001", in the logs of all nodes. */
+    [[nodiscard]] std::size_t count_events(const std::string& event) const;
+
+    /** @return Status of a request with the API key of the tenant. */
+    [[nodiscard]] int status_with_key(int node, const std::string& path) const;
+
     /** @return Status of a request; 503 for a route without a backend server, 404 for none. */
     [[nodiscard]] int status_of(int node, const std::string& path) const;
 
