--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -252,7 +252,7 @@
     http_server admin_server_{admin_, admin_limits()};
     immediate_http_handler readiness_responses_{readiness_};
     async_http_server readiness_server_{readiness_responses_, traffic_loop_,
-                                        short_request_limits()};
+                                        readiness_server_limits(settings_)};
     std::unique_ptr<http_server> announcement_server_{
         announcements_ ? std::make_unique<http_server>(*announcements_, short_request_limits())
                        : nullptr};
--- a/src/savorywheel/node/traffic_server_limits.cpp
+++ b/src/savorywheel/node/traffic_server_limits.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/node/node_http_limits.hpp>
 #include <savorywheel/node/stop_schedule.hpp>
 #include <savorywheel/node/traffic_server_limits.hpp>
 #include <savorywheel/transport/frame_header.hpp>
@@ -6,16 +7,7 @@
 
 namespace savorywheel {
 
-namespace {
-
-/** Callers that retry during an overload open new connections; the limit bounds their memory. */
-constexpr unsigned max_caller_connections = 500;
-
-/** Half of the largest frame to another node, 8 MiB: while a call is sent, the server, the call and
- * the frame hold its body at once. */
-constexpr std::size_t max_call_body_bytes = max_frame_bytes / 2;
-
-} // namespace
+static_assert(caller_resources{}.body_bytes == max_frame_bytes / 2);
 
 http_server_limits traffic_server_limits(const node_settings& settings)
 {
@@ -24,9 +16,19 @@
     limits.drain_limit = stop.interruption - stop.notice;
     limits.interruption_limit = stop.close - stop.interruption;
     limits.idle_timeout = settings.idle_timeout;
-    limits.max_connections = max_caller_connections;
+    limits.max_connections = settings.callers.connections;
     limits.max_body_bytes = std::numeric_limits<std::size_t>::max();
-    limits.max_buffered_body_bytes = max_call_body_bytes;
+    limits.max_buffered_body_bytes = settings.callers.body_bytes;
+    limits.max_buffered_total_bytes = settings.callers.memory_bytes;
+    return limits;
+}
+
+http_server_limits readiness_server_limits(const node_settings& settings)
+{
+    auto limits = short_request_limits();
+    limits.max_connections = settings.callers.connections;
+    limits.max_buffered_body_bytes = settings.callers.body_bytes;
+    limits.max_buffered_total_bytes = settings.callers.memory_bytes;
     return limits;
 }
 
--- a/src/savorywheel/node/traffic_server_limits.hpp
+++ b/src/savorywheel/node/traffic_server_limits.hpp
@@ -12,6 +12,9 @@
  */
 [[nodiscard]] http_server_limits traffic_server_limits(const node_settings& settings);
 
+/** @return Limits of the server for readiness probes. */
+[[nodiscard]] http_server_limits readiness_server_limits(const node_settings& settings);
+
 } // namespace savorywheel
 
 #endif
--- a/src/savorywheel/settings/node_settings.hpp
+++ b/src/savorywheel/settings/node_settings.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/core/names.hpp>
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/log/event_severity.hpp>
+#include <savorywheel/settings/caller_resources.hpp>
 #include <savorywheel/settings/operator_key.hpp>
 #include <savorywheel/traffic/retry_limits.hpp>
 
@@ -51,6 +52,8 @@
     std::optional<std::chrono::milliseconds> stop_grace;
     /** @brief Idle timeout of a caller's connection. */
     std::chrono::seconds idle_timeout{60};
+    /** @brief What each listener for callers may use. */
+    caller_resources callers;
     /** @brief Retry limits for the whole mesh. */
     retry_limits retries;
 };
--- a/src/savorywheel/settings/node_settings_reader.cpp
+++ b/src/savorywheel/settings/node_settings_reader.cpp
@@ -149,6 +149,34 @@
     }
 }
 
+std::uint64_t read_amount(const yaml_cursor& cursor, std::string_view key, std::uint64_t fallback,
+                          std::uint64_t most)
+{
+    const auto number = cursor.number_or(key, static_cast<std::int64_t>(fallback));
+    if (number < 1 || static_cast<std::uint64_t>(number) > most) {
+        cursor.report_error(key, fmt::format("{}", number), fmt::format("from 1 to {}", most));
+        return fallback;
+    }
+    return static_cast<std::uint64_t>(number);
+}
+
+void read_callers(const yaml_cursor& root, caller_resources& callers)
+{
+    constexpr std::size_t kib = 1024;
+    constexpr std::uint64_t max_connections = 100'000;
+    constexpr std::uint64_t max_memory_kib = 64UL * 1024UL * 1024UL;
+    constexpr std::uint64_t max_body_kib = caller_resources{}.body_bytes / kib;
+    if (const auto map = root.map("callers")) {
+        map->expect_keys({"connections", "memory_kib", "body_kib"});
+        callers.connections = static_cast<unsigned>(
+            read_amount(*map, "connections", callers.connections, max_connections));
+        callers.memory_bytes =
+            kib * read_amount(*map, "memory_kib", callers.memory_bytes / kib, max_memory_kib);
+        callers.body_bytes =
+            kib * read_amount(*map, "body_kib", callers.body_bytes / kib, max_body_kib);
+    }
+}
+
 void read_addresses(const yaml_cursor& root, node_settings& settings)
 {
     if (const auto listen = root.map("listen")) {
@@ -190,7 +218,7 @@
     root->expect_keys({"name", "failure_domain", "region", "address", "ports", "store", "seeds",
                        "operators", "log_level", "listen", "caller_service", "backend_timeout_ms",
                        "stop_notice_ms", "stop_limit_ms", "stop_grace_ms", "idle_timeout_ms",
-                       "retries"});
+                       "retries", "callers"});
     settings.name = node_id{read_name(*root, "name")};
     settings.domain = failure_domain{read_name(*root, "failure_domain")};
     settings.region = region_name{read_name(*root, "region")};
@@ -210,6 +238,7 @@
     settings.idle_timeout = std::chrono::ceil<std::chrono::seconds>(
         read_milliseconds(*root, "idle_timeout_ms", settings.idle_timeout));
     read_retries(*root, settings);
+    read_callers(*root, settings.callers);
     return settings;
 }
 
--- a/test/support/local_mesh.cpp
+++ b/test/support/local_mesh.cpp
@@ -28,6 +28,7 @@
 const std::uint16_t traffic_port = port_base();
 const auto admin_port = static_cast<std::uint16_t>(traffic_port + 1);
 const auto peer_port = static_cast<std::uint16_t>(traffic_port + 2);
+const auto readiness_port = static_cast<std::uint16_t>(traffic_port + 3);
 const auto backend_port = static_cast<std::uint16_t>(traffic_port + 1000);
 const auto platform_port = static_cast<std::uint16_t>(traffic_port + 2000);
 constexpr std::size_t seed_count = 3;
@@ -227,6 +228,11 @@
     return {address(index), peer_port};
 }
 
+network_endpoint local_mesh::readiness_endpoint(std::size_t index) const
+{
+    return {address(index), readiness_port};
+}
+
 network_endpoint local_mesh::platform_endpoint() const
 {
     return {fmt::format("127.{}.250.1", network_), platform_port};
@@ -247,16 +253,18 @@
 std::string local_mesh::settings_text(std::size_t index) const
 {
     const auto& member = members_.at(index);
-    auto text =
-        fmt::format("name: {}\nfailure_domain: {}\nregion: {}\naddress: {}\n"
-                    "ports: {{traffic: {}, admin: {}, peer: {}}}\nstore: {}\n"
-                    "operators:\n  - {{name: tester, key: {}}}\nseeds:\n",
-                    member.name, member.domain, member.region, address(index), traffic_port,
-                    admin_port, peer_port, to_string(platform_endpoint()), test_operator_key);
+    auto text = fmt::format("name: {}\nfailure_domain: {}\nregion: {}\n"
+                            "listen: {{traffic: \"{}\", admin: \"{}\", peer: \"{}\", "
+                            "readiness: \"{}\"}}\nstore: {}\n"
+                            "operators:\n  - {{name: tester, key: {}}}\nseeds:\n",
+                            member.name, member.domain, member.region,
+                            to_string(traffic_endpoint(index)), to_string(admin_endpoint(index)),
+                            to_string(peer_endpoint(index)), to_string(readiness_endpoint(index)),
+                            to_string(platform_endpoint()), test_operator_key);
     for (std::size_t i = 0; i < std::min(seed_count, members_.size()); ++i) {
         text += fmt::format("  - {}\n", to_string(peer_endpoint(i)));
     }
-    return text;
+    return text + member.settings;
 }
 
 std::string local_mesh::log_path(const std::string& name) const
--- a/test/support/local_mesh.hpp
+++ b/test/support/local_mesh.hpp
@@ -88,6 +88,8 @@
 
     [[nodiscard]] network_endpoint peer_endpoint(std::size_t index) const;
 
+    [[nodiscard]] network_endpoint readiness_endpoint(std::size_t index) const;
+
     [[nodiscard]] network_endpoint platform_endpoint() const;
 
     [[nodiscard]] network_endpoint backend_endpoint(std::size_t index) const;
--- a/test/support/mesh_member.hpp
+++ b/test/support/mesh_member.hpp
@@ -18,6 +18,8 @@
     std::string version{"v1"};
     /** @brief Concurrency limit of the backend server, in requests. */
     std::uint32_t slots{12};
+    /** @brief Further lines of the node's settings. */
+    std::string settings{};
 };
 
 } // namespace savorywheel::test
