Bound what callers can make a node hold, and close stalled ones for others

Cause: only bodies above 64 KiB counted against a limit; pipelined requests and unread responses did not, and a connection that stopped anywhere kept its memory and its place until the idle timeout.

Change: caller_ledger counts the memory that a listener holds for each caller (buffers, fields, bodies, requests in progress, responses), and eviction_policy decides who is refused with 503 or closed when it is used up, or when there are too many connections. A header has the configuration's header-timeout and a margin of 5 s. A refused body is read up to 1 MiB more. Readiness keeps no bodies. Writes go in parts, so that a slow reader is told from a stalled one.

--- a/src/savorywheel/http/async_http_server.cpp
+++ b/src/savorywheel/http/async_http_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
 
 #include <future>
 #include <set>
@@ -60,9 +61,11 @@
         return true;
     }
 
-    void set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout)
+    void set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout,
+                           std::chrono::milliseconds header_timeout)
     {
-        post([max_body_bytes, idle_timeout](impl& self) {
+        post([max_body_bytes, idle_timeout, header_timeout](impl& self) {
+            self.state_.limits.header_timeout = header_timeout;
             self.state_.limits.max_body_bytes = max_body_bytes;
             self.state_.limits.idle_timeout = idle_timeout;
             for (const auto& connection : self.connections_) {
@@ -71,6 +74,8 @@
         });
     }
 
+    [[nodiscard]] std::size_t held_bytes() const noexcept { return state_.callers.held(); }
+
     void stop(std::chrono::milliseconds drain_limit)
     {
         if (!std::exchange(running_, false)) {
@@ -127,7 +132,12 @@
 
     void add(asio::ip::tcp::socket socket)
     {
-        if (connections_.size() >= state_.limits.max_connections) {
+        if (connections_.size() >= state_.limits.max_connections &&
+            !state_.callers.make_room(std::chrono::steady_clock::now())) {
+            if (state_.listener != nullptr) {
+                state_.listener->on_connection_refused(
+                    fmt::format("{} connections are open", connections_.size()));
+            }
             return;
         }
         const auto connection = std::make_shared<http_connection>(
@@ -182,9 +192,15 @@
 }
 
 void async_http_server::set_caller_limits(std::size_t max_body_bytes,
-                                          std::chrono::seconds idle_timeout)
+                                          std::chrono::seconds idle_timeout,
+                                          std::chrono::milliseconds header_timeout)
+{
+    impl_->set_caller_limits(max_body_bytes, idle_timeout, header_timeout);
+}
+
+std::size_t async_http_server::held_bytes() const noexcept
 {
-    impl_->set_caller_limits(max_body_bytes, idle_timeout);
+    return impl_->held_bytes();
 }
 
 void async_http_server::stop()
--- a/src/savorywheel/http/async_http_server.hpp
+++ b/src/savorywheel/http/async_http_server.hpp
@@ -44,7 +44,11 @@
      */
     [[nodiscard]] outcome<bool> start(const network_endpoint& local);
 
-    void set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout) override;
+    void set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout,
+                           std::chrono::milliseconds header_timeout) override;
+
+    /** @return Memory held for all callers, in bytes; thread-safe. */
+    [[nodiscard]] std::size_t held_bytes() const noexcept;
 
     /** @brief Stops with the drain limit of the limits. */
     void stop();
--- a/src/savorywheel/http/caller_limit_target.hpp
+++ b/src/savorywheel/http/caller_limit_target.hpp
@@ -21,9 +21,10 @@
      * @param max_body_bytes Maximum request body, in bytes.
      * @param idle_timeout Idle time after which persistent connections are closed, also those that
      * are open.
+     * @param header_timeout Maximum time from the first byte of a request to the end of its header.
      */
-    virtual void set_caller_limits(std::size_t max_body_bytes,
-                                   std::chrono::seconds idle_timeout) = 0;
+    virtual void set_caller_limits(std::size_t max_body_bytes, std::chrono::seconds idle_timeout,
+                                   std::chrono::milliseconds header_timeout) = 0;
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/http/http_connection.hpp
+++ b/src/savorywheel/http/http_connection.hpp
@@ -3,7 +3,7 @@
 
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/core/subscription.hpp>
-#include <savorywheel/http/byte_lease.hpp>
+#include <savorywheel/http/evictable_caller.hpp>
 #include <savorywheel/http/http_server_state.hpp>
 #include <savorywheel/http/request_parser.hpp>
 #include <savorywheel/http/request_pipeline.hpp>
@@ -11,8 +11,10 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/serializer.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -28,7 +30,8 @@
  * that closes only its sending side counts as gone.
  * @warning Include only in source files of this module; the header exposes Boost.Beast.
  */
-class http_connection final : public std::enable_shared_from_this<http_connection> {
+class http_connection final : public evictable_caller,
+                              public std::enable_shared_from_this<http_connection> {
 public:
     /** @brief Called once when the connection has closed. */
     using closed_callback = std::function<void(const std::shared_ptr<http_connection>&)>;
@@ -53,6 +56,8 @@
     /** @brief Applies a changed idle timeout. */
     void restart_idle_timer();
 
+    void evict() override;
+
 private:
     using error_code = boost::system::error_code;
 
@@ -74,10 +79,22 @@
     void on_response(std::uint64_t id, http_response response);
     void write_continue();
     void write_next();
+    void write_some(bool closes);
     void on_written(const error_code& error, bool closes);
     void linger();
     void check_idle();
     void shrink_buffer();
+    /** Maximum time until the connection is checked again. */
+    [[nodiscard]] duration time_left() const;
+    [[nodiscard]] bool receives_header() const;
+    [[nodiscard]] caller_phase phase() const;
+    [[nodiscard]] std::size_t held() const;
+    /** Memory of what was read ahead of the requests in progress. */
+    [[nodiscard]] std::size_t read_ahead() const;
+    /** Accounts for what the connection holds; false if that is more than allowed. */
+    [[nodiscard]] bool account();
+    void reject_for_memory();
+    void end_input();
 
     boost::asio::ip::tcp::socket socket_;
     http_server_state& state_;
@@ -85,8 +102,10 @@
     boost::beast::flat_buffer buffer_;
     std::optional<request_parser> parser_;
     request_pipeline pipeline_;
-    /** Memory for the body that is being received. */
-    byte_lease body_memory_;
+    /** Id in the ledger of callers. */
+    std::uint64_t ledger_id_{};
+    /** Memory of the response that is being written. */
+    std::size_t message_memory_{};
     /** The current request's header has been checked. */
     bool header_checked_{};
     /** The current request was rejected; its body is discarded. */
@@ -101,7 +120,10 @@
     bool lingering_{};
     bool closed_{};
     std::optional<response_message> message_;
+    std::optional<boost::beast::http::response_serializer<response_message::body_type>> serializer_;
     monotonic_time last_activity_;
+    /** Time of the first byte of the header that is being received. */
+    monotonic_time header_started_;
     subscription timer_;
 };
 
--- a/src/savorywheel/http/http_connection_input.cpp
+++ b/src/savorywheel/http/http_connection_input.cpp
@@ -25,8 +25,10 @@
 constexpr std::size_t max_pipelined_requests = 16;
 /** Body of a rejected request that is read to keep the connection usable. */
 constexpr std::size_t max_discarded_bytes = 1024UL * 1024UL;
-/** A body of this size does not count towards the memory for bodies. */
-constexpr std::size_t unbudgeted_body_bytes = 64UL * 1024UL;
+/** Memory of what one connection reads ahead of its requests in progress, in bytes: enough to
+ * keep a pipeline of ordinary requests going. */
+constexpr std::size_t max_read_ahead_bytes = 64UL * 1024UL;
+constexpr std::string_view no_memory = "this node has no memory for the request, not run\n";
 
 std::string_view text_of(const boost::beast::flat_buffer& buffer)
 {
@@ -37,15 +39,24 @@
 
 void http_connection::read()
 {
-    if (reading_ || closed_ || buffer_.size() > state_.limits.max_header_bytes) {
+    const bool is_ahead = !pipeline_.empty() && read_ahead() > max_read_ahead_bytes;
+    if (reading_ || closed_ || is_ahead || buffer_.size() > state_.limits.max_header_bytes) {
         return;
     }
-    reading_ = true;
     const auto size = header_checked_ ? body_read_bytes : min_read_bytes;
-    socket_.async_read_some(buffer_.prepare(size), [self = shared_from_this()](
-                                                       const error_code& error, std::size_t bytes) {
-        self->on_read(error, bytes);
-    });
+    const auto space = buffer_.prepare(size);
+    if (!account()) {
+        // Reads again after a response, if there will be one.
+        if (pipeline_.empty() && !writing_) {
+            evict();
+        }
+        return;
+    }
+    reading_ = true;
+    socket_.async_read_some(
+        space, [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+            self->on_read(error, bytes);
+        });
 }
 
 void http_connection::on_read(const error_code& error, std::size_t bytes)
@@ -60,8 +71,14 @@
     }
     buffer_.commit(bytes);
     last_activity_ = steady_clock::now();
+    state_.callers.on_transferred(ledger_id_, bytes, last_activity_);
+    const bool received_header = receives_header();
     parse();
     read();
+    if (receives_header() && !received_header) {
+        restart_idle_timer();
+    }
+    static_cast<void>(account());
 }
 
 void http_connection::parse()
@@ -93,6 +110,9 @@
         return false;
     }
     on_body_received();
+    if (input_ended_) {
+        return false;
+    }
     if (parser_->is_done()) {
         on_request();
         return true;
@@ -108,9 +128,15 @@
     }
     const bool has_input = buffer_.size() > 0 && text_of(buffer_) != "\r";
     const bool waits_to_close = state_.closing && !pipeline_.empty();
-    if (!has_input || waits_to_close || pipeline_.size() >= max_pipelined_requests) {
+    const bool is_ahead = !pipeline_.empty() && pipeline_.waiting_memory() > max_read_ahead_bytes;
+    if (!has_input || waits_to_close || is_ahead || pipeline_.size() >= max_pipelined_requests) {
         return false;
     }
+    header_started_ = steady_clock::now();
+    if (pipeline_.empty() && !writing_) {
+        // The time since the last response was spent idle, not within this request.
+        state_.callers.on_completed(ledger_id_, header_started_);
+    }
     parser_.emplace(state_.limits.max_header_bytes, state_.limits.max_buffered_body_bytes + 1);
     header_checked_ = false;
     rejected_ = false;
@@ -127,11 +153,11 @@
     else if (announced > state_.limits.max_body_bytes) {
         reject(status_payload_too_large, "request body too large\n");
     }
-    else if (announced > state_.limits.max_buffered_body_bytes) {
+    else if (announced > state_.limits.max_buffered_body_bytes && !state_.limits.discards_bodies) {
         reject(status_unavailable, "request body too large for this node, not run\n");
     }
-    else if (announced > unbudgeted_body_bytes && !body_memory_.try_extend_to(announced)) {
-        reject(status_unavailable, "this node has no memory for the request body, not run\n");
+    else if (!account()) {
+        reject_for_memory();
     }
     else if (parser_->expects_continue() && !parser_->is_done()) {
         continue_due_ = true;
@@ -139,13 +165,55 @@
     }
 }
 
-/** Bodies in chunks announce no length, so their memory is taken as they arrive. */
+/** The memory of a body is taken as it arrives: what a caller only announces costs nothing. */
 void http_connection::on_body_received()
 {
-    const auto received = parser_->request().body.size();
-    if (!rejected_ && received > unbudgeted_body_bytes && !body_memory_.try_extend_to(received)) {
-        reject(status_unavailable, "this node has no memory for the request body, not run\n");
+    const auto received = parser_->received_bytes();
+    if (rejected_) {
+        if (received > max_discarded_bytes) {
+            end_input();
+        }
+        return;
+    }
+    if (!header_checked_) {
+        return;
+    }
+    if (state_.limits.discards_bodies) {
+        parser_->discard_body();
+    }
+    const auto limit = state_.limits.discards_bodies ? state_.limits.max_body_bytes
+                                                     : state_.limits.max_buffered_body_bytes;
+    if (received > limit && received - limit > max_discarded_bytes) {
+        input_ended_ = true;
+        if (received > state_.limits.max_body_bytes) {
+            reject(status_payload_too_large, "request body too large\n");
+        }
+        else {
+            reject(status_unavailable, "request body too large for this node, not run\n");
+        }
+    }
+    else if (!account()) {
+        reject_for_memory();
+    }
+}
+
+/** Closes the connection after the responses that are due; the rest of the body is too long. */
+void http_connection::end_input()
+{
+    input_ended_ = true;
+    if (pipeline_.empty() && !writing_) {
+        linger();
+    }
+}
+
+void http_connection::reject_for_memory()
+{
+    if (state_.listener != nullptr) {
+        state_.listener->on_out_of_memory(
+            fmt::format("{} bytes held for this caller, {} for all, allowed {}", held(),
+                        state_.callers.held(), state_.limits.max_memory_bytes));
     }
+    reject(status_unavailable, no_memory);
 }
 
 /** True if the caller has closed the connection and nothing before that remains to be read. */
@@ -164,13 +232,15 @@
         return;
     }
     if (!rejected_) {
-        const auto verdict = check_body(parser_->request(), state_.limits.max_body_bytes,
-                                        state_.limits.max_buffered_body_bytes);
+        const auto verdict = state_.limits.discards_bodies
+                                 ? body_verdict::complete
+                                 : check_body(parser_->request(), state_.limits.max_body_bytes,
+                                              state_.limits.max_buffered_body_bytes);
         switch (verdict) {
         case body_verdict::complete: {
             pipelined_request item;
             item.conditions = conditions();
-            item.body_memory = std::exchange(body_memory_, byte_lease{state_.bodies});
+            item.memory = parser_->memory();
             item.request = std::move(parser_->request());
             item.is_safe = is_safe_method(item.request.method);
             make_origin_form(item.request);
@@ -190,7 +260,6 @@
             break;
         }
     }
-    body_memory_ = byte_lease{state_.bodies};
     continue_due_ = false;
     header_checked_ = false;
     parser_.reset();
@@ -211,12 +280,12 @@
                         request.body.size(), find_header(request.headers, "Content-Length"),
                         state_.limits.max_body_bytes, state_.limits.max_buffered_body_bytes));
     }
-    parser_->discard_body();
-    body_memory_ = byte_lease{state_.bodies};
     pipelined_request item;
     item.conditions = conditions();
-    item.conditions.closes =
-        item.conditions.closes || announced > max_discarded_bytes || status == status_bad_request;
+    parser_->discard_body();
+    parser_->discard_headers();
+    item.conditions.closes = input_ended_ || item.conditions.closes ||
+                             announced > max_discarded_bytes || status == status_bad_request;
     item.is_safe = true;
     item.response = http_response{status, {}, std::string{explanation}};
     input_ended_ = item.conditions.closes;
--- a/src/savorywheel/http/http_server_limits.hpp
+++ b/src/savorywheel/http/http_server_limits.hpp
@@ -14,14 +14,27 @@
      * max_body_bytes are rejected with status 503.
      */
     std::size_t max_buffered_body_bytes{8UL * 1024UL * 1024UL};
-    /** @brief Maximum memory for the bodies of all requests, in bytes: two of the maximum size. */
-    std::size_t max_buffered_total_bytes{2 * max_buffered_body_bytes};
+    /**
+     * @brief Maximum memory held for all callers, in bytes: headers and bodies that are received,
+     * requests in progress or waiting, and responses that have not been read. A request that does
+     * not fit is rejected with status 503. Three of four parts are for large requests: two bodies
+     * of the maximum size with their buffers.
+     */
+    std::size_t max_memory_bytes{4 * max_buffered_body_bytes + 4UL * 1024UL * 1024UL};
+    /** @brief True if the handler needs no bodies: they are read, and not kept. */
+    bool discards_bodies{};
     /**
      * @brief Maximum size of a request's header, in bytes; a larger one is rejected with status
      * 431.
      */
     std::size_t max_header_bytes{40UL * 1024UL};
-    /** @brief Maximum of open connections; further ones are closed immediately. */
+    /** @brief Maximum time from the first byte of a request to the end of its header: the 3 s that
+     * configurations allow, and a margin for requests in transit. */
+    std::chrono::milliseconds header_timeout{8000};
+    /**
+     * @brief Maximum of open connections; a further one takes the place of one without progress, or
+     * is closed immediately.
+     */
     unsigned max_connections{512};
     /** @brief Idle time after which a persistent connection is closed. */
     std::chrono::seconds idle_timeout{60};
--- a/src/savorywheel/http/http_server_state.hpp
+++ b/src/savorywheel/http/http_server_state.hpp
@@ -2,7 +2,7 @@
 #define SAVORYWHEEL_HTTP_HTTP_SERVER_STATE_HPP
 
 #include <savorywheel/http/async_http_handler.hpp>
-#include <savorywheel/http/byte_budget.hpp>
+#include <savorywheel/http/caller_ledger.hpp>
 #include <savorywheel/http/drain_monitor.hpp>
 #include <savorywheel/http/http_server_limits.hpp>
 #include <savorywheel/http/http_server_listener.hpp>
@@ -18,8 +18,8 @@
     http_server_listener* listener{};
     /** @brief Limits in force. */
     http_server_limits limits;
-    /** @brief Memory for the request bodies of all connections. */
-    byte_budget bodies{limits.max_buffered_total_bytes};
+    /** @brief Memory held for all connections. */
+    caller_ledger callers{limits.max_memory_bytes};
     /** @brief Counts connections and requests; thread-safe. */
     drain_monitor monitor{};
     /** @brief True while the server stops: each response then closes its connection. */
--- a/src/savorywheel/http/pipelined_request.hpp
+++ b/src/savorywheel/http/pipelined_request.hpp
@@ -1,12 +1,12 @@
 #ifndef SAVORYWHEEL_HTTP_PIPELINED_REQUEST_HPP
 #define SAVORYWHEEL_HTTP_PIPELINED_REQUEST_HPP
 
-#include <savorywheel/http/byte_lease.hpp>
 #include <savorywheel/http/cancellation.hpp>
 #include <savorywheel/http/http_request.hpp>
 #include <savorywheel/http/http_response.hpp>
 #include <savorywheel/http/response_conditions.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -22,8 +22,8 @@
     /** @brief True if the request's method is safe (RFC 9110, 9.2.1). */
     bool is_safe{};
     response_conditions conditions;
-    /** @brief Memory for the body. */
-    byte_lease body_memory;
+    /** @brief Memory of the request, or of its response once there is one, in bytes. */
+    std::size_t memory{};
     /** @brief Cancelled when the caller closes the connection. */
     std::shared_ptr<cancellation> cancel_signal{std::make_shared<cancellation>()};
     /** @brief True once the request was passed to the handler. */
--- a/src/savorywheel/http/request_parser.cpp
+++ b/src/savorywheel/http/request_parser.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/http/message_memory.hpp>
 #include <savorywheel/http/request_parser.hpp>
 
 #include <boost/optional.hpp>
@@ -52,6 +53,18 @@
     request_.body = {};
 }
 
+void request_parser::discard_headers() noexcept
+{
+    request_.headers = {};
+    field_text_bytes_ = 0;
+}
+
+std::size_t request_parser::memory() const noexcept
+{
+    return memory_of(request_.method) + memory_of(request_.target) + memory_of(request_.body) +
+           memory_of_elements(request_.headers) + field_text_bytes_;
+}
+
 void request_parser::on_request_impl(boost::beast::http::verb /*method*/, text method_text,
                                      text target, int version, error_code& error)
 {
@@ -73,6 +86,7 @@
     // Trailer fields are not part of the header (RFC 9110, 6.5.1).
     if (!header_complete_) {
         request_.headers.push_back({to_string(name_text), to_string(value)});
+        field_text_bytes_ += memory_of(request_.headers.back());
     }
     error = {};
 }
@@ -80,6 +94,8 @@
 void request_parser::on_header_impl(error_code& error)
 {
     header_complete_ = true;
+    // Growth leaves up to half of the elements unused.
+    request_.headers.shrink_to_fit();
     error = {};
 }
 
@@ -115,7 +131,13 @@
 
 void request_parser::keep(text bytes)
 {
+    received_bytes_ += bytes.size();
     const auto room = max_kept_body_bytes_ - std::min(max_kept_body_bytes_, request_.body.size());
+    if (room > 0 && request_.body.empty()) {
+        // A body of known length needs no growth, in which it would exist twice.
+        request_.body.reserve(static_cast<std::size_t>(
+            std::min<std::uint64_t>(announced_bytes().value_or(0), max_kept_body_bytes_)));
+    }
     request_.body.append(bytes.data(), std::min(room, bytes.size()));
 }
 
--- a/src/savorywheel/http/request_parser.hpp
+++ b/src/savorywheel/http/request_parser.hpp
@@ -43,6 +43,15 @@
     /** @brief Discards the body, also what has been received of it. */
     void discard_body() noexcept;
 
+    /** @brief Discards the header fields. */
+    void discard_headers() noexcept;
+
+    /** @return Size of the body that has been received, also of what is not kept, in bytes. */
+    [[nodiscard]] std::uint64_t received_bytes() const noexcept { return received_bytes_; }
+
+    /** @return Memory of the request, in bytes. */
+    [[nodiscard]] std::size_t memory() const noexcept;
+
 private:
     using error_code = boost::beast::error_code;
     using text = boost::beast::string_view;
@@ -64,6 +73,9 @@
 
     http_request request_;
     std::size_t max_kept_body_bytes_;
+    std::uint64_t received_bytes_{};
+    /** Memory of the texts of all fields. */
+    std::size_t field_text_bytes_{};
     bool header_complete_{};
     bool is_http_1_0_{};
 };
--- a/src/savorywheel/http/request_pipeline.cpp
+++ b/src/savorywheel/http/request_pipeline.cpp
@@ -39,14 +39,39 @@
     return nullptr;
 }
 
-void request_pipeline::set_response(std::uint64_t id, http_response response)
+void request_pipeline::set_response(std::uint64_t id, http_response response, std::size_t memory)
 {
     const auto found = std::ranges::find(items_, id, &pipelined_request::id);
     if (found != items_.end() && !found->response) {
         found->response = std::move(response);
+        found->memory = memory;
     }
 }
 
+std::size_t request_pipeline::memory_of_request(std::uint64_t id) const noexcept
+{
+    const auto found = std::ranges::find(items_, id, &pipelined_request::id);
+    return found != items_.end() && !found->response ? found->memory : 0;
+}
+
+std::size_t request_pipeline::memory() const noexcept
+{
+    std::size_t bytes{};
+    for (const auto& item : items_) {
+        bytes += item.memory;
+    }
+    return bytes;
+}
+
+std::size_t request_pipeline::waiting_memory() const noexcept
+{
+    std::size_t bytes{};
+    for (const auto& item : items_) {
+        bytes += item.is_started || item.response ? 0 : item.memory;
+    }
+    return bytes;
+}
+
 std::optional<pipelined_request> request_pipeline::pop_answered()
 {
     if (items_.empty() || !items_.front().response) {
--- a/src/savorywheel/http/request_pipeline.hpp
+++ b/src/savorywheel/http/request_pipeline.hpp
@@ -37,8 +37,20 @@
      */
     [[nodiscard]] pipelined_request* start_next() noexcept;
 
-    /** @brief Sets the response to a request; ignored if the request is unknown or has one. */
-    void set_response(std::uint64_t id, http_response response);
+    /**
+     * @brief Sets the response to a request; ignored if the request is unknown or has one.
+     * @param memory Memory of the response, in bytes.
+     */
+    void set_response(std::uint64_t id, http_response response, std::size_t memory = 0);
+
+    /** @return Memory of a request that has no response; 0 if it is unknown or has one. */
+    [[nodiscard]] std::size_t memory_of_request(std::uint64_t id) const noexcept;
+
+    /** @return Memory of all requests and responses, in bytes. */
+    [[nodiscard]] std::size_t memory() const noexcept;
+
+    /** @return Memory of the requests that have not been started, in bytes. */
+    [[nodiscard]] std::size_t waiting_memory() const noexcept;
 
     /** @return The first request, removed, if it has a response; std::nullopt otherwise. */
     [[nodiscard]] std::optional<pipelined_request> pop_answered();
--- a/src/savorywheel/node/caller_limit_publisher.cpp
+++ b/src/savorywheel/node/caller_limit_publisher.cpp
@@ -26,6 +26,16 @@
            idle_margin;
 }
 
+std::chrono::milliseconds header_timeout_of(const caller_limits& limits,
+                                            std::chrono::milliseconds by_default)
+{
+    if (!limits.header_timeout) {
+        return by_default;
+    }
+    return std::clamp(*limits.header_timeout, std::chrono::milliseconds::zero(), max_idle_timeout) +
+           idle_margin;
+}
+
 } // namespace
 
 void caller_limit_publisher::on_table(const routing_table& table)
@@ -36,7 +46,8 @@
     }
     applied_ = limits;
     server_.set_caller_limits(limits.max_body_bytes.value_or(defaults_.max_body_bytes),
-                              idle_timeout_of(limits, defaults_.idle_timeout));
+                              idle_timeout_of(limits, defaults_.idle_timeout),
+                              header_timeout_of(limits, defaults_.header_timeout));
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -11,6 +11,7 @@
 #include <savorywheel/metrics/process_metric_source.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/caller_limit_publisher.hpp>
+#include <savorywheel/node/caller_metric_source.hpp>
 #include <savorywheel/node/control_plane.hpp>
 #include <savorywheel/node/node.hpp>
 #include <savorywheel/node/node_http_limits.hpp>
@@ -63,6 +64,7 @@
         tables_.set_listener(caller_limits_);
         metrics_.add_source(process_metrics_);
         metrics_.add_source(state_metrics_);
+        metrics_.add_source(caller_metrics_);
         router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_report},
                     gate_);
         router_.add({frame_kind::call_response, frame_kind::crash_acknowledged,
@@ -252,9 +254,10 @@
     http_server admin_server_{admin_, admin_limits()};
     immediate_http_handler readiness_responses_{readiness_};
     async_http_server readiness_server_{readiness_responses_, traffic_loop_,
-                                        readiness_server_limits(settings_)};
+                                        readiness_server_limits(settings_), &rejection_log_};
+    caller_metric_source caller_metrics_{proxy_server_, readiness_server_};
     std::unique_ptr<http_server> announcement_server_{
-        announcements_ ? std::make_unique<http_server>(*announcements_, short_request_limits())
+        announcements_ ? std::make_unique<http_server>(*announcements_, announcement_limits())
                        : nullptr};
     std::thread control_thread_;
 };
--- a/src/savorywheel/node/node_http_limits.hpp
+++ b/src/savorywheel/node/node_http_limits.hpp
@@ -9,6 +9,9 @@
 /** @return Limits of servers of short requests, which clients repeat later or at another node. */
 [[nodiscard]] http_server_limits short_request_limits();
 
+/** @return Limits of the server for the announcements of the backend server on the same VM. */
+[[nodiscard]] http_server_limits announcement_limits();
+
 /** @return Limits of the administration API; operators settle an operation without a response. */
 [[nodiscard]] http_server_limits admin_limits();
 
--- a/src/savorywheel/traffic/http_rejection_log.hpp
+++ b/src/savorywheel/traffic/http_rejection_log.hpp
@@ -18,11 +18,21 @@
     http_rejection_log(event_log& log, const clock& time, metric_registry& metrics);
 
     void on_rejected(int status, std::string_view target, std::string_view reason) override;
+    void on_out_of_memory(std::string_view reason) override;
+    void on_evicted(std::string_view reason) override;
+    void on_header_timeout(std::string_view reason) override;
+    void on_connection_refused(std::string_view reason) override;
     void on_library_error(std::string_view message) override;
 
 private:
+    void count(metric_registry::counter& counter, event_id id, std::string_view reason);
+
     metric_registry& metrics_;
     metric_registry::counter& library_errors_;
+    metric_registry::counter& refused_for_memory_;
+    metric_registry::counter& evicted_;
+    metric_registry::counter& header_timeouts_;
+    metric_registry::counter& connections_refused_;
     call_log call_log_;
 };
 
