--- a/test/savorywheel/settings/node_settings_faults_test.cpp
+++ b/test/savorywheel/settings/node_settings_faults_test.cpp
@@ -54,6 +54,27 @@
     EXPECT_EQ(settings.operators.size(), 2U);
 }
 
+// Guards against limits on callers that are ignored, or that let a body exceed a frame between
+// nodes.
+TEST(node_settings_faults, limits_on_callers_are_read_and_checked)
+{
+    constexpr std::size_t kib = 1024;
+    const auto with_callers = [](const std::string& callers) {
+        return settings_with("log_level: warning", "callers: " + callers);
+    };
+    findings report;
+    const auto settings = read_node_settings(
+        with_callers("{connections: 40, memory_kib: 4096, body_kib: 256}"), report);
+    EXPECT_EQ(report.render("s"), "");
+    EXPECT_EQ(settings.callers.connections, 40U);
+    EXPECT_EQ(settings.callers.memory_bytes, 4096 * kib);
+    EXPECT_EQ(settings.callers.body_bytes, 256 * kib);
+    EXPECT_NE(faults_of(with_callers("{connections: 0}")).find("from 1 to"), std::string::npos);
+    EXPECT_NE(faults_of(with_callers("{body_kib: 8193}")).find("from 1 to 8192"),
+              std::string::npos);
+    EXPECT_NE(faults_of(with_callers("{memory: 1}")).find("unknown key"), std::string::npos);
+}
+
 TEST(node_settings_faults, each_fault_is_reported_with_its_position)
 {
     const std::vector<fault_case> cases{
