--- a/src/savorywheel/node/traffic_server_limits.cpp
+++ b/src/savorywheel/node/traffic_server_limits.cpp
@@ -1,22 +1,24 @@
+#include <savorywheel/node/node_http_limits.hpp>
 #include <savorywheel/node/stop_schedule.hpp>
 #include <savorywheel/node/traffic_server_limits.hpp>
 #include <savorywheel/transport/frame_header.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace savorywheel {
 
 namespace {
 
-/** Callers that retry during an overload open new connections; the limit bounds their memory. */
-constexpr unsigned max_caller_connections = 500;
-
-/** Half of the largest frame to another node, 8 MiB: while a call is sent, the server, the call and
- * the frame hold its body at once. */
-constexpr std::size_t max_call_body_bytes = max_frame_bytes / 2;
+/** Probes come from few places, about one a second each. */
+constexpr unsigned max_readiness_connections = 128;
+/** Headers of the maximum size on most of these connections; bodies are not kept. */
+constexpr std::size_t max_readiness_memory_bytes = 4UL * 1024UL * 1024UL;
 
 } // namespace
 
+static_assert(caller_resources{}.body_bytes == max_frame_bytes / 2);
+
 http_server_limits traffic_server_limits(const node_settings& settings)
 {
     http_server_limits limits;
@@ -24,9 +26,19 @@
     limits.drain_limit = stop.interruption - stop.notice;
     limits.interruption_limit = stop.close - stop.interruption;
     limits.idle_timeout = settings.idle_timeout;
-    limits.max_connections = max_caller_connections;
+    limits.max_connections = settings.callers.connections;
     limits.max_body_bytes = std::numeric_limits<std::size_t>::max();
-    limits.max_buffered_body_bytes = max_call_body_bytes;
+    limits.max_buffered_body_bytes = settings.callers.body_bytes;
+    limits.max_memory_bytes = settings.callers.memory_bytes;
+    return limits;
+}
+
+http_server_limits readiness_server_limits(const node_settings& settings)
+{
+    auto limits = short_request_limits();
+    limits.max_connections = std::min(settings.callers.connections, max_readiness_connections);
+    limits.max_memory_bytes = std::min(settings.callers.memory_bytes, max_readiness_memory_bytes);
+    limits.discards_bodies = true;
     return limits;
 }
 
--- a/src/savorywheel/settings/node_settings.hpp
+++ b/src/savorywheel/settings/node_settings.hpp
@@ -5,6 +5,7 @@
 #include <savorywheel/core/network_endpoint.hpp>
 #include <savorywheel/log/event_severity.hpp>
 #include <savorywheel/quota/quota_settings.hpp>
+#include <savorywheel/settings/caller_resources.hpp>
 #include <savorywheel/settings/operator_key.hpp>
 #include <savorywheel/traffic/retry_limits.hpp>
 
@@ -57,6 +58,8 @@
      * one; none for no limit.
      */
     std::optional<std::chrono::milliseconds> key_confirmation_limit;
+    /** @brief What each listener for callers may use. */
+    caller_resources callers;
     /** @brief Retry limits for the whole mesh. */
     retry_limits retries;
     /** @brief Quotas of tenants; equal at all nodes. */
