Let nodes hold more tokens of a tenant whose requests are spread over many nodes

Each node that a tenant's requests come to now and then kept a token for the next one, and reported a use only with its next request; so the cap on outstanding tokens was reached while the bucket was full, and tokens that expired at nodes were lost.

Change: what is limited is the sum of the bucket and the tokens at nodes, which is what the bound needs. A node reports use along with requests for other tenants, keeps no spare token for a tenant with less than 0.75 requests per second, and estimates demand over 4 s.

--- a/src/savorywheel/quota/demand_estimate.hpp
+++ b/src/savorywheel/quota/demand_estimate.hpp
@@ -25,8 +25,12 @@
     }
 
 private:
-    /** Long enough for a few requests of a small tenant, short enough to follow a surge. */
-    static constexpr double memory_seconds = 1;
+    /**
+     * The lifetime of a token. With a shorter memory, each single request of a tenant that comes to
+     * this node now and then looks like a steady demand, and the token kept for the next one
+     * expires.
+     */
+    static constexpr double memory_seconds = 4;
 
     double rate_{};
     duration updated_{};
--- a/src/savorywheel/quota/quota_terms.cpp
+++ b/src/savorywheel/quota/quota_terms.cpp
@@ -16,6 +16,9 @@
 /** Part of the permitted excess that is not used, against the rounding of tokens and times. */
 constexpr double reserve = 3;
 
+/** Nodes hold up to two thirds of the total; the rest is what a new coordinator begins with. */
+constexpr double change_divisor = 3;
+
 } // namespace
 
 quota_terms make_quota_terms(const quota_settings& settings, double rate, double burst) noexcept
@@ -26,7 +29,9 @@
     quota_terms terms;
     terms.rate = rate;
     terms.capacity = std::max(1.0, burst + batch);
-    terms.max_outstanding = std::max(1.0, excess - batch - reserve);
+    terms.total = terms.capacity + std::max(1.0, excess - batch - reserve);
+    terms.total_after_change = std::max(1.0, terms.total / change_divisor);
+    terms.max_outstanding = std::max(1.0, terms.total - terms.total_after_change);
     return terms;
 }
 
--- a/src/savorywheel/quota/quota_terms.hpp
+++ b/src/savorywheel/quota/quota_terms.hpp
@@ -21,8 +21,12 @@
     double rate{};
     /** @brief Most tokens in the bucket. */
     double capacity{};
+    /** @brief Most tokens in the bucket and at nodes together. */
+    double total{};
     /** @brief Most tokens that nodes may hold at the same time. */
     double max_outstanding{};
+    /** @brief The total while tokens of a previous coordinator may be valid. */
+    double total_after_change{};
 
     [[nodiscard]] friend bool operator==(const quota_terms&, const quota_terms&) = default;
 };
@@ -30,8 +34,9 @@
 /**
  * @brief Derives the limits of a tenant.
  *
- * rate * window + capacity + max_outstanding is at most
- * (rate * window + burst) * (1 + over) + slack, if that leaves room for one outstanding token.
+ * rate * window + total is at most (rate * window + burst) * (1 + over) + slack, if that leaves
+ * room for one token: what is used in a window was at nodes at its start, or in the bucket, or was
+ * added since. max_outstanding and total_after_change are at most the total together.
  * @param rate Requests per second at all nodes together.
  * @param burst Requests beyond the rate.
  */
--- a/src/savorywheel/quota/refund_limit.hpp
+++ b/src/savorywheel/quota/refund_limit.hpp
@@ -26,23 +26,26 @@
 class refund_limit {
 public:
     /** @param start Time before which no token was issued; no refund soon after it. */
-    refund_limit(const quota_terms& terms, duration start) noexcept
-        : older_{start, {terms.capacity, start}}, newer_{older_}
+    refund_limit(double capacity, duration start) noexcept
+        : older_{start, {capacity, start}}, newer_{older_}
     {
     }
 
-    /** @brief Records issued tokens. */
-    void issue(const quota_terms& terms, double tokens, duration now) noexcept
+    /**
+     * @brief Records issued tokens.
+     * @param room Most tokens in the bucket before they are issued.
+     */
+    void issue(double rate, double room, double tokens, duration now) noexcept
     {
-        refresh(terms, now);
+        refresh(rate, room, now);
         older_.tokens.take(tokens);
         newer_.tokens.take(tokens);
     }
 
     /** @return Level up to which refunds may fill the tenant's bucket. */
-    [[nodiscard]] std::optional<double> level(const quota_terms& terms, duration now) noexcept
+    [[nodiscard]] std::optional<double> level(double rate, double room, duration now) noexcept
     {
-        refresh(terms, now);
+        refresh(rate, room, now);
         return now - older_.full_at >= max_refund_age ? std::optional{older_.tokens.level()}
                                                       : std::nullopt;
     }
@@ -53,13 +56,13 @@
         token_bucket tokens;
     };
 
-    void refresh(const quota_terms& terms, duration now) noexcept
+    void refresh(double rate, double room, duration now) noexcept
     {
-        older_.tokens.fill(terms.rate, terms.capacity, now);
-        newer_.tokens.fill(terms.rate, terms.capacity, now);
+        older_.tokens.fill(rate, room, now);
+        newer_.tokens.fill(rate, room, now);
         if (now - newer_.full_at >= max_refund_age) {
             older_ = newer_;
-            newer_ = {now, {terms.capacity, now}};
+            newer_ = {now, {room, now}};
         }
     }
 
--- a/src/savorywheel/quota/tenant_ledger.cpp
+++ b/src/savorywheel/quota/tenant_ledger.cpp
@@ -17,8 +17,8 @@
 
 void tenant_ledger::set_terms(const quota_terms& terms, duration now) noexcept
 {
-    bucket_.fill(terms_.rate, terms_.capacity, now);
-    refunds_.issue(terms_, 0, now);
+    bucket_.fill(terms_.rate, room(), now);
+    refunds_.issue(terms_.rate, room(), 0, now);
     terms_ = terms;
 }
 
@@ -38,7 +38,7 @@
         result.state = quota_grant_state::exhausted;
     }
     bucket_.take(result.tokens);
-    refunds_.issue(terms_, result.tokens, when.now);
+    refunds_.issue(terms_.rate, room(), result.tokens, when.now);
     outstanding_ += result.tokens;
     owner.tokens += result.tokens;
     owner.expires = when.now + token_lifetime;
@@ -74,30 +74,36 @@
     const auto gone = owner.tokens - kept;
     outstanding_ -= gone;
     owner.tokens = kept;
-    bucket_.add(gone - std::min(gone, item.used), terms_.capacity);
+    bucket_.add(gone - std::min(gone, item.used), room());
     if (item.not_run == 0 || !when.recent) {
         return;
     }
-    if (const auto limit = refunds_.level(terms_, when.now)) {
+    if (const auto limit = refunds_.level(terms_.rate, room(), when.now)) {
         const auto level = bucket_.level();
-        bucket_.add(std::clamp(*limit - level, 0.0, static_cast<double>(item.not_run)),
-                    terms_.capacity);
+        bucket_.add(std::clamp(*limit - level, 0.0, static_cast<double>(item.not_run)), room());
     }
 }
 
 /**
- * While the previous coordinator's tokens may be valid, this one counts its own outstanding tokens
- * against the capacity, so that both together stay within the bound.
+ * The bucket fills only as far as it and the tokens at nodes stay within the total. While tokens of
+ * the previous coordinator may be valid, the total is smaller by as many as there can be of them.
  */
 void tenant_ledger::fill(const circumstances& when) noexcept
 {
-    bucket_.fill(terms_.rate, terms_.capacity, when.now);
+    bucket_.fill(terms_.rate, room(), when.now);
+    refunds_.issue(terms_.rate, room(), 0, when.now);
     if (when.after_change) {
-        const double excess = bucket_.level() + static_cast<double>(outstanding_) - terms_.capacity;
+        const double excess =
+            bucket_.level() + static_cast<double>(outstanding_) - terms_.total_after_change;
         bucket_.take(std::clamp(excess, 0.0, std::max(0.0, bucket_.level())));
     }
 }
 
+double tenant_ledger::room() const noexcept
+{
+    return std::min(terms_.capacity, terms_.total - static_cast<double>(outstanding_));
+}
+
 std::uint32_t tenant_ledger::available() const noexcept
 {
     const double tokens =
--- a/src/savorywheel/quota/tenant_ledger.hpp
+++ b/src/savorywheel/quota/tenant_ledger.hpp
@@ -31,7 +31,7 @@
      * @param start Time at which the bucket was empty, since which it fills.
      */
     tenant_ledger(const quota_terms& terms, duration start) noexcept
-        : terms_{terms}, bucket_{0, start}, refunds_{terms, start}
+        : terms_{terms}, bucket_{0, start}, refunds_{terms.capacity, start}
     {
     }
 
@@ -60,6 +60,8 @@
     [[nodiscard]] holding& holding_of(std::uint64_t session);
     void apply_report(holding& owner, const quota_request_item& item, const circumstances& when);
     void fill(const circumstances& when) noexcept;
+    /** Most tokens in the bucket now. */
+    [[nodiscard]] double room() const noexcept;
     [[nodiscard]] std::uint32_t available() const noexcept;
     [[nodiscard]] std::uint32_t retry_after_ms() const noexcept;
 
--- a/src/savorywheel/quota/tenant_stock.cpp
+++ b/src/savorywheel/quota/tenant_stock.cpp
@@ -13,8 +13,11 @@
 constexpr double stock_seconds = 0.5;
 /** A lost datagram, its retransmission after 150 ms, and a round trip between regions. */
 constexpr double low_seconds = 0.2;
-/** Below this rate, a spare token would usually expire before the next request. */
-constexpr double min_rate_for_spare = 0.25;
+/**
+ * Below this rate, spare tokens expire too often before the next request: a tenant of 5 per s whose
+ * requests are spread over 83 nodes would lose one token for each that it uses.
+ */
+constexpr double min_rate_for_spare = 0.75;
 constexpr double max_wanted = 1e6;
 /** The limit may be raised, or tokens come back, before the time that the coordinator stated. */
 constexpr std::chrono::milliseconds max_refusal{1000};
@@ -54,8 +57,7 @@
 double tenant_stock::target(duration now) const noexcept
 {
     const auto rate = demand_.per_second(now);
-    return std::min(max_wanted,
-                    std::ceil(rate * stock_seconds) + (rate >= min_rate_for_spare ? 1.0 : 0.0));
+    return rate < min_rate_for_spare ? 0.0 : std::min(max_wanted, std::ceil(rate * stock_seconds));
 }
 
 bool tenant_stock::is_low(duration now) noexcept
--- a/src/savorywheel/quota/tenant_stock.hpp
+++ b/src/savorywheel/quota/tenant_stock.hpp
@@ -50,6 +50,9 @@
     /** @return Until when requests are refused without asking the coordinator again. */
     [[nodiscard]] duration refused_until() const noexcept { return refused_until_; }
 
+    /** @return True if a token was used since the last report. */
+    [[nodiscard]] bool unreported() const noexcept { return used_ > reported_used_; }
+
     /** @return Valid tokens. */
     [[nodiscard]] std::uint32_t count(duration now) noexcept { return lots_.count(now); }
 
--- a/src/savorywheel/quota/token_stock.cpp
+++ b/src/savorywheel/quota/token_stock.cpp
@@ -12,6 +12,9 @@
     if (item.stock.is_low(now)) {
         list(tenant, item);
     }
+    if (token) {
+        list_report(tenant, item);
+    }
     count(item, now);
     return token;
 }
@@ -22,6 +25,7 @@
     const auto token = item.stock.take_for_waiting(now);
     if (token) {
         --item.waiting;
+        list_report(tenant, item);
         count(item, now);
     }
     return token;
@@ -73,6 +77,20 @@
         }
     }
     listed.erase(listed.begin(), end);
+    if (items.empty()) {
+        return items;
+    }
+    // Use that the coordinator does not know of counts as tokens that this node may still use.
+    auto& reports = reports_.at(shard);
+    while (!reports.empty() && items.size() < max_quota_items) {
+        const auto tenant = reports.back();
+        reports.pop_back();
+        auto& item = entries_[tenant];
+        item.reported = false;
+        if (item.stock.unreported() && !item.listed) {
+            items.push_back(item.stock.report(tenant, item.waiting, now));
+        }
+    }
     return items;
 }
 
@@ -95,6 +113,14 @@
     }
 }
 
+void token_stock::list_report(std::uint64_t tenant, entry& item)
+{
+    if (!item.reported) {
+        item.reported = true;
+        reports_[shard_of(tenant)].push_back(tenant);
+    }
+}
+
 void token_stock::count(entry& item, duration now) noexcept
 {
     const auto tokens = item.stock.count(now);
--- a/src/savorywheel/quota/token_stock.hpp
+++ b/src/savorywheel/quota/token_stock.hpp
@@ -21,7 +21,7 @@
 class token_stock {
 public:
     /** @param shards Number of shards of the tenants. */
-    explicit token_stock(std::uint32_t shards) : lists_(shards) {}
+    explicit token_stock(std::uint32_t shards) : lists_(shards), reports_(shards) {}
 
     /**
      * @brief Counts a request, and takes a token for it if there is one.
@@ -75,16 +75,21 @@
         std::uint32_t waiting{};
         /** True while the tenant is in the list of its shard. */
         bool listed{};
+        /** True while the tenant is among the reports of its shard. */
+        bool reported{};
         /** Part of size_. */
         std::uint32_t counted{};
     };
 
     void list(std::uint64_t tenant, entry& item);
+    void list_report(std::uint64_t tenant, entry& item);
     void count(entry& item, duration now) noexcept;
 
     std::unordered_map<std::uint64_t, entry> entries_;
     /** Tenants for which to request tokens, by shard. */
     std::vector<std::vector<std::uint64_t>> lists_;
+    /** Tenants whose use the coordinator has not heard of, by shard; sent with other requests. */
+    std::vector<std::vector<std::uint64_t>> reports_;
     std::uint64_t size_{};
 };
 
