--- a/test/savorywheel/admin/admin_handler_test.cpp
+++ b/test/savorywheel/admin/admin_handler_test.cpp
@@ -94,7 +94,8 @@
 {
     const auto text = "tenants: [{name: clinic, keys: [\"secret-1\"]}]\n" + std::string{mesh_text};
     EXPECT_EQ(send("PUT", "/config", text).status, 200);
-    for (const auto& object : store_.list("", "")->objects) {
+    const auto listed = store_.list("", "");
+    for (const auto& object : listed->objects) {
         EXPECT_EQ(object.value.find("secret"), std::string::npos) << object.key;
     }
     const auto digest = to_string(digest_of_key("secret-1"));
