Take leases of quota coordinators exclusively, and log held slots once per second

Change: the leases of quotas use the exclusive rule of the lease manager; SW4022 is written at most once per second; a gate learns service times from successful responses, and from others only if they took longer.

--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -98,15 +98,17 @@
 
 quota_service::environment control_plane::quota_environment()
 {
-    return {environment_.loop,
-            quota_,
-            environment_.datagrams,
-            environment_.quota_grants,
-            {{{environment_.loop, environment_.worker, environment_.random}, environment_.log},
-             [this]() -> const member_record& { return membership_.agent().self(); },
-             [this]() -> const member_table& { return membership_.agent().table(); },
-             environment_.tables,
-             environment_.quotas}};
+    return {
+        environment_.loop,
+        quota_,
+        environment_.datagrams,
+        environment_.quota_grants,
+        // Two coordinators of a shard at the same time would issue its tokens twice.
+        {{{environment_.loop, environment_.worker, environment_.random, true}, environment_.log},
+         [this]() -> const member_record& { return membership_.agent().self(); },
+         [this]() -> const member_table& { return membership_.agent().table(); },
+         environment_.tables,
+         environment_.quotas}};
 }
 
 std::unique_ptr<commit_appender> control_plane::make_appender()
--- a/src/savorywheel/routing/work_estimate.hpp
+++ b/src/savorywheel/routing/work_estimate.hpp
@@ -1,9 +1,9 @@
 #ifndef SAVORYWHEEL_ROUTING_WORK_ESTIMATE_HPP
 #define SAVORYWHEEL_ROUTING_WORK_ESTIMATE_HPP
 
-#include <savorywheel/routing/work_class.hpp>
 #include <savorywheel/routing/decayed_mean.hpp>
 #include <savorywheel/routing/expected_work.hpp>
+#include <savorywheel/routing/work_class.hpp>
 
 #include <cstddef>
 #include <cstdint>
--- a/src/savorywheel/traffic/gate_call_log.cpp
+++ b/src/savorywheel/traffic/gate_call_log.cpp
@@ -6,6 +6,13 @@
 
 namespace savorywheel {
 
+namespace {
+
+/** The state usually lasts for many calls, whose own lines would be dropped for it. */
+constexpr std::chrono::seconds held_log_period{1};
+
+} // namespace
+
 void gate_call_log::log_refused(const gate_call& item, const call_response& response)
 {
     call_log_.write(event_id::gate_refused, response.reason, [&] {
@@ -45,6 +52,11 @@
 
 void gate_call_log::log_held()
 {
+    const auto now = time_.now();
+    auto last = held_logged_at_.load();
+    if (now < last + held_log_period || !held_logged_at_.compare_exchange_strong(last, now)) {
+        return;
+    }
     call_log_.write(event_id::slots_held_by_abandoned_calls, "no slot is free",
                     [] { return std::vector<log_field>{}; });
 }
--- a/src/savorywheel/traffic/gate_call_log.hpp
+++ b/src/savorywheel/traffic/gate_call_log.hpp
@@ -8,6 +8,8 @@
 #include <savorywheel/traffic/call_response.hpp>
 #include <savorywheel/traffic/gate_call.hpp>
 
+#include <atomic>
+
 namespace savorywheel {
 
 /** @brief Logs the outcome of calls at a gate and the inputs of the decision; thread-safe. */
@@ -25,7 +27,7 @@
     /** @brief Logs why a queued call is refused. */
     void log_removed(event_id cause, const gate_call& item);
 
-    /** @brief Logs that calls which were given up hold all free slots. */
+    /** @brief Logs that calls which were given up hold all free slots, at most once per second. */
     void log_held();
 
     /** @brief Logs the outcome of a call that was run. */
@@ -35,6 +37,7 @@
 private:
     const clock& time_;
     call_log call_log_;
+    std::atomic<monotonic_time> held_logged_at_{};
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/traffic/gate_state.cpp
+++ b/src/savorywheel/traffic/gate_state.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/http/http_status.hpp>
 #include <savorywheel/traffic/gate_state.hpp>
 
 #include <algorithm>
@@ -239,8 +240,11 @@
         }
         return false;
     }
-    service_time_.record(ran);
-    service_times_.record(item->call.route, ran);
+    // A failure often ends early; learned from, it would make a failing server look fast.
+    if (is_success(response.response.status) || ran > item->expected.mean) {
+        service_time_.record(ran);
+        service_times_.record(item->call.route, ran);
+    }
     const bool was_silent = silence_detector_.silent();
     silence_detector_.record_response(now);
     return was_silent;
--- a/test/savorywheel/node/document_service_test.cpp
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -231,6 +231,14 @@
     return documents;
 }
 
+/** @return What an answer with a difference holds beside it. */
+operator_documents documents_without_configuration(std::uint64_t revision)
+{
+    operator_documents documents;
+    documents.revision = revision;
+    return documents;
+}
+
 } // namespace
 
 TEST(document_service, fetches_from_a_peer_with_an_equal_revision_sum)
@@ -428,7 +436,7 @@
     fixture.report_head(remote);
     ASSERT_EQ(fixture.requests().size(), 1U);
     document_answer wrong{
-        {{}, 100, {}},
+        documents_without_configuration(100),
         make_configuration_delta(make_documents(80, 1).configuration, 80, remote.configuration)};
     fixture.answer(fixture.requests().back(), wrong);
     fixture.advance_time(1ms);
@@ -455,7 +463,7 @@
     const auto base = make_documents(90, 1);
     fixture.answer(
         fixture.requests().back(),
-        document_answer{{{}, 100, {}},
+        document_answer{documents_without_configuration(100),
                         make_configuration_delta(base.configuration, 90, remote.configuration)});
     fixture.advance_time(1ms);
     ASSERT_EQ(fixture.requests().size(), 2U);
