--- a/test/measure/membership_cost.cpp
+++ b/test/measure/membership_cost.cpp
@@ -219,15 +219,13 @@
     const auto build = microseconds(50, [&](std::size_t i) {
         auto record = record_of(i + 1);
         record.incarnation = 1'000'000 + i;
-        agent.receive({1,
-                       membership_kind::ack,
-                       0,
-                       record.id,
-                       record.peer,
-                       {},
-                       {},
-                       0,
-                       {{record, member_status::alive}}});
+        membership_message message;
+        message.protocol = 1;
+        message.kind = membership_kind::ack;
+        message.sender = record.id;
+        message.sender_peer = record.peer;
+        message.updates = {{record, member_status::alive}};
+        agent.receive(message);
         static_cast<void>(builder.build(table));
     });
     fmt::print("routing table: first build {:6.0f} us, after one change {:5.0f} us\n", first,
