Acquire a quota lease again at once after a restart of its holder

Change: a node whose earlier process held the lease acquires it at once, if the store was never restored.

--- a/src/savorywheel/distribution/lease_manager.cpp
+++ b/src/savorywheel/distribution/lease_manager.cpp
@@ -119,7 +119,7 @@
         predecessor_ = present.value();
     }
     const bool expired = !present || now - observed_at_ >= observed_->lifetime;
-    if (own || (expired && may_acquire())) {
+    if (own || (present && is_own_earlier(*present, era)) || (expired && may_acquire())) {
         const auto last_term = present ? present->term : observed_ ? observed_->term : 0;
         acquire_or_renew(last_term + 1, object->revision);
         return;
@@ -127,6 +127,16 @@
     schedule(renewal_period());
 }
 
+/**
+ * The store writes conditionally, so that nobody has held the lease since this node wrote it, and
+ * an earlier process of this node has ended. A store that was ever restored may have lost a holder.
+ */
+bool lease_manager::is_own_earlier(const lease_record& present,
+                                   std::optional<std::uint64_t> era) const
+{
+    return environment_.exclusive && present.holder == self_.holder && era == 0U;
+}
+
 void lease_manager::acquire_or_renew(std::uint64_t term, std::optional<std::uint64_t> expected)
 {
     auto record = self_;
--- a/src/savorywheel/distribution/lease_manager.hpp
+++ b/src/savorywheel/distribution/lease_manager.hpp
@@ -42,6 +42,7 @@
          * After a start, such a lease is not acquired before one lifetime has passed since the
          * first response of the store, whatever state the lease has: the store may have been
          * restored from a backup just before, and a holder that it no longer knows may be active.
+         * A lease that this node held itself is acquired at once if the store was never restored.
          */
         bool exclusive{false};
     };
@@ -86,6 +87,8 @@
     {
         return environment_.loop.time().now() >= acquire_from_;
     }
+    [[nodiscard]] bool is_own_earlier(const lease_record& present,
+                                      std::optional<std::uint64_t> era) const;
     void acquire_or_renew(std::uint64_t term, std::optional<std::uint64_t> expected);
     void on_written(const outcome<std::uint64_t>& written, monotonic_time started,
                     lease_record record, std::optional<std::uint64_t> era);
--- a/src/savorywheel/quota/shard_coordinator.cpp
+++ b/src/savorywheel/quota/shard_coordinator.cpp
@@ -24,15 +24,17 @@
 
 /**
  * Returns how long tokens of ledgers before the predecessor's may still be valid. They were issued
- * before it began, and it held the lease for one lifetime of the lease at least unless it released
- * it.
+ * before it began, and another node's lease lasted for its lifetime at least unless it was
+ * released; that of an earlier process of this node is not waited for.
  */
-duration wait_after(const std::optional<lease_record>& predecessor)
+duration wait_after(const std::optional<lease_record>& predecessor, const node_id& self)
 {
     if (!predecessor || predecessor->note == settled_note) {
         return duration::zero();
     }
-    return token_lifetime - std::min<duration>(predecessor->lifetime, token_lifetime);
+    return predecessor->holder == self
+               ? duration{token_lifetime}
+               : token_lifetime - std::min<duration>(predecessor->lifetime, token_lifetime);
 }
 
 } // namespace
@@ -64,7 +66,7 @@
     environment_.log.write(held ? event_id::quota_lease_gained : event_id::quota_lease_lost,
                            fmt::format("shard {}", shard_));
     if (held) {
-        begin(wait_after(lease_.predecessor()));
+        begin(wait_after(lease_.predecessor(), self_.holder));
     }
     else {
         ledger_.reset();
--- a/test/savorywheel/distribution/lease_manager_test.cpp
+++ b/test/savorywheel/distribution/lease_manager_test.cpp
@@ -194,4 +194,26 @@
     }
 }
 
+// Otherwise a restart of all nodes leaves a lease without a holder for its lifetime.
+TEST_F(lease_manager_pair, exclusive_lease_of_an_earlier_process_of_this_node_is_acquired_at_once)
+{
+    lease_record earlier;
+    earlier.holder = node_id{"a"};
+    earlier.term = 5;
+    earlier.lifetime = lifetime;
+    ASSERT_TRUE(store_.create("leases/test", encode_json(earlier)));
+    lease_record self;
+    self.holder = node_id{"a"};
+    self.lifetime = lifetime;
+    lease_manager subject{
+        "leases/test", self,
+        lease_manager::environment{fixture_.loop(), fixture_.worker(), fixture_.random(), true},
+        [](bool /*held*/) {}};
+    subject.start();
+    fixture_.advance_time(lifetime / 4);
+    EXPECT_TRUE(subject.held());
+    subject.stop();
+    fixture_.finish_store_calls();
+}
+
 } // namespace savorywheel::test
