Learn service times also from responses without a status, and let the restored watch be watched

Change: a gate skips only early responses with status 500 or above; the test gives its document service the role of a watcher, as the tests of that service do.

--- a/src/savorywheel/traffic/gate_state.cpp
+++ b/src/savorywheel/traffic/gate_state.cpp
@@ -241,7 +241,7 @@
         return false;
     }
     // A failure often ends early; learned from, it would make a failing server look fast.
-    if (is_success(response.response.status) || ran > item->expected.mean) {
+    if (response.response.status < status_internal_error || ran > item->expected.mean) {
         service_time_.record(ran);
         service_times_.record(item->call.route, ran);
     }
--- a/test/platform/store_restore_test.cpp
+++ b/test/platform/store_restore_test.cpp
@@ -89,6 +89,7 @@
     fake_store_.back_up();
     fake_store_.put("config", "main", configuration(2));
     fake_store_.put("rollouts", "plugboard", order("v2"));
+    subject_.set_choice({watch_role::everyone, 0});
     subject_.start();
     ASSERT_TRUE(run_until([&] { return has_version(2) && !documents().orders.empty(); }));
     fake_store_.restore();
