Raise the revision of a configuration that the restored store shows older

Cause: found by store_restore_test after the merge of the differences of documents: the document service replaced configurations itself and passed over the rule for a restored store, so that a node with a newer configuration would have kept the old revision and fetched again and again.

Change: the service merges through operator_documents again, and keeps the previous configuration for differences before it.

--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -166,12 +166,12 @@
         log_invalid_object(object, {failure_code::malformed, "not the configuration"});
         return false;
     }
-    auto candidate = decoder_.decode(object.value);
+    const auto candidate = decoder_.decode(object.value);
     if (!candidate) {
         log_invalid_object(object, candidate.reason());
         return false;
     }
-    if (!replace_configuration(std::move(*candidate), object.revision)) {
+    if (!replace_configuration(*candidate, object.revision)) {
         return false;
     }
     const auto& accepted = documents_.configuration;
@@ -182,15 +182,13 @@
     return true;
 }
 
-bool document_service::replace_configuration(operator_configuration candidate,
+bool document_service::replace_configuration(const operator_configuration& candidate,
                                              std::uint64_t revision)
 {
-    if (!documents_.is_newer(candidate.version, revision)) {
-        return false;
+    if (documents_.is_newer(candidate.version, revision)) {
+        answers_.keep(documents_.configuration, documents_.revision);
     }
-    answers_.keep(std::exchange(documents_.configuration, std::move(candidate)),
-                  std::exchange(documents_.revision, revision));
-    return true;
+    return documents_.merge(candidate, revision);
 }
 
 outcome<bool> document_service::merge_answer(const network_endpoint& peer,
@@ -203,9 +201,9 @@
         configuration = replace_configuration(remote.configuration, remote.revision);
     }
     else if (documents_.is_newer(received.delta->version, remote.revision)) {
-        auto candidate = apply_configuration_delta(documents_.configuration, documents_.revision,
-                                                   *received.delta);
-        configuration = candidate ? replace_configuration(std::move(*candidate), remote.revision)
+        const auto candidate = apply_configuration_delta(documents_.configuration,
+                                                         documents_.revision, *received.delta);
+        configuration = candidate ? replace_configuration(*candidate, remote.revision)
                                   : outcome<bool>{candidate.reason()};
     }
     bool changed = configuration && *configuration;
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -136,7 +136,7 @@
     [[nodiscard]] bool merge_configuration(const stored_object& object);
     /** Merges a peer's answer; fails if its difference does not apply to this configuration. */
     outcome<bool> merge_answer(const network_endpoint& peer, const document_answer& received);
-    [[nodiscard]] bool replace_configuration(operator_configuration candidate,
+    [[nodiscard]] bool replace_configuration(const operator_configuration& candidate,
                                              std::uint64_t revision);
     [[nodiscard]] bool merge_order(const stored_object& object);
     void log_invalid_object(const stored_object& object, const failure& reason);
