--- a/test/measure/membership_cost.cpp
+++ b/test/measure/membership_cost.cpp
@@ -220,7 +220,7 @@
         auto record = record_of(i + 1);
         record.incarnation = 1'000'000 + i;
         membership_message message;
-        message.protocol = 1;
+        message.protocol = protocol_version;
         message.kind = membership_kind::ack;
         message.sender = record.id;
         message.sender_peer = record.peer;
