--- a/test/measure/membership_cost.cpp
+++ b/test/measure/membership_cost.cpp
@@ -7,6 +7,7 @@
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/membership/swim_agent.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
+#include <savorywheel/transport/frame_header.hpp>
 
 #include <fmt/format.h>
 #include <malloc.h>
