--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -133,7 +133,7 @@
             environment_.datagrams, environment_.network, environment_.requests, environment_.log,
             membership_.agent(), environment_.keys,
             [this](const mesh_state& state) { apply_state(state); },
-            [this] { backend_.on_store_restored(); }});
+            [this] { backend_.on_store_restored(); }, settings_.every_node_watches});
 }
 
 outcome<bool> control_plane::on_datagram(std::span<const std::byte> payload)
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -39,7 +39,8 @@
             [this](const watcher_choice& choice) {
                 documents_.set_choice(choice);
                 confirmations_.set_choice(choice);
-            }};
+            },
+            environment_.every_node_watches};
 }
 
 member_directory::environment document_config_provider::directory_environment()
--- a/src/savorywheel/node/document_config_provider.hpp
+++ b/src/savorywheel/node/document_config_provider.hpp
@@ -51,6 +51,8 @@
         state_callback state_changed;
         /** @brief Called after the store was restored from a backup. */
         std::function<void()> store_restored;
+        /** @copydoc watch_duty::environment::every_node */
+        bool every_node_watches{};
     };
 
     /**
--- a/src/savorywheel/node/watch_duty.cpp
+++ b/src/savorywheel/node/watch_duty.cpp
@@ -17,6 +17,10 @@
 void watch_duty::start()
 {
     running_ = true;
+    if (environment_.every_node) {
+        environment_.changed({watch_role::everyone, 0});
+        return;
+    }
     on_members_changed();
 }
 
@@ -29,7 +33,7 @@
 
 void watch_duty::on_members_changed()
 {
-    if (running_ && !std::exchange(pending_, true)) {
+    if (running_ && !environment_.every_node && !std::exchange(pending_, true)) {
         timer_ = environment_.loop.timers().after(settling_time, [this] { decide(); });
     }
 }
--- a/src/savorywheel/node/watch_duty.hpp
+++ b/src/savorywheel/node/watch_duty.hpp
@@ -27,6 +27,8 @@
         const swim_agent& members;
         /** @brief Receives each new choice. */
         std::function<void(const watcher_choice& choice)> changed;
+        /** @brief True if every node watches, whatever the size of the mesh. */
+        bool every_node{};
     };
 
     /** @param env Dependencies. */
--- a/src/savorywheel/settings/node_settings.hpp
+++ b/src/savorywheel/settings/node_settings.hpp
@@ -58,6 +58,11 @@
      * one; none for no limit.
      */
     std::optional<std::chrono::milliseconds> key_confirmation_limit;
+    /**
+     * @brief True if every node watches the documents in the store; otherwise a few nodes of each
+     * region do in a large mesh, and the others fetch changes from them.
+     */
+    bool every_node_watches{};
     /** @brief What each listener for callers may use. */
     caller_resources callers;
     /** @brief Retry limits for the whole mesh. */
--- a/src/savorywheel/settings/node_settings_reader.cpp
+++ b/src/savorywheel/settings/node_settings_reader.cpp
@@ -292,16 +292,27 @@
     if (!root) {
         return settings;
     }
-    root->expect_keys({"name",           "failure_domain",
-                       "region",         "address",
-                       "ports",          "store",
-                       "seeds",          "operators",
-                       "log_level",      "listen",
-                       "caller_service", "backend_timeout_ms",
-                       "stop_notice_ms", "stop_limit_ms",
-                       "stop_grace_ms",  "idle_timeout_ms",
-                       "retries",        "key_confirmation_limit_ms",
-                       "quota",          "callers"});
+    root->expect_keys({"name",
+                       "failure_domain",
+                       "region",
+                       "address",
+                       "ports",
+                       "store",
+                       "seeds",
+                       "operators",
+                       "log_level",
+                       "listen",
+                       "caller_service",
+                       "backend_timeout_ms",
+                       "stop_notice_ms",
+                       "stop_limit_ms",
+                       "stop_grace_ms",
+                       "idle_timeout_ms",
+                       "retries",
+                       "key_confirmation_limit_ms",
+                       "quota",
+                       "callers",
+                       "every_node_watches"});
     settings.name = node_id{read_name(*root, "name")};
     settings.domain = failure_domain{read_name(*root, "failure_domain")};
     settings.region = region_name{read_name(*root, "region")};
@@ -324,6 +335,7 @@
     read_key_limit(*root, settings);
     read_quota(*root, settings.quota);
     read_callers(*root, settings.callers);
+    settings.every_node_watches = root->bool_or("every_node_watches", false);
     return settings;
 }
 
