--- a/src/savorywheel/quota/tenant_stock.cpp
+++ b/src/savorywheel/quota/tenant_stock.cpp
@@ -18,6 +18,8 @@
  * requests are spread over 83 nodes would lose one token for each that it uses.
  */
 constexpr double min_rate_for_spare = 0.75;
+/** From this rate on, one token more is used soon, and covers a grant that is lost. */
+constexpr double min_rate_for_second_spare = 2;
 constexpr double max_wanted = 1e6;
 /** The limit may be raised, or tokens come back, before the time that the coordinator stated. */
 constexpr std::chrono::milliseconds max_refusal{1000};
@@ -57,7 +59,11 @@
 double tenant_stock::target(duration now) const noexcept
 {
     const auto rate = demand_.per_second(now);
-    return rate < min_rate_for_spare ? 0.0 : std::min(max_wanted, std::ceil(rate * stock_seconds));
+    if (rate < min_rate_for_spare) {
+        return 0.0;
+    }
+    const double spare = rate >= min_rate_for_second_spare ? 1.0 : 0.0;
+    return std::min(max_wanted, std::ceil(rate * stock_seconds) + spare);
 }
 
 bool tenant_stock::is_low(duration now) noexcept
