--- a/review/standins-2/server.cc
+++ b/review/standins-2/server.cc
@@ -13,7 +13,7 @@
 
 std::map<std::string, std::string> options;
 std::atomic<int> running{0};
-std::atomic<bool> draining{false};
+std::atomic<bool> leaving{false};
 std::atomic<std::int64_t> sequence{0};
 
 int number(const std::string& name)
@@ -21,22 +21,17 @@
     return std::atoi(options[name].c_str());
 }
 
-// "PUT /instances/ID" to the control address of the own machine.
-int beat(const std::string& state)
+// A call to the control address of the own machine; returns the status, 0 without an answer.
+int call(const std::string& method, const std::string& body)
 {
     const int fd = connect_to(options["ip"], number("control"), 1000);
     if (fd < 0) {
         return 0;
     }
-    const auto body = "{\"service\":\"" + options["service"] + "\",\"address\":\"" + options["ip"] +
-                      ":" + options["port"] + "\",\"zone\":\"" + options["zone"] +
-                      "\",\"version\":\"v1\",\"max-concurrency\":" + options["slots"] +
-                      ",\"state\":\"" + state + "\",\"warmup-left\":\"0ms\",\"sequence\":" +
-                      std::to_string(++sequence) + ",\"born\":" + options["born"] + "}";
     message answer;
     std::string rest;
     const bool answered =
-        send_all(fd, "PUT /instances/" + options["id"] +
+        send_all(fd, method + " /instances/" + options["id"] +
                          " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\n"
                          "Content-Length: " +
                          std::to_string(body.size()) + "\r\n\r\n" + body) &&
@@ -45,6 +40,16 @@
     return answered ? answer.status() : 0;
 }
 
+// A heartbeat with its number.
+int beat(std::int64_t number)
+{
+    return call("PUT", "{\"service\":\"" + options["service"] + "\",\"address\":\"" + options["ip"] +
+                      ":" + options["port"] + "\",\"zone\":\"" + options["zone"] +
+                      "\",\"version\":\"v1\",\"max-concurrency\":" + options["slots"] +
+                      ",\"state\":\"ready\",\"warmup-left\":\"0ms\",\"sequence\":" +
+                      std::to_string(number) + ",\"born\":" + options["born"] + "}");
+}
+
 bool caller_left(int fd)
 {
     char next;
@@ -62,6 +67,10 @@
         options[item.substr(0, mark)] = item.substr(mark + 1);
     }
     ::signal(SIGPIPE, SIG_IGN);
+    sigset_t blocked;
+    ::sigemptyset(&blocked);
+    ::sigaddset(&blocked, SIGUSR1);
+    ::pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
     const record log{options["record"], std::atoll(options["origin"].c_str())};
     const int listener = listen_on(options["ip"], number("port"));
     if (listener < 0) {
@@ -69,18 +78,43 @@
         return 2;
     }
     std::thread{[] {
-        while (true) {
-            beat("ready");
+        while (!leaving) {
+            beat(++sequence);
             sleep_ms(1500);
         }
     }}.detach();
+    // SIGUSR1: the server leaves. It says so with DELETE at once, serves for "stay" ms, and exits.
+    // Its last heartbeat arrives "late" ms after it was sent.
+    sigset_t signals;
+    ::sigemptyset(&signals);
+    ::sigaddset(&signals, SIGUSR1);
+    std::thread{[&log, signals] {
+        int received{};
+        ::sigwait(&signals, &received);
+        leaving = true;
+        const auto last = ++sequence;
+        const auto sent = now_ms();
+        log.write("server " + options["id"] + " sends heartbeat " + std::to_string(last) +
+                  ", which will arrive late, and then DELETE");
+        const int status = call("DELETE", "");
+        const auto acknowledged = now_ms();
+        log.write("server " + options["id"] + " gets " + std::to_string(status) +
+                  " for its DELETE");
+        sleep_ms(sent + number("late") - now_ms());
+        const int late = beat(last);
+        log.write("server " + options["id"] + ": heartbeat " + std::to_string(last) +
+                  " arrives, answer " + std::to_string(late));
+        sleep_ms(acknowledged + number("stay") - now_ms());
+        log.write("server " + options["id"] + " exits");
+        std::_Exit(0);
+    }}.detach();
     serve(listener, [&log](int fd, const message& request) {
         const auto id = request.header("Savorywheel-Request-Id");
         const auto path = request.word(1);
         const auto caller = request.header("Savorywheel-Caller-Service");
         const auto name = "Savorywheel-Request-Id: " + id + "\r\n";
         if (path == "/healthz") {
-            return send_all(fd, make_response(200, "Savorywheel-Instance-Id: " + options["id"] +
+            return send_all(fd, make_response(leaving ? 503 : 200, "Savorywheel-Instance-Id: " + options["id"] +
                                                        "\r\n", ""));
         }
         if (id.empty()) {
