review/10: a rolled-back version gets requests again with the next order (EXPOSURE)

An order without a record starts from equal shares of all other running versions, also of one that was just withdrawn.

--- a/review/9/trial.cc
+++ b/review/9/trial.cc
@@ -74,7 +74,7 @@
     // All machines are in touch again from "calm" on.
     const auto from = std::max(answers.front().first + drain_s, calm);
     std::size_t late = 0;
-    for (const auto& [time, text] : trial.lines("server runs i-sidecar-1-1 ")) {
+    for (const auto& [time, text] : trial.lines("server of v1 runs i-sidecar-1-1 ")) {
         late += time > from + 0.3 ? 1 : 0;
     }
     trial.note(std::to_string(late) +
--- a/review/standins-2/server.cc
+++ b/review/standins-2/server.cc
@@ -14,6 +14,7 @@
 std::map<std::string, std::string> options;
 std::atomic<int> running{0};
 std::atomic<bool> leaving{false};
+std::atomic<bool> draining{false};
 std::atomic<std::int64_t> sequence{0};
 
 int number(const std::string& name)
@@ -45,8 +46,8 @@
 {
     return call("PUT", "{\"service\":\"" + options["service"] + "\",\"address\":\"" + options["ip"] +
                       ":" + options["port"] + "\",\"zone\":\"" + options["zone"] +
-                      "\",\"version\":\"v1\",\"max-concurrency\":" + options["slots"] +
-                      ",\"state\":\"ready\",\"warmup-left\":\"0ms\",\"sequence\":" +
+                      "\",\"version\":\"" + options["version"] + "\",\"max-concurrency\":" + options["slots"] +
+                      ",\"state\":\"" + (draining ? "draining" : "ready") + "\",\"warmup-left\":\"0ms\",\"sequence\":" +
                       std::to_string(number) + ",\"born\":" + options["born"] + "}");
 }
 
@@ -60,6 +61,7 @@
 
 int main(int argc, char** argv)
 {
+    options["version"] = "v1";
     options["born"] = std::to_string(unix_ms());
     for (int i = 1; i < argc; ++i) {
         const std::string item{argv[i]};
@@ -70,6 +72,7 @@
     sigset_t blocked;
     ::sigemptyset(&blocked);
     ::sigaddset(&blocked, SIGUSR1);
+    ::sigaddset(&blocked, SIGUSR2);
     ::pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
     const record log{options["record"], std::atoll(options["origin"].c_str())};
     const int listener = listen_on(options["ip"], number("port"));
@@ -83,14 +86,21 @@
             sleep_ms(1500);
         }
     }}.detach();
-    // SIGUSR1: the server leaves. It says so with DELETE at once, serves for "stay" ms, and exits.
+    // SIGUSR2: the server drains, and goes on serving. SIGUSR1: the server leaves. It says so with DELETE at once, serves for "stay" ms, and exits.
     // Its last heartbeat arrives "late" ms after it was sent.
     sigset_t signals;
     ::sigemptyset(&signals);
     ::sigaddset(&signals, SIGUSR1);
+    ::sigaddset(&signals, SIGUSR2);
     std::thread{[&log, signals] {
         int received{};
         ::sigwait(&signals, &received);
+        if (received == SIGUSR2) {
+            draining = true;
+            log.write("server " + options["id"] + " says that it drains");
+            beat(++sequence);
+            return;
+        }
         leaving = true;
         const auto last = ++sequence;
         const auto sent = now_ms();
@@ -136,7 +146,9 @@
             log.write("server CRASHES at " + what);
             ::kill(::getpid(), SIGKILL);
         }
-        log.write("server runs " + what);
+        // "bad" of 100 requests to this version fail.
+        const bool fails = static_cast<int>(std::hash<std::string>{}(id) % 100) < number("bad");
+        log.write("server of " + options["version"] + " runs " + what + (fails ? ", it fails" : ""));
         const auto deadline = request.header("Savorywheel-Deadline-Ms");
         const auto start = now_ms();
         const auto work = number("work");
@@ -154,7 +166,7 @@
             return send_all(fd, make_response(504, name + "Savorywheel-Server-Signature: s." + id +
                                                        "\r\n", ""));
         }
-        return send_all(fd, make_response(200, name + "Savorywheel-Server-Signature: s." + id +
+        return send_all(fd, make_response(fails ? 500 : 200, name + "Savorywheel-Server-Signature: s." + id +
                                                    "\r\nKeep-Alive: timeout=10\r\n",
                                           "answer to " + id + " of " + options["id"]));
     });
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -42,6 +42,12 @@
         return revision_;
     }
 
+    json status(const std::string& kind, const std::string& name)
+    {
+        const std::scoped_lock lock{mutex_};
+        return objects_[kind][name].status;
+    }
+
     // While it is down, each call gets 503: nothing was done.
     void set_down(bool down)
     {
