--- a/review/standins-2/mesh.h
+++ b/review/standins-2/mesh.h
@@ -8,7 +8,6 @@
 
 #include <signal.h>
 #include <spawn.h>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <atomic>
