--- a/test/platform/proxied_mesh.cpp
+++ b/test/platform/proxied_mesh.cpp
@@ -148,6 +148,37 @@
     nodes_.at(static_cast<std::size_t>(node)) = start_node(node);
 }
 
+int proxied_mesh::announce_server(int node, const std::string& identity, const std::string& state,
+                                  std::uint64_t sequence) const
+{
+    const json body{{"service", "desk"},
+                    {"address", fmt::format("{}:8080", address_of(node))},
+                    {"zone", fmt::format("domain-{}", node % domain_count)},
+                    {"version", "v1"},
+                    {"max-concurrency", 4},
+                    {"state", state},
+                    {"warmup-left", "0ms"},
+                    {"sequence", sequence},
+                    {"born", 1000}};
+    return call_control(node, "PUT", identity, body.dump());
+}
+
+int proxied_mesh::deregister_server(int node, const std::string& identity) const
+{
+    return call_control(node, "DELETE", identity, {});
+}
+
+int proxied_mesh::call_control(int node, const std::string& method, const std::string& identity,
+                               const std::string& body) const
+{
+    raw_http_connection connection{{address_of(node), 8620}};
+    const auto request =
+        fmt::format("{} /instances/{} HTTP/1.1\r\nHost: control\r\nContent-Type: "
+                    "application/json\r\nContent-Length: {}\r\n\r\n{}",
+                    method, identity, body.size(), body);
+    return connection.send(request) ? connection.read_status() : 0;
+}
+
 void proxied_mesh::add_tenant(int version, double rate, double burst)
 {
     auto document = configuration(version, {"/first/"});
--- a/test/platform/proxied_mesh.hpp
+++ b/test/platform/proxied_mesh.hpp
@@ -78,6 +78,20 @@
 
     /** @brief Starts a node that was killed. */
     void restart_node(int node);
+
+    /** @return Status of an announcement of a server at a node; zero without a response. */
+    [[nodiscard]] int announce_server(int node, const std::string& identity,
+                                      const std::string& state, std::uint64_t sequence) const;
+
+    /** @return Status of a deregistration of a server at a node; zero without a response. */
+    [[nodiscard]] int deregister_server(int node, const std::string& identity) const;
+
+    /** @return True if a node has a server in use. */
+    [[nodiscard]] bool has_server(int node) const
+    {
+        return metric(node, "savorywheel_gate_slots") > 0;
+    }
+
     /** @brief Writes a configuration with one tenant, whose key is "key-1". */
     void add_tenant(int version, double rate, double burst);
 
@@ -98,6 +112,9 @@
     in_force_at(int node, int version) const;
 
 private:
+    /** @return Status of a call to the interface for servers; zero without a response. */
+    [[nodiscard]] int call_control(int node, const std::string& method, const std::string& identity,
+                                   const std::string& body) const;
     [[nodiscard]] std::string address_of(int node) const;
     [[nodiscard]] std::unique_ptr<savorywheel::test::child_process> start_node(int node) const;
     [[nodiscard]] std::filesystem::path log_of(int node) const;
