Tell crashing requests apart by caller and tenant

One cause with two effects.

Cause: the digest of a request was made of method, target and body.

Change: call_request states the service on the VM where the request originated, which the caller's node takes from its settings, so that the gate has it also for a request that was passed on. The digest contains it and the tenant.

--- a/src/savorywheel/distribution/floor_coordinator.cpp
+++ b/src/savorywheel/distribution/floor_coordinator.cpp
@@ -1,5 +1,5 @@
 #include <savorywheel/distribution/floor_coordinator.hpp>
-#include <savorywheel/distribution/floor_replicas.hpp>
+#include <savorywheel/membership/replica_selection.hpp>
 
 #include <algorithm>
 
@@ -79,7 +79,7 @@
 bool floor_coordinator::has_read_quorum() const
 {
     const auto& members = environment_.members();
-    const auto replicas = floor_replicas(environment_.self(), members, true);
+    const auto replicas = select_replicas(environment_.self(), members, true);
     std::size_t answered = 0;
     std::size_t largest = 0;
     for (const auto& replica : replicas) {
@@ -89,7 +89,7 @@
         }
     }
     const auto tolerated = largest / tolerated_missing_divisor;
-    return !replicas.empty() && answered >= floor_read_quorum(replicas.size()) &&
+    return !replicas.empty() && answered >= read_quorum(replicas.size()) &&
            members.live().size() + tolerated >= largest;
 }
 
@@ -105,7 +105,7 @@
 
 void floor_coordinator::request_floor()
 {
-    for (const auto& replica : floor_replicas(environment_.self(), environment_.members(), true)) {
+    for (const auto& replica : select_replicas(environment_.self(), environment_.members(), true)) {
         environment_.transport.get_floor(replica, environment_.self().id);
     }
 }
@@ -144,7 +144,7 @@
 
 void floor_coordinator::replicate()
 {
-    replicas_ = floor_replicas(environment_.self(), environment_.members(), false);
+    replicas_ = select_replicas(environment_.self(), environment_.members(), false);
     send_to_unacknowledged(pending_version_);
     complete_if_acknowledged();
     if (pending_version_ > usable_) {
@@ -155,8 +155,8 @@
 void floor_coordinator::complete_if_acknowledged()
 {
     const bool only_member = standalone_ && environment_.members().entries().size() <= 1;
-    const bool enough = !replicas_.empty() && count_acknowledged(pending_version_) >=
-                                                  floor_write_quorum(replicas_.size());
+    const bool enough = !replicas_.empty() &&
+                        count_acknowledged(pending_version_) >= write_quorum(replicas_.size());
     if (!only_member && !enough) {
         return;
     }
@@ -184,7 +184,7 @@
 void floor_coordinator::refresh()
 {
     if (floor_known_ && usable_ > config_version{}) {
-        replicas_ = floor_replicas(environment_.self(), environment_.members(), false);
+        replicas_ = select_replicas(environment_.self(), environment_.members(), false);
         std::erase_if(acknowledged_, [this](const auto& item) {
             return std::ranges::find(replicas_, item.first, &member_record::id) == replicas_.end();
         });
--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -6,6 +6,7 @@
 #include <savorywheel/traffic/call_request.hpp>
 #include <savorywheel/traffic/call_response.hpp>
 #include <savorywheel/traffic/crash_report.hpp>
+#include <savorywheel/traffic/departure_copy.hpp>
 
 namespace savorywheel {
 
@@ -43,11 +44,18 @@
     archive(cereal::make_nvp("items", departures.items));
 }
 
+template<typename Archive>
+void serialize(Archive& archive, departure_copy& copy)
+{
+    archive(cereal::make_nvp("owner", copy.owner), cereal::make_nvp("departures", copy.departures));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, call_request& call)
 {
     archive(
         cereal::make_nvp("request_id", call.request_id), cereal::make_nvp("service", call.service),
+        cereal::make_nvp("caller", call.caller),
         cereal::make_nvp("version", call.version), cereal::make_nvp("remaining_ms", call.remaining),
         cereal::make_nvp("expires_us", call.expires),
         cereal::make_nvp("preferred_ms", call.target_remaining),
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -128,6 +128,12 @@
     event_description{event_id::announcement_displaced, info,
                       "An announcement was not applied, since another start of a backend server is "
                       "in use."},
+    event_description{event_id::departures_copied, info,
+                      "Other nodes keep the departures of backend servers while the platform's "
+                      "store does not answer."},
+    event_description{event_id::departures_not_copied, warning,
+                      "A departure of a backend server is not acknowledged, since the platform's "
+                      "store does not answer and too few other nodes are known."},
     event_description{event_id::call_not_run, warning, "A call was refused; it was not run."},
     event_description{event_id::call_outcome_unknown, warning,
                       "A call got no whole answer; it may have been run."},
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -59,6 +59,8 @@
     departure_not_recorded = 3010,
     departures_restored = 3011,
     announcement_displaced = 3012,
+    departures_copied = 3013,
+    departures_not_copied = 3014,
     call_not_run = 4001,
     call_outcome_unknown = 4002,
     call_frame_malformed = 4003,
--- a/src/savorywheel/node/announcement_order.cpp
+++ b/src/savorywheel/node/announcement_order.cpp
@@ -70,7 +70,7 @@
     return is_current;
 }
 
-bool announcement_order::restore(std::span<const backend_departure> departures)
+bool announcement_order::add_departures(std::span<const backend_departure> departures)
 {
     const auto since_start = std::exchange(departures_, {});
     for (const auto& group : {departures, std::span{since_start}}) {
@@ -78,7 +78,6 @@
             add_departure(item);
         }
     }
-    needs_confirmation_ = false;
     if (!current_ || current_->is_gone) {
         return false;
     }
--- a/src/savorywheel/node/announcement_order.hpp
+++ b/src/savorywheel/node/announcement_order.hpp
@@ -51,7 +51,7 @@
      * @brief Adds departures from before the start of this process.
      * @return True if the current start is one of them.
      */
-    bool restore(std::span<const backend_departure> departures);
+    bool add_departures(std::span<const backend_departure> departures);
 
     /**
      * @brief Requires that the first start announces itself repeatedly before it is current.
@@ -60,6 +60,9 @@
      */
     void require_confirmation() noexcept { needs_confirmation_ = true; }
 
+    /** @brief Ends require_confirmation(), as the departures before this start are known. */
+    void confirm() noexcept { needs_confirmation_ = false; }
+
     /** @return The latest departures, oldest first. */
     [[nodiscard]] std::span<const backend_departure> departures() const noexcept
     {
--- a/src/savorywheel/node/backend_monitor.cpp
+++ b/src/savorywheel/node/backend_monitor.cpp
@@ -97,10 +97,16 @@
 
 void backend_monitor::restore(std::span<const backend_departure> departures)
 {
-    if (order_.restore(departures)) {
+    order_.confirm();
+    add_departures(departures);
+    apply_held();
+}
+
+void backend_monitor::add_departures(std::span<const backend_departure> departures)
+{
+    if (order_.add_departures(departures)) {
         remove();
     }
-    apply_held();
 }
 
 void backend_monitor::apply_held()
--- a/src/savorywheel/node/backend_monitor.hpp
+++ b/src/savorywheel/node/backend_monitor.hpp
@@ -72,9 +72,15 @@
      */
     void release_unconfirmed();
 
+    /** @return True while announcements are held back. */
+    [[nodiscard]] bool holds_announcements() const noexcept { return holds_; }
+
     /** @brief Adds the departures before this start, and uses the announcements held back. */
     void restore(std::span<const backend_departure> departures);
 
+    /** @brief Adds departures from before this start, which need not be all. */
+    void add_departures(std::span<const backend_departure> departures);
+
     /** @return The latest departures, oldest first. */
     [[nodiscard]] std::span<const backend_departure> departures() const noexcept
     {
--- a/src/savorywheel/node/backend_registry.cpp
+++ b/src/savorywheel/node/backend_registry.cpp
@@ -1,34 +1,39 @@
 #include <savorywheel/node/backend_registry.hpp>
 #include <savorywheel/node/control_query.hpp>
 
-#include <algorithm>
 #include <future>
 #include <span>
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace savorywheel {
 
 namespace {
 
-/** A backend server waits for an acknowledgement for a second. */
-constexpr std::chrono::milliseconds max_record_wait{500};
+/** Within the second for which a backend server waits for an acknowledgement. */
+constexpr std::chrono::milliseconds max_record_wait{800};
+/** A write to the store takes a few milliseconds; other nodes need the rest of the wait. */
+constexpr std::chrono::milliseconds usual_write_time{150};
 
 } // namespace
 
 backend_registry::backend_registry(const node_settings& settings, environment env,
                                    backend_monitor::change_callback changed)
-    : environment_{env}, monitor_{backend_monitor::environment{env.loop, env.log,
-                                                               settings.backend_timeout,
-                                                               make_backend_placement(settings)},
-                                  std::move(changed)},
-      departures_{
-          env.keeps_departures
-              ? std::make_unique<departure_store>(
-                    settings.name, departure_store::environment{env.loop, env.worker, env.log})
-              : nullptr}
+    : environment_{std::move(env)}, loop_{environment_.peers.loop},
+      monitor_{backend_monitor::environment{loop_, environment_.peers.log, settings.backend_timeout,
+                                            make_backend_placement(settings)},
+               std::move(changed)}
 {
+    if (environment_.keeps_departures) {
+        departures_ = std::make_unique<departure_store>(
+            settings.name,
+            departure_store::environment{loop_, environment_.worker, environment_.peers.log});
+        copies_ = std::make_unique<departure_copies>(
+            environment_.peers, [this](std::span<const backend_departure> departures) {
+                monitor_.add_departures(departures);
+                write_departures();
+            });
+    }
 }
 
 void backend_registry::start()
@@ -41,7 +46,7 @@
     departures_->start(
         [this](std::span<const backend_departure> departures) {
             monitor_.restore(departures);
-            departures_->write(monitor_.departures(), [] {});
+            write_departures();
         },
         [this] { monitor_.release_unconfirmed(); });
 }
@@ -53,6 +58,13 @@
     }
 }
 
+void backend_registry::on_member_changed(const member_update& update)
+{
+    if (copies_) {
+        copies_->on_member_changed(update);
+    }
+}
+
 void backend_registry::stop()
 {
     monitor_.stop();
@@ -60,44 +72,79 @@
 
 void backend_registry::announce(const backend_server& backend)
 {
-    environment_.loop.post([this, backend] { monitor_.announce(backend); });
+    loop_.post([this, backend] { monitor_.announce(backend); });
 }
 
 outcome<bool> backend_registry::apply(const backend_announcement& announcement)
 {
-    return change([this, announcement] { return monitor_.accept(announcement); });
+    return announcement.backend.state == server_state::draining
+               ? depart([this, announcement] { return accept_departure(announcement); })
+               : run([this, announcement] { return monitor_.accept(announcement); });
 }
 
 outcome<bool> backend_registry::deregister(std::string_view identity)
 {
-    return change([this, departed = std::string{identity}]() -> outcome<bool> {
+    return depart([this, departed = std::string{identity}]() -> outcome<bool> {
         monitor_.deregister(departed);
         return true;
     });
 }
 
-outcome<bool> backend_registry::change(std::function<outcome<bool>()> action)
+outcome<bool> backend_registry::accept_departure(const backend_announcement& announcement)
+{
+    auto result = monitor_.accept(announcement);
+    if (monitor_.holds_announcements()) {
+        return failure{failure_code::unavailable, "the announcement is not applied yet"};
+    }
+    return result;
+}
+
+outcome<bool> backend_registry::depart(const change& action)
 {
     const auto recorded = std::make_shared<std::promise<void>>();
-    const auto applied = query_control<outcome<bool>>(
-        environment_.loop, [this, recorded, action = std::move(action)] {
-            const auto known = monitor_.departures();
-            const std::vector before(known.begin(), known.end());
-            auto result = action();
-            if (departures_ && !std::ranges::equal(before, monitor_.departures())) {
-                departures_->write(monitor_.departures(), [recorded] { recorded->set_value(); });
-            }
-            else {
-                recorded->set_value();
+    auto result = run([this, recorded, action] {
+        auto applied = action();
+        record_departures([recorded] { recorded->set_value(); });
+        return applied;
+    });
+    if (result && recorded->get_future().wait_for(max_record_wait) != std::future_status::ready) {
+        return failure{failure_code::unavailable,
+                       "the departure does not outlast this process yet"};
+    }
+    return result;
+}
+
+outcome<bool> backend_registry::run(const change& action)
+{
+    const auto result = query_control<outcome<bool>>(loop_, action);
+    return result ? *result : result.reason();
+}
+
+void backend_registry::record_departures(const std::function<void()>& recorded)
+{
+    if (!departures_) {
+        recorded();
+        return;
+    }
+    const auto is_recorded = std::make_shared<bool>(false);
+    const auto record_once = [is_recorded, recorded] {
+        if (!std::exchange(*is_recorded, true)) {
+            recorded();
+        }
+    };
+    departures_->write(monitor_.departures(), record_once);
+    if (!*is_recorded) {
+        copy_timer_ = loop_.timers().after(usual_write_time, [this, is_recorded, record_once] {
+            if (!*is_recorded) {
+                copies_->copy(monitor_.departures(), record_once);
             }
-            return result;
         });
-    if (!applied) {
-        return applied.reason();
     }
-    // A departure is in force at once; without the store it only may not outlast this process.
-    static_cast<void>(recorded->get_future().wait_for(max_record_wait));
-    return *applied;
+}
+
+void backend_registry::write_departures()
+{
+    departures_->write(monitor_.departures(), [] {});
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -41,10 +41,10 @@
           [this]() -> const member_table& { return membership_.agent().table(); }}},
       membership_{make_node_record(settings, env.loop.time()), settings.seeds,
                   membership_environment()},
-      ordered_log_{settings_, log_environment()},
-      backend_{settings,
-               backend_registry::environment{env.loop, env.worker, env.log, env.decoder != nullptr},
-               [this](const auto& backend) { on_backend_changed(backend); }},
+      ordered_log_{settings_, log_environment()}, backend_{settings, backend_environment(),
+                                                           [this](const auto& backend) {
+                                                               on_backend_changed(backend);
+                                                           }},
       appender_{make_appender()}, rollouts_{make_node_lease(settings), rollout_environment()},
       heads_{env.tables, env.network, env.requests}, documents_{make_documents()},
       quotas_{settings.quota, make_node_lease(settings), quota_environment()}
@@ -83,6 +83,16 @@
             }};
 }
 
+backend_registry::environment control_plane::backend_environment()
+{
+    return {{environment_.loop, quota_, environment_.network, environment_.requests,
+             environment_.log,
+             [this]() -> const member_table& { return membership_.agent().table(); },
+             [this]() -> const member_record& { return membership_.agent().self(); }},
+            environment_.worker,
+            environment_.decoder != nullptr};
+}
+
 rollout_service::environment control_plane::rollout_environment()
 {
     return {environment_.loop,
@@ -249,6 +259,7 @@
     }
     environment_.retries.set_nodes(membership_.agent().table().live().size());
     rollouts_.on_members_changed();
+    backend_.on_member_changed(update);
     if (documents_) {
         documents_->on_members_changed();
     }
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -108,6 +108,9 @@
         return documents_ ? &documents_->documents() : nullptr;
     }
 
+    /** @return Frame handler for copies of departures; nullptr with the ordered log. */
+    [[nodiscard]] departure_copies* departures() noexcept { return backend_.copies(); }
+
     /** @return Receiver of the traffic thread's requests for tokens. */
     [[nodiscard]] quota_request_sink& quotas() noexcept { return quotas_; }
 
@@ -127,6 +130,7 @@
 private:
     [[nodiscard]] membership_service::environment membership_environment();
     [[nodiscard]] log_config_provider::environment log_environment();
+    [[nodiscard]] backend_registry::environment backend_environment();
     [[nodiscard]] std::unique_ptr<document_config_provider> make_documents();
     [[nodiscard]] std::unique_ptr<commit_appender> make_appender();
     [[nodiscard]] rollout_service::environment rollout_environment();
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -72,13 +72,16 @@
         router_.add({frame_kind::call_response, frame_kind::crash_acknowledged,
                      frame_kind::commit_batch, frame_kind::membership_full,
                      frame_kind::floor_stored, frame_kind::floor_value, frame_kind::head_value,
-                     frame_kind::configuration_value},
+                     frame_kind::configuration_value, frame_kind::departure_copied},
                     requests_);
         router_.add({frame_kind::head_get}, control_.heads());
         router_.add({frame_kind::membership_sync}, control_.membership());
         if (auto* documents = control_.documents()) {
             router_.add({frame_kind::configuration_get}, *documents);
         }
+        if (auto* departures = control_.departures()) {
+            router_.add({frame_kind::departure_copy}, *departures);
+        }
         router_.add({frame_kind::evidence_report, frame_kind::withdrawal_push},
                     control_.rollouts());
         router_.add({frame_kind::commit_push, frame_kind::commit_fetch}, control_.distribution());
@@ -253,7 +256,7 @@
         peer_call_transport::environment{network_, requests_, time_, traffic_loop_}};
     proxy_handler proxy_{proxy_handler::environment{
         time_, tables_, versions_, endpoints_, loads_, health_, retries_, quota_, keys_, transport_,
-        evidence_, metrics_, log_, random_, front_.callers()}};
+        evidence_, metrics_, log_, random_, front_.callers(), settings_.caller_service}};
     operator_directory operators_{settings_.operators};
     change_service changes_{change_service::environment{time_, random_, store_, control_}};
     admin_handler admin_{
--- a/src/savorywheel/traffic/call_request.hpp
+++ b/src/savorywheel/traffic/call_request.hpp
@@ -16,6 +16,8 @@
     /** @brief Request id in logs; empty if the caller sent none. */
     std::string request_id;
     service_name service;
+    /** @brief Service on the VM where the request originated; empty if unknown. */
+    service_name caller;
     /** @brief Selected version; a backend server of another version refuses the call. */
     version_name version;
     /** @brief Time left until the deadline. */
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -158,7 +158,7 @@
     item->correlation = correlation;
     item->arrived = environment_.time.now();
     item->deadline = std::min(item->arrived + call->remaining, monotonic_time{call->expires});
-    item->digest = digest_of(call->request);
+    item->digest = digest_of(*call);
     item->call = std::move(*call);
     admit(item);
 }
--- a/src/savorywheel/traffic/proxy_handler.cpp
+++ b/src/savorywheel/traffic/proxy_handler.cpp
@@ -67,6 +67,7 @@
     context->respond = std::move(respond);
     context->cancel_signal = cancel_signal;
     context->call.request_id = options.request_id;
+    context->call.caller = environment_.caller;
     // Read before the routing table is taken, which therefore contains what the time refers to.
     const bool keys_confirmed = environment_.keys.allows(environment_.time);
     if (const auto cause = find_route(*context)) {
--- a/src/savorywheel/traffic/proxy_handler.hpp
+++ b/src/savorywheel/traffic/proxy_handler.hpp
@@ -58,6 +58,8 @@
         random_source& random;
         /** @brief Header fields between callers and the mesh. */
         const caller_header_codec& header_codec;
+        /** @brief Service on this VM, from which the requests originate; empty if unknown. */
+        service_name caller{};
     };
 
     /** @param env Dependencies. */
--- a/src/savorywheel/traffic/request_digest.cpp
+++ b/src/savorywheel/traffic/request_digest.cpp
@@ -7,9 +7,11 @@
 
 namespace savorywheel {
 
-request_digest digest_of(const http_request& request) noexcept
+request_digest digest_of(const call_request& call) noexcept
 {
-    const std::array parts{std::string_view{request.method}, std::string_view{request.target},
+    const auto& request = call.request;
+    const std::array parts{std::string_view{call.caller.str()}, std::string_view{call.tenant.str()},
+                           std::string_view{request.method}, std::string_view{request.target},
                            std::string_view{request.body}};
     request_digest digest{};
     for (const auto part : parts) {
--- a/src/savorywheel/traffic/request_digest.hpp
+++ b/src/savorywheel/traffic/request_digest.hpp
@@ -1,7 +1,7 @@
 #ifndef SAVORYWHEEL_TRAFFIC_REQUEST_DIGEST_HPP
 #define SAVORYWHEEL_TRAFFIC_REQUEST_DIGEST_HPP
 
-#include <savorywheel/http/http_request.hpp>
+#include <savorywheel/traffic/call_request.hpp>
 
 #include <cstdint>
 
@@ -9,8 +9,11 @@
 
 using request_digest = std::uint64_t;
 
-/** @return Digest of method, target and body; headers are excluded, they differ in retries. */
-[[nodiscard]] request_digest digest_of(const http_request& request) noexcept;
+/**
+ * @return Digest of what makes two calls the same request: caller, tenant, method, target and body;
+ * other header fields differ in retries.
+ */
+[[nodiscard]] request_digest digest_of(const call_request& call) noexcept;
 
 } // namespace savorywheel
 
--- a/src/savorywheel/transport/exchange_tracker.cpp
+++ b/src/savorywheel/transport/exchange_tracker.cpp
@@ -9,7 +9,7 @@
     return kind == frame_kind::call_request || kind == frame_kind::commit_fetch ||
            kind == frame_kind::membership_sync || kind == frame_kind::crash_report ||
            kind == frame_kind::floor_put || kind == frame_kind::floor_get ||
-           kind == frame_kind::configuration_get;
+           kind == frame_kind::configuration_get || kind == frame_kind::departure_copy;
 }
 
 bool is_response(frame_kind kind) noexcept
@@ -17,7 +17,7 @@
     return kind == frame_kind::call_response || kind == frame_kind::commit_batch ||
            kind == frame_kind::membership_full || kind == frame_kind::crash_acknowledged ||
            kind == frame_kind::floor_stored || kind == frame_kind::floor_value ||
-           kind == frame_kind::configuration_value;
+           kind == frame_kind::configuration_value || kind == frame_kind::departure_copied;
 }
 
 } // namespace
--- a/src/savorywheel/transport/frame_header.hpp
+++ b/src/savorywheel/transport/frame_header.hpp
@@ -12,7 +12,7 @@
 namespace savorywheel {
 
 /** @brief Version of the protocol between nodes. */
-inline constexpr std::uint8_t protocol_version = 3;
+inline constexpr std::uint8_t protocol_version = 4;
 
 /** @brief Size of an encoded header, in bytes. */
 inline constexpr std::size_t frame_header_bytes = 14;
--- a/src/savorywheel/transport/frame_kind.hpp
+++ b/src/savorywheel/transport/frame_kind.hpp
@@ -28,7 +28,9 @@
     head_value,          /**< Response to head_get. */
     configuration_get,   /**< Requests the documents of operators. */
     configuration_value, /**< Response to configuration_get. */
-    last_kind = configuration_value
+    departure_copy,      /**< Departures at one node, which others keep for it or send back. */
+    departure_copied,    /**< Response to departure_copy. */
+    last_kind = departure_copied
 };
 
 } // namespace savorywheel
--- a/src/savorywheel/transport/traffic_class.cpp
+++ b/src/savorywheel/transport/traffic_class.cpp
@@ -23,6 +23,8 @@
         return traffic_class::commit;
     case frame_kind::membership_sync:
     case frame_kind::membership_full:
+    case frame_kind::departure_copy:
+    case frame_kind::departure_copied:
         return traffic_class::membership;
     case frame_kind::floor_put:
     case frame_kind::floor_stored:
--- a/test/measure/membership_cost.cpp
+++ b/test/measure/membership_cost.cpp
@@ -2,9 +2,9 @@
 // simulated mesh in one process, processor time and memory of one agent with a large table. See
 // docs/design/distribution.md.
 #include <savorywheel/core/seeded_random.hpp>
-#include <savorywheel/distribution/floor_replicas.hpp>
 #include <savorywheel/distribution/relay_candidates.hpp>
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/membership/replica_selection.hpp>
 #include <savorywheel/membership/swim_agent.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
 #include <savorywheel/transport/frame_header.hpp>
@@ -270,7 +270,7 @@
     const auto exchange = microseconds(
         50, [&](std::size_t) { static_cast<void>(table.updates_in_buckets(buckets, {})); });
     const auto replicas = microseconds(
-        20, [&](std::size_t) { static_cast<void>(floor_replicas(record_of(0), table, false)); });
+        20, [&](std::size_t) { static_cast<void>(select_replicas(record_of(0), table, false)); });
     const auto candidate = microseconds(
         20, [&](std::size_t) { static_cast<void>(is_relay_candidate(record_of(0), table)); });
     fmt::print("table of {:5}: {:5.1f} MB, full sync {:8} B, ping with one change {:6.1f} us, "
--- a/test/savorywheel/traffic/gate_test.cpp
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -56,10 +56,21 @@
     gate_fixture(gate_fixture&&) = delete;
     gate_fixture& operator=(gate_fixture&&) = delete;
 
+    void submit(std::uint64_t id, const call_request& call)
+    {
+        subject.on_frame(sink, frame_kind::call_request, id, encode(call));
+    }
+
     void submit(std::uint64_t id, milliseconds remaining, peer_time expires)
     {
-        subject.on_frame(sink, frame_kind::call_request, id,
-                         encode(make_call(std::to_string(id), remaining, expires)));
+        submit(id, make_call(std::to_string(id), remaining, expires));
+    }
+
+    /** Reports a crash of a node's backend server during a call. */
+    void report_crash(const char* node, std::uint64_t crash, const call_request& call)
+    {
+        const crash_report report{call.service, node_id{node}, crash, digest_of(call)};
+        subject.on_frame(sink, frame_kind::crash_report, crash, encode(report));
     }
 
     void submit(std::uint64_t id, milliseconds remaining)
@@ -246,4 +257,51 @@
     subject.stop();
 }
 
+// Guards against review case 7: after a request of one caller had crashed two backend servers, the
+// same path and body of another caller or another tenant was refused.
+TEST(gate, request_that_crashed_backend_servers_is_blocked_only_for_its_caller_and_tenant)
+{
+    constexpr milliseconds allowed{10'000};
+    gate_fixture mesh{3};
+    const auto expires = to_peer_time(mesh.time.now() + allowed);
+    auto call = make_call("tariff", allowed, expires);
+    call.caller = service_name{"front"};
+    call.tenant = tenant_name{"north"};
+    for (const char* node : {"a", "b"}) {
+        mesh.report_crash(node, 1, call);
+    }
+    auto other_caller = call;
+    other_caller.caller = service_name{"office"};
+    auto other_tenant = call;
+    other_tenant.tenant = tenant_name{"south"};
+    mesh.client.release(1'000'000);
+    mesh.submit(1, call);
+    mesh.submit(2, other_caller);
+    mesh.submit(3, other_tenant);
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.sink->responses() == 3; }));
+    EXPECT_EQ(mesh.sink->response(1)->refusal, call_refusal::crashing);
+    EXPECT_EQ(mesh.sink->response(2)->result, call_result::answered);
+    EXPECT_EQ(mesh.sink->response(3)->result, call_result::answered);
+}
+
+// Guards against review case 8: the response to another caller's request unblocked a request that
+// crashes backend servers.
+TEST(gate, response_to_another_caller_does_not_unblock_a_request)
+{
+    constexpr milliseconds allowed{10'000};
+    gate_fixture mesh{3};
+    auto call = make_call("tariff", allowed, to_peer_time(mesh.time.now() + allowed));
+    call.caller = service_name{"front"};
+    auto other_caller = call;
+    other_caller.caller = service_name{"office"};
+    mesh.client.release(1'000'000);
+    mesh.report_crash("a", 1, call);
+    mesh.submit(1, other_caller);
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.sink->response(1).has_value(); }));
+    mesh.report_crash("b", 1, call);
+    mesh.submit(2, call);
+    ASSERT_TRUE(wait_until([&mesh] { return mesh.sink->response(2).has_value(); }));
+    EXPECT_EQ(mesh.sink->response(2)->refusal, call_refusal::crashing);
+}
+
 } // namespace savorywheel::test
