Send crash reports to gates that join a service

Cause: reports were broadcast once and kept in the memory of each gate. The identity of a crash was a count of the process, so that a crash after a restart of its node had that of an earlier one.

Change: when the member record of a gate changes, up to eight gates of its service send it the reports that they have, with their age, through peer_delivery; nothing is sent where there are no reports. A crash is identified by its time.

--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -5,7 +5,7 @@
 #include <savorywheel/traffic/backend_departures.hpp>
 #include <savorywheel/traffic/call_request.hpp>
 #include <savorywheel/traffic/call_response.hpp>
-#include <savorywheel/traffic/crash_report.hpp>
+#include <savorywheel/traffic/crash_reports.hpp>
 #include <savorywheel/traffic/departure_copy.hpp>
 
 namespace savorywheel {
@@ -55,8 +55,8 @@
 {
     archive(
         cereal::make_nvp("request_id", call.request_id), cereal::make_nvp("service", call.service),
-        cereal::make_nvp("caller", call.caller),
-        cereal::make_nvp("version", call.version), cereal::make_nvp("remaining_ms", call.remaining),
+        cereal::make_nvp("caller", call.caller), cereal::make_nvp("version", call.version),
+        cereal::make_nvp("remaining_ms", call.remaining),
         cereal::make_nvp("expires_us", call.expires),
         cereal::make_nvp("preferred_ms", call.target_remaining),
         cereal::make_nvp("route", call.route), cereal::make_nvp("tenant", call.tenant),
@@ -89,7 +89,14 @@
 void serialize(Archive& archive, crash_report& report)
 {
     archive(cereal::make_nvp("service", report.service), cereal::make_nvp("node", report.node),
-            cereal::make_nvp("crash", report.crash), cereal::make_nvp("digest", report.digest));
+            cereal::make_nvp("crash", report.crash), cereal::make_nvp("digest", report.digest),
+            cereal::make_nvp("age_ms", report.age));
+}
+
+template<typename Archive>
+void serialize(Archive& archive, crash_reports& reports)
+{
+    archive(cereal::make_nvp("items", reports.items));
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/membership/replica_selection.cpp
+++ b/src/savorywheel/membership/replica_selection.cpp
@@ -39,18 +39,29 @@
 std::vector<member_record> select_replicas(const member_record& self, const member_table& members,
                                            bool include_dead)
 {
-    std::vector<candidate> candidates;
+    std::vector<const member_record*> candidates;
     for (const auto& [id, item] : members.entries()) {
         if (id != self.id && (include_dead || item.update.status != member_status::dead)) {
-            candidates.push_back({0, rendezvous_hash(self.id, id), &item.update.record});
+            candidates.push_back(&item.update.record);
         }
     }
-    std::ranges::sort(candidates, {}, &candidate::hash);
-    assign_rounds(candidates, self.domain);
-    std::ranges::stable_sort(candidates, {}, &candidate::round);
+    return select_replicas(self, candidates, replica_count);
+}
+
+std::vector<member_record> select_replicas(const member_record& self,
+                                           std::span<const member_record* const> candidates,
+                                           std::size_t count)
+{
+    std::vector<candidate> ranked;
+    ranked.reserve(candidates.size());
+    for (const auto* record : candidates) {
+        ranked.push_back({0, rendezvous_hash(self.id, record->id), record});
+    }
+    std::ranges::sort(ranked, {}, &candidate::hash);
+    assign_rounds(ranked, self.domain);
+    std::ranges::stable_sort(ranked, {}, &candidate::round);
     std::vector<member_record> replicas;
-    const auto count = std::min(candidates.size(), replica_count);
-    for (const auto& item : std::span{candidates}.first(count)) {
+    for (const auto& item : std::span{ranked}.first(std::min(ranked.size(), count))) {
         replicas.push_back(*item.record);
     }
     return replicas;
--- a/src/savorywheel/membership/replica_selection.hpp
+++ b/src/savorywheel/membership/replica_selection.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/membership/member_table.hpp>
 
 #include <cstddef>
+#include <span>
 #include <vector>
 
 namespace savorywheel {
@@ -24,6 +25,16 @@
 [[nodiscard]] std::vector<member_record>
 select_replicas(const member_record& self, const member_table& members, bool include_dead);
 
+/**
+ * @brief Selects among given members in the same way.
+ * @param self Owner of the replicated state.
+ * @param candidates Other members.
+ * @param count Maximum number of members to select.
+ */
+[[nodiscard]] std::vector<member_record>
+select_replicas(const member_record& self, std::span<const member_record* const> candidates,
+                std::size_t count);
+
 /** @return Acknowledgements needed before the state counts as replicated. */
 [[nodiscard]] constexpr std::size_t write_quorum(std::size_t replicas) noexcept
 {
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -45,9 +45,11 @@
                                                            [this](const auto& backend) {
                                                                on_backend_changed(backend);
                                                            }},
-      appender_{make_appender()}, rollouts_{make_node_lease(settings), rollout_environment()},
-      heads_{env.tables, env.network, env.requests}, documents_{make_documents()},
-      quotas_{settings.quota, make_node_lease(settings), quota_environment()}
+      crashes_{crash_environment()}, appender_{make_appender()},
+      rollouts_{make_node_lease(settings), rollout_environment()}, heads_{env.tables, env.network,
+                                                                          env.requests},
+      documents_{make_documents()}, quotas_{settings.quota, make_node_lease(settings),
+                                            quota_environment()}
 {
 }
 
@@ -93,6 +95,16 @@
             environment_.decoder != nullptr};
 }
 
+crash_report_handover::environment control_plane::crash_environment()
+{
+    return {{environment_.loop, environment_.network, environment_.requests},
+            [this](const service_name& service) {
+                return environment_.backend_gate.crash_reports_of(service);
+            },
+            [this]() -> const member_table& { return membership_.agent().table(); },
+            [this]() -> const member_record& { return membership_.agent().self(); }};
+}
+
 rollout_service::environment control_plane::rollout_environment()
 {
     return {environment_.loop,
@@ -260,6 +272,7 @@
     environment_.retries.set_nodes(membership_.agent().table().live().size());
     rollouts_.on_members_changed();
     backend_.on_member_changed(update);
+    crashes_.on_member_changed(update);
     if (documents_) {
         documents_->on_members_changed();
     }
--- a/src/savorywheel/node/control_plane.hpp
+++ b/src/savorywheel/node/control_plane.hpp
@@ -7,6 +7,7 @@
 #include <savorywheel/log/event_log.hpp>
 #include <savorywheel/metrics/region_byte_meter.hpp>
 #include <savorywheel/node/backend_registry.hpp>
+#include <savorywheel/node/crash_report_handover.hpp>
 #include <savorywheel/node/document_config_provider.hpp>
 #include <savorywheel/node/head_service.hpp>
 #include <savorywheel/node/log_config_provider.hpp>
@@ -131,6 +132,7 @@
     [[nodiscard]] membership_service::environment membership_environment();
     [[nodiscard]] log_config_provider::environment log_environment();
     [[nodiscard]] backend_registry::environment backend_environment();
+    [[nodiscard]] crash_report_handover::environment crash_environment();
     [[nodiscard]] std::unique_ptr<document_config_provider> make_documents();
     [[nodiscard]] std::unique_ptr<commit_appender> make_appender();
     [[nodiscard]] rollout_service::environment rollout_environment();
@@ -147,6 +149,7 @@
     membership_service membership_;
     log_config_provider ordered_log_;
     backend_registry backend_;
+    crash_report_handover crashes_;
     std::unique_ptr<commit_appender> appender_;
     rollout_service rollouts_;
     head_service heads_;
--- a/src/savorywheel/node/node.cpp
+++ b/src/savorywheel/node/node.cpp
@@ -67,7 +67,7 @@
         metrics_.add_source(quota_metrics_);
         quota_.connect(control_.quotas());
         metrics_.add_source(caller_metrics_);
-        router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_report},
+        router_.add({frame_kind::call_request, frame_kind::call_cancel, frame_kind::crash_reports},
                     gate_);
         router_.add({frame_kind::call_response, frame_kind::crash_acknowledged,
                      frame_kind::commit_batch, frame_kind::membership_full,
--- a/src/savorywheel/traffic/backend_client.cpp
+++ b/src/savorywheel/traffic/backend_client.cpp
@@ -1,14 +1,23 @@
 #include <savorywheel/traffic/backend_client.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
 namespace savorywheel {
 
-void backend_client::add_crash_report(const crash_report& report)
+void backend_client::add_crash_reports(std::span<const crash_report> reports)
 {
     const std::scoped_lock lock{mutex_};
-    crashing_requests_.add(report, environment_.time.now());
+    for (const auto& report : reports) {
+        crashing_requests_.add(report, environment_.time.now());
+    }
+}
+
+std::vector<crash_report> backend_client::crash_reports_of(const service_name& service) const
+{
+    const std::scoped_lock lock{mutex_};
+    return crashing_requests_.reports_of(service, environment_.time.now());
 }
 
 bool backend_client::is_blocked(request_digest digest) const
@@ -85,14 +94,15 @@
 
 void backend_client::report_crash(const gate_call& item, const backend_server& backend)
 {
-    crash_report report{backend.service, environment_.self, 0, item.digest};
+    crash_report report{backend.service, environment_.self, 0, item.digest, {}};
     {
         const std::scoped_lock lock{mutex_};
-        if (crashes_ == 0 || item.started > last_crash_) {
-            ++crashes_;
+        if (!last_crash_ || item.started > *last_crash_) {
+            const auto since_epoch = environment_.time.calendar_now().time_since_epoch();
+            crash_ = std::max(crash_ + 1, static_cast<std::uint64_t>(since_epoch.count()));
             last_crash_ = environment_.time.now();
         }
-        report.crash = crashes_;
+        report.crash = crash_;
         crashing_requests_.add(report, environment_.time.now());
     }
     environment_.log.write(event_id::backend_crashed,
--- a/src/savorywheel/traffic/backend_client.hpp
+++ b/src/savorywheel/traffic/backend_client.hpp
@@ -15,6 +15,9 @@
 #include <array>
 #include <atomic>
 #include <mutex>
+#include <optional>
+#include <span>
+#include <vector>
 
 namespace savorywheel {
 
@@ -48,8 +51,11 @@
      */
     [[nodiscard]] call_response run(gate_call& item, const backend_server& backend);
 
-    /** @brief Adds a crash report received from another node. */
-    void add_crash_report(const crash_report& report);
+    /** @brief Adds crash reports received from another node. */
+    void add_crash_reports(std::span<const crash_report> reports);
+
+    /** @return The crashes of a service's backend servers that are still tracked. */
+    [[nodiscard]] std::vector<crash_report> crash_reports_of(const service_name& service) const;
 
     /** @return True if the request must be refused because it crashes backend servers. */
     [[nodiscard]] bool is_blocked(request_digest digest) const;
@@ -70,8 +76,9 @@
     environment environment_;
     mutable std::mutex mutex_;
     crashing_request_tracker crashing_requests_;
-    monotonic_time last_crash_;
-    std::uint64_t crashes_{};
+    std::optional<monotonic_time> last_crash_;
+    /** Identity of the last crash. */
+    std::uint64_t crash_{};
     std::array<std::atomic<std::uint64_t>, response_class_count> responses_{};
 };
 
--- a/src/savorywheel/traffic/crash_report.hpp
+++ b/src/savorywheel/traffic/crash_report.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/core/names.hpp>
 #include <savorywheel/traffic/request_digest.hpp>
 
+#include <chrono>
 #include <cstdint>
 
 namespace savorywheel {
@@ -14,10 +15,12 @@
     service_name service;
     /** @brief Node co-located with it. */
     node_id node;
-    /** @brief Sequence number of the crash since the start of that node. */
+    /** @brief Unix milliseconds of the crash by the clock of that node; identifies the crash. */
     std::uint64_t crash{};
     /** @brief Digest of the request. */
     request_digest digest{};
+    /** @brief Time since the crash. */
+    std::chrono::milliseconds age{};
 
     [[nodiscard]] friend bool operator==(const crash_report&, const crash_report&) = default;
 };
--- a/src/savorywheel/traffic/crashing_request_tracker.cpp
+++ b/src/savorywheel/traffic/crashing_request_tracker.cpp
@@ -15,11 +15,32 @@
 void crashing_request_tracker::add(const crash_report& report, monotonic_time now)
 {
     evict_old(now);
+    if (report.age >= retention) {
+        return;
+    }
+    const auto at = now - std::max(report.age, std::chrono::milliseconds::zero());
     auto& entry = requests_[report.digest];
     if (entry.crashes.size() < crashes_to_block) {
-        entry.crashes.emplace(report.node, report.crash);
+        entry.crashes.emplace(std::pair{report.node, report.crash}, at);
+    }
+    entry.service = report.service;
+    entry.last = std::max(entry.last, at);
+}
+
+std::vector<crash_report> crashing_request_tracker::reports_of(const service_name& service,
+                                                               monotonic_time now) const
+{
+    std::vector<crash_report> reports;
+    for (const auto& [digest, entry] : requests_) {
+        if (entry.service != service || now - entry.last >= retention) {
+            continue;
+        }
+        for (const auto& [crash, at] : entry.crashes) {
+            reports.push_back({service, crash.first, crash.second, digest,
+                               std::chrono::duration_cast<std::chrono::milliseconds>(now - at)});
+        }
     }
-    entry.last = now;
+    return reports;
 }
 
 bool crashing_request_tracker::is_blocked(request_digest digest, monotonic_time now) const
--- a/src/savorywheel/traffic/crashing_request_tracker.hpp
+++ b/src/savorywheel/traffic/crashing_request_tracker.hpp
@@ -5,8 +5,8 @@
 #include <savorywheel/traffic/crash_report.hpp>
 
 #include <map>
-#include <set>
 #include <utility>
+#include <vector>
 
 namespace savorywheel {
 
@@ -27,12 +27,18 @@
     /** @return True if the request must be refused. */
     [[nodiscard]] bool is_blocked(request_digest digest, monotonic_time now) const;
 
+    /** @return Reports of the tracked crashes of a service's backend servers. */
+    [[nodiscard]] std::vector<crash_report> reports_of(const service_name& service,
+                                                       monotonic_time now) const;
+
     /** @return Number of tracked requests. */
     [[nodiscard]] std::size_t size() const noexcept { return requests_.size(); }
 
 private:
     struct tracked_request {
-        std::set<std::pair<node_id, std::uint64_t>> crashes;
+        /** Reported crashes by node and identity, with the time of the crash. */
+        std::map<std::pair<node_id, std::uint64_t>, monotonic_time> crashes;
+        service_name service;
         monotonic_time last;
     };
 
--- a/src/savorywheel/traffic/gate.cpp
+++ b/src/savorywheel/traffic/gate.cpp
@@ -1,6 +1,7 @@
 #include <savorywheel/core/task_guard.hpp>
 #include <savorywheel/core/thread_name.hpp>
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/traffic/crash_reports.hpp>
 #include <savorywheel/traffic/gate.hpp>
 
 #include <fmt/format.h>
@@ -131,8 +132,8 @@
             return item.connection == connection && item.correlation == correlation;
         });
         break;
-    case frame_kind::crash_report:
-        on_crash_report(*connection, correlation, payload);
+    case frame_kind::crash_reports:
+        on_crash_reports(*connection, correlation, payload);
         break;
     default:
         break;
@@ -163,15 +164,15 @@
     admit(item);
 }
 
-void gate::on_crash_report(frame_sink& connection, std::uint64_t correlation,
-                           std::span<const std::byte> payload)
+void gate::on_crash_reports(frame_sink& connection, std::uint64_t correlation,
+                            std::span<const std::byte> payload)
 {
-    const auto report = decode<crash_report>(payload);
-    if (!report) {
-        refuse_malformed(connection, report.reason().message);
+    const auto reports = decode<crash_reports>(payload);
+    if (!reports || reports->items.empty()) {
+        refuse_malformed(connection, reports ? "no crash" : reports.reason().message);
         return;
     }
-    backend_client_.add_crash_report(*report);
+    backend_client_.add_crash_reports(reports->items);
     connection.send(frame_kind::crash_acknowledged, correlation, {});
 }
 
--- a/src/savorywheel/traffic/gate.hpp
+++ b/src/savorywheel/traffic/gate.hpp
@@ -84,6 +84,12 @@
         return refusals_.at(static_cast<std::size_t>(reason));
     }
 
+    /** @copydoc backend_client::crash_reports_of */
+    [[nodiscard]] std::vector<crash_report> crash_reports_of(const service_name& service) const
+    {
+        return backend_client_.crash_reports_of(service);
+    }
+
     /** @copydoc backend_client::responses */
     [[nodiscard]] std::uint64_t responses(response_class kind) const
     {
@@ -99,8 +105,8 @@
 
     void on_call(const std::shared_ptr<frame_sink>& connection, std::uint64_t correlation,
                  std::span<const std::byte> payload);
-    void on_crash_report(frame_sink& connection, std::uint64_t correlation,
-                         std::span<const std::byte> payload);
+    void on_crash_reports(frame_sink& connection, std::uint64_t correlation,
+                          std::span<const std::byte> payload);
     void refuse_malformed(frame_sink& connection, std::string_view reason);
     void refuse(const gate_call& item, call_refusal reason, std::optional<duration> retry_after);
     void refuse_queued(event_id cause, std::span<const call_pointer> items);
--- a/src/savorywheel/traffic/peer_crash_reporter.cpp
+++ b/src/savorywheel/traffic/peer_crash_reporter.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/traffic/crash_reports.hpp>
 #include <savorywheel/traffic/peer_crash_reporter.hpp>
 
 #include <condition_variable>
@@ -27,7 +28,7 @@
     if (!routes) {
         return;
     }
-    const auto bytes = encode(report);
+    const auto bytes = encode(crash_reports{{report}});
     const auto pending = std::make_shared<pending_acknowledgements>();
     for (const auto& endpoint : routes->endpoints) {
         if (endpoint.node == report.node) {
@@ -37,7 +38,7 @@
             const std::scoped_lock lock{pending->mutex};
             ++pending->count;
         }
-        requests_.submit(network_.connection_to(endpoint.peer), frame_kind::crash_report, bytes,
+        requests_.submit(network_.connection_to(endpoint.peer), frame_kind::crash_reports, bytes,
                          [pending](const request_client::response& /*noted*/) {
                              const std::scoped_lock lock{pending->mutex};
                              --pending->count;
--- a/src/savorywheel/transport/exchange_tracker.cpp
+++ b/src/savorywheel/transport/exchange_tracker.cpp
@@ -7,7 +7,7 @@
 bool is_request(frame_kind kind) noexcept
 {
     return kind == frame_kind::call_request || kind == frame_kind::commit_fetch ||
-           kind == frame_kind::membership_sync || kind == frame_kind::crash_report ||
+           kind == frame_kind::membership_sync || kind == frame_kind::crash_reports ||
            kind == frame_kind::floor_put || kind == frame_kind::floor_get ||
            kind == frame_kind::configuration_get || kind == frame_kind::departure_copy;
 }
--- a/src/savorywheel/transport/frame_kind.hpp
+++ b/src/savorywheel/transport/frame_kind.hpp
@@ -22,8 +22,8 @@
     floor_value,         /**< Response to floor_get. */
     evidence_report,     /**< Call results, for the rollout controller. */
     withdrawal_push,     /**< A withdrawal notice, broadcast between nodes. */
-    crash_report,        /**< Names a request that was running when a backend server crashed. */
-    crash_acknowledged,  /**< Response to crash_report. */
+    crash_reports,       /**< Names requests that were running when backend servers crashed. */
+    crash_acknowledged,  /**< Response to crash_reports. */
     head_get,            /**< Empty; requests the version in force at the receiver. */
     head_value,          /**< Response to head_get. */
     configuration_get,   /**< Requests the documents of operators. */
--- a/src/savorywheel/transport/traffic_class.cpp
+++ b/src/savorywheel/transport/traffic_class.cpp
@@ -10,7 +10,7 @@
     case frame_kind::call_request:
     case frame_kind::call_response:
     case frame_kind::call_cancel:
-    case frame_kind::crash_report:
+    case frame_kind::crash_reports:
     case frame_kind::crash_acknowledged:
         return traffic_class::call;
     case frame_kind::head_get:
--- a/test/process/calls_under_faults_test.cpp
+++ b/test/process/calls_under_faults_test.cpp
@@ -4,6 +4,7 @@
 #include <support/local_mesh.hpp>
 #include <support/wait_until.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <thread>
@@ -26,6 +27,9 @@
 
 constexpr std::chrono::milliseconds phase{600};
 constexpr std::chrono::seconds drain_time{3};
+constexpr std::chrono::seconds recovery_limit{20};
+/** After this time without a fault, all bounds hold. */
+constexpr std::chrono::seconds settling_time{3};
 
 std::vector<mesh_member> members()
 {
@@ -42,6 +46,17 @@
     return report && report->outcome == "accepted" && mesh.wait_for_version(report->version);
 }
 
+/** True if node 0 knows that the backend server of a node serves. */
+bool serves(local_mesh& mesh, std::size_t index)
+{
+    const auto state = mesh.state(0);
+    const auto peer = mesh.peer_endpoint(index);
+    return state && std::ranges::any_of(state->members, [&](const member_update& item) {
+               return item.record.peer == peer && item.status == member_status::alive &&
+                      item.record.state == server_state::serving;
+           });
+}
+
 void expect_no_findings(const call_history& history, const local_mesh& mesh)
 {
     for (const auto& finding : history.check(mesh.folder() / "executions")) {
@@ -95,6 +110,36 @@
     EXPECT_EQ(crashed, 2);
 }
 
+// Guards against review case 9: a node that was stopped and started did not know which requests
+// crash backend servers, and let each of them reach its backend server again.
+TEST(proof_crashing_request, crashing_request_stays_blocked_while_nodes_restart_in_turn)
+{
+    local_mesh mesh{76, members()};
+    ASSERT_TRUE(apply_initial_config(mesh));
+    const http_request request{"POST", "/book", {{"x-crash", "1"}}, "the request that crashes"};
+    const auto send_repeatedly = [&] {
+        for (int i = 0; i < 6; ++i) {
+            ASSERT_TRUE(mesh.call(0, "bookdesk", request));
+        }
+    };
+    send_repeatedly();
+    for (std::size_t i = 1; i < mesh.size(); ++i) {
+        if (!mesh.backend(i).running()) {
+            mesh.start_backend(i);
+        }
+    }
+    for (std::size_t i = 1; i < mesh.size(); ++i) {
+        mesh.node(i).signal(SIGKILL);
+        mesh.start_node(i);
+        ASSERT_TRUE(wait_until([&] { return serves(mesh, i); }, recovery_limit));
+        std::this_thread::sleep_for(settling_time);
+        send_repeatedly();
+    }
+    for (std::size_t i = 1; i < mesh.size(); ++i) {
+        EXPECT_TRUE(mesh.backend(i).running()) << i;
+    }
+}
+
 // Drains one backend server and terminates another node under load: no request may fail, and the
 // drained backend server may receive none after the drain time.
 TEST(proof_drain, draining_and_shutdown_interrupt_no_request)
--- a/test/savorywheel/traffic/crashing_request_tracker_test.cpp
+++ b/test/savorywheel/traffic/crashing_request_tracker_test.cpp
@@ -9,7 +9,7 @@
 
 crash_report report(const std::string& node, std::uint64_t crash, request_digest digest)
 {
-    return {service_name{"bookdesk"}, node_id{node}, crash, digest};
+    return {service_name{"bookdesk"}, node_id{node}, crash, digest, {}};
 }
 
 } // namespace
@@ -51,4 +51,22 @@
     EXPECT_FALSE(tracker.is_blocked(7, {}));
 }
 
+// Guards against reports that a gate keeps longer each time that another one hands them over.
+TEST(crashing_request_tracker, handed_over_reports_expire_with_the_original_ones)
+{
+    using namespace std::chrono_literals;
+    const monotonic_time start{1h};
+    crashing_request_tracker first;
+    first.add(report("a", 1, 7), start);
+    first.add(report("b", 1, 7), start + 5min);
+    crashing_request_tracker second;
+    for (const auto& item : first.reports_of(service_name{"bookdesk"}, start + 9min)) {
+        second.add(item, start + 9min);
+    }
+    EXPECT_TRUE(second.is_blocked(7, start + 14min));
+    EXPECT_FALSE(second.is_blocked(7, start + 15min));
+    EXPECT_TRUE(first.reports_of(service_name{"plugboard"}, start + 9min).empty());
+    EXPECT_TRUE(first.reports_of(service_name{"bookdesk"}, start + 15min).empty());
+}
+
 } // namespace savorywheel::test
--- a/test/savorywheel/traffic/gate_test.cpp
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/traffic/crash_reports.hpp>
 #include <savorywheel/traffic/default_server_header_codec.hpp>
 #include <savorywheel/traffic/gate.hpp>
 
@@ -42,6 +43,17 @@
     }
 };
 
+/** Client of a backend server that crashes with each request. */
+struct crashing_http_client final : http_client {
+    outcome<http_response> send(const network_endpoint& /*server*/, const http_request& /*request*/,
+                                milliseconds /*timeout*/) override
+    {
+        return failure{failure_code::unknown_outcome, "the connection was reset"};
+    }
+
+    bool accepts_connections(const network_endpoint& /*server*/) override { return false; }
+};
+
 /** Gate with a client that blocks until the test releases it; releases all calls at the end. */
 struct gate_fixture {
     explicit gate_fixture(std::uint32_t slots) { subject.set_backend(make_backend(slots)); }
@@ -69,8 +81,8 @@
     /** Reports a crash of a node's backend server during a call. */
     void report_crash(const char* node, std::uint64_t crash, const call_request& call)
     {
-        const crash_report report{call.service, node_id{node}, crash, digest_of(call)};
-        subject.on_frame(sink, frame_kind::crash_report, crash, encode(report));
+        const crash_reports reports{{{call.service, node_id{node}, crash, digest_of(call), {}}}};
+        subject.on_frame(sink, frame_kind::crash_reports, crash, encode(reports));
     }
 
     void submit(std::uint64_t id, milliseconds remaining)
@@ -218,7 +230,7 @@
 {
     EXPECT_TRUE(rc::check([](const std::vector<std::uint8_t>& bytes) {
         gate_fixture mesh{1};
-        const auto kind = *rc::gen::element(frame_kind::call_request, frame_kind::crash_report);
+        const auto kind = *rc::gen::element(frame_kind::call_request, frame_kind::crash_reports);
         mesh.subject.on_frame(mesh.sink, kind, 1, std::as_bytes(std::span{bytes}));
         RC_ASSERT(mesh.sink->closed());
         RC_ASSERT(mesh.log.count(event_id::call_frame_malformed) == 1U);
@@ -304,4 +316,30 @@
     EXPECT_EQ(mesh.sink->response(2)->refusal, call_refusal::crashing);
 }
 
+// Guards against a crash that other gates take for an earlier one, since the node that reports it
+// has restarted.
+TEST(gate, crashes_before_and_after_a_restart_are_told_apart)
+{
+    manual_clock time;
+    crashing_http_client client;
+    recording_event_log log;
+    recording_crash_reporter crashes;
+    default_server_header_codec header_codec;
+    for (std::uint64_t start = 1; start <= 2; ++start) {
+        time.advance(milliseconds{1000});
+        const auto sink = std::make_shared<recording_sink>();
+        gate subject{{client, time, crashes, log, node_id{"gate"}, header_codec}};
+        subject.set_backend(make_backend(1));
+        subject.on_frame(sink, frame_kind::call_request, 1,
+                         encode(make_call("x", milliseconds{1000},
+                                          to_peer_time(time.now() + milliseconds{1000}))));
+        ASSERT_TRUE(wait_until([&sink] { return sink->response(1).has_value(); }));
+        subject.stop();
+    }
+    const auto reports = crashes.reports();
+    ASSERT_EQ(reports.size(), 2U);
+    EXPECT_EQ(reports.front().digest, reports.back().digest);
+    EXPECT_NE(reports.front().crash, reports.back().crash);
+}
+
 } // namespace savorywheel::test
