Start an order from what carried the traffic before it

Cause: an order without a record began with equal shares of all running versions but its target. For an order back to the old version that is the bad one alone, and a withdrawn version got a share again with the next order.

Change: the record of the replaced order, in the status of the same object, is kept as "previous", and the move starts from the weights before the replaced move, or from its target if it was done. A node that has seen the replaced order remembers its weights. An order to the version that carries the traffic needs no new servers and is completed after the drain time.

--- a/src/savorywheel/config/rollout_order.hpp
+++ b/src/savorywheel/config/rollout_order.hpp
@@ -21,6 +21,8 @@
     std::uint64_t revision{};
     /** @brief Recorded progress of the move to this target, if any. */
     std::optional<rollout_record> record;
+    /** @brief Record of the order that this one replaced, as long as it has none of its own. */
+    std::optional<rollout_record> previous;
 
     [[nodiscard]] friend bool operator==(const rollout_order&, const rollout_order&) = default;
 };
--- a/src/savorywheel/encoding/config_archive.hpp
+++ b/src/savorywheel/encoding/config_archive.hpp
@@ -208,7 +208,8 @@
 {
     archive(cereal::make_nvp("service", item.service), cereal::make_nvp("target", item.target),
             cereal::make_nvp("duration_ms", item.duration),
-            cereal::make_nvp("revision", item.revision), cereal::make_nvp("record", item.record));
+            cereal::make_nvp("revision", item.revision), cereal::make_nvp("record", item.record),
+            cereal::make_nvp("previous", item.previous));
 }
 
 } // namespace savorywheel
--- a/src/savorywheel/rollout/evidence_policy.cpp
+++ b/src/savorywheel/rollout/evidence_policy.cpp
@@ -70,7 +70,9 @@
 {
     const auto& move = *view.service.move;
     const auto progress = *progress_;
-    if (view.new_servers == 0) {
+    // An order back to the version that carries the traffic has nothing to try.
+    const bool needs_new_servers = move.from != move.to;
+    if (view.new_servers == 0 && needs_new_servers) {
         return {rollout_action::hold, {}, "no backend server of the new version serves"};
     }
     if (score_ratio >= hold_min_score_ratio) {
--- a/src/savorywheel/rollout/mesh_state_builder.hpp
+++ b/src/savorywheel/rollout/mesh_state_builder.hpp
@@ -7,14 +7,17 @@
 #include <savorywheel/membership/member_table.hpp>
 
 #include <map>
+#include <vector>
 
 namespace savorywheel {
 
 /**
  * @brief Builds the state used for routing from the operators' configuration and rollout orders.
  *
- * Without an order, every running version of a service serves it. After an order, the versions that
- * were already running carry the traffic until the move's record assigns a share to the new one.
+ * Without an order, every running version of a service serves it. After the first order, the
+ * versions that were already running carry the traffic until the move's record assigns a share to
+ * the new one. A later order starts from what carried the traffic before: a version whose move has
+ * not ended, or was withdrawn, gets none.
  */
 class mesh_state_builder {
 public:
@@ -35,12 +38,16 @@
     struct first_observation {
         std::uint64_t revision{};
         calendar_time at{};
+        /** Weights that the order replaces; empty if there was none before. */
+        std::vector<version_weight> before;
     };
 
     [[nodiscard]] rollout_move start_move(const rollout_order& order, const member_table& members,
                                           calendar_time now);
 
     std::map<service_name, first_observation> first_seen_;
+    /** Weights to go back to if the last order of a service is replaced. */
+    std::map<service_name, std::vector<version_weight>> carrying_;
     config_version last_version_;
     bool has_unrecorded_orders_{};
 };
--- a/test/platform/rollout_order_codec_test.cpp
+++ b/test/platform/rollout_order_codec_test.cpp
@@ -51,6 +51,22 @@
     EXPECT_EQ(decoded->order.duration, std::chrono::seconds{14});
 }
 
+// Guards against review case 6: a new order did not tell what carried the traffic before it.
+TEST(rollout_order_codec, record_of_the_replaced_order_is_read)
+{
+    const std::string replacing =
+        R"({"metadata":{"name":"lugeja","revision":9},)"
+        R"("spec":{"service":"lugeja","target-version":"v1","duration":"14s"},"status":)";
+    rollout_order replaced;
+    replaced.target = version_name{"v2"};
+    replaced.record = make_record();
+    const auto status = rollout_order_codec{}.encode_status(replaced, move_status::in_progress);
+    const auto decoded = decode_order(replacing + status + '}');
+    ASSERT_TRUE(decoded);
+    EXPECT_FALSE(decoded->order.record);
+    EXPECT_EQ(decoded->order.previous, make_record());
+}
+
 TEST(rollout_order_codec, order_holds_without_a_valid_status)
 {
     const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
--- a/test/savorywheel/rollout/evidence_policy_test.cpp
+++ b/test/savorywheel/rollout/evidence_policy_test.cpp
@@ -66,4 +66,16 @@
     EXPECT_EQ(progress_of(*state.move, decision.weights), 200U);
 }
 
+// Guards against an order back to the version that carries the traffic that never completes.
+TEST(evidence_policy, move_without_a_change_of_shares_is_finished_without_new_servers)
+{
+    auto state = make_state(0);
+    state.move->to = state.move->from;
+    evidence_policy subject;
+    static_cast<void>(subject.decide({state, {}, 0, started}));
+    const auto decision = subject.decide({state, {}, 0, started + std::chrono::seconds{3}});
+    ASSERT_EQ(decision.action, rollout_action::finish);
+    EXPECT_EQ(decision.weights, state.move->from);
+}
+
 } // namespace savorywheel::test
--- a/test/savorywheel/rollout/mesh_state_builder_test.cpp
+++ b/test/savorywheel/rollout/mesh_state_builder_test.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/rollout/mesh_state_builder.hpp>
+#include <savorywheel/rollout/move_shares.hpp>
 #include <savorywheel/rollout/step_schedule.hpp>
 #include <savorywheel/routing/routing_table_builder.hpp>
 #include <savorywheel/routing/routing_table_holder.hpp>
@@ -6,6 +7,8 @@
 #include <gtest/gtest.h>
 #include <support/manual_clock.hpp>
 
+#include <utility>
+
 namespace savorywheel::test {
 
 namespace {
@@ -45,6 +48,50 @@
     return order;
 }
 
+/** Servers of two versions run; v2 has been ordered, and another order replaces that. */
+class replaced_order_test : public testing::Test {
+protected:
+    replaced_order_test()
+    {
+        add_member(members_, "a", "v1", time_.now());
+        add_member(members_, "b", "v2", time_.now());
+    }
+
+    static rollout_record make_record(move_status status)
+    {
+        rollout_record record;
+        record.move.from = {{version_name{"v1"}, weight_sum_permille}};
+        record.move.to = {{version_name{"v2"}, weight_sum_permille}};
+        record.move.status = status;
+        record.weights = status == move_status::done ? record.move.to : record.move.from;
+        if (status == move_status::in_progress) {
+            record.weights = {{version_name{"v1"}, 900}, {version_name{"v2"}, 100}};
+        }
+        return record;
+    }
+
+    static void replace_order(operator_documents& documents, const std::string& target)
+    {
+        auto order = documents.orders.front();
+        order.previous = std::exchange(order.record, std::nullopt);
+        order.target = version_name{target};
+        ++order.revision;
+        ASSERT_TRUE(documents.merge(order));
+    }
+
+    void expect_weights(mesh_state_builder& subject, const operator_documents& documents,
+                        const std::vector<version_weight>& expected)
+    {
+        const auto state = subject.build(documents, members_, time_.calendar_now());
+        const auto found = state.find(service);
+        EXPECT_EQ(found->weights, expected);
+        EXPECT_EQ(found->move->from, expected);
+    }
+
+    manual_clock time_;
+    member_table members_;
+};
+
 } // namespace
 
 TEST(mesh_state_builder, a_change_of_the_limits_on_callers_is_a_change_of_the_state)
@@ -106,6 +153,66 @@
     EXPECT_FALSE(subject.depends_on_members());
 }
 
+// Guards against review case 6: an order back to the old version sent nearly all requests to the
+// bad one, since the order began with all traffic at the versions that were not its target.
+TEST_F(replaced_order_test, order_back_to_the_old_version_takes_effect_at_once)
+{
+    for (const bool has_record : {false, true}) {
+        mesh_state_builder subject;
+        auto documents = documents_with(make_order());
+        if (has_record) {
+            documents.orders.front().record = make_record(move_status::in_progress);
+        }
+        static_cast<void>(subject.build(documents, members_, time_.calendar_now()));
+        replace_order(documents, "v1");
+        expect_weights(subject, documents, {{version_name{"v1"}, weight_sum_permille}});
+    }
+}
+
+TEST_F(replaced_order_test, node_that_starts_later_knows_what_the_replaced_order_left)
+{
+    add_member(members_, "c", "v3", time_.now());
+    for (const auto status : {move_status::in_progress, move_status::withdrawn}) {
+        for (const auto* target : {"v1", "v3"}) {
+            auto documents = documents_with(make_order());
+            documents.orders.front().record = make_record(status);
+            replace_order(documents, target);
+            mesh_state_builder subject;
+            expect_weights(subject, documents, {{version_name{"v1"}, weight_sum_permille}});
+        }
+    }
+    auto documents = documents_with(make_order());
+    documents.orders.front().record = make_record(move_status::done);
+    replace_order(documents, "v3");
+    mesh_state_builder subject;
+    expect_weights(subject, documents, {{version_name{"v2"}, weight_sum_permille}});
+}
+
+TEST_F(replaced_order_test, withdrawn_version_gets_no_share_although_it_is_the_only_one_running)
+{
+    member_table members;
+    add_member(members, "b", "v2", time_.now());
+    auto documents = documents_with(make_order());
+    documents.orders.front().record = make_record(move_status::withdrawn);
+    replace_order(documents, "v3");
+    mesh_state_builder subject;
+    const auto state = subject.build(documents, members, time_.calendar_now());
+    EXPECT_EQ(share_of(state.find(service)->weights, version_name{"v2"}), 0U);
+}
+
+TEST_F(replaced_order_test, shares_of_versions_that_have_ended_go_to_the_running_ones)
+{
+    add_member(members_, "d", "v4", time_.now());
+    auto documents = documents_with(make_order());
+    auto record = make_record(move_status::in_progress);
+    record.move.from = {
+        {version_name{"v0"}, 500}, {version_name{"v1"}, 375}, {version_name{"v4"}, 125}};
+    documents.orders.front().record = record;
+    replace_order(documents, "v3");
+    mesh_state_builder subject;
+    expect_weights(subject, documents, {{version_name{"v1"}, 750}, {version_name{"v4"}, 250}});
+}
+
 TEST(step_schedule, schedule_of_a_short_move_limits_mean_exposure)
 {
     for (const int seconds : {8, 14, 16, 30}) {
