Keep crashes that a response cannot disprove

What callers would see: a request that has crashed two servers reaches a third one, since a call that began before the last crash got its response after it.

Cause: a complete response removed all crashes of its request at a gate, also those that happened elsewhere after the call had started.

Change: only crashes from before the start of the call are removed; four crashes are kept for each request, so that a later one is still known when the first ones are removed.

Evidence: crashing_request_tracker.response_to_a_call_from_before_a_crash_does_not_remove_it is about an argument that the former function did not have; the same sequence unblocked the request there.

--- a/src/savorywheel/traffic/backend_client.cpp
+++ b/src/savorywheel/traffic/backend_client.cpp
@@ -43,7 +43,7 @@
     auto response = accept_response(item, backend, std::move(*answer));
     if (response.result == call_result::answered) {
         const std::scoped_lock lock{mutex_};
-        crashing_requests_.clear(item.digest);
+        crashing_requests_.clear(item.digest, item.started);
     }
     return response;
 }
--- a/src/savorywheel/traffic/crashing_request_tracker.cpp
+++ b/src/savorywheel/traffic/crashing_request_tracker.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t crashes_to_block = 2;
+/** Responses to calls from before the latest crashes may remove the earlier ones. */
+constexpr std::size_t max_crashes_kept = 4;
 constexpr std::size_t max_tracked_requests = 1024;
 constexpr std::chrono::minutes retention{10};
 
@@ -20,13 +22,28 @@
     }
     const auto at = now - std::max(report.age, std::chrono::milliseconds::zero());
     auto& entry = requests_[report.digest];
-    if (entry.crashes.size() < crashes_to_block) {
-        entry.crashes.emplace(std::pair{report.node, report.crash}, at);
+    entry.crashes.emplace(std::pair{report.node, report.crash}, at);
+    if (entry.crashes.size() > max_crashes_kept) {
+        entry.crashes.erase(std::ranges::min_element(
+            entry.crashes, {}, [](const auto& crash) { return crash.second; }));
     }
     entry.service = report.service;
     entry.last = std::max(entry.last, at);
 }
 
+void crashing_request_tracker::clear(request_digest digest, monotonic_time started)
+{
+    const auto found = requests_.find(digest);
+    if (found == requests_.end()) {
+        return;
+    }
+    auto& crashes = found->second.crashes;
+    std::erase_if(crashes, [started](const auto& crash) { return crash.second <= started; });
+    if (crashes.empty()) {
+        requests_.erase(found);
+    }
+}
+
 std::vector<crash_report> crashing_request_tracker::reports_of(const service_name& service,
                                                                monotonic_time now) const
 {
--- a/src/savorywheel/traffic/crashing_request_tracker.hpp
+++ b/src/savorywheel/traffic/crashing_request_tracker.hpp
@@ -14,15 +14,18 @@
  * @brief Tracks requests that were running when a backend server crashed ("queries of death").
  *
  * A request that was running during two crashes is blocked for 10 minutes after the last one. A
- * complete response removes it.
+ * complete response to a call that started after a crash removes that crash.
  */
 class crashing_request_tracker {
 public:
     /** @brief Adds a crash; duplicates of a report are counted once. */
     void add(const crash_report& report, monotonic_time now);
 
-    /** @brief Removes a request that got a complete response. */
-    void clear(request_digest digest) noexcept { requests_.erase(digest); }
+    /**
+     * @brief Removes the crashes that a complete response shows not to be due to the request.
+     * @param started Start of the call that got the response; later crashes are kept.
+     */
+    void clear(request_digest digest, monotonic_time started);
 
     /** @return True if the request must be refused. */
     [[nodiscard]] bool is_blocked(request_digest digest, monotonic_time now) const;
--- a/test/savorywheel/traffic/crashing_request_tracker_test.cpp
+++ b/test/savorywheel/traffic/crashing_request_tracker_test.cpp
@@ -46,9 +46,25 @@
 {
     crashing_request_tracker tracker;
     tracker.add(report("a", 1, 7), {});
-    tracker.clear(7);
+    tracker.clear(7, {});
     tracker.add(report("b", 1, 7), {});
     EXPECT_FALSE(tracker.is_blocked(7, {}));
+    EXPECT_EQ(tracker.size(), 1U);
+}
+
+// Guards against a response to a call that was in progress during a crash elsewhere: it does not
+// show that the request is harmless there.
+TEST(crashing_request_tracker, response_to_a_call_from_before_a_crash_does_not_remove_it)
+{
+    using namespace std::chrono_literals;
+    const monotonic_time start{1h};
+    crashing_request_tracker tracker;
+    tracker.add(report("a", 1, 7), start + 1s);
+    tracker.clear(7, start);
+    tracker.add(report("b", 1, 7), start + 2s);
+    EXPECT_TRUE(tracker.is_blocked(7, start + 2s));
+    tracker.clear(7, start + 1s);
+    EXPECT_FALSE(tracker.is_blocked(7, start + 2s));
 }
 
 // Guards against reports that a gate keeps longer each time that another one hands them over.
