Ask for documents in datagrams when streams are slow

Cause: uploads fill the links of these nodes, so that what comes over a stream, from peers and from the store, is seconds late, while datagrams are not. The node knew in 0.2 s that it was behind and asked on streams only.

SW2039 tells this from a lost watch.

--- a/src/savorywheel/encoding/distribution_archive.hpp
+++ b/src/savorywheel/encoding/distribution_archive.hpp
@@ -7,6 +7,7 @@
 #include <savorywheel/distribution/commit_push_message.hpp>
 #include <savorywheel/distribution/confirmation_message.hpp>
 #include <savorywheel/distribution/document_answer.hpp>
+#include <savorywheel/distribution/document_datagram.hpp>
 #include <savorywheel/distribution/document_request.hpp>
 #include <savorywheel/distribution/floor_message.hpp>
 #include <savorywheel/distribution/head_message.hpp>
@@ -64,6 +65,15 @@
             cereal::make_nvp("live_members", floor.live_members));
 }
 
+template<typename Archive>
+void serialize(Archive& archive, document_datagram& message)
+{
+    archive(cereal::make_nvp("protocol", message.protocol), cereal::make_nvp("id", message.id),
+            cereal::make_nvp("sender_peer", message.sender_peer),
+            cereal::make_nvp("request", message.request), cereal::make_nvp("part", message.part),
+            cereal::make_nvp("parts", message.parts), cereal::make_nvp("answer", message.answer));
+}
+
 template<typename Archive>
 void serialize(Archive& archive, lease_record& lease)
 {
--- a/src/savorywheel/encoding/distribution_codec.cpp
+++ b/src/savorywheel/encoding/distribution_codec.cpp
@@ -17,6 +17,8 @@
 template outcome<head_message> decode(std::span<const std::byte>);
 template std::vector<std::byte> encode(const confirmation_message&);
 template outcome<confirmation_message> decode(std::span<const std::byte>);
+template std::vector<std::byte> encode(const document_datagram&);
+template outcome<document_datagram> decode(std::span<const std::byte>);
 template std::vector<std::byte> encode(const document_request&);
 template outcome<document_request> decode(std::span<const std::byte>);
 template std::vector<std::byte> encode(const operator_documents&);
--- a/src/savorywheel/log/event_catalogue.cpp
+++ b/src/savorywheel/log/event_catalogue.cpp
@@ -94,6 +94,10 @@
     event_description{event_id::watch_renewed, info,
                       "Other nodes heard of a change that a watch of this node did not deliver; it "
                       "is renewed on another connection."},
+    event_description{
+        event_id::documents_asked_by_datagram, info,
+        "Peers with newer documents do not answer on their streams in time; this node "
+        "asks in datagrams as well."},
     event_description{event_id::store_restored, warning,
                       "The platform's store was restored from a backup; this node writes its "
                       "entries again."},
--- a/src/savorywheel/log/event_id.hpp
+++ b/src/savorywheel/log/event_id.hpp
@@ -43,6 +43,7 @@
     documents_not_watched = 2036,
     document_delta_refused = 2037,
     watch_renewed = 2038,
+    documents_asked_by_datagram = 2039,
     store_restored = 2030,
     older_configuration_kept = 2031,
     rollout_record_kept = 2032,
--- a/src/savorywheel/node/control_plane.cpp
+++ b/src/savorywheel/node/control_plane.cpp
@@ -163,10 +163,14 @@
     if (quota_service::handles(payload)) {
         return quotas_.on_datagram(payload);
     }
-    const bool is_confirmation =
-        !payload.empty() && payload.front() == std::byte{confirmation_protocol};
-    return is_confirmation && documents_ ? documents_->confirmations().on_datagram(payload)
-                                         : membership_.on_datagram(payload);
+    const auto protocol = payload.empty() ? std::byte{} : payload.front();
+    if (documents_ && protocol == std::byte{confirmation_protocol}) {
+        return documents_->confirmations().on_datagram(payload);
+    }
+    if (documents_ && protocol == std::byte{document_protocol}) {
+        return documents_->datagrams().on_datagram(payload);
+    }
+    return membership_.on_datagram(payload);
 }
 
 void control_plane::start()
--- a/src/savorywheel/node/document_config_provider.cpp
+++ b/src/savorywheel/node/document_config_provider.cpp
@@ -9,6 +9,8 @@
 document_config_provider::document_config_provider(const configuration_decoder& decoder,
                                                    const order_codec& orders, environment env)
     : environment_{std::move(env)}, documents_{decoder, orders, document_environment()},
+      datagrams_{document_datagrams::environment{environment_.quota, environment_.datagrams,
+                                                 documents_, environment_.members.self().peer}},
       confirmations_{confirmation_service::environment{
           environment_.loop, environment_.quota, environment_.random, environment_.store,
           environment_.datagrams, environment_.log, environment_.members, documents_,
@@ -30,7 +32,9 @@
             [this] { apply(); },
             [this](bool reachable) { on_store_health(reachable); },
             [this] { confirmations_.check_now(); },
-            [this] { confirmations_.announce(); }};
+            [this] { confirmations_.announce(); },
+            [this](const network_endpoint& peer, std::uint64_t request,
+                   const document_request& base) { datagrams_.ask(peer, request, base); }};
 }
 
 watch_duty::environment document_config_provider::watch_environment()
--- a/src/savorywheel/node/document_config_provider.hpp
+++ b/src/savorywheel/node/document_config_provider.hpp
@@ -3,6 +3,7 @@
 
 #include <savorywheel/membership/swim_agent.hpp>
 #include <savorywheel/node/confirmation_service.hpp>
+#include <savorywheel/node/document_datagrams.hpp>
 #include <savorywheel/node/document_service.hpp>
 #include <savorywheel/node/member_directory.hpp>
 #include <savorywheel/node/restore_monitor.hpp>
@@ -78,6 +79,9 @@
     /** @return Frame handler for configuration requests. */
     [[nodiscard]] document_service& documents() noexcept { return documents_; }
 
+    /** @return Datagram handler for documents. */
+    [[nodiscard]] document_datagrams& datagrams() noexcept { return datagrams_; }
+
     /** @return Datagram handler for confirmations. */
     [[nodiscard]] confirmation_service& confirmations() noexcept { return confirmations_; }
 
@@ -91,6 +95,7 @@
 
     environment environment_;
     document_service documents_;
+    document_datagrams datagrams_;
     confirmation_service confirmations_;
     watch_duty duty_;
     member_directory directory_;
--- a/src/savorywheel/node/document_fetcher.cpp
+++ b/src/savorywheel/node/document_fetcher.cpp
@@ -41,7 +41,7 @@
     }
     else if (make_room()) {
         const auto due = environment_.loop.time().now() + delay;
-        sources_.push_back({peer, remote, due, 0, {}, {}});
+        sources_.push_back({peer, remote, due, 0, {}, {}, false});
         wait();
     }
 }
@@ -130,6 +130,8 @@
         return item.request != 0 && now - item.asked_at >= attempt_timeout;
     });
     if (delayed && !std::exchange(delay_reported_, true)) {
+        environment_.log.write(event_id::documents_asked_by_datagram,
+                               fmt::format("{} peers", sources_.size()));
         environment_.delayed();
     }
     const auto next = std::ranges::find_if(
@@ -147,9 +149,27 @@
                     [this, request, item = std::move(answer)] { on_response(*request, item); });
             });
     }
+    if (delay_reported_) {
+        ask_by_datagram();
+    }
     wait();
 }
 
+void document_fetcher::ask_by_datagram()
+{
+    for (auto& item : sources_) {
+        if (item.request != 0 && !std::exchange(item.by_datagram, true)) {
+            environment_.ask_by_datagram(item.peer, item.request, item.base);
+        }
+    }
+}
+
+void document_fetcher::on_answer(std::uint64_t request, std::span<const std::byte> answer)
+{
+    environment_.requests.discard(request);
+    on_response(request, std::vector<std::byte>{answer.begin(), answer.end()});
+}
+
 void document_fetcher::merge(const source& responded, const document_answer& remote)
 {
     const auto base = environment_.documents.request();
--- a/src/savorywheel/node/document_fetcher.hpp
+++ b/src/savorywheel/node/document_fetcher.hpp
@@ -8,7 +8,9 @@
 #include <savorywheel/transport/peer_network.hpp>
 #include <savorywheel/transport/request_client.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <span>
 #include <vector>
 
 namespace savorywheel {
@@ -43,6 +45,10 @@
         std::function<void()> delayed;
         /** @brief Called when nothing is fetched any more. */
         std::function<void()> ended;
+        /** @brief Sends a request in a datagram as well, with the number that on_answer() takes. */
+        std::function<void(const network_endpoint& peer, std::uint64_t request,
+                           const document_request& base)>
+            ask_by_datagram;
     };
 
     /** @param env Dependencies. */
@@ -59,6 +65,9 @@
     /** @brief Ends the fetch if this node lacks nothing any more. */
     void on_documents_changed();
 
+    /** @brief Processes the answer to a request in a datagram. */
+    void on_answer(std::uint64_t request, std::span<const std::byte> answer);
+
     /** @return True while this node lacks documents that a source has. */
     [[nodiscard]] bool active() const noexcept { return !sources_.empty(); }
 
@@ -76,6 +85,8 @@
         monotonic_time asked_at;
         /** Configuration that the request named. */
         document_request base;
+        /** True if the request was sent in a datagram as well. */
+        bool by_datagram{};
     };
 
     /** Makes room for another source in place of the one that was asked first; false if none was.
@@ -84,6 +95,8 @@
     /** Waits until the next source is due and the last one has had its time. */
     void wait();
     void ask_next();
+    /** Once a stream has delayed this fetch, others may be as slow, since they share the link. */
+    void ask_by_datagram();
     void on_response(std::uint64_t request, const request_client::response& answer);
     void merge(const source& responded, const document_answer& remote);
     void remove_useless_sources();
--- a/src/savorywheel/node/document_service.cpp
+++ b/src/savorywheel/node/document_service.cpp
@@ -57,16 +57,22 @@
 
 document_fetcher::environment document_service::fetcher_environment()
 {
-    return {environment_.loop,
-            environment_.network,
-            environment_.requests,
-            environment_.log,
-            documents_,
-            [this](const network_endpoint& peer, const document_answer& received) {
-                return merge_answer(peer, received);
-            },
-            [this] { environment_.fetch_delayed(); },
-            [this] { answer_waiting(); }};
+    return {
+        environment_.loop,
+        environment_.network,
+        environment_.requests,
+        environment_.log,
+        documents_,
+        [this](const network_endpoint& peer, const document_answer& received) {
+            return merge_answer(peer, received);
+        },
+        [this] { environment_.fetch_delayed(); },
+        [this] { answer_waiting(); },
+        [this](const network_endpoint& peer, std::uint64_t request, const document_request& base) {
+            if (environment_.ask_by_datagram) {
+                environment_.ask_by_datagram(peer, request, base);
+            }
+        }};
 }
 
 std::vector<std::string> document_service::prefixes() const
@@ -318,6 +324,12 @@
                           answers_.answer(item.request));
 }
 
+std::span<const std::byte> document_service::newer_documents(const document_request& request)
+{
+    return answers_.has_newer(request) ? std::span<const std::byte>{answers_.answer(request)}
+                                       : std::span<const std::byte>{};
+}
+
 void document_service::answer_waiting()
 {
     for (const auto& item : std::exchange(waiting_requests_, {})) {
--- a/src/savorywheel/node/document_service.hpp
+++ b/src/savorywheel/node/document_service.hpp
@@ -62,6 +62,10 @@
         std::function<void()> fetch_delayed;
         /** @brief Called on the control thread after a watch has delivered a change. */
         std::function<void()> change_watched{};
+        /** @copydoc document_fetcher::environment::ask_by_datagram */
+        std::function<void(const network_endpoint& peer, std::uint64_t request,
+                           const document_request& base)>
+            ask_by_datagram{};
     };
 
     /**
@@ -112,6 +116,18 @@
     /** @return Counters of the documents that were sent to peers; may be read by any thread. */
     [[nodiscard]] const document_counters& counters() const noexcept { return counters_; }
 
+    /**
+     * @brief Answers a request that came in a datagram.
+     * @return The encoded answer, valid until the next call; empty if this node has nothing newer.
+     */
+    [[nodiscard]] std::span<const std::byte> newer_documents(const document_request& request);
+
+    /** @copydoc document_fetcher::on_answer */
+    void on_datagram_answer(std::uint64_t request, std::span<const std::byte> answer)
+    {
+        fetcher_.on_answer(request, answer);
+    }
+
     void on_frame(const std::shared_ptr<frame_sink>& connection, frame_kind kind,
                   std::uint64_t correlation, std::span<const std::byte> payload) override;
     void on_closed(const frame_sink& connection, bool established) override;
--- a/test/savorywheel/encoding/decoder_input_test.cpp
+++ b/test/savorywheel/encoding/decoder_input_test.cpp
@@ -1,6 +1,7 @@
 #include <savorywheel/distribution/checkpoint.hpp>
 #include <savorywheel/distribution/commit_fetch_message.hpp>
 #include <savorywheel/distribution/commit_push_message.hpp>
+#include <savorywheel/distribution/document_datagram.hpp>
 #include <savorywheel/distribution/floor_message.hpp>
 #include <savorywheel/distribution/lease_record.hpp>
 #include <savorywheel/encoding/codec.hpp>
@@ -8,6 +9,8 @@
 #include <savorywheel/membership/membership_sync_message.hpp>
 #include <savorywheel/traffic/call_request.hpp>
 #include <savorywheel/traffic/call_response.hpp>
+#include <savorywheel/traffic/crash_reports.hpp>
+#include <savorywheel/traffic/departure_copy.hpp>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -69,6 +72,9 @@
     check_round_trip<membership_sync_message>(bytes);
     check_round_trip<call_request>(bytes);
     check_round_trip<call_response>(bytes);
+    check_round_trip<crash_reports>(bytes);
+    check_round_trip<departure_copy>(bytes);
+    check_round_trip<document_datagram>(bytes);
 }
 
 } // namespace
--- a/test/savorywheel/node/document_service_test.cpp
+++ b/test/savorywheel/node/document_service_test.cpp
@@ -1,6 +1,7 @@
 #include <savorywheel/core/seeded_random.hpp>
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/encoding/document_answer_codec.hpp>
+#include <savorywheel/node/document_datagrams.hpp>
 #include <savorywheel/node/document_service.hpp>
 
 #include <gtest/gtest.h>
@@ -82,6 +83,15 @@
     std::vector<network_endpoint> peers;
 };
 
+struct recording_datagrams final : datagram_channel {
+    void send(const network_endpoint& /*peer*/, std::span<const std::byte> payload) override
+    {
+        sent.push_back(*decode<document_datagram>(payload));
+    }
+
+    std::vector<document_datagram> sent;
+};
+
 /** Document service that has read the given objects, with a peer whose responses a test sends. */
 class document_fixture {
 public:
@@ -176,6 +186,37 @@
         loop_.run_pending();
     }
 
+    struct sent_datagram {
+        network_endpoint peer;
+        std::uint64_t request{};
+        document_request base;
+    };
+
+    [[nodiscard]] const std::vector<sent_datagram>& datagrams() const noexcept
+    {
+        return datagrams_;
+    }
+
+    /** Receives a request in a datagram, and returns the answer. */
+    std::vector<document_datagram> answer_in_datagrams(const document_request& request)
+    {
+        recording_datagrams channel;
+        document_datagrams subject{{quota_, channel, service_, {"10.0.0.1", 7000}}};
+        document_datagram message;
+        message.id = 3;
+        message.sender_peer = peer_;
+        message.request = request;
+        EXPECT_TRUE(subject.on_datagram(encode(message)));
+        loop_.run_pending();
+        return channel.sent;
+    }
+
+    void answer_datagram(std::uint64_t request, const operator_documents& remote)
+    {
+        service_.on_datagram_answer(request,
+                                    encode_document_answer(document_answer{remote, std::nullopt}));
+    }
+
     [[nodiscard]] const std::vector<std::uint64_t>& requests() const noexcept
     {
         return network_.connection->correlations;
@@ -210,11 +251,15 @@
     network_endpoint peer_{"10.0.0.2", 7000};
     bool healthy_{};
     int delays_{};
-    document_service service_{decoder_,
-                              codec_,
-                              {loop_, quota_, random_, store_, network_, requests_, log_, [] {},
-                               [this](bool reachable) { healthy_ = reachable; },
-                               [this] { ++delays_; }}};
+    std::vector<sent_datagram> datagrams_;
+    document_service service_{
+        decoder_,
+        codec_,
+        {loop_, quota_, random_, store_, network_, requests_, log_, [] {},
+         [this](bool reachable) { healthy_ = reachable; }, [this] { ++delays_; }, [] {},
+         [this](const network_endpoint& peer, std::uint64_t request, const document_request& base) {
+             datagrams_.push_back({peer, request, base});
+         }}};
 };
 
 operator_documents make_documents(std::uint64_t configuration_revision,
@@ -307,6 +352,57 @@
     EXPECT_EQ(fixture.delays(), 1);
 }
 
+// Guards against changes that are late at a node behind a busy link (CONFIG on
+// frigoporto-mesh-grown): its streams delivered nothing for seconds, and it asked for documents on
+// streams only.
+TEST(document_service, asks_in_a_datagram_once_a_stream_is_slow)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    const auto remote = make_documents(100, 101);
+    const network_endpoint first{"10.0.0.3", 7000};
+    const network_endpoint second{"10.0.0.4", 7000};
+    const auto base = fixture.documents().request();
+    fixture.report_head(first, remote);
+    fixture.report_head(second, remote);
+    fixture.advance_time(100ms);
+    EXPECT_TRUE(fixture.datagrams().empty());
+    fixture.advance_time(400ms);
+    ASSERT_EQ(fixture.datagrams().size(), 2U);
+    EXPECT_EQ(fixture.datagrams().front().peer, first);
+    EXPECT_EQ(fixture.datagrams().back().peer, second);
+    EXPECT_EQ(fixture.datagrams().back().base, base);
+    fixture.answer_datagram(fixture.datagrams().back().request, remote);
+    EXPECT_EQ(fixture.documents().revision, 100);
+    // The late response on the stream changes nothing.
+    fixture.answer(fixture.requests().back(), remote);
+    fixture.advance_time(5s);
+    EXPECT_EQ(fixture.datagrams().size(), 2U);
+    EXPECT_EQ(fixture.asked().size(), 2U);
+}
+
+TEST(document_service, answers_a_request_in_a_datagram_only_if_it_has_something_newer)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    datagram_parts parts;
+    std::optional<std::vector<std::byte>> whole;
+    for (const auto& message : fixture.answer_in_datagrams({})) {
+        EXPECT_LE(encode(message).size(), max_datagram_bytes);
+        whole = parts.add(message);
+    }
+    ASSERT_TRUE(whole);
+    const auto answer = decode_document_answer(*whole);
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->documents.revision, 90U);
+    EXPECT_TRUE(fixture.answer_in_datagrams(fixture.documents().request()).empty());
+}
+
+TEST(document_service, ignores_an_answer_in_a_datagram_that_it_has_not_asked_for)
+{
+    document_fixture fixture{{{"config/main", "90", 90}}};
+    fixture.answer_datagram(7, make_documents(100, 101));
+    EXPECT_EQ(fixture.documents().revision, 90);
+}
+
 TEST(document_service, merges_the_late_response_of_the_first_peer)
 {
     document_fixture fixture{{{"config/main", "90", 90}}};
