Decode datagrams for the control thread in one place

Cause: document_datagrams and confirmation_service repeated the same decoding and queueing. Lint found a callback that was copied for each call, and a record of another writer could have made the sum of its weights wrap to zero, by which they are divided.

Change: post_datagram does the first; the callback is a reference; the sum has 64 bits.

--- a/src/savorywheel/node/confirmation_service.cpp
+++ b/src/savorywheel/node/confirmation_service.cpp
@@ -1,5 +1,6 @@
 #include <savorywheel/encoding/codec.hpp>
 #include <savorywheel/node/confirmation_service.hpp>
+#include <savorywheel/node/datagram_input.hpp>
 
 #include <fmt/format.h>
 
@@ -273,14 +274,9 @@
 
 outcome<bool> confirmation_service::on_datagram(std::span<const std::byte> payload)
 {
-    auto message = decode<confirmation_message>(payload);
-    if (!message) {
-        return message.reason();
-    }
-    const bool queued = environment_.quota.post(
-        payload.size(), [this, item = std::move(*message)] { receive(item); });
-    return queued ? outcome<bool>{true}
-                  : failure{failure_code::overload, "event queue full; datagram dropped"};
+    return post_datagram<confirmation_message>(
+        environment_.quota, payload,
+        [this](const confirmation_message& message) { receive(message); });
 }
 
 void confirmation_service::receive(const confirmation_message& message)
--- a/src/savorywheel/node/departure_copies.cpp
+++ b/src/savorywheel/node/departure_copies.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace savorywheel {
@@ -24,7 +25,7 @@
 {
 }
 
-void departure_copies::copy(std::span<const backend_departure> departures, callback copied)
+void departure_copies::copy(std::span<const backend_departure> departures, const callback& copied)
 {
     const auto replicas = select_replicas(environment_.self(), environment_.members(), false);
     const auto needed = std::min(replicas.size(), sufficient_copies);
--- a/src/savorywheel/node/departure_copies.hpp
+++ b/src/savorywheel/node/departure_copies.hpp
@@ -53,10 +53,9 @@
     /**
      * @brief Copies the departures of this node to its replicas.
      * @param departures All that are known.
-     * @param copied Called at most once, when enough replicas have them for any of these to be
-     * lost.
+     * @param copied Called at most once, when so many replicas have them that one may be lost.
      */
-    void copy(std::span<const backend_departure> departures, callback copied);
+    void copy(std::span<const backend_departure> departures, const callback& copied);
 
     /** @brief Sends a member the departures that this node keeps for it. */
     void on_member_changed(const member_update& update);
--- a/src/savorywheel/node/document_datagrams.cpp
+++ b/src/savorywheel/node/document_datagrams.cpp
@@ -1,4 +1,5 @@
 #include <savorywheel/encoding/codec.hpp>
+#include <savorywheel/node/datagram_input.hpp>
 #include <savorywheel/node/document_datagrams.hpp>
 
 #include <algorithm>
@@ -21,14 +22,9 @@
 
 outcome<bool> document_datagrams::on_datagram(std::span<const std::byte> payload)
 {
-    auto message = decode<document_datagram>(payload);
-    if (!message) {
-        return message.reason();
-    }
-    const bool queued = environment_.quota.post(
-        payload.size(), [this, item = std::move(*message)] { receive(item); });
-    return queued ? outcome<bool>{true}
-                  : failure{failure_code::overload, "event queue full; datagram dropped"};
+    return post_datagram<document_datagram>(
+        environment_.quota, payload,
+        [this](const document_datagram& message) { receive(message); });
 }
 
 void document_datagrams::receive(const document_datagram& message)
--- a/src/savorywheel/rollout/mesh_state_builder.cpp
+++ b/src/savorywheel/rollout/mesh_state_builder.cpp
@@ -46,15 +46,16 @@
     std::ranges::copy_if(weights, std::back_inserter(shares), [&running](const auto& item) {
         return item.permille > 0 && running.contains(item.version);
     });
+    // Records of other writers may have weights of any size.
     auto sum = std::accumulate(
-        shares.begin(), shares.end(), std::uint32_t{0},
-        [](std::uint32_t total, const version_weight& item) { return total + item.permille; });
-    auto left = weight_sum_permille;
+        shares.begin(), shares.end(), std::uint64_t{0},
+        [](std::uint64_t total, const version_weight& item) { return total + item.permille; });
+    std::uint64_t left = weight_sum_permille;
     for (auto& item : shares) {
         const auto share = left * item.permille / sum;
         sum -= item.permille;
         left -= share;
-        item.permille = share;
+        item.permille = static_cast<std::uint32_t>(share);
     }
     return shares;
 }
--- a/test/platform/proxied_mesh.cpp
+++ b/test/platform/proxied_mesh.cpp
@@ -172,10 +172,9 @@
                                const std::string& body) const
 {
     raw_http_connection connection{{address_of(node), 8620}};
-    const auto request =
-        fmt::format("{} /instances/{} HTTP/1.1\r\nHost: control\r\nContent-Type: "
-                    "application/json\r\nContent-Length: {}\r\n\r\n{}",
-                    method, identity, body.size(), body);
+    const auto request = fmt::format("{} /instances/{} HTTP/1.1\r\nHost: control\r\nContent-Type: "
+                                     "application/json\r\nContent-Length: {}\r\n\r\n{}",
+                                     method, identity, body.size(), body);
     return connection.send(request) ? connection.read_status() : 0;
 }
 
