Block a request that was answered before after its third crash

Cause: the harmless request ran beside the other one at the first server, both were sent once more, both to the same second server, and it crashed, too. Having run during two crashes, the harmless request was blocked at all gates for 10 minutes, although servers had answered it many times.

Change: a gate remembers the digests of up to 4,096 requests that it has seen answered, a crash report says whether the request is among them, and then three crashes are needed to block it.

--- a/src/savorywheel/encoding/traffic_archive.hpp
+++ b/src/savorywheel/encoding/traffic_archive.hpp
@@ -90,7 +90,8 @@
 {
     archive(cereal::make_nvp("service", report.service), cereal::make_nvp("node", report.node),
             cereal::make_nvp("crash", report.crash), cereal::make_nvp("digest", report.digest),
-            cereal::make_nvp("age_ms", report.age));
+            cereal::make_nvp("age_ms", report.age),
+            cereal::make_nvp("answered_before", report.answered_before));
 }
 
 template<typename Archive>
--- a/src/savorywheel/traffic/backend_client.cpp
+++ b/src/savorywheel/traffic/backend_client.cpp
@@ -44,6 +44,7 @@
     if (response.result == call_result::answered) {
         const std::scoped_lock lock{mutex_};
         crashing_requests_.clear(item.digest, item.started);
+        answered_.add(item.digest);
     }
     return response;
 }
@@ -94,7 +95,7 @@
 
 void backend_client::report_crash(const gate_call& item, const backend_server& backend)
 {
-    crash_report report{backend.service, environment_.self, 0, item.digest, {}};
+    crash_report report{backend.service, environment_.self, 0, item.digest, {}, false};
     {
         const std::scoped_lock lock{mutex_};
         if (!last_crash_ || item.started > *last_crash_) {
@@ -103,6 +104,7 @@
             last_crash_ = environment_.time.now();
         }
         report.crash = crash_;
+        report.answered_before = answered_.contains(item.digest);
         crashing_requests_.add(report, environment_.time.now());
     }
     environment_.log.write(event_id::backend_crashed,
--- a/src/savorywheel/traffic/backend_client.hpp
+++ b/src/savorywheel/traffic/backend_client.hpp
@@ -4,6 +4,7 @@
 #include <savorywheel/core/clock.hpp>
 #include <savorywheel/http/http_client.hpp>
 #include <savorywheel/log/event_log.hpp>
+#include <savorywheel/traffic/answered_requests.hpp>
 #include <savorywheel/traffic/backend_server.hpp>
 #include <savorywheel/traffic/call_response.hpp>
 #include <savorywheel/traffic/crash_reporter.hpp>
@@ -76,6 +77,7 @@
     environment environment_;
     mutable std::mutex mutex_;
     crashing_request_tracker crashing_requests_;
+    answered_requests answered_;
     std::optional<monotonic_time> last_crash_;
     /** Identity of the last crash. */
     std::uint64_t crash_{};
--- a/src/savorywheel/traffic/crash_report.hpp
+++ b/src/savorywheel/traffic/crash_report.hpp
@@ -21,6 +21,8 @@
     request_digest digest{};
     /** @brief Time since the crash. */
     std::chrono::milliseconds age{};
+    /** @brief True if the backend server had answered the request before. */
+    bool answered_before{};
 
     [[nodiscard]] friend bool operator==(const crash_report&, const crash_report&) = default;
 };
--- a/src/savorywheel/traffic/crashing_request_tracker.cpp
+++ b/src/savorywheel/traffic/crashing_request_tracker.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t crashes_to_block = 2;
+constexpr std::size_t crashes_to_block_answered = 3;
 /** Responses to calls from before the latest crashes may remove the earlier ones. */
 constexpr std::size_t max_crashes_kept = 4;
 constexpr std::size_t max_tracked_requests = 1024;
@@ -22,10 +23,10 @@
     }
     const auto at = now - std::max(report.age, std::chrono::milliseconds::zero());
     auto& entry = requests_[report.digest];
-    entry.crashes.emplace(std::pair{report.node, report.crash}, at);
+    entry.crashes.emplace(std::pair{report.node, report.crash}, crash{at, report.answered_before});
     if (entry.crashes.size() > max_crashes_kept) {
         entry.crashes.erase(std::ranges::min_element(
-            entry.crashes, {}, [](const auto& crash) { return crash.second; }));
+            entry.crashes, {}, [](const auto& known) { return known.second.at; }));
     }
     entry.service = report.service;
     entry.last = std::max(entry.last, at);
@@ -38,7 +39,7 @@
         return;
     }
     auto& crashes = found->second.crashes;
-    std::erase_if(crashes, [started](const auto& crash) { return crash.second <= started; });
+    std::erase_if(crashes, [started](const auto& known) { return known.second.at <= started; });
     if (crashes.empty()) {
         requests_.erase(found);
     }
@@ -52,9 +53,11 @@
         if (entry.service != service || now - entry.last >= retention) {
             continue;
         }
-        for (const auto& [crash, at] : entry.crashes) {
-            reports.push_back({service, crash.first, crash.second, digest,
-                               std::chrono::duration_cast<std::chrono::milliseconds>(now - at)});
+        for (const auto& [name, known] : entry.crashes) {
+            reports.push_back(
+                {service, name.first, name.second, digest,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(now - known.at),
+                 known.answered_before});
         }
     }
     return reports;
@@ -63,8 +66,13 @@
 bool crashing_request_tracker::is_blocked(request_digest digest, monotonic_time now) const
 {
     const auto found = requests_.find(digest);
-    return found != requests_.end() && found->second.crashes.size() >= crashes_to_block &&
-           now - found->second.last < retention;
+    if (found == requests_.end() || now - found->second.last >= retention) {
+        return false;
+    }
+    const auto& crashes = found->second.crashes;
+    const bool answered = std::ranges::any_of(
+        crashes, [](const auto& known) { return known.second.answered_before; });
+    return crashes.size() >= (answered ? crashes_to_block_answered : crashes_to_block);
 }
 
 void crashing_request_tracker::evict_old(monotonic_time now)
--- a/src/savorywheel/traffic/crashing_request_tracker.hpp
+++ b/src/savorywheel/traffic/crashing_request_tracker.hpp
@@ -13,8 +13,9 @@
 /**
  * @brief Tracks requests that were running when a backend server crashed ("queries of death").
  *
- * A request that was running during two crashes is blocked for 10 minutes after the last one. A
- * complete response to a call that started after a crash removes that crash.
+ * A request that was running during two crashes is blocked for 10 minutes after the last one. One
+ * that was answered before probably ran beside the request at fault, and is blocked after the third
+ * crash. A complete response to a call that started after a crash removes that crash.
  */
 class crashing_request_tracker {
 public:
@@ -38,9 +39,13 @@
     [[nodiscard]] std::size_t size() const noexcept { return requests_.size(); }
 
 private:
+    struct crash {
+        monotonic_time at;
+        bool answered_before{};
+    };
     struct tracked_request {
-        /** Reported crashes by node and identity, with the time of the crash. */
-        std::map<std::pair<node_id, std::uint64_t>, monotonic_time> crashes;
+        /** Reported crashes by node and identity. */
+        std::map<std::pair<node_id, std::uint64_t>, crash> crashes;
         service_name service;
         monotonic_time last;
     };
--- a/test/savorywheel/traffic/crashing_request_tracker_test.cpp
+++ b/test/savorywheel/traffic/crashing_request_tracker_test.cpp
@@ -1,3 +1,4 @@
+#include <savorywheel/traffic/answered_requests.hpp>
 #include <savorywheel/traffic/crashing_request_tracker.hpp>
 
 #include <gtest/gtest.h>
@@ -9,7 +10,7 @@
 
 crash_report report(const std::string& node, std::uint64_t crash, request_digest digest)
 {
-    return {service_name{"bookdesk"}, node_id{node}, crash, digest, {}};
+    return {service_name{"bookdesk"}, node_id{node}, crash, digest, {}, false};
 }
 
 } // namespace
@@ -85,4 +86,31 @@
     EXPECT_TRUE(first.reports_of(service_name{"bookdesk"}, start + 15min).empty());
 }
 
+// Guards against review case 7 in its second form: another caller's request that had been answered
+// many times ran beside two crashes and was refused from then on.
+TEST(crashing_request_tracker, request_that_was_answered_before_is_blocked_after_the_third_crash)
+{
+    crashing_request_tracker tracker;
+    auto answered = report("a", 1, 7);
+    answered.answered_before = true;
+    tracker.add(answered, {});
+    tracker.add(report("b", 1, 7), {});
+    EXPECT_FALSE(tracker.is_blocked(7, {}));
+    tracker.add(report("c", 1, 7), {});
+    EXPECT_TRUE(tracker.is_blocked(7, {}));
+}
+
+TEST(answered_requests, latest_ones_are_kept_within_a_bound)
+{
+    answered_requests subject;
+    for (request_digest digest = 0; digest < 100'000; ++digest) {
+        subject.add(digest);
+        ASSERT_TRUE(subject.contains(digest));
+        subject.add(500'000);
+    }
+    EXPECT_TRUE(subject.contains(500'000));
+    EXPECT_FALSE(subject.contains(0));
+    EXPECT_LE(subject.size(), 4096U);
+}
+
 } // namespace savorywheel::test
--- a/test/savorywheel/traffic/gate_test.cpp
+++ b/test/savorywheel/traffic/gate_test.cpp
@@ -11,6 +11,7 @@
 #include <support/recording_sink.hpp>
 #include <support/wait_until.hpp>
 
+#include <atomic>
 #include <stdexcept>
 
 namespace savorywheel::test {
@@ -43,15 +44,20 @@
     }
 };
 
-/** Client of a backend server that crashes with each request. */
+/** Client of a backend server that crashes with each request, as long as it is told to. */
 struct crashing_http_client final : http_client {
     outcome<http_response> send(const network_endpoint& /*server*/, const http_request& /*request*/,
                                 milliseconds /*timeout*/) override
     {
+        if (!crashes) {
+            return http_response{200, {}, {}};
+        }
         return failure{failure_code::unknown_outcome, "the connection was reset"};
     }
 
-    bool accepts_connections(const network_endpoint& /*server*/) override { return false; }
+    bool accepts_connections(const network_endpoint& /*server*/) override { return !crashes; }
+
+    std::atomic<bool> crashes{true};
 };
 
 /** Gate with a client that blocks until the test releases it; releases all calls at the end. */
@@ -81,7 +87,8 @@
     /** Reports a crash of a node's backend server during a call. */
     void report_crash(const char* node, std::uint64_t crash, const call_request& call)
     {
-        const crash_reports reports{{{call.service, node_id{node}, crash, digest_of(call), {}}}};
+        const crash_reports reports{
+            {{call.service, node_id{node}, crash, digest_of(call), {}, false}}};
         subject.on_frame(sink, frame_kind::crash_reports, crash, encode(reports));
     }
 
@@ -316,6 +323,29 @@
     EXPECT_EQ(mesh.sink->response(2)->refusal, call_refusal::crashing);
 }
 
+TEST(gate, crash_report_tells_whether_the_request_was_answered_before)
+{
+    manual_clock time;
+    crashing_http_client client;
+    recording_event_log log;
+    recording_crash_reporter crashes;
+    default_server_header_codec header_codec;
+    const auto sink = std::make_shared<recording_sink>();
+    gate subject{{client, time, crashes, log, node_id{"gate"}, header_codec}};
+    subject.set_backend(make_backend(1));
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+        client.crashes = id == 2;
+        time.advance(milliseconds{10});
+        subject.on_frame(sink, frame_kind::call_request, id,
+                         encode(make_call("x", milliseconds{1000},
+                                          to_peer_time(time.now() + milliseconds{1000}))));
+        ASSERT_TRUE(wait_until([&sink, id] { return sink->response(id).has_value(); }));
+    }
+    subject.stop();
+    ASSERT_EQ(crashes.reports().size(), 1U);
+    EXPECT_TRUE(crashes.reports().front().answered_before);
+}
+
 // Guards against a crash that other gates take for an earlier one, since the node that reports it
 // has restarted.
 TEST(gate, crashes_before_and_after_a_restart_are_told_apart)
